--- /dev/null
+++ b/packages/camphorgate-cli/src/camphorgate_cli/client.py
@@ -0,0 +1,92 @@
+"""Calls to the admin interface of a daemon."""
+
+from typing import Any
+
+import aiosonic
+import msgspec
+from aiosonic.exceptions import AiosonicError
+
+from camphorgate.settings import split_address
+from camphorgate_cli.errors import (
+    CommandError,
+    ConflictError,
+    UnreachableError,
+)
+
+CONNECT_SECONDS = 2.0
+ANSWER_SECONDS = 15.0
+
+HTTP_CONFLICT = 409
+
+
+class AdminClient:
+    """Talks to one daemon."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, address: str) -> None:
+        """Check the address.
+
+        :param address: ``host:port`` of a daemon's admin interface.
+        :raises CommandError: if it is not an address.
+        """
+        try:
+            split_address(address)
+        except ValueError as error:
+            raise CommandError(f"wrong address: {error}") from None
+        self.address = address
+
+    async def get(self, path: str) -> dict[str, Any]:
+        """Read a page of the admin interface.
+
+        :raises UnreachableError: if no daemon answers in time.
+        :raises CommandError: if the daemon answers with an error.
+        """
+        return await self._call("GET", path, None)
+
+    async def submit(self, text: str, base_version: int | None) -> dict[str, Any]:
+        """Submit a manifest.
+
+        :param base_version: the version that the manifest replaces; the version in
+            force by default.
+        :raises ConflictError: if the base version is not the newest one.
+        :raises CommandError: if the manifest is refused.
+        """
+        path = "/admin/manifest"
+        if base_version is not None:
+            path += f"?base_version={base_version}"
+        return await self._call("POST", path, text.encode())
+
+    async def _call(self, method: str, path: str, body: bytes | None) -> dict[str, Any]:
+        url = f"http://{self.address}{path}"
+        timeouts = aiosonic.Timeouts(
+            sock_connect=CONNECT_SECONDS, request_timeout=ANSWER_SECONDS
+        )
+        try:
+            async with aiosonic.HTTPClient() as client:
+                response = await client.request(
+                    url, method=method, data=body, timeouts=timeouts
+                )
+                data = await response.content()
+        except (OSError, AiosonicError, TimeoutError) as error:
+            reason = str(error) or type(error).__name__
+            message = f"no daemon answers at {self.address}: {reason}"
+            raise UnreachableError(message) from None
+        return _decode(response.status_code, data, self.address)
+
+
+def _decode(status: int, data: bytes, address: str) -> dict[str, Any]:
+    try:
+        answer = msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        answer = None
+    if not isinstance(answer, dict):
+        message = f"{address} does not answer like an admin interface (HTTP {status})"
+        raise CommandError(message)
+    if status < 400:
+        return answer
+    error = answer.get("error", {})
+    text = error.get("message", f"HTTP {status}")
+    if status == HTTP_CONFLICT:
+        raise ConflictError(text, error)
+    raise CommandError(text, error)
--- /dev/null
+++ b/packages/camphorgate-cli/src/camphorgate_cli/output.py
@@ -0,0 +1,70 @@
+"""Human-readable forms of what the daemon answers."""
+
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
+from typing import Any
+
+
+def format_table(heads: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
+    """Return rows under their heads, columns aligned."""
+    cells = [list(heads)] + [[_cell(value) for value in row] for row in rows]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(heads))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def format_problems(problems: list[dict[str, Any]], path: str) -> str:
+    """Return one line for each problem of a manifest: file:line: path: message."""
+    return "\n".join(
+        f"{path}:{problem.get('line', 0)}: {problem['path']}: {problem['message']}"
+        for problem in problems
+    )
+
+
+def format_tree(value: Any, indent: int = 0) -> str:
+    """Return nested data as indented lines."""
+    pad = "  " * indent
+    if isinstance(value, dict):
+        return "\n".join(_format_member(k, v, indent) for k, v in value.items())
+    if isinstance(value, list):
+        if value and all(isinstance(item, dict) for item in value):
+            table = _table_of(value)
+            return "\n".join(pad + line for line in table.splitlines())
+        return "\n".join(f"{pad}- {_cell(item)}" for item in value)
+    return pad + _cell(value)
+
+
+def format_duration(seconds: float) -> str:
+    """Return a duration such as ``0:02:05``, or ``3.2 s`` below a minute."""
+    if seconds < 60:
+        return f"{seconds:.1f} s"
+    return str(timedelta(seconds=round(seconds)))
+
+
+def _format_member(name: str, value: Any, indent: int) -> str:
+    pad = "  " * indent
+    if isinstance(value, dict | list) and value:
+        return f"{pad}{name}:\n{format_tree(value, indent + 1)}"
+    return f"{pad}{name}: {_cell(value)}"
+
+
+def _table_of(items: list[dict[str, Any]]) -> str:
+    heads = list(dict.fromkeys(name for item in items for name in item))
+    return format_table(heads, [[item.get(name) for name in heads] for item in items])
+
+
+def _cell(value: Any) -> str:
+    if value is None or value == {} or value == []:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3f}".rstrip("0").rstrip(".")
+    if isinstance(value, list):
+        return ",".join(_cell(item) for item in value)
+    if isinstance(value, dict):
+        return " ".join(f"{name}={_cell(item)}" for name, item in value.items())
+    return str(value)
