--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests: which upstream serves one, when, and how often."""
