Add the admin interface and in-loop HTTP servers to the daemon

Cause: the operators' command needs status, report, dump and submit. Change: ext.admin builds each page from the loaded services; http.py runs uvicorn without its signal handlers and turns a failed bind into an error. Not measured and not yet run against a configuration service.

--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
@@ -0,0 +1,174 @@
+"""The operators' interface of a daemon: status, report, dump, submit.
+
+Pages are built from the services that are loaded, so that a daemon with fewer
+extensions still answers. No page ever holds a key.
+"""
+
+from typing import Any
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from camphorgate.application import Application
+from camphorgate.errors import CamphorgateError, ManifestError
+from camphorgate.log import log_event
+from camphorgated.http import EmbeddedServer, start_server, stop_server
+
+MAX_MANIFEST_BYTES = 64 * 1024 * 1024
+
+STATUS_BY_CODE = {
+    "manifest_invalid": 400,
+    "bad_request": 400,
+    "manifest_conflict": 409,
+    "manifest_too_large": 413,
+}
+
+
+def _encode(data: Any, status: int = 200) -> Response:
+    content = msgspec.json.encode(data, enc_hook=str)
+    return Response(content, status, media_type="application/json")
+
+
+def _error(error: CamphorgateError) -> Response:
+    body: dict[str, Any] = {"code": error.code, "message": error.message}
+    if isinstance(error, ManifestError):
+        body["problems"] = error.problems
+    for name in ("current_version", "changed"):
+        if hasattr(error, name):
+            body[name] = getattr(error, name)
+    return _encode({"error": body}, STATUS_BY_CODE.get(error.code, 503))
+
+
+class AdminError(CamphorgateError):
+    """An operator's request cannot be served."""
+
+    code = "bad_request"
+
+
+class AdminExtension:
+    """Serves the admin address."""
+
+    __slots__ = ("_app", "_server")
+
+    def __init__(self, app: Application) -> None:
+        """Keep the application, whose services fill the pages."""
+        self._app = app
+        self._server: EmbeddedServer | None = None
+
+    async def start(self) -> None:
+        """Listen on the admin address."""
+        routes = [
+            Route("/admin/status", self.status),
+            Route("/admin/report", self.report),
+            Route("/admin/dump", self.dump),
+            Route("/admin/manifest", self.submit, methods=["POST"]),
+            Route("/metrics", self.metrics),
+        ]
+        address = self._app.settings.admin_address
+        self._server = await start_server(Starlette(routes=routes), address)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            await stop_server(self._server)
+
+    async def status(self, request: Request) -> Response:
+        """Answer with instances, versions, queues and duties."""
+        return _encode(self._status())
+
+    def _status(self) -> dict[str, Any]:
+        app = self._app
+        status: dict[str, Any] = {"instance": app.settings.instance_id}
+        status["availability_zone"] = app.settings.availability_zone
+        if app.has_service("configuration"):
+            configuration = app.service("configuration")
+            status["version"] = configuration.version
+            status["fresh"] = configuration.fresh()
+            status["instances"] = self._instances()
+        for name in ("duties", "gateway", "kv", "usage", "fleet", "claims"):
+            service = app.service(name) if app.has_service(name) else None
+            if hasattr(service, "status"):
+                status[name] = service.status()
+        return status
+
+    def _instances(self) -> list[dict[str, Any]]:
+        versions_by_id = self._app.service("configuration").in_force_by_instance()
+        members_by_id = {}
+        if self._app.has_service("membership"):
+            members = self._app.service("membership").members()
+            members_by_id = {member.instance_id: member for member in members}
+        rows = []
+        for instance_id in sorted({*versions_by_id, *members_by_id}):
+            row = {"instance": instance_id}
+            row["version"] = versions_by_id.get(instance_id, 0)
+            member = members_by_id.get(instance_id)
+            for name in ("zone", "state", "age_seconds"):
+                if hasattr(member, name):
+                    row[name] = getattr(member, name)
+            rows.append(row)
+        return rows
+
+    async def report(self, request: Request) -> Response:
+        """Answer with what the whole system reports to its operators."""
+        if not self._app.has_service("report"):
+            return _error(AdminError("no report is kept", "not_available"))
+        return _encode(await self._app.service("report").collect())
+
+    async def dump(self, request: Request) -> Response:
+        """Answer with the state of this process."""
+        return _encode(self._app.dump())
+
+    async def submit(self, request: Request) -> Response:
+        """Take a manifest and answer once it is accepted or refused."""
+        try:
+            text = await _read_text(request)
+            base_version = _base_version(request)
+            configuration = self._app.service("configuration")
+            result = await configuration.submit(text, base_version)
+        except CamphorgateError as error:
+            log_event("manifest_refused", code=error.code, error=error.message)
+            return _error(error)
+        except TimeoutError:
+            message = "the manifest was not accepted in time; read the status"
+            return _error(AdminError(message, "outcome_unknown"))
+        log_event("manifest_accepted", version=result.version)
+        return _encode({"accepted": True, **msgspec.to_builtins(result)})
+
+    async def metrics(self, request: Request) -> Response:
+        """Answer in the format that the Accept header asks for."""
+        if not self._app.has_service("metrics"):
+            return Response(status_code=404)
+        accepts = request.headers.getlist("accept")
+        body, headers = self._app.service("metrics").render(accepts)
+        return Response(body, headers=headers)
+
+
+async def _read_text(request: Request) -> str:
+    data = bytearray()
+    async for chunk in request.stream():
+        data += chunk
+        if len(data) > MAX_MANIFEST_BYTES:
+            raise AdminError("the manifest is too large", "manifest_too_large")
+    try:
+        return data.decode()
+    except UnicodeDecodeError:
+        raise AdminError("the manifest is not UTF-8") from None
+
+
+def _base_version(request: Request) -> int | None:
+    text = request.query_params.get("base_version")
+    if text is None:
+        return None
+    if not text.isdecimal():
+        raise AdminError(f"base_version {text!r} is not a whole number")
+    return int(text)
+
+
+def setup(app: Application) -> None:
+    """Register the extension."""
+    extension = AdminExtension(app)
+    app.on_start(extension.start)
+    app.on_stop(extension.stop)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/http.py
@@ -0,0 +1,67 @@
+"""HTTP servers that run inside the daemon's own event loop."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.types import ASGIApp
+
+from camphorgate.settings import split_address
+from camphorgated.errors import ListenError
+
+START_POLL_SECONDS = 0.01
+LISTEN_BACKLOG = 2048
+
+
+class EmbeddedServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no signal handlers; the daemon has its own."""
+        yield
+
+
+async def start_server(app: ASGIApp, address: str, **options) -> EmbeddedServer:
+    """Start a server and return once it listens.
+
+    :param address: ``host:port``.
+    :param options: further options of :class:`uvicorn.Config`.
+    :raises ListenError: if the address cannot be used.
+    """
+    host, port = split_address(address)
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        backlog=LISTEN_BACKLOG,
+        **options,
+    )
+    server = EmbeddedServer(config)
+    task = asyncio.create_task(_serve(server, address), name=f"http {address}")
+    server.task = task
+    while not server.started:
+        if task.done():
+            await task
+            raise ListenError(f"cannot listen on {address}")
+        await asyncio.sleep(START_POLL_SECONDS)
+    return server
+
+
+async def stop_server(server: EmbeddedServer) -> None:
+    """Stop accepting, let open requests end, then return."""
+    server.should_exit = True
+    await server.task
+
+
+async def _serve(server: EmbeddedServer, address: str) -> None:
+    try:
+        await server.serve()
+    except SystemExit:
+        # uvicorn ends the process when it cannot bind; a daemon must not.
+        raise ListenError(f"cannot listen on {address}") from None
--- a/packages/camphorgate-standins/src/camphorgate_standins/demo.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/demo.py
@@ -129,7 +129,8 @@
         _command(system, "status")
         if options.keep:
             show_curl(system)
-            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+            signal.signal(signal.SIGTERM, signal.default_int_handler)
+            signal.pause()
     except KeyboardInterrupt:
         pass
     finally:
