--- a/packages/camphorgate-standins/src/camphorgate_standins/kv.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/kv.py
@@ -24,11 +24,19 @@
 class Store:
     """Keys with revisions, leases and watchers; all in memory."""
 
-    __slots__ = ("revision", "entries_by_key", "leases_by_id", "_next_lease", "queues")
+    __slots__ = (
+        "revision",
+        "entries_by_key",
+        "deleted_at_by_key",
+        "leases_by_id",
+        "_next_lease",
+        "queues",
+    )
 
     def __init__(self) -> None:
         self.revision = 1
         self.entries_by_key: dict[bytes, dict] = {}
+        self.deleted_at_by_key: dict[bytes, int] = {}
         self.leases_by_id: dict[int, dict] = {}
         self._next_lease = 1000
         self.queues: list[tuple[bytes, bytes, asyncio.Queue]] = []
@@ -48,6 +56,7 @@
     def delete(self, key: bytes) -> None:
         """Remove a key at the current revision."""
         if self.entries_by_key.pop(key, None) is not None:
+            self.deleted_at_by_key[key] = self.revision
             self._notify("DELETE", key)
 
     def keys_between(self, key: bytes, end: bytes) -> list[bytes]:
@@ -283,7 +292,7 @@
         return StreamingResponse(self._events(entry), media_type="application/json")
 
     def _replay(self, create: dict, queue: asyncio.Queue) -> None:
-        """Queue the newest value of keys that changed since the start revision."""
+        """Queue the newest state of keys that changed since the start revision."""
         start = int(create.get("start_revision", 0))
         if not start:
             return
@@ -293,6 +302,12 @@
         for key in keys:
             if self.store.entries_by_key[key]["mod"] >= start:
                 queue.put_nowait({"type": "PUT", "kv": self.store.encode(key)})
+        first, end = _bytes(create, "key"), _bytes(create, "range_end")
+        for key, revision in self.store.deleted_at_by_key.items():
+            covered = key == first or (end and first <= key < end)
+            if covered and revision >= start and key not in self.store.entries_by_key:
+                entry = {"key": _b64(key), "mod_revision": str(revision)}
+                queue.put_nowait({"type": "DELETE", "kv": entry})
 
     async def _events(self, entry: tuple):
         queue = entry[2]
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/connections.py
@@ -0,0 +1,57 @@
+"""HTTP connections on which an answer can never be taken for another request's.
+
+aiosonic 1.3.3 returns a connection to its pool after a request timed out or was
+cancelled, with the answer still to come; the next request on it reads that answer. It
+also sends PUT and DELETE requests again by itself when a reused connection breaks.
+:class:`ExclusiveConnection` prevents both.
+"""
+
+from aiosonic import HTTPClient
+from aiosonic.connection import Connection
+from aiosonic.connectors import TCPConnector
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+
+class ExclusiveConnection(Connection):
+    """A connection that is closed after any request that did not end normally."""
+
+    @property
+    def reused(self) -> bool:
+        """Claim to be new, as aiosonic repeats requests only on reused connections."""
+        return False
+
+    @reused.setter
+    def reused(self, value: bool) -> None:
+        pass
+
+    async def __aexit__(self, exc_type, exc, tb) -> None:
+        """Release the connection; close it first if the request failed."""
+        if exc_type is not None:
+            self.keep = False
+            self.blocked = False
+            self.close()
+        await super().__aexit__(exc_type, exc, tb)
+
+
+def build_http_client(
+    connections: int, connect_seconds: float, request_seconds: float
+) -> HTTPClient:
+    """Return a client that sends each request at most once.
+
+    :param connections: most connections that are open at a time.
+    :param connect_seconds: bound on opening a connection.
+    :param request_seconds: default bound on a whole request.
+    """
+    timeouts = Timeouts(
+        sock_connect=connect_seconds,
+        sock_read=request_seconds,
+        pool_acquire=request_seconds,
+        request_timeout=request_seconds,
+    )
+    connector = TCPConnector(
+        pool_configs={":default": PoolConfig(size=connections)},
+        timeouts=timeouts,
+        connection_cls=ExclusiveConnection,
+    )
+    return HTTPClient(connector=connector)
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/kv/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/tests/test_kv/__init__.py
@@ -0,0 +1,1 @@
+"""The key-value client and its behaviour under faults."""
