--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/callers.py
@@ -0,0 +1,212 @@
+"""The caller side: routes, health, and the server within the daemon's loop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import msgspec
+import uvicorn
+from starlette.routing import Route, Router
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from camphorgate.log import log_event
+from camphorgate.settings import split_address
+from camphorgated.ext.gateway.access import check_key
+from camphorgated.ext.gateway.call import Call, CallerLeft
+from camphorgated.ext.gateway.completions import list_models
+from camphorgated.ext.gateway.errors import GatewayError
+from camphorgated.ext.gateway.models import complete
+from camphorgated.ext.gateway.protocol import make_protocol
+from camphorgated.ext.gateway.services import serve
+
+KEEP_ALIVE_SECONDS = 75
+BACKLOG = 2048
+
+Handler = Callable[[Call], Awaitable[None]]
+_JSON = (b"content-type", b"application/json")
+
+
+class Endpoint:
+    """Runs a handler for each request and settles how the request ended."""
+
+    __slots__ = ("_gateway", "_handler")
+
+    def __init__(self, gateway: Any, handler: Handler) -> None:
+        """Wrap a handler."""
+        self._gateway = gateway
+        self._handler = handler
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        call = Call(self._gateway, scope, receive, send)
+        recorder = self._gateway.recorder
+        recorder.begin()
+        try:
+            await self._run(call)
+        except (CallerLeft, asyncio.CancelledError):
+            call.record.outcome = "caller_left"
+            call.abort()
+        finally:
+            call.close()
+            recorder.finish(call.record)
+
+    async def _run(self, call: Call) -> None:
+        try:
+            await self._handler(call)
+        except GatewayError as error:
+            await call.refuse(error)
+        except (CallerLeft, asyncio.CancelledError):
+            raise
+        except Exception as error:
+            log_event(
+                "request_failed",
+                level="ERROR",
+                id=call.record.request_id,
+                error=repr(error),
+            )
+            await call.refuse(GatewayError("internal_error", "internal error"))
+        else:
+            call.record.outcome = call.record.outcome or "ok"
+
+
+class PlainEndpoint:
+    """Answers a route that is not counted among the requests."""
+
+    __slots__ = ("_answer",)
+
+    def __init__(self, answer: Callable[[], tuple[int, list, bytes]]) -> None:
+        """Wrap a function that returns status, headers and body."""
+        self._answer = answer
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        status, headers, body = self._answer()
+        headers = [*headers, (b"content-length", b"%d" % len(body))]
+        if scope["method"] == "HEAD":
+            body = b""
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+def build_app(gateway: Any) -> ASGIApp:
+    """Return the ASGI application of the caller side."""
+
+    async def list_keyed_models(call: Call) -> None:
+        index, workspace = check_key(gateway, call)
+        await call.answer(200, [_JSON], list_models(index, workspace))
+
+    def endpoint(handler: Handler) -> Endpoint:
+        return Endpoint(gateway, handler)
+
+    routes = [
+        Route("/v1/chat/completions", endpoint(complete)),
+        Route("/v1/completions", endpoint(complete)),
+        Route("/v1/models", endpoint(list_keyed_models)),
+        Route("/healthz", PlainEndpoint(lambda: _plain(200, {"status": "ok"}))),
+        Route("/readyz", PlainEndpoint(lambda: _ready(gateway))),
+        Route("/metrics", PlainEndpoint(lambda: _metrics(gateway))),
+    ]
+    # Router instead of Starlette: the exception middlewares of the latter wrap each
+    # send of a stream, and Endpoint settles every error itself.
+    return Router(routes, redirect_slashes=False, default=endpoint(serve))
+
+
+def _plain(status: int, content: dict) -> tuple[int, list, bytes]:
+    return status, [_JSON], msgspec.json.encode(content)
+
+
+def _ready(gateway: Any) -> tuple[int, list, bytes]:
+    if gateway.leaving:
+        return _plain(503, {"status": "leaving"})
+    configuration = gateway.configuration
+    if configuration is None or configuration.index is None:
+        return _plain(503, {"status": "no configuration"})
+    return _plain(200, {"status": "ready"})
+
+
+def _metrics(gateway: Any) -> tuple[int, list, bytes]:
+    if not gateway.app.has_service("metrics"):
+        return _plain(404, {"status": "no metrics extension"})
+    content_type, body = gateway.app.service("metrics").render()
+    return 200, [(b"content-type", content_type.encode())], body
+
+
+class CallerServer(uvicorn.Server):
+    """uvicorn within the daemon's own loop; signals stay with the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signal handlers alone."""
+        yield
+
+
+class Listener:
+    """Accepts callers until it is told to stop, then lets requests end."""
+
+    __slots__ = ("address", "_gateway", "_server", "_task")
+
+    def __init__(self, gateway: Any) -> None:
+        """Prepare a server for the address in the settings."""
+        self.address = gateway.settings.caller_address
+        self._gateway = gateway
+        config = uvicorn.Config(
+            build_app(gateway),
+            http=make_protocol(gateway),
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            log_level="critical",
+            proxy_headers=False,
+            server_header=False,
+            timeout_keep_alive=KEEP_ALIVE_SECONDS,
+            backlog=BACKLOG,
+        )
+        self._server = CallerServer(config)
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: if the address cannot be used.
+        """
+        host, port = split_address(self.address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.socket(family, socket.SOCK_STREAM)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((host, port))
+        self.address = f"{host}:{listening.getsockname()[1]}"
+        serving = self._server.serve(sockets=[listening])
+        self._task = asyncio.create_task(serving, name="serve callers")
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+            await asyncio.sleep(0.005)
+        self._gateway.watch.add_sweeper(self._sweep_connections)
+        log_event("listening", address=self.address)
+
+    async def stop(self, grace_seconds: float) -> None:
+        """Accept nothing more and wait for the requests under way.
+
+        :param grace_seconds: after which requests still under way are given up.
+        """
+        self._server.should_exit = True
+        if self._task is None:
+            return
+        done, _ = await asyncio.wait([self._task], timeout=grace_seconds)
+        if not done:
+            log_event(
+                "grace_over",
+                level="ERROR",
+                in_flight=self._gateway.recorder.in_flight,
+            )
+            self._server.force_exit = True
+            await asyncio.wait([self._task], timeout=1.0)
+
+    def _sweep_connections(self, now: float) -> None:
+        for connection in list(self._server.server_state.connections):
+            connection.sweep(now)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/client.py
@@ -0,0 +1,170 @@
+"""Connections to upstreams: aiosonic's connector and pool, with strict reuse.
+
+aiosonic's own exchange takes the end of a connection within the headers for the end
+of the headers, leaves trailers in the buffer of a pooled connection, and resends some
+requests by itself. The classes here keep its connections and pooling and read answers
+through llhttp (:mod:`httptools`), which settles where an answer ends.
+"""
+
+import socket
+from urllib.parse import ParseResult, urlsplit
+
+from aiosonic.connection import Connection
+from aiosonic.connectors import TCPConnector
+from aiosonic.pools import BasePool, PoolConfig
+from aiosonic.resolver import AbstractResolver
+from aiosonic.timeout import Timeouts
+from aiosonic.utils import connection_key
+
+# Servers commonly close after 5 s or more; shorter idling avoids most lost races.
+IDLE_SECONDS = 4.0
+IDLE_CONNECTIONS_PER_UPSTREAM = 64
+
+
+class UpstreamConnection(Connection):
+    """A connection that is reused only if nothing has arrived while it was idle."""
+
+    def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
+        """Tell whether the open connection can carry another request."""
+        reader = self.reader
+        if reader is None or reader.at_eof() or reader.exception() is not None:
+            return False
+        # Bytes that arrive between two requests belong to neither.
+        if reader._buffer or reader._eof:
+            return False
+        return super().reuse(urlparsed, verify)
+
+    def hand_back(self, clean: bool) -> None:
+        """Return the connection to its pool, or close it.
+
+        :param clean: the answer was read to its end and nothing followed it.
+        """
+        if clean and not self.reader._buffer and not self.reader._eof:
+            self.key = self.temp_key
+            self.keep_alive()
+        else:
+            self.key = None
+            self.keep = False
+        self.release()
+
+
+class UpstreamPool(BasePool):
+    """Idle connections by destination, newest first; never waits for one."""
+
+    def _init_pool(self, connection_cls) -> None:
+        self._connection_cls = connection_cls
+        self._idle_by_key: dict[str, list[Connection]] = {}
+
+    def open_connection(self) -> Connection:
+        """Return a connection that is not connected yet."""
+        return self._new_connection(self._connection_cls)
+
+    async def acquire(self, urlparsed: ParseResult | None = None) -> Connection:
+        """Return an idle connection to a destination, or a new one."""
+        idle = self._idle_by_key.get(connection_key(urlparsed))
+        while idle:
+            connection = idle.pop()
+            if not self._is_connection_idle(connection) and connection.reuse(
+                urlparsed, True
+            ):
+                return connection
+            connection.close()
+        return self.open_connection()
+
+    def release(self, conn: Connection) -> None:
+        """Keep a connection that may be reused."""
+        if not conn.is_connected or conn.key is None:
+            conn.close()
+            return
+        idle = self._idle_by_key.setdefault(conn.key, [])
+        if len(idle) < IDLE_CONNECTIONS_PER_UPSTREAM:
+            idle.append(conn)
+        else:
+            conn.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that have been idle for too long."""
+        for key, idle in list(self._idle_by_key.items()):
+            for connection in idle:
+                if self._is_connection_idle(connection):
+                    connection.close()
+            kept = [connection for connection in idle if connection.is_connected]
+            if kept:
+                self._idle_by_key[key] = kept
+            else:
+                del self._idle_by_key[key]
+
+    def free_conns(self) -> int:
+        """Return the number of idle connections."""
+        return sum(len(idle) for idle in self._idle_by_key.values())
+
+    def is_all_free(self) -> bool:
+        """Tell whether the pool may be closed; a pool without limit always may."""
+        return True
+
+    async def cleanup(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle_by_key.values():
+            for connection in idle:
+                connection.close()
+        self._idle_by_key.clear()
+
+
+class NumericResolver(AbstractResolver):
+    """Takes IP numbers as they are; upstreams are never named."""
+
+    async def resolve(
+        self, host: str, port: int = 0, family: int = socket.AF_INET
+    ) -> list[dict]:
+        """Return the address of an IP number."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        fields = {"hostname": host, "host": host, "port": port, "family": family}
+        return [{**fields, "proto": 0, "flags": 0}]
+
+    async def close(self) -> None:
+        """Release nothing."""
+
+
+class UpstreamConnector(TCPConnector):
+    """Opens connections to upstreams."""
+
+    def __init__(self, connect_seconds: float) -> None:
+        """Start without connections.
+
+        :param connect_seconds: how long opening one may take.
+        """
+        config = PoolConfig(
+            max_conn_requests=None, max_conn_idle_ms=int(IDLE_SECONDS * 1000)
+        )
+        super().__init__(
+            pool_configs={":default": config},
+            timeouts=Timeouts(sock_connect=connect_seconds),
+            connection_cls=UpstreamConnection,
+            pool_cls=UpstreamPool,
+            resolver=NumericResolver(),
+        )
+
+    @property
+    def pool(self) -> UpstreamPool:
+        """Return the pool of every upstream."""
+        return self.pools[":default"]
+
+    async def open(self, url: ParseResult, fresh: bool) -> UpstreamConnection:
+        """Return a connected connection.
+
+        :param fresh: never reuse an open connection.
+        :raises ConnectTimeout: if it cannot be opened in time.
+        :raises OSError: if it is refused.
+        """
+        if not fresh:
+            return await self.acquire(url, True, None, self.timeouts, False)
+        connection = self.pool.open_connection()
+        return await self.after_acquire(
+            url, connection, True, None, self.timeouts, False
+        )
+
+
+def parse_address(address: str) -> ParseResult:
+    """Return ``host:port`` in the form that connections take."""
+    parts = urlsplit(f"http://{address}")
+    return ParseResult(parts.scheme, parts.netloc, "", "", "", "")
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completions.py
@@ -0,0 +1,145 @@
+"""What a completion request asks for, checked against the manifest."""
+
+from typing import Any
+
+import msgspec
+import xxhash
+
+from camphorgate.manifest import Adapter, ManifestIndex, Model, Pool, Workspace
+from camphorgate.requests.views import RequestView
+from camphorgated.ext.gateway.call import Call
+from camphorgated.ext.gateway.errors import GatewayError
+from camphorgated.ext.gateway.exchange import RequestHead
+
+CHARACTERS_PER_TOKEN = 4
+PREFIX_CHARACTERS = 1024
+# Expected length of an answer if the caller sets no limit.
+DEFAULT_OUTPUT_TOKENS = 256
+_JSON = (b"content-type", b"application/json")
+
+
+class Message(msgspec.Struct):
+    """One message of a chat."""
+
+    content: Any = None
+
+
+class CompletionBody(msgspec.Struct):
+    """The fields of a completion request that the system needs."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    prompt: Any = None
+    messages: list[Message] | None = None
+
+    def text(self) -> str:
+        """Return the prompt as one text."""
+        if self.messages is not None:
+            return "\n".join(_text_of(message.content) for message in self.messages)
+        return _text_of(self.prompt)
+
+
+class Plan(msgspec.Struct, eq=False):
+    """One completion, ready for dispatch."""
+
+    index: ManifestIndex
+    workspace: Workspace
+    model: Model
+    pool: Pool
+    request: RequestView
+    body: bytes
+    stream: bool
+    target: bytes
+
+    def head(self, request_id: str, body: bytes) -> RequestHead:
+        """Return the head of an upstream request with a body."""
+        accept = b"text/event-stream" if self.stream else b"application/json"
+        headers = [
+            _JSON,
+            (b"accept", accept),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        return RequestHead("POST", self.target, headers, request_id)
+
+    def first_byte_seconds(self, silence_seconds: float) -> float:
+        """Return how long the first token may take.
+
+        Four times the declared time for the prompt covers a busy engine.
+        """
+        rate = self.pool.prefill_tokens_per_second
+        return silence_seconds + 4.0 * self.request.prompt_tokens / rate
+
+
+_body_decoder = msgspec.json.Decoder(CompletionBody)
+
+
+def _text_of(content: Any) -> str:
+    if isinstance(content, str):
+        return content
+    if isinstance(content, list):
+        return "\n".join(_text_of(part) for part in content)
+    if isinstance(content, dict):
+        return _text_of(content.get("text", ""))
+    return "" if content is None else str(content)
+
+
+def list_models(index: ManifestIndex, workspace: Workspace) -> bytes:
+    """Return the body of GET /v1/models for a workspace."""
+    models = [
+        {"id": name, "object": "model", "owned_by": model.pool}
+        for name, (model, adapter) in index.models_by_name.items()
+        if _may_use(workspace, adapter)
+    ]
+    return msgspec.json.encode({"object": "list", "data": models})
+
+
+def build_plan(
+    call: Call, index: ManifestIndex, workspace: Workspace, body: bytes
+) -> Plan:
+    """Return the plan of a completion request.
+
+    :raises GatewayError: if the body or the model is wrong.
+    """
+    try:
+        decoded = _body_decoder.decode(body)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        message = f"the body is not a completion request: {error}"
+        raise GatewayError("bad_request", message) from None
+    model, adapter = index.models_by_name.get(decoded.model, (None, None))
+    if model is None or not _may_use(workspace, adapter):
+        raise GatewayError("model_unknown", f"no model is named {decoded.model!r}")
+    pool = index.pools_by_name[model.pool]
+    text = decoded.text()
+    prompt_tokens = max(1, len(text) // CHARACTERS_PER_TOKEN)
+    if prompt_tokens > model.context_tokens:
+        message = f"the prompt exceeds {model.context_tokens} tokens"
+        raise GatewayError("bad_request", message)
+    prefix = f"{decoded.model}\0{text[:PREFIX_CHARACTERS]}"
+    limit = decoded.max_tokens or decoded.max_completion_tokens
+    request = RequestView(
+        workspace=workspace.name,
+        pool=model.pool,
+        model=decoded.model,
+        prompt_tokens=prompt_tokens,
+        output_tokens=max(1, limit or DEFAULT_OUTPUT_TOKENS),
+        prefix_digest=xxhash.xxh3_64_hexdigest(prefix.encode("utf-8", "replace")),
+        prefix_tokens=min(prompt_tokens, PREFIX_CHARACTERS // CHARACTERS_PER_TOKEN),
+        resumable=decoded.stream,
+        deadline=call.arrived_at + model.deadline_seconds,
+        zone=call.gateway.settings.availability_zone,
+    )
+    record = call.record
+    record.pool, record.model = model.pool, decoded.model
+    record.prompt_tokens = prompt_tokens
+    target = call.scope["raw_path"]
+    return Plan(index, workspace, model, pool, request, body, decoded.stream, target)
+
+
+def _may_use(workspace: Workspace, adapter: Adapter | None) -> bool:
+    return (
+        adapter is None
+        or not adapter.workspaces
+        or workspace.name in adapter.workspaces
+    )
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/core.py
@@ -0,0 +1,102 @@
+"""What the parts of the gateway share: settings, services, upstreams, counters."""
+
+import secrets
+from itertools import count
+from typing import Any
+
+from camphorgate.application import Application
+from camphorgate.manifest import ManifestIndex
+from camphorgated.ext.gateway.access import LimitBook
+from camphorgated.ext.gateway.client import UpstreamConnector
+from camphorgated.ext.gateway.errors import GatewayError
+from camphorgated.ext.gateway.exchange import Exchange, RequestHead
+from camphorgated.ext.gateway.queueing import Admission
+from camphorgated.ext.gateway.records import Recorder
+from camphorgated.ext.gateway.retries import RetryBudget
+from camphorgated.ext.gateway.upstreams import UpstreamTable
+from camphorgated.ext.gateway.watch import DeadlineWatch
+
+
+class Gateway:
+    """The request path of one daemon."""
+
+    __slots__ = (
+        "app",
+        "settings",
+        "limits",
+        "now",
+        "watch",
+        "connector",
+        "upstreams",
+        "admission",
+        "recorder",
+        "retries",
+        "workspace_limits",
+        "configuration",
+        "claims",
+        "usage",
+        "leaving",
+        "_request_ids",
+        "_id_prefix",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Build the parts; the services of other extensions come with ``start``."""
+        self.app = app
+        self.settings = app.settings
+        self.limits = app.settings.limits
+        self.now = app.clock.monotonic
+        self.watch = DeadlineWatch(app.clock)
+        self.connector = UpstreamConnector(self.limits.connect_seconds)
+        self.upstreams = UpstreamTable(self)
+        self.admission = Admission(self)
+        self.recorder = Recorder(self)
+        self.retries = RetryBudget()
+        self.workspace_limits = LimitBook(self)
+        self.configuration: Any = None
+        self.claims: Any = None
+        self.usage: Any = None
+        self.leaving = False
+        self._request_ids = count(1)
+        self._id_prefix = secrets.token_hex(8)
+
+    def start(self) -> None:
+        """Take the services of other extensions and the manifest in force."""
+        self.configuration = self.app.service("configuration")
+        self.claims = self._optional("claims")
+        self.usage = self._optional("usage")
+        index = self.configuration.index
+        if index is not None:
+            self.take_manifest(index)
+
+    def take_manifest(self, index: ManifestIndex) -> None:
+        """Take a manifest, or the platform's list on top of the same one."""
+        membership = self._optional("membership")
+        listed = membership.platform_upstreams() if membership else ()
+        self.upstreams.rebuild(index, listed)
+
+    def live_count(self) -> int:
+        """Return how many instances are live, 1 without a membership service."""
+        membership = self._optional("membership")
+        return membership.live_count() if membership else 1
+
+    def index(self) -> ManifestIndex:
+        """Return the manifest in force.
+
+        :raises GatewayError: if none is known yet.
+        """
+        index = self.configuration.index if self.configuration else None
+        if index is None:
+            raise GatewayError("configuration_stale", "no configuration is known yet")
+        return index
+
+    def next_request_id(self) -> str:
+        """Return an id that no other dispatch of the system has."""
+        return f"{self._id_prefix}-{next(self._request_ids):x}"
+
+    def open_exchange(self, head: RequestHead, *, fresh: bool) -> Exchange:
+        """Return an exchange with an upstream, not begun yet."""
+        return Exchange(self.connector, self.watch, self.app.clock, head, fresh=fresh)
+
+    def _optional(self, name: str) -> Any:
+        return self.app.service(name) if self.app.has_service(name) else None
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/events.py
@@ -0,0 +1,137 @@
+"""Follows a token stream: whole events, their numbers, and the text so far."""
+
+import msgspec
+
+from camphorgated.ext.gateway.errors import UpstreamFault
+
+DONE_EVENT = b"data: [DONE]\n\n"
+_END = b"\n\n"
+_ID = b"id: "
+_NEXT_ID = b"\n\nid: "
+_DATA = b"data: "
+MAX_EVENT_BYTES = 1_048_576
+# Events are kept as they came and reduced to their text at this size.
+HELD_BYTES = 65536
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    text: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_decoder = msgspec.json.Decoder(_Event)
+
+
+class TokenStream:
+    """Counts the events of a stream without decoding them.
+
+    An event ends in a blank line and begins with ``id: N``, numbered from 0 without
+    gaps. Only whole events are passed on, so that a stream can continue elsewhere
+    after the last of them.
+    """
+
+    __slots__ = ("last_id", "tokens", "done", "_rest", "_held", "_held_bytes", "_text")
+
+    def __init__(self) -> None:
+        """Start before the first token."""
+        self.last_id = -1
+        self.tokens = 0
+        self.done = False
+        self._rest = b""
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._text: list[str] = []
+
+    @property
+    def resumable(self) -> bool:
+        """Tell whether every event so far had a number."""
+        return self.tokens == self.last_id + 1
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes of the stream and return the whole events among them.
+
+        The final ``[DONE]`` event sets ``done`` and is not returned.
+
+        :raises UpstreamFault: if the numbers have a gap or a repeat.
+        """
+        if self._rest:
+            data = self._rest + data
+            self._rest = b""
+        if not data.endswith(_END):
+            end = data.rfind(_END) + len(_END)
+            if end < len(_END):
+                end = 0
+            self._rest = data[end:]
+            data = data[:end]
+            if len(self._rest) > MAX_EVENT_BYTES:
+                raise UpstreamFault("an event of the stream is too long")
+            if not data:
+                return b""
+        if data.endswith(DONE_EVENT):
+            self.done = True
+            data = data[: -len(DONE_EVENT)]
+            if not data:
+                return b""
+        self._count(data)
+        self._hold(data)
+        return data
+
+    def restart(self) -> None:
+        """Forget an unfinished event before the stream continues elsewhere."""
+        self._rest = b""
+        self.done = False
+
+    def text(self) -> str:
+        """Return the text of all events so far."""
+        self._reduce()
+        return "".join(self._text)
+
+    def _count(self, data: bytes) -> None:
+        count = data.count(_NEXT_ID)
+        if data.startswith(_ID):
+            count += 1
+        if not count:
+            if not data.startswith(b":"):
+                self.tokens += data.count(_END)
+            return
+        start = data.rfind(_NEXT_ID)
+        start = start + len(_NEXT_ID) if start >= 0 else len(_ID)
+        try:
+            last = int(data[start : data.find(b"\n", start)])
+        except ValueError:
+            raise UpstreamFault("an event of the stream has no number") from None
+        if last != self.last_id + count:
+            raise UpstreamFault(
+                f"token {last} follows token {self.last_id} after {count} events"
+            )
+        self.last_id = last
+        self.tokens += count
+
+    def _hold(self, data: bytes) -> None:
+        self._held.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes > HELD_BYTES:
+            self._reduce()
+
+    def _reduce(self) -> None:
+        for event in b"".join(self._held).split(_END):
+            start = event.find(_DATA)
+            if start < 0:
+                continue
+            try:
+                decoded = _decoder.decode(event[start + len(_DATA) :])
+            except msgspec.DecodeError:
+                raise UpstreamFault("an event of the stream is no JSON") from None
+            for choice in decoded.choices[:1]:
+                content = choice.delta.content if choice.delta else choice.text
+                self._text.append(content or "")
+        self._held = []
+        self._held_bytes = 0
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/models.py
@@ -0,0 +1,112 @@
+"""Completions: the two endpoints, and answers that are not streamed."""
+
+import msgspec
+
+from camphorgated.ext.gateway.access import check_key
+from camphorgated.ext.gateway.call import Call
+from camphorgated.ext.gateway.completions import Plan, build_plan
+from camphorgated.ext.gateway.dispatch import (
+    Attempts,
+    check_overload,
+    open_answer,
+    read_whole,
+)
+from camphorgated.ext.gateway.errors import GatewayError, UpstreamFault
+from camphorgated.ext.gateway.exchange import Answer
+from camphorgated.ext.gateway.queueing import Slot
+from camphorgated.ext.gateway.streams import stream
+
+MAX_ANSWER_BYTES = 33_554_432
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _AnswerUsage(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+_usage_decoder = msgspec.json.Decoder(_AnswerUsage)
+
+
+async def complete(call: Call) -> None:
+    """Serve one completion."""
+    if call.scope["method"] != "POST":
+        raise GatewayError("bad_request", "use POST for completions", status=405)
+    gateway = call.gateway
+    _, workspace = check_key(gateway, call)
+    gateway.workspace_limits.check(workspace)
+    body = await call.read_all()
+    # The key is checked again: it may have been withdrawn while the body came.
+    index, workspace = check_key(gateway, call)
+    plan = build_plan(call, index, workspace, body)
+    running = gateway.recorder.in_flight_by_workspace
+    running[workspace.name] += 1
+    try:
+        if plan.stream:
+            await stream(call, plan)
+        else:
+            await _complete_plain(call, plan)
+    finally:
+        running[workspace.name] -= 1
+        used = call.record.prompt_tokens + call.record.output_tokens
+        gateway.workspace_limits.spend_tokens(workspace.name, used)
+
+
+async def _complete_plain(call: Call, plan: Plan) -> None:
+    gateway = call.gateway
+    attempts = Attempts(gateway, plan.request, call.record)
+    while True:
+        slot = await attempts.admit()
+        try:
+            answer, body = await _attempt(call, plan, slot, attempts.fresh)
+        except UpstreamFault as fault:
+            slot.release()
+            attempts.note_fault(slot, fault)
+        else:
+            break
+        finally:
+            slot.release()
+    _take_usage(call, answer, body)
+    await gateway.recorder.account(call.record)
+    content_type = answer.header(b"content-type") or b"application/json"
+    await call.answer(answer.status, [(b"content-type", content_type)], body)
+
+
+async def _attempt(
+    call: Call, plan: Plan, slot: Slot, fresh: bool
+) -> tuple[Answer, bytes]:
+    gateway = call.gateway
+    deadline = plan.request.deadline
+    exchange = await open_answer(
+        gateway,
+        slot,
+        plan.head(gateway.next_request_id(), plan.body),
+        plan.body,
+        deadline,
+        fresh=fresh,
+        echoes_id=plan.pool.echoes_request_id,
+    )
+    try:
+        check_overload(exchange)
+        body = await read_whole(exchange, deadline, MAX_ANSWER_BYTES)
+    finally:
+        exchange.close()
+    gateway.upstreams.succeeded(slot.entry)
+    return exchange.answer, body
+
+
+def _take_usage(call: Call, answer: Answer, body: bytes) -> None:
+    """Take the counts that the engine reports, which are better than estimates."""
+    if answer.status != 200:
+        call.record.prompt_tokens = 0
+        return
+    try:
+        usage = _usage_decoder.decode(body).usage
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return
+    if usage is not None:
+        call.record.prompt_tokens = usage.prompt_tokens
+        call.record.output_tokens = usage.completion_tokens
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/protocol.py
@@ -0,0 +1,130 @@
+"""uvicorn's HTTP protocol with bounds on headers, clear errors and liveness rules."""
+
+from typing import Any
+
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+
+from camphorgated.ext.gateway.errors import GatewayError, encode_error, error_headers
+
+HEAD_SECONDS = 10.0
+# A caller that takes nothing, or sends nothing of an announced body, for this long.
+CALLER_SILENCE_SECONDS = 30.0
+SCOPE_KEY = "camphorgate.protocol"
+
+
+class _HeadRefused(Exception):
+    """Ends parsing within a parser callback."""
+
+
+class CallerProtocol(HttpToolsProtocol):
+    """One connection of a caller."""
+
+    gateway: Any = None
+
+    def connection_made(self, transport) -> None:
+        """Start with an incomplete head."""
+        super().connection_made(transport)
+        self.on_lost = None
+        self.body_awaited_since: float | None = None
+        self._refusal = GatewayError("bad_request", "the request is malformed")
+        self._head_bytes = 0
+        self._head_since: float | None = self.gateway.now()
+        self._paused_since: float | None = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the request under way that its caller has left."""
+        on_lost, self.on_lost = self.on_lost, None
+        super().connection_lost(exc)
+        if on_lost is not None:
+            on_lost()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the caller, with a bound on an unfinished head."""
+        if self.parser is None or self.transport.is_closing():
+            return
+        if self._head_since is None and self.cycle is None:
+            self._head_since = self.gateway.now()
+        super().data_received(data)
+        if self._head_since is None:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > 2 * self.gateway.limits.header_bytes:
+            self._refuse_header_size()
+            self.send_400_response("")
+
+    def on_message_begin(self) -> None:
+        """Start a head."""
+        super().on_message_begin()
+        self._head_bytes = 0
+        self._head_since = self.gateway.now()
+        self.scope["extensions"] = {SCOPE_KEY: self}
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        super().on_url(url)
+        if len(self.url) > self.gateway.limits.header_bytes:
+            self._refuse_header_size()
+            raise _HeadRefused
+
+    def on_headers_complete(self) -> None:
+        """Check the head and begin the request."""
+        size = len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers)
+        if size > self.gateway.limits.header_bytes:
+            self._refuse_header_size()
+            raise _HeadRefused
+        if self.parser.should_upgrade():
+            message = "protocol upgrades and tunnels are not offered"
+            self._refusal = GatewayError("bad_request", message)
+            raise _HeadRefused
+        self._head_since = None
+        super().on_headers_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer a request that cannot be parsed, and close the connection."""
+        if self.cycle is not None and not self.cycle.response_complete:
+            # An answer is under way, and another head within it would be garbage.
+            self.transport.abort()
+            return
+        error = self._refusal
+        request_id = self.gateway.next_request_id()
+        body = encode_error(error.code, error.message, error.run, request_id)
+        headers = [
+            *error_headers(error.status, 0),
+            (b"content-length", b"%d" % len(body)),
+            (b"connection", b"close"),
+            (b"x-request-id", request_id.encode()),
+        ]
+        lines = [STATUS_LINE[error.status]]
+        lines += [b"%s: %s\r\n" % pair for pair in headers]
+        self.transport.write(b"".join([*lines, b"\r\n", body]))
+        self.transport.close()
+
+    def abort(self) -> None:
+        """Break the connection, so that a cut answer is not taken for a whole one."""
+        self.transport.abort()
+
+    def sweep(self, now: float) -> None:
+        """End a connection whose caller has stopped taking part."""
+        if self.flow is None or self.transport.is_closing():
+            return
+        if not self.flow.write_paused:
+            self._paused_since = None
+        elif self._paused_since is None:
+            self._paused_since = now
+        waits = (
+            (self._head_since, HEAD_SECONDS),
+            (self._paused_since, CALLER_SILENCE_SECONDS),
+            (self.body_awaited_since, CALLER_SILENCE_SECONDS),
+        )
+        if any(since is not None and now - since > bound for since, bound in waits):
+            self.transport.abort()
+
+    def _refuse_header_size(self) -> None:
+        limit = self.gateway.limits.header_bytes
+        message = f"the request line and headers exceed {limit} bytes"
+        self._refusal = GatewayError("header_too_large", message)
+
+
+def make_protocol(gateway: Any) -> type[CallerProtocol]:
+    """Return the protocol class of one gateway."""
+    return type("GatewayProtocol", (CallerProtocol,), {"gateway": gateway})
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/records.py
@@ -0,0 +1,168 @@
+"""What is kept of each request: log line, counters, usage, event."""
+
+from collections import Counter
+from typing import Any
+
+import msgspec
+
+from camphorgate.log import log_event
+from camphorgated.ext.gateway.fairness import CALL_SERVICE, DECODE_TOKEN_WEIGHT
+
+FIRST_TOKEN_BOUND_SECONDS = 0.64
+TOKEN_BOUND_SECONDS = 0.067
+
+
+class RequestRecord(msgspec.Struct, eq=False):
+    """One request from its arrival to its end; times are monotonic seconds.
+
+    ``outcome`` is ``ok``, an error code, or ``caller_left``. ``token_gap_seconds`` is
+    the average time between tokens.
+    """
+
+    request_id: str
+    arrived_at: float
+    method: str = ""
+    path: str = ""
+    workspace: str = ""
+    weight: float = 1.0
+    pool: str = ""
+    model: str = ""
+    service: str = ""
+    upstream_id: str = ""
+    status: int = 0
+    outcome: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    attempts: int = 0
+    resumes: int = 0
+    admitted_at: float = 0.0
+    first_token_at: float = 0.0
+    ended_at: float = 0.0
+    keyed: bool = True
+
+    @property
+    def token_gap_seconds(self) -> float:
+        """Return the average time between the tokens of an answer."""
+        if self.output_tokens < 2 or not self.first_token_at:
+            return 0.0
+        return (self.ended_at - self.first_token_at) / (self.output_tokens - 1)
+
+    def is_good(self) -> bool:
+        """Tell whether the request counts towards goodput."""
+        if self.outcome != "ok":
+            return False
+        if not self.first_token_at:
+            return True
+        first = self.first_token_at - self.arrived_at
+        fast = self.token_gap_seconds <= TOKEN_BOUND_SECONDS
+        return first <= FIRST_TOKEN_BOUND_SECONDS and fast
+
+
+class UsageEntry(msgspec.Struct, frozen=True):
+    """What one request used, for the usage service."""
+
+    request_id: str
+    workspace: str
+    model: str = ""
+    service: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    calls: int = 1
+
+
+class Recorder:
+    """Counts requests and hands their usage on."""
+
+    __slots__ = (
+        "in_flight",
+        "in_flight_by_workspace",
+        "requests_by_outcome",
+        "tokens_by_kind",
+        "resumes",
+        "good",
+        "_gateway",
+    )
+
+    def __init__(self, gateway: Any) -> None:
+        """Start with zeros."""
+        self.in_flight = 0
+        self.in_flight_by_workspace: Counter[str] = Counter()
+        self.requests_by_outcome: Counter[tuple[str, str]] = Counter()
+        self.tokens_by_kind: Counter[str] = Counter()
+        self.resumes = 0
+        self.good = 0
+        self._gateway = gateway
+
+    def begin(self) -> None:
+        """Count a request that arrived."""
+        self.in_flight += 1
+
+    async def account(self, record: RequestRecord) -> None:
+        """Hand the usage on and wait until it survives this process, bounded.
+
+        Called before the last bytes of an answer leave.
+        """
+        usage = self._gateway.usage
+        if usage is None or not record.keyed:
+            return
+        entry = UsageEntry(
+            record.request_id,
+            record.workspace,
+            record.model,
+            record.service,
+            record.prompt_tokens,
+            record.output_tokens,
+        )
+        usage.record(entry)
+        await usage.durable(entry)
+
+    def finish(self, record: RequestRecord) -> None:
+        """Count, log and announce a request that ended."""
+        self.in_flight -= 1
+        record.ended_at = self._gateway.now()
+        self.requests_by_outcome[record.pool, record.outcome] += 1
+        self.tokens_by_kind["prefill"] += record.prompt_tokens
+        self.tokens_by_kind["decode"] += record.output_tokens
+        self.resumes += record.resumes
+        self.good += record.is_good()
+        if record.workspace and record.attempts:
+            service = record.prompt_tokens + DECODE_TOKEN_WEIGHT * record.output_tokens
+            ledger = self._gateway.admission.ledger
+            ledger.add(record.workspace, service or CALL_SERVICE, record.weight)
+        self._gateway.app.emit("request-finished", record)
+        self._log(record)
+
+    def dump(self) -> dict:
+        """Return the counters."""
+        return {
+            "in_flight": self.in_flight,
+            "in_flight_by_workspace": dict(+self.in_flight_by_workspace),
+            "requests_by_pool_and_outcome": {
+                f"{pool or '-'} {outcome}": count
+                for (pool, outcome), count in sorted(self.requests_by_outcome.items())
+            },
+            "tokens": dict(self.tokens_by_kind),
+            "resumes": self.resumes,
+            "good_requests": self.good,
+        }
+
+    def _log(self, record: RequestRecord) -> None:
+        first = record.first_token_at
+        log_event(
+            "request",
+            id=record.request_id,
+            method=record.method,
+            path=record.path,
+            workspace=record.workspace or None,
+            model=record.model or None,
+            service=record.service or None,
+            upstream=record.upstream_id or None,
+            status=record.status,
+            outcome=record.outcome,
+            prompt_tokens=record.prompt_tokens or None,
+            output_tokens=record.output_tokens or None,
+            attempts=record.attempts,
+            resumes=record.resumes or None,
+            first_token_seconds=first - record.arrived_at if first else None,
+            seconds=record.ended_at - record.arrived_at,
+        )
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -0,0 +1,227 @@
+"""Streamed completions: pass tokens on, resume elsewhere without gap or repeat."""
+
+import msgspec
+
+from camphorgated.ext.gateway.call import Call
+from camphorgated.ext.gateway.completions import Plan
+from camphorgated.ext.gateway.dispatch import (
+    Attempts,
+    check_overload,
+    open_answer,
+    read_whole,
+)
+from camphorgated.ext.gateway.errors import (
+    GatewayError,
+    UpstreamFault,
+    UpstreamRefused,
+    encode_error,
+)
+from camphorgated.ext.gateway.events import DONE_EVENT, TokenStream
+from camphorgated.ext.gateway.exchange import Exchange
+from camphorgated.ext.gateway.queueing import Slot
+
+MAX_PASSED_ON_BYTES = 1_048_576
+# How long a resumed stream may wait for a place at another engine.
+RESUME_ADMISSION_SECONDS = 5.0
+# The chunk that ends an answer usually comes with the last event.
+END_SECONDS = 0.25
+
+
+class _PassedOn(Exception):
+    """The engine's own answer instead of a stream, such as a refusal of a field."""
+
+    def __init__(self, status: int, content_type: bytes, body: bytes) -> None:
+        super().__init__(status)
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+
+class StreamedCall:
+    """One streamed completion, over as many connections as it takes."""
+
+    __slots__ = (
+        "call",
+        "plan",
+        "gateway",
+        "tokens",
+        "attempts",
+        "deadline",
+        "_upstream_request_id",
+    )
+
+    def __init__(self, call: Call, plan: Plan) -> None:
+        """Start before the first dispatch."""
+        self.call = call
+        self.plan = plan
+        self.gateway = call.gateway
+        self.tokens = TokenStream()
+        self.attempts = Attempts(call.gateway, plan.request, call.record)
+        self.deadline = 0.0
+        # Stable over resumptions, so that an engine can find its stream.
+        self._upstream_request_id = call.gateway.next_request_id()
+
+    async def run(self) -> None:
+        """Pass the stream on to its end.
+
+        :raises GatewayError: if it cannot be begun, or not be finished.
+        """
+        while not self.tokens.done:
+            slot = await self.attempts.admit()
+            try:
+                await self._run_on(slot)
+            except UpstreamFault as fault:
+                slot.release()
+                self._note_fault(slot, fault)
+            finally:
+                slot.release()
+
+    async def _run_on(self, slot: Slot) -> None:
+        """Stream from one engine, resuming there as long as that makes progress."""
+        elsewhere = self.tokens.tokens > 0
+        while True:
+            before = self.tokens.tokens
+            try:
+                await self._stream_once(slot, elsewhere)
+                return
+            except UpstreamFault as fault:
+                progressed = self.tokens.tokens > before
+                refused = isinstance(fault, UpstreamRefused)
+                if refused or not progressed or not self.tokens.resumable:
+                    raise
+                self.gateway.upstreams.failed(slot.entry, fault)
+                elsewhere = False
+                self.call.record.resumes += 1
+
+    async def _stream_once(self, slot: Slot, elsewhere: bool) -> None:
+        """Stream over one connection.
+
+        :param elsewhere: this engine does not know the stream yet.
+        """
+        self.tokens.restart()
+        seconds = self.plan.first_byte_seconds(self.gateway.limits.silence_seconds)
+        self.deadline = self.gateway.now() + seconds
+        exchange = await self._open(slot, elsewhere)
+        try:
+            await self._check_answer(exchange)
+            await self._pass_on(slot, exchange)
+            self.gateway.upstreams.succeeded(slot.entry)
+            await self._finish(exchange)
+        finally:
+            exchange.close()
+
+    async def _open(self, slot: Slot, elsewhere: bool) -> Exchange:
+        body = self.plan.body
+        resumed = self.tokens.tokens > 0
+        if resumed:
+            body = self._continuation() if elsewhere else body
+        head = self.plan.head(self._upstream_request_id, body)
+        if resumed:
+            last = b"%d" % self.tokens.last_id
+            head.headers.append((b"last-event-id", last))
+        return await open_answer(
+            self.gateway,
+            slot,
+            head,
+            body,
+            self.deadline,
+            fresh=resumed or self.attempts.fresh,
+            echoes_id=self.plan.pool.echoes_request_id,
+        )
+
+    def _continuation(self) -> bytes:
+        fields = msgspec.json.decode(self.plan.body)
+        fields["continuation"] = self.tokens.text()
+        return msgspec.json.encode(fields)
+
+    async def _check_answer(self, exchange: Exchange) -> None:
+        answer = exchange.answer
+        check_overload(exchange)
+        if answer.status == 200:
+            content_type = answer.header(b"content-type") or b""
+            if content_type.startswith(b"text/event-stream"):
+                return
+            raise UpstreamFault("the engine's answer is not an event stream")
+        if self.tokens.tokens:
+            message = f"the engine answered {answer.status} to a resumed stream"
+            raise UpstreamRefused(message, sent=False)
+        body = await read_whole(exchange, self.deadline, MAX_PASSED_ON_BYTES)
+        content_type = answer.header(b"content-type") or b"application/json"
+        raise _PassedOn(answer.status, content_type, body)
+
+    async def _pass_on(self, slot: Slot, exchange: Exchange) -> None:
+        """Pass events on until the last one; the hot path of the system."""
+        call, tokens, now = self.call, self.tokens, self.gateway.now
+        silence = self.gateway.limits.silence_seconds
+        if not call.answer_begun:
+            await call.begin_answer(
+                200,
+                [
+                    (b"content-type", b"text/event-stream"),
+                    (b"cache-control", b"no-cache"),
+                ],
+            )
+        while not tokens.done:
+            data = await exchange.read_body(self.deadline)
+            if not data:
+                raise UpstreamFault("the stream ended without its last event")
+            events = tokens.feed(data)
+            if not events:
+                continue
+            if not call.record.first_token_at:
+                call.record.first_token_at = now()
+                slot.first_token()
+            await call.write(events)
+            self.deadline = now() + silence
+
+    async def _finish(self, exchange: Exchange) -> None:
+        call = self.call
+        call.record.output_tokens = self.tokens.tokens
+        await self.gateway.recorder.account(call.record)
+        await call.write(DONE_EVENT, more=False)
+        try:
+            while await exchange.read_body(self.gateway.now() + END_SECONDS):
+                pass
+        except UpstreamFault:
+            # The whole stream has been passed on; only the connection is lost.
+            return
+
+    def _note_fault(self, slot: Slot, fault: UpstreamFault) -> None:
+        if not self.tokens.tokens:
+            self.attempts.note_fault(slot, fault)
+            return
+        if not self.tokens.resumable:
+            raise GatewayError("stream_broken", "the stream cannot be resumed")
+        self.call.record.resumes += 1
+        limit = self.gateway.now() + RESUME_ADMISSION_SECONDS
+        request = msgspec.structs.replace(self.attempts.request, deadline=limit)
+        self.attempts.request = request
+        self.attempts.note_fault(slot, fault)
+
+
+async def stream(call: Call, plan: Plan) -> None:
+    """Serve a streamed completion."""
+    streamed = StreamedCall(call, plan)
+    try:
+        await streamed.run()
+    except _PassedOn as answer:
+        call.record.prompt_tokens = 0
+        headers = [(b"content-type", answer.content_type)]
+        await call.answer(answer.status, headers, answer.body)
+    except GatewayError as error:
+        if not call.answer_begun:
+            raise
+        await _end_broken(call, streamed.tokens, error)
+    finally:
+        call.record.output_tokens = streamed.tokens.tokens
+
+
+async def _end_broken(call: Call, tokens: TokenStream, error: GatewayError) -> None:
+    """End a stream that cannot be finished with an error as its last event."""
+    call.record.outcome = "stream_broken"
+    call.record.output_tokens = tokens.tokens
+    await call.gateway.recorder.account(call.record)
+    message = f"the stream could not be finished: {error.message}"
+    request_id = call.record.request_id
+    body = encode_error("stream_broken", message, "unknown", request_id)
+    await call.write(b"event: error\ndata: " + body + b"\n\n", more=False)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -0,0 +1,341 @@
+"""The upstreams that this process knows: addresses, views, health, load."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import ParseResult
+
+from camphorgate.log import log_event
+from camphorgate.manifest import ManifestIndex, Pool, Upstream
+from camphorgate.requests.routing import POLICIES, Policy, may_serve, subset
+from camphorgate.requests.views import Dispatch, LoadReport, RequestView, UpstreamView
+from camphorgated.ext.gateway.client import parse_address
+from camphorgated.ext.gateway.errors import UpstreamFault, UpstreamRefused
+from camphorgated.ext.gateway.exchange import RequestHead
+from camphorgated.ext.gateway.health import HealthRecord
+from camphorgated.ext.gateway.load import parse_load_body, parse_load_header
+
+POLL_SECONDS = 1.0
+POLL_TIMEOUT_SECONDS = 1.0
+# Above this many instances each one uses a subset of the upstreams.
+SUBSET_ABOVE_INSTANCES = 16
+SUBSET_PER_ZONE = 8
+
+
+class Entry:
+    """One upstream with its address and its polling task."""
+
+    __slots__ = ("view", "address", "url", "health", "kind", "task", "leaving_causes")
+
+    def __init__(self, view: UpstreamView, address: str, kind: str) -> None:
+        """Start healthy and without a report.
+
+        :param kind: of the pool, ``engines`` or ``service``.
+        """
+        self.view = view
+        self.address = address
+        self.url: ParseResult = parse_address(address)
+        self.health = HealthRecord(view)
+        self.kind = kind
+        self.task: asyncio.Task | None = None
+        self.leaving_causes: set[str] = set()
+
+
+class UpstreamTable:
+    """Upstreams by id and by pool; provided as the service ``upstreams``."""
+
+    __slots__ = (
+        "entries_by_id",
+        "on_room",
+        "_gateway",
+        "_views_by_pool",
+        "_policies_by_pool",
+        "_random",
+    )
+
+    def __init__(self, gateway: Any) -> None:
+        """Start without upstreams.
+
+        :param gateway: the :class:`camphorgated.ext.gateway.core.Gateway`.
+        """
+        self.entries_by_id: dict[str, Entry] = {}
+        self.on_room = lambda pool: None
+        self._gateway = gateway
+        self._views_by_pool: dict[str, list[UpstreamView]] = {}
+        self._policies_by_pool: dict[str, tuple[str, Policy]] = {}
+        self._random = random.Random(gateway.settings.seed or None)
+
+    def views(self, pool: str) -> list[UpstreamView]:
+        """Return the upstreams of a pool that this process uses."""
+        return self._views_by_pool.get(pool, [])
+
+    def begin(self, view: UpstreamView, request: RequestView) -> Dispatch:
+        """Count a dispatch to an upstream."""
+        return view.begin(request, self._gateway.now())
+
+    def end(self, view: UpstreamView, dispatch: Dispatch) -> None:
+        """Take a dispatch off and let a waiting request have its place."""
+        view.end(dispatch)
+        self.on_room(view.pool)
+
+    def mark_leaving(self, upstream_id: str, cause: str = "order") -> None:
+        """Give an upstream no more work.
+
+        :param cause: who says so: ``order``, ``notice``, ``manifest`` or ``platform``.
+        """
+        entry = self.entries_by_id.get(upstream_id)
+        if entry is not None:
+            self._set_leaving(entry, cause, True)
+
+    def choose(
+        self, request: RequestView, excluded: Iterable[str] = ()
+    ) -> Entry | None:
+        """Return the upstream for a request, ``None`` if none has room.
+
+        :param excluded: ids of upstreams that failed this request already.
+        """
+        views = self.views(request.pool)
+        probe = self._probe_candidate(views, request, excluded)
+        if probe is not None:
+            return self.entries_by_id[probe.id]
+        now = self._gateway.now()
+        candidates = [
+            view for view in views if view.id not in excluded and _has_room(view, now)
+        ]
+        policy = self._policies_by_pool.get(request.pool)
+        if policy is None or not candidates:
+            return None
+        choice = policy[1].choose(candidates, request, now)
+        return self.entries_by_id[choice.upstream.id] if choice else None
+
+    def can_serve(self, request: RequestView, excluded: Iterable[str] = ()) -> bool:
+        """Tell whether any upstream may serve a request, now or once it has room."""
+        return any(
+            view.id not in excluded
+            and (may_serve(view, request) or self._is_probe(view, request))
+            for view in self.views(request.pool)
+        )
+
+    def take_load(self, entry: Entry, report: LoadReport | None) -> None:
+        """Keep a load report; a notice of eviction takes effect at once."""
+        if report is None:
+            return
+        entry.view.take_report(report)
+        if report.slots:
+            entry.view.slots = report.slots
+        self._set_leaving(entry, "notice", report.leaving_seconds is not None)
+
+    def take_answer(self, entry: Entry, load: bytes | None) -> None:
+        """Take the load that came with an answer."""
+        if load is not None:
+            self.take_load(entry, parse_load_header(load, self._gateway.now()))
+
+    def succeeded(self, entry: Entry) -> None:
+        """Note a whole answer."""
+        if entry.view.health != "healthy":
+            log_event("upstream_healthy", upstream=entry.view.id)
+        entry.health.succeeded()
+
+    def failed(self, entry: Entry, fault: UpstreamFault, poll: bool = False) -> None:
+        """Note a failed request or poll."""
+        before = entry.view.health
+        refused = isinstance(fault, UpstreamRefused) and not fault.sent
+        entry.health.failed(self._gateway.now(), refused, poll)
+        if entry.view.health != before:
+            log_event(
+                "upstream_suspected",
+                level="WARNING",
+                upstream=entry.view.id,
+                cause=fault.code,
+                message=fault.message,
+            )
+
+    def rebuild(self, index: ManifestIndex, platform_list: Iterable[Any] = ()) -> None:
+        """Take the upstreams of a manifest and of the platform's list.
+
+        :param platform_list: entries with id, address, pool, zone, kind and state.
+        """
+        seen = set()
+        for pool in index.manifest.pools:
+            self._set_policy(pool)
+            for upstream in pool.upstreams:
+                seen.add(upstream.id)
+                self._put(pool, upstream)
+        for listed in platform_list:
+            pool = index.pools_by_name.get(_field(listed, "pool"))
+            if pool is not None and self._put_listed(pool, listed, seen):
+                seen.add(_field(listed, "id"))
+        for upstream_id in set(self.entries_by_id) - seen:
+            self._forget(upstream_id)
+        self._select()
+        self._gateway.app.emit("upstreams-changed")
+
+    def dump(self) -> list[dict]:
+        """Return the state of every upstream."""
+        now = self._gateway.now()
+        return [
+            {
+                "id": entry.view.id,
+                "pool": entry.view.pool,
+                "zone": entry.view.zone,
+                "kind": entry.view.kind,
+                "role": entry.view.role,
+                "health": entry.view.health,
+                "leaving": entry.view.leaving,
+                "in_flight": entry.view.own_requests,
+                "slots": entry.view.slots,
+                "report_age_seconds": _finite(entry.view.report_age(now)),
+            }
+            for entry in self.entries_by_id.values()
+        ]
+
+    def _put(self, pool: Pool, upstream: Upstream) -> None:
+        entry = self.entries_by_id.get(upstream.id)
+        if entry is not None and (
+            entry.address != upstream.address or entry.view.pool != pool.name
+        ):
+            self._forget(upstream.id)
+            entry = None
+        if entry is None:
+            view = UpstreamView(id=upstream.id, pool=pool.name)
+            view.slots = upstream.slots
+            entry = Entry(view, upstream.address, pool.kind)
+            self.entries_by_id[upstream.id] = entry
+            entry.task = self._gateway.app.spawn(
+                self._poll(entry), f"poll load of {upstream.id}"
+            )
+        view = entry.view
+        cheap = upstream.kind == "cheap"
+        view.zone = upstream.availability_zone
+        view.kind = upstream.kind
+        view.role = upstream.role
+        capacity = pool.capacity
+        view.cost = capacity.cheap_cost if cheap else capacity.ordinary_cost
+        view.prefill_tokens_per_second = pool.prefill_tokens_per_second
+        view.decode_tokens_per_second = pool.decode_tokens_per_second
+        self._set_leaving(entry, "manifest", upstream.leaving)
+
+    def _set_leaving(self, entry: Entry, cause: str, leaving: bool) -> None:
+        causes = entry.leaving_causes
+        if leaving == (cause in causes):
+            return
+        causes.symmetric_difference_update({cause})
+        if entry.view.leaving != bool(causes):
+            entry.view.leaving = bool(causes)
+            name = "upstream_leaving" if causes else "upstream_returned"
+            log_event(name, upstream=entry.view.id, cause=cause)
+            self._gateway.app.emit("upstreams-changed")
+
+    def _put_listed(self, pool: Pool, listed: Any, seen: set[str]) -> bool:
+        """Take an entry of the platform's list.
+
+        :returns: whether the upstream stays known.
+        """
+        upstream_id, state = _field(listed, "id"), _field(listed, "state")
+        if upstream_id not in seen:
+            if state == "gone":
+                return False
+            upstream = Upstream(
+                id=upstream_id,
+                address=_field(listed, "address"),
+                availability_zone=_field(listed, "zone"),
+                kind=_field(listed, "kind") or "ordinary",
+            )
+            self._put(pool, upstream)
+        entry = self.entries_by_id[upstream_id]
+        self._set_leaving(entry, "platform", state != "live")
+        return True
+
+    def _set_policy(self, pool: Pool) -> None:
+        current = self._policies_by_pool.get(pool.name)
+        if current is not None and current[0] == pool.routing:
+            return
+        name = pool.routing if pool.routing in POLICIES else "expected_latency"
+        policy = POLICIES.get(name)(self._gateway.settings.instance_id)
+        self._policies_by_pool[pool.name] = (pool.routing, policy)
+
+    def _select(self) -> None:
+        views_by_pool: dict[str, list[UpstreamView]] = {}
+        for entry in self.entries_by_id.values():
+            views_by_pool.setdefault(entry.view.pool, []).append(entry.view)
+        if self._gateway.live_count() > SUBSET_ABOVE_INSTANCES:
+            instance_id = self._gateway.settings.instance_id
+            views_by_pool = {
+                pool: subset(views, instance_id, SUBSET_PER_ZONE)
+                for pool, views in views_by_pool.items()
+            }
+        self._views_by_pool = views_by_pool
+
+    def _forget(self, upstream_id: str) -> None:
+        entry = self.entries_by_id.pop(upstream_id)
+        entry.view.leaving = True
+        if entry.task is not None:
+            entry.task.cancel()
+
+    def _probe_candidate(
+        self, views: list[UpstreamView], request: RequestView, excluded: Iterable[str]
+    ) -> UpstreamView | None:
+        for view in views:
+            if view.health != "probing" or view.own_requests or view.id in excluded:
+                continue
+            if self._is_probe(view, request) and (
+                request.idempotent
+                or not any(may_serve(other, request) for other in views)
+            ):
+                return view
+        return None
+
+    @staticmethod
+    def _is_probe(view: UpstreamView, request: RequestView) -> bool:
+        if view.health != "probing" or view.leaving:
+            return False
+        return request.idempotent or view.kind != "cheap"
+
+    async def _poll(self, entry: Entry) -> None:
+        """Read the load of one upstream again and again, with jitter."""
+        await asyncio.sleep(self._random.uniform(0, POLL_SECONDS / 2))
+        while True:
+            try:
+                await self._poll_once(entry)
+            except UpstreamFault as fault:
+                self.failed(entry, fault, poll=True)
+            await asyncio.sleep(POLL_SECONDS * self._random.uniform(0.7, 1.1))
+
+    async def _poll_once(self, entry: Entry) -> None:
+        gateway = self._gateway
+        head = RequestHead("GET", b"/control/load", [], gateway.next_request_id())
+        exchange = gateway.open_exchange(head, fresh=False)
+        try:
+            await exchange.send(entry.url)
+            deadline = gateway.now() + POLL_TIMEOUT_SECONDS
+            answer = await exchange.read_head(deadline)
+            body = b""
+            while piece := await exchange.read_body(deadline):
+                body += piece
+        finally:
+            exchange.close()
+        if answer.status == 200:
+            entry.health.polled(gateway.now())
+            self.take_load(entry, parse_load_body(body, gateway.now()))
+            self.on_room(entry.view.pool)
+
+
+def _has_room(view: UpstreamView, now: float) -> bool:
+    """Tell whether an upstream probably has a free slot.
+
+    Requests of others count as far as the last report is recent.
+    """
+    others = 0.0
+    if view.report is not None:
+        count = view.report.running + view.report.waiting - view.own_requests_at_report
+        others = max(0, count) * 0.5 ** (view.report_age(now) / 2.0)
+    return view.own_requests + others < view.slots
+
+
+def _field(listed: Any, name: str) -> Any:
+    return listed.get(name) if isinstance(listed, dict) else getattr(listed, name, None)
+
+
+def _finite(value: float) -> float | None:
+    return round(value, 3) if value < float("inf") else None
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/watch.py
@@ -0,0 +1,69 @@
+"""Ends what waits too long, with one task instead of a timer for each wait."""
+
+import asyncio
+from typing import Protocol
+
+from camphorgate.clock import Clock
+
+TICK_SECONDS = 0.05
+# A tick this late means that the process stood still, not that the others were
+# silent: everything that waits gets the lost time back.
+_PAUSE_SECONDS = 1.0
+NEVER = float("inf")
+
+
+class Watched(Protocol):
+    """Something with a deadline; ``deadline`` is NEVER while nothing is awaited."""
+
+    deadline: float
+
+    def expire(self) -> None:
+        """End the wait."""
+
+
+class DeadlineWatch:
+    """Expires watched objects whose deadline has passed."""
+
+    __slots__ = ("_clock", "_watched", "_sweepers")
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without anything to watch."""
+        self._clock = clock
+        self._watched: set[Watched] = set()
+        self._sweepers: list = []
+
+    def add(self, watched: Watched) -> None:
+        """Watch an object until it is discarded."""
+        self._watched.add(watched)
+
+    def discard(self, watched: Watched) -> None:
+        """Stop watching an object."""
+        self._watched.discard(watched)
+
+    def add_sweeper(self, sweeper) -> None:
+        """Call a function with the current time at every tick."""
+        self._sweepers.append(sweeper)
+
+    def tick(self, now: float) -> None:
+        """Expire what is overdue."""
+        for watched in [item for item in self._watched if item.deadline < now]:
+            watched.deadline = NEVER
+            watched.expire()
+        for sweeper in self._sweepers:
+            sweeper(now)
+
+    def forgive(self, seconds: float) -> None:
+        """Move every deadline back by the length of a pause of this process."""
+        for watched in self._watched:
+            watched.deadline += seconds
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        last = self._clock.monotonic()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock.monotonic()
+            if now - last > _PAUSE_SECONDS:
+                self.forgive(now - last)
+            self.tick(now)
+            last = now
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/main.py
@@ -0,0 +1,98 @@
+"""The binary ``camphorgated``: loads the extensions and runs until a signal."""
+
+import argparse
+import asyncio
+import importlib.util
+import signal
+import sys
+
+import uvloop
+
+from camphorgate.application import Application
+from camphorgate.errors import CamphorgateError, ExtensionError
+from camphorgate.log import configure_logging, log_event
+from camphorgate.settings import Settings, read_settings
+
+_EXTENSIONS = (
+    "kv",
+    "membership",
+    "configuration",
+    "duties",
+    "claims",
+    "usage",
+    "gateway",
+    "fleet",
+    "admin",
+    "metrics",
+)
+_PACKAGE = "camphorgated.ext"
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+def _exists(name: str) -> bool:
+    return importlib.util.find_spec(f"{_PACKAGE}.{name}") is not None
+
+
+def extension_names(settings: Settings) -> list[str]:
+    """Return the modules of the extensions to load, in order.
+
+    :raises ExtensionError: if the settings name one that does not exist.
+    """
+    if not settings.extensions:
+        return [f"{_PACKAGE}.{name}" for name in _EXTENSIONS if _exists(name)]
+    missing = [name for name in settings.extensions if not _exists(name)]
+    if missing:
+        raise ExtensionError(f"no such extension: {', '.join(missing)}")
+    return [f"{_PACKAGE}.{name}" for name in settings.extensions]
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then let its requests end."""
+    app = Application(settings)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopping.set)
+    for name in extension_names(settings):
+        app.setup_extension(name)
+    try:
+        await app.start()
+        log_event("started", instance=settings.instance_id)
+        await stopping.wait()
+    finally:
+        await app.stop()
+    log_event("stopped", instance=settings.instance_id)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the program.
+
+    :returns: the exit code.
+    """
+    parser = argparse.ArgumentParser(
+        prog="camphorgated", description="Serve requests on one entry instance."
+    )
+    parser.add_argument("settings", metavar="SETTINGS_FILE")
+    parser.add_argument(
+        "--check-settings",
+        action="store_true",
+        help="check the settings and exit",
+    )
+    options = parser.parse_args(arguments)
+    try:
+        settings = read_settings(options.settings)
+        extension_names(settings)
+        if options.check_settings:
+            print(f"{options.settings}: the settings are valid")
+            return EXIT_OK
+        configure_logging(settings.log_level)
+        uvloop.run(run_daemon(settings))
+    except (CamphorgateError, OSError) as error:
+        print(f"camphorgated: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
