Add the peer protocol, links and service

The extensions for membership, configuration, usage and duties exchange beats, usage batches, parts and epoch acknowledgements between instances.

One Exchange stream joins two peers. A silent stream is replaced by a new connection.

--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about who is present and who talks to whom."""
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The gRPC protocol between instances."""
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/peers/links.py
@@ -0,0 +1,200 @@
+"""Links to all peers: one task for each peer that this instance dials."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Iterable
+
+import grpc
+
+from camphorgate.clock import Clock
+from camphorgate.log import log_event
+from camphorgate.peers.errors import PeerError
+from camphorgate.peers.exchange import Link, LinkHandler, read_hello
+from camphorgate.peers.peers_pb2 import (
+    EpochAcknowledgement,
+    EpochNotice,
+    Packet,
+    PartsRequest,
+    SnapshotAnswer,
+    SnapshotRequest,
+)
+from camphorgate.peers.peers_pb2_grpc import PeersStub
+from camphorgate.peers.service import CHANNEL_OPTIONS
+
+# A peer that is silent for this many beat periods, and at least this long, is taken for
+# a stream that will stay silent; a new connection is opened in its place.
+SILENT_BEATS = 4
+SILENT_SECONDS = 2.0
+
+HELLO_SECONDS = 2.0
+CALL_SECONDS = 2.0
+FIRST_RETURN_SECONDS = 0.2
+LONGEST_RETURN_SECONDS = 4.0
+
+# Every connection is a new one: a shared subchannel would hand out the silent one.
+_DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
+
+
+class PeerLinks:
+    """Opens, watches and closes the streams to peers."""
+
+    __slots__ = (
+        "links_by_id",
+        "connections",
+        "_handler",
+        "_clock",
+        "_random",
+        "_resolve",
+        "_tasks_by_address",
+        "_channels_by_address",
+    )
+
+    def __init__(
+        self,
+        handler: LinkHandler,
+        clock: Clock,
+        seed: int | None = None,
+        resolve: Callable[[str], str] | None = None,
+    ) -> None:
+        """Start without links.
+
+        :param seed: seed of the jitter.
+        :param resolve: maps an advertised address to the one that is dialled.
+        """
+        self.links_by_id: dict[str, Link] = {}
+        self.connections = 0
+        self._handler = handler
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._resolve = resolve or (lambda address: address)
+        self._tasks_by_address: dict[str, asyncio.Task] = {}
+        self._channels_by_address: dict[str, grpc.aio.Channel] = {}
+
+    def dial_only(self, addresses: Iterable[str]) -> None:
+        """Keep exactly these addresses dialled."""
+        wanted = set(addresses)
+        for address in self._tasks_by_address.keys() - wanted:
+            self._tasks_by_address.pop(address).cancel()
+        for address in wanted - self._tasks_by_address.keys():
+            self._tasks_by_address[address] = asyncio.create_task(
+                self._keep_link(address), name=f"peer {address}"
+            )
+
+    def adopt(self, link: Link) -> None:
+        """Take in a link; of two links to one peer the newer stays.
+
+        Both sides may dial each other at the same time; then the link that the lower
+        instance id dialled stays on both sides.
+        """
+        other = self.links_by_id.get(link.instance_id)
+        if other is None or self._replaces(link, other):
+            self.links_by_id[link.instance_id] = link
+            if other is not None:
+                other.close()
+        else:
+            link.close()
+
+    def release(self, link: Link) -> None:
+        """Forget a link that ended."""
+        if self.links_by_id.get(link.instance_id) is link:
+            del self.links_by_id[link.instance_id]
+
+    def beat(self) -> None:
+        """Send a beat on every link."""
+        for link in list(self.links_by_id.values()):
+            link.beat()
+
+    def close_silent(self, beat_seconds: float) -> None:
+        """Close the links whose peer was not heard for too long."""
+        bound = max(SILENT_SECONDS, SILENT_BEATS * beat_seconds)
+        now = self._clock.monotonic()
+        for link in list(self.links_by_id.values()):
+            if now - link.heard_at > bound:
+                log_event("peer_silent", level="WARNING", peer=link.instance_id)
+                link.close()
+
+    async def fetch_parts(
+        self, address: str, digests: Iterable[bytes]
+    ) -> dict[bytes, bytes]:
+        """Fetch parts of the configuration from a peer.
+
+        :returns: those that the peer holds, possibly fewer than asked for.
+        :raises PeerError: if the peer does not answer.
+        """
+        request = PartsRequest(digests=list(digests))
+        answer = await self._call(address, "FetchParts", request)
+        return {part.digest: part.content for part in answer.parts}
+
+    async def snapshot(self, address: str, above_version: int = 0) -> SnapshotAnswer:
+        """Read the root in force at a peer.
+
+        :raises PeerError: if the peer does not answer.
+        """
+        request = SnapshotRequest(above_version=above_version)
+        return await self._call(address, "Snapshot", request)
+
+    async def acknowledge_epoch(
+        self, address: str, notice: EpochNotice
+    ) -> EpochAcknowledgement:
+        """Ask an instance to acknowledge a newer epoch.
+
+        :raises PeerError: if the instance does not answer; nothing is acknowledged.
+        """
+        return await self._call(address, "AcknowledgeEpoch", notice)
+
+    async def close(self) -> None:
+        """End every link and connection."""
+        self.dial_only(())
+        for link in list(self.links_by_id.values()):
+            link.close()
+        channels = list(self._channels_by_address.values())
+        self._channels_by_address.clear()
+        for channel in channels:
+            await channel.close()
+
+    def _replaces(self, link: Link, other: Link) -> bool:
+        if link.dialled == other.dialled:
+            return True
+        own_id = self._handler.hello().instance
+        return link.dialled == (own_id < link.instance_id)
+
+    async def _keep_link(self, address: str) -> None:
+        delay = FIRST_RETURN_SECONDS
+        while True:
+            opened_at = self._clock.monotonic()
+            with contextlib.suppress(PeerError, grpc.RpcError, TimeoutError):
+                await self._run_link(address)
+            if self._clock.monotonic() - opened_at > LONGEST_RETURN_SECONDS:
+                delay = FIRST_RETURN_SECONDS
+            await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
+            delay = min(LONGEST_RETURN_SECONDS, delay * 2)
+
+    async def _run_link(self, address: str) -> None:
+        self.connections += 1
+        channel = grpc.aio.insecure_channel(self._resolve(address), _DIAL_OPTIONS)
+        try:
+            call = PeersStub(channel).Exchange()
+            async with asyncio.timeout(HELLO_SECONDS):
+                await call.write(Packet(hello=self._handler.hello()))
+                hello = await read_hello(call.read)
+            link = Link(hello, dialled=True, clock=self._clock)
+            await link.run(call.read, call.write, self._handler)
+        finally:
+            await channel.close()
+
+    async def _call(self, address: str, method: str, request):
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(self._resolve(address), _DIAL_OPTIONS)
+            self._channels_by_address[address] = channel
+        try:
+            call = getattr(PeersStub(channel), method)
+            return await call(request, timeout=CALL_SECONDS)
+        except grpc.RpcError as error:
+            # A connection that went silent must not be used for the next call.
+            if self._channels_by_address.get(address) is channel:
+                del self._channels_by_address[address]
+            await channel.close()
+            status = error.code().name.lower()
+            raise PeerError(f"{method} at {address} failed: {status}") from None
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/peers/service.py
@@ -0,0 +1,110 @@
+"""The server side of the peer protocol."""
+
+from typing import Protocol
+
+import grpc
+
+from camphorgate.clock import Clock
+from camphorgate.peers.errors import PeerError
+from camphorgate.peers.exchange import Link, LinkHandler, read_hello
+from camphorgate.peers.peers_pb2 import (
+    EpochAcknowledgement,
+    EpochNotice,
+    Packet,
+    Part,
+    PartsAnswer,
+    PartsRequest,
+    SnapshotAnswer,
+    SnapshotRequest,
+)
+from camphorgate.peers.peers_pb2_grpc import PeersServicer, add_PeersServicer_to_server
+
+# Parts in one answer stay below gRPC's default bound of 4 MB for a message.
+ANSWER_BYTES = 3_000_000
+
+# Beats show silence sooner than HTTP/2 keep-alives would, and the bandwidth probe
+# would add a ping to many of the small messages.
+CHANNEL_OPTIONS = (
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.so_reuseport", 0),
+    ("grpc.optimization_target", "latency"),
+)
+
+
+class PeerHandler(LinkHandler, Protocol):
+    """What an instance answers to its peers."""
+
+    def part(self, digest: bytes) -> bytes | None:
+        """Return a part of the configuration, if it is held."""
+
+    def snapshot(self, above_version: int) -> SnapshotAnswer:
+        """Return the newest root that is in force here, and the known members."""
+
+    async def acknowledge_epoch(self, notice: EpochNotice) -> EpochAcknowledgement:
+        """Acknowledge a duty's newer epoch."""
+
+
+class PeerServicer(PeersServicer):
+    """Answers the calls of peers."""
+
+    def __init__(self, handler: PeerHandler, clock: Clock) -> None:
+        """Delegate to a handler."""
+        self._handler = handler
+        self._clock = clock
+
+    async def Exchange(self, request_iterator, context) -> None:  # noqa: N802
+        """Run the stream that a peer opened."""
+        try:
+            hello = await read_hello(context.read)
+            await context.write(Packet(hello=self._handler.hello()))
+            link = Link(hello, dialled=False, clock=self._clock)
+            await link.run(context.read, context.write, self._handler)
+        except PeerError as error:
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, error.message)
+
+    async def FetchParts(  # noqa: N802
+        self, request: PartsRequest, context
+    ) -> PartsAnswer:
+        """Return the requested parts that are held, as many as fit one answer."""
+        answer = PartsAnswer()
+        size = 0
+        for digest in request.digests:
+            content = self._handler.part(digest)
+            if content is None:
+                continue
+            size += len(content)
+            if answer.parts and size > ANSWER_BYTES:
+                break
+            answer.parts.append(Part(digest=digest, content=content))
+        return answer
+
+    async def AcknowledgeEpoch(  # noqa: N802
+        self, request: EpochNotice, context
+    ) -> EpochAcknowledgement:
+        """Delegate to the holder of the duties."""
+        return await self._handler.acknowledge_epoch(request)
+
+    async def Snapshot(  # noqa: N802
+        self, request: SnapshotRequest, context
+    ) -> SnapshotAnswer:
+        """Return the root in force and the members."""
+        return self._handler.snapshot(request.above_version)
+
+
+async def start_server(
+    handler: PeerHandler, address: str, clock: Clock
+) -> tuple[grpc.aio.Server, str]:
+    """Listen for peers.
+
+    :param address: ``host:port``; port 0 takes a free one.
+    :returns: the server and the address that it listens on.
+    :raises PeerError: if the address cannot be used.
+    """
+    server = grpc.aio.server(options=CHANNEL_OPTIONS)
+    add_PeersServicer_to_server(PeerServicer(handler, clock), server)
+    try:
+        port = server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise PeerError(f"cannot listen on {address}: {error}") from None
+    await server.start()
+    return server, f"{address.rpartition(':')[0]}:{port}"
--- /dev/null
+++ b/tests/test_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the protocol between instances."""
