--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/configuration/versions.py
@@ -0,0 +1,188 @@
+"""Versions of the configuration: the root, submissions and what is in force."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import msgspec
+
+from camphorgate.configuration.errors import ConflictError, PartError
+from camphorgate.configuration.parts import (
+    decode_digest,
+    digest_of,
+    encode_digest,
+)
+from camphorgate.manifest import Manifest, ManifestIndex
+
+ROOT_KEY = "config/root"
+PART_PREFIX = "config/parts/"
+
+# Tokens of the newest roots that a root names. A submitter whose answer was lost finds
+# its token here even if others have submitted since.
+RECENT_TOKENS = 16
+
+# Manifests kept to show a conflict what changed since its base version.
+KEPT_MANIFESTS = 4
+
+MAX_CHANGE_LINES = 100
+
+
+class Root(msgspec.Struct, frozen=True):
+    """The root of a version.
+
+    ``digests`` holds the address of each part by name. ``tokens`` are unique to each
+    submission, the newest first.
+    """
+
+    version: int
+    base: int
+    digests: dict[str, str]
+    tokens: tuple[str, ...] = ()
+
+    def digests_by_name(self) -> dict[str, bytes]:
+        """Return the digests of the parts by name.
+
+        :raises PartError: if one is malformed.
+        """
+        return {name: decode_digest(text) for name, text in self.digests.items()}
+
+    def wrote(self, token: str) -> int | None:
+        """Return the version that a token wrote, if it is among the newest ones."""
+        if token not in self.tokens:
+            return None
+        return self.version - self.tokens.index(token)
+
+
+def encode_root(root: Root) -> bytes:
+    """Return the stored form of a root."""
+    return msgspec.json.encode(root)
+
+
+def decode_root(data: bytes) -> Root:
+    """Return a root from its stored form.
+
+    :raises PartError: if it is damaged.
+    """
+    try:
+        return msgspec.json.decode(data, type=Root)
+    except msgspec.DecodeError as error:
+        raise PartError(f"the root is damaged: {error}") from None
+
+
+def next_root(
+    current: Root | None, parts_by_name: Mapping[str, bytes], token: str
+) -> Root:
+    """Return the root that follows another one.
+
+    :param current: the newest root; ``None`` before the first submission.
+    """
+    version = current.version if current else 0
+    tokens = (token, *(current.tokens if current else ()))[:RECENT_TOKENS]
+    digests = {n: encode_digest(digest_of(c)) for n, c in parts_by_name.items()}
+    return Root(version + 1, version, digests, tokens)
+
+
+def check_base(current: Root | None, base_version: int, ledger: "Ledger") -> None:
+    """Check that a submission is based on the newest version.
+
+    :raises ConflictError: if it is not; shows what changed since, where known.
+    """
+    version = current.version if current else 0
+    if version == base_version:
+        return
+    raise ConflictError(base_version, version, ledger.changes_since(base_version))
+
+
+class Ledger:
+    """The versions that one process knows; they only rise."""
+
+    __slots__ = ("highest_known", "index", "root", "_manifests_by_version")
+
+    def __init__(self) -> None:
+        """Start without a configuration."""
+        self.highest_known = 0
+        self.index: ManifestIndex | None = None
+        self.root: Root | None = None
+        self._manifests_by_version: dict[int, Manifest] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self.index.version if self.index else 0
+
+    def learn(self, version: int) -> bool:
+        """Take note that a version exists.
+
+        :returns: whether it is higher than any known one.
+        """
+        if version <= self.highest_known:
+            return False
+        self.highest_known = version
+        return True
+
+    def apply(self, root: Root, manifest: Manifest) -> bool:
+        """Put a version in force unless the one in force is as new.
+
+        :returns: whether it is in force now because of this call.
+        """
+        self.learn(root.version)
+        if root.version <= self.version:
+            return False
+        self.index = ManifestIndex(manifest, root.version)
+        self.root = root
+        self._manifests_by_version[root.version] = manifest
+        while len(self._manifests_by_version) > KEPT_MANIFESTS:
+            del self._manifests_by_version[min(self._manifests_by_version)]
+        return True
+
+    def changes_since(self, version: int) -> list[str]:
+        """Return what changed between a version and the one in force."""
+        if self.index is None:
+            return []
+        if version == 0:
+            return ["the first configuration was submitted"]
+        before = self._manifests_by_version.get(version)
+        if before is None:
+            return [f"version {version} is too old to compare"]
+        return list_changes(before, self.index.manifest)
+
+
+def list_changes(before: Manifest, after: Manifest) -> list[str]:
+    """Return one line for each difference between two manifests, at most 100.
+
+    Digests of keys are counted, never shown.
+    """
+    lines = []
+    for line in _differences(msgspec.to_builtins(before), msgspec.to_builtins(after)):
+        if len(lines) == MAX_CHANGE_LINES:
+            return [*lines, "and more"]
+        lines.append(line)
+    return lines
+
+
+def _differences(before: Any, after: Any, path: str = "$") -> Iterator[str]:
+    if before == after:
+        return
+    if isinstance(before, dict) and isinstance(after, dict):
+        for name in sorted(before.keys() | after.keys()):
+            yield from _differences(before.get(name), after.get(name), f"{path}.{name}")
+    elif path.endswith(".key_digests"):
+        removed = len(set(before or ()) - set(after or ()))
+        added = len(set(after or ()) - set(before or ()))
+        yield f"{path}: {removed} keys withdrawn, {added} keys added"
+    elif _named(before) and _named(after):
+        yield from _differences(_by_name(before), _by_name(after), path)
+    elif isinstance(before, dict | list) or isinstance(after, dict | list):
+        words = "added" if before is None else "removed" if after is None else "changed"
+        yield f"{path}: {words}"
+    else:
+        yield f"{path}: {before!r} -> {after!r}"
+
+
+def _named(items: Any) -> bool:
+    return isinstance(items, list | tuple) and all(
+        isinstance(item, dict) and ("name" in item or "id" in item) for item in items
+    )
+
+
+def _by_name(items: list[dict]) -> dict[str, dict]:
+    return {item.get("name", item.get("id")): item for item in items}
