--- /dev/null
+++ b/benchmarks/fleet_replay.py
@@ -0,0 +1,190 @@
+"""Compares the fleet planners with baselines and a clairvoyant plan.
+
+``python -m benchmarks.fleet_replay [--seeds 20] [--trace NAME] [--workers 4]`` prints a
+table per deployment and writes ``docs/measurements/fleet.json`` with ``--write``.
+"""
+
+import json
+import statistics
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import fire
+import msgspec
+
+from benchmarks.clairvoyant import ClairvoyantPlanner
+from benchmarks.traces import RATES, Site, traces
+from camphorgate.fleet.objective import PlannerParameters, parameters_of
+from camphorgate.fleet.replay import Replay
+from camphorgate.fleet.replay_planner import PolicyPlanner
+from camphorgate.fleet.replay_result import Result, result_of
+from camphorgate.manifest import Capacity, Objective, Pool
+
+RESULTS = Path(__file__).resolve().parent.parent / "docs/measurements/fleet.json"
+PLANS = ("static", "greedy_threshold", "forecast", "clairvoyant")
+# Traces on which the number of engines is fixed, so that only roles vary.
+FIXED_FLEET = ("mix_shift", "crash_in_change")
+PROVISIONING_SECONDS = 180.0
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """A deployment of the design page as settings."""
+
+    zones: tuple[str, ...]
+    engines: int
+    cheap: int
+    cheap_share: float
+    objective: Objective
+
+
+DEPLOYMENTS = {
+    "maronenglut": Deployment(
+        ("innsbruck-a", "innsbruck-b", "kufstein-a", "salzburg-a"),
+        9,
+        4,
+        0.5,
+        Objective(goodput=1.0, worst_workspace=1.0, cost=2.0, cheap_capacity=2.0),
+    ),
+    "akmola": Deployment(
+        ("astana-north", "kokshe", "shchuch"),
+        6,
+        2,
+        0.35,
+        Objective(goodput=2.0, worst_workspace=2.0, cost=1.0, cheap_capacity=0.5),
+    ),
+}
+
+
+def parameters_for(deployment: Deployment, trace: str) -> PlannerParameters:
+    """Return the planners' parameters, with a fixed fleet where only roles vary."""
+    fixed = trace in FIXED_FLEET
+    engines = deployment.engines
+    capacity = Capacity(
+        minimum=engines if fixed else 3,
+        maximum=engines if fixed else 3 * engines,
+        cheap_share=deployment.cheap_share,
+        provisioning_seconds=PROVISIONING_SECONDS,
+    )
+    pool = Pool("models", "engines", capacity=capacity)
+    parameters = parameters_of(deployment.objective, pool)
+    if fixed:
+        return msgspec.structs.replace(parameters, capacity_policy="static")
+    return parameters
+
+
+def run_one(name: str, trace_name: str, plan: str, seed: int) -> dict:
+    """Run one plan on one trace and return its figures."""
+    deployment = DEPLOYMENTS[name]
+    site = Site(list(deployment.zones), deployment.engines, deployment.cheap)
+    trace = traces.get(trace_name)(site, seed)
+    parameters = parameters_for(deployment, trace_name)
+    if plan in ("static", "greedy_threshold"):
+        capacity = parameters.capacity_policy
+        parameters = msgspec.structs.replace(
+            parameters,
+            role_policy=plan,
+            capacity_policy=capacity if capacity == "static" else plan,
+        )
+    if plan == "clairvoyant":
+        planner = ClairvoyantPlanner(trace, parameters)
+    else:
+        planner = PolicyPlanner(parameters, RATES, trace.zones)
+    started = time.process_time()
+    replay = Replay(trace, planner, PROVISIONING_SECONDS).run()
+    result = result_of(replay, Capacity().cheap_cost)
+    return {
+        "deployment": name,
+        "trace": trace_name,
+        "plan": plan,
+        "seed": seed,
+        "processor_seconds": time.process_time() - started,
+        "harm": result.harm,
+        "cost_per_goodput": result.cost_per_goodput,
+        **msgspec.to_builtins(result),
+    }
+
+
+def _run(arguments: tuple) -> dict:
+    return run_one(*arguments)
+
+
+def _cell(rows: list[dict], field: str) -> str:
+    values = [row[field] for row in rows]
+    spread = statistics.pstdev(values)
+    return f"{statistics.fmean(values):.3f}±{spread:.3f}"
+
+
+def _print_table(rows: list[dict]) -> None:
+    fields = [name for name in Result.__struct_fields__ if name in _SHOWN]
+    print("| trace | plan | " + " | ".join([*fields, "cost/1000 good", "harm"]) + " |")
+    print("|" + "---|" * (len(fields) + 4))
+    for trace in dict.fromkeys(row["trace"] for row in rows):
+        for plan in dict.fromkeys(row["plan"] for row in rows):
+            chosen = [r for r in rows if r["trace"] == trace and r["plan"] == plan]
+            cells = [_cell(chosen, name) for name in [*fields, "cost_per_goodput"]]
+            harm = sum(row["harm"] for row in chosen)
+            print(f"| {trace} | {plan} | " + " | ".join([*cells, str(harm)]) + " |")
+
+
+def _print_targets(rows: list[dict]) -> None:
+    """Print the ratios to the clairvoyant plan, paired by seed."""
+    print("\n| trace | goodput ratio (lowest seed) | changes | cost ratio | harm |")
+    print("|---|---|---|---|---|")
+    for trace in dict.fromkeys(row["trace"] for row in rows):
+        ours = [r for r in rows if r["trace"] == trace and r["plan"] == "forecast"]
+        best = [r for r in rows if r["trace"] == trace and r["plan"] == "clairvoyant"]
+        if not ours or not best:
+            continue
+        pairs = list(zip(ours, best, strict=True))
+        goodput = [a["good"] / b["good"] for a, b in pairs]
+        cost = [a["cost_per_goodput"] / b["cost_per_goodput"] for a, b in pairs]
+        changes = [sum(row["changes"] for row in side) for side in (ours, best)]
+        print(
+            f"| {trace} | {statistics.fmean(goodput):.3f} ({min(goodput):.3f}) "
+            f"| {changes[0]}:{changes[1]} "
+            f"| {statistics.fmean(cost):.3f} (highest {max(cost):.3f}) "
+            f"| {sum(row['harm'] for row in ours)} |"
+        )
+
+
+_SHOWN = ("goodput", "changes", "worst_workspace", "cheap_share", "refused")
+
+
+def main(
+    seeds: int = 20,
+    trace: str = "",
+    deployment: str = "",
+    plans: str = "",
+    workers: int = 5,
+    write: bool = False,
+) -> None:
+    """Run the comparison.
+
+    :param seeds: how many seeds, from 1.
+    :param trace: one trace; all by default.
+    :param plans: plan names with commas between; all by default.
+    :param write: whether to keep the figures for the plots.
+    """
+    names = [trace] if trace else list(traces)
+    chosen = plans if isinstance(plans, tuple) else tuple(filter(None, [plans]))
+    rows: list[dict] = []
+    for place in [deployment] if deployment else DEPLOYMENTS:
+        tasks = [
+            (place, name, plan, seed)
+            for name in names
+            for plan in chosen or PLANS
+            for seed in range(1, seeds + 1)
+        ]
+        with ProcessPoolExecutor(workers) as pool:
+            found = list(pool.map(_run, tasks))
+        print(f"\n{place}, {seeds} seeds\n")
+        _print_table(found)
+        _print_targets(found)
+        rows += found
+    if write:
+        RESULTS.write_text(json.dumps(rows), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/packages/camphorgate/src/camphorgate/fleet/capacity.py
+++ b/packages/camphorgate/src/camphorgate/fleet/capacity.py
@@ -237,6 +237,11 @@
     if surplus <= 0 or starting or leaving >= WITHDRAWN_AT_ONCE:
         return []
     able = [e for e in kept if e.phase == "serving" and not e.open_order]
+    coming = [
+        item
+        for item in question.engines
+        if item.phase == "starting" and item.kind == "cheap"
+    ]
     # The dearest first, then the least busy; a role that is changing is left alone.
     able.sort(key=lambda e: (e.kind == "cheap", e.running, e.id))
     for engine in able:
@@ -244,7 +249,8 @@
         if count_by_place[place] <= targets.get(place, 0) or engine.target:
             continue
         rest = [item for item in kept if item.id != engine.id]
-        if share_holds(rest, question.parameters) and reserve_holds(rest, reserve):
+        share = share_holds([*rest, *coming], question.parameters)
+        if share and reserve_holds(rest, reserve):
             return [CapacityAction("withdraw", *place, engine.id, "above plan")]
     return []
 
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/fleet/replay_planner.py
@@ -0,0 +1,96 @@
+"""The planners as the replay drives them: one demand model, roles and capacity."""
+
+from camphorgate.fleet.capacity import (
+    CapacityAction,
+    CapacityMemory,
+    CapacityQuestion,
+    plan_capacity,
+)
+from camphorgate.fleet.changes import RoleChanges, RoleOrder
+from camphorgate.fleet.demand import DemandMemory, DemandModel, DemandSample
+from camphorgate.fleet.objective import PlannerParameters
+from camphorgate.fleet.roles import changes_allowed, plan_roles
+from camphorgate.fleet.state import Demand, Engine, Rates
+from camphorgate.manifest import EngineRole
+
+# Estimates need a few samples before anything is decided on them.
+WARM_UP_SECONDS = 20.0
+# The demand that roles are planned for: about when a change is done.
+ROLE_AHEAD_SECONDS = 20.0
+
+
+class PolicyPlanner:
+    """Runs the registered policies of the parameters."""
+
+    def __init__(
+        self,
+        parameters: PlannerParameters,
+        rates: Rates,
+        zones: list[str],
+        memory: DemandMemory | None = None,
+        start_at: float = 0.0,
+    ) -> None:
+        """Start without observations.
+
+        :param memory: the daily pattern of earlier days.
+        :param start_at: wall-clock time at which the trace starts.
+        """
+        self.parameters = parameters
+        self.rates = rates
+        self.zones = zones
+        self.demand = DemandModel(memory)
+        self.role_changes = RoleChanges()
+        self.capacity_memory = CapacityMemory()
+        self.start_at = start_at
+
+    @property
+    def changes(self) -> int:
+        """Return how many changes of role were started."""
+        return self.role_changes.counts["started"]
+
+    def target_of(self, engine_id: str) -> EngineRole | None:
+        """Return the role to which an engine is being changed."""
+        return self.role_changes.targets().get(engine_id)
+
+    def plan(
+        self, now: float, engines: tuple[Engine, ...], sample: DemandSample
+    ) -> list[RoleOrder | CapacityAction]:
+        """Return the orders to send now."""
+        self.demand.observe(sample, self.start_at + now)
+        orders: list[RoleOrder | CapacityAction] = []
+        if self.demand.observed_seconds > WARM_UP_SECONDS:
+            self.role_changes.start(self._role_plan(now, engines), now)
+            question = CapacityQuestion(
+                engines,
+                self._near(now),
+                self._far(now),
+                self.rates,
+                self.parameters,
+            )
+            orders += plan_capacity(
+                question, self.zones, self.capacity_memory, self.start_at + now
+            )
+        most = changes_allowed(len(engines), self.parameters)
+        orders += self.role_changes.step(engines, self.rates, now, most)
+        return orders
+
+    def _role_plan(self, now: float, engines: tuple[Engine, ...]):
+        demand = self.demand.forecast(self.start_at + now, ROLE_AHEAD_SECONDS)
+        return plan_roles(engines, demand, self.rates, self.parameters)
+
+    def _near(self, now: float) -> Demand:
+        return self.demand.forecast(self.start_at + now, 0.0)
+
+    def _far(self, now: float) -> Demand:
+        """Return the highest forecast up to when an upstream ordered now is ready."""
+        at, parameters = self.start_at + now, self.parameters
+        steps = [parameters.provisioning_seconds * part for part in (0.5, 1.0, 1.5)]
+        return max(
+            (
+                self.demand.forecast(at, ahead, parameters.clear_seconds)
+                for ahead in [0.0, *steps]
+            ),
+            key=lambda item: (
+                item.prefill / self.rates.prefill + item.decode / self.rates.decode
+            ),
+        )
--- a/packages/camphorgate/src/camphorgate/fleet/roles.py
+++ b/packages/camphorgate/src/camphorgate/fleet/roles.py
@@ -85,13 +85,28 @@
     :param engines: every engine of the pool, also those that are away.
     """
     present = [engine for engine in engines if engine.present]
-    in_flight = sum(_in_flight(engine) for engine in engines)
-    most = changes_allowed(len(present), parameters) - in_flight
+    most = _room(engines, parameters)
     if most <= 0 or len(present) < 2:
         return []
     question = RoleQuestion(split_of(present), demand, rates, parameters, most)
     move = policies.get(parameters.role_policy)(question)
-    return _assign(move, present, parameters, most) if move else []
+    return bounded_changes(move, engines, parameters) if move else []
+
+
+def bounded_changes(
+    move: Move, engines: tuple[Engine, ...], parameters: PlannerParameters
+) -> list[RoleChange]:
+    """Choose engines for as much of a move as the bounds allow."""
+    present = [engine for engine in engines if engine.present]
+    most = _room(engines, parameters)
+    return _assign(move, present, parameters, most) if most > 0 else []
+
+
+def _room(engines: tuple[Engine, ...], parameters: PlannerParameters) -> int:
+    """Return how many more engines may be taken away now."""
+    total = sum(engine.present for engine in engines)
+    in_flight = sum(_in_flight(engine) for engine in engines)
+    return changes_allowed(total, parameters) - in_flight
 
 
 def _in_flight(engine: Engine) -> bool:
