--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""What the system reports to its operators about requests; pure."""
