--- a/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
@@ -138,12 +138,11 @@
         return _encode({"accepted": True, **msgspec.to_builtins(result)})
 
     async def metrics(self, request: Request) -> Response:
-        """Answer in the format that the Accept header asks for."""
+        """Answer with the metrics."""
         if not self._app.has_service("metrics"):
             return Response(status_code=404)
-        accepts = request.headers.getlist("accept")
-        body, headers = self._app.service("metrics").render(accepts)
-        return Response(body, headers=headers)
+        content_type, body = self._app.service("metrics").render()
+        return Response(body, media_type=content_type)
 
 
 async def _read_text(request: Request) -> str:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/errors.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/errors.py
@@ -97,6 +97,16 @@
     code = "wrong_request_id"
 
 
+def run_of_outcome(outcome: str) -> str:
+    """Return whether a request ran, from the outcome of its record.
+
+    :returns: ``"run"``, ``"not_run"`` or ``"unknown"``.
+    """
+    if outcome == "ok":
+        return "run"
+    return _STATUS_AND_RUN_BY_CODE.get(outcome, (0, "unknown"))[1]
+
+
 def encode_error(code: str, message: str, run: str, request_id: str) -> bytes:
     """Return the body of an error answer."""
     error = {"code": code, "message": message, "run": run, "request_id": request_id}
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/records.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/records.py
@@ -70,6 +70,12 @@
     calls: int = 1
 
 
+def service_of(record: RequestRecord) -> float:
+    """Return the service that a request received, in weighted tokens."""
+    tokens = record.prompt_tokens + DECODE_TOKEN_WEIGHT * record.output_tokens
+    return tokens or CALL_SERVICE
+
+
 class Recorder:
     """Counts requests and hands their usage on."""
 
@@ -126,9 +132,8 @@
         self.resumes += record.resumes
         self.good += record.is_good()
         if record.workspace and record.attempts:
-            service = record.prompt_tokens + DECODE_TOKEN_WEIGHT * record.output_tokens
             ledger = self._gateway.admission.ledger
-            ledger.add(record.workspace, service or CALL_SERVICE, record.weight)
+            ledger.add(record.workspace, service_of(record), record.weight)
         self._gateway.app.emit("request-finished", record)
         self._log(record)
 
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/report.py
@@ -0,0 +1,159 @@
+"""What the system answers for, over all instances.
+
+Each instance counts its own requests. Whoever is asked collects the parts of its
+peers, once per question, and names the instances that did not answer.
+"""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from camphorgate.application import Application
+from camphorgate.errors import CamphorgateError
+from camphorgate.log import log_event
+from camphorgate.reporting.statistics import (
+    Counts,
+    Outcome,
+    RequestStatistics,
+    merge,
+    summarise,
+)
+from camphorgated.ext.gateway.errors import run_of_outcome
+from camphorgated.ext.gateway.records import service_of
+
+MINUTE_SECONDS = 60.0
+HOUR_SECONDS = 3600.0
+COLLECT_SECONDS = 3.0
+
+# Services whose status is shown per instance in the report.
+_SECTIONS = ("usage", "fleet", "duties")
+
+
+class InstancePart(msgspec.Struct):
+    """What one instance adds to the report."""
+
+    instance: str
+    version: int
+    minute: Counts
+    hour: Counts
+    backlog_by_pool: dict[str, dict[str, float]]
+    sections: dict[str, Any]
+
+
+class ReportService:
+    """Counts the requests of this instance; provided as the service ``report``."""
+
+    __slots__ = ("_app", "_statistics")
+
+    def __init__(self, app: Application) -> None:
+        """Start without requests."""
+        self._app = app
+        self._statistics = RequestStatistics()
+
+    def take(self, record: Any) -> None:
+        """Count a request that ended.
+
+        :param record: :class:`camphorgated.ext.gateway.records.RequestRecord`.
+        """
+        run = run_of_outcome(record.outcome)
+        ran = run == "run"
+        outcome = Outcome(
+            workspace=record.workspace,
+            weight=record.weight,
+            good=record.is_good(),
+            run=run,
+            served=service_of(record) if ran else 0.0,
+            prefill_tokens=record.prompt_tokens if ran else 0,
+            decode_tokens=record.output_tokens,
+            resumes=record.resumes,
+            broken=record.outcome == "stream_broken",
+            cheap=self._on_cheap(record.upstream_id),
+        )
+        self._statistics.record(outcome, self._app.clock.monotonic())
+
+    def part(self) -> InstancePart:
+        """Return what this instance adds to the report."""
+        now = self._app.clock.monotonic()
+        return InstancePart(
+            instance=self._app.settings.instance_id,
+            version=self._app.service("configuration").version,
+            minute=self._statistics.recent(now, MINUTE_SECONDS),
+            hour=self._statistics.recent(now, HOUR_SECONDS),
+            backlog_by_pool=self._app.service("gateway").counters()["queues"],
+            sections=self._sections(),
+        )
+
+    def encoded_part(self) -> bytes:
+        """Return the part as a peer asks for it."""
+        return msgspec.msgpack.encode(self.part(), enc_hook=str)
+
+    async def collect(self) -> dict[str, Any]:
+        """Return the report over all instances that answer in time."""
+        parts = [self.part()]
+        missing = []
+        if self._app.has_service("membership"):
+            membership = self._app.service("membership")
+            names = [
+                member.instance_id
+                for member in membership.members()
+                if member.instance_id != membership.instance_id
+            ]
+            answers = await asyncio.gather(*(self._ask(name) for name in names))
+            for name, part in zip(names, answers, strict=True):
+                if part is None:
+                    missing.append(name)
+                else:
+                    parts.append(part)
+        return _assemble(parts, missing)
+
+    async def _ask(self, instance_id: str) -> InstancePart | None:
+        peer = self._app.service("membership").peer(instance_id)
+        try:
+            payload = await peer.report(timeout=COLLECT_SECONDS)
+            return msgspec.msgpack.decode(payload, type=InstancePart)
+        except (CamphorgateError, msgspec.DecodeError) as error:
+            log_event("report_part_missing", instance=instance_id, error=str(error))
+            return None
+
+    def _on_cheap(self, upstream_id: str) -> bool:
+        entry = self._app.service("upstreams").entries_by_id.get(upstream_id)
+        return entry is not None and entry.view.kind == "cheap"
+
+    def _sections(self) -> dict[str, Any]:
+        sections = {}
+        for name in _SECTIONS:
+            service = self._app.service(name) if self._app.has_service(name) else None
+            if hasattr(service, "report"):
+                sections[name] = service.report()
+        return sections
+
+
+def _assemble(parts: list[InstancePart], missing: list[str]) -> dict[str, Any]:
+    backlog: dict[str, dict[str, float]] = {}
+    for part in parts:
+        for pool, queue in part.backlog_by_pool.items():
+            total = backlog.setdefault(pool, dict.fromkeys(queue, 0.0))
+            total["depth"] = total.get("depth", 0) + queue["depth"]
+            for name in queue.keys() - {"depth"}:
+                total[name] = max(total.get(name, 0.0), queue[name])
+    sections: dict[str, dict[str, Any]] = {}
+    for part in parts:
+        for name, section in part.sections.items():
+            if section:
+                sections.setdefault(name, {})[part.instance] = section
+    return {
+        "instances": {part.instance: part.version for part in parts},
+        "instances_without_answer": missing,
+        "last_minute": summarise(merge([part.minute for part in parts])),
+        "last_hour": summarise(merge([part.hour for part in parts])),
+        "backlog": backlog,
+        **sections,
+    }
+
+
+def setup(app: Application) -> None:
+    """Register the extension."""
+    service = ReportService(app)
+    app.provide("report", service)
+    app.connect("request-finished", service.take)
--- a/packages/camphorgate-daemon/src/camphorgated/main.py
+++ b/packages/camphorgate-daemon/src/camphorgated/main.py
@@ -22,8 +22,9 @@
     "usage",
     "gateway",
     "fleet",
-    "admin",
+    "report",
     "metrics",
+    "admin",
 )
 _PACKAGE = "camphorgated.ext"
 EXIT_OK = 0
