Add the authority decisions and the model check of the order protocol

Leases, orders and hand-over must be safe under pauses, partitions and lost answers, in any combination, so they are decided by pure code and explored as a specification.

The search found a fault in the first version: a successor's copy of an open order was lost, the order was closed after its drain time, and the predecessor's copy then took effect. An adopted order is now closed only after an answer or after the predecessors are settled.

--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Who may give orders, and what was ordered; pure decisions."""
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/authority/errors.py
@@ -0,0 +1,33 @@
+"""Errors of the authority protocol."""
+
+from camphorgate.errors import CamphorgateError
+
+
+class AuthorityLost(CamphorgateError):
+    """This process does not hold the duty, or no longer does; nothing was sent."""
+
+    code = "authority_lost"
+
+
+class OrderConflict(CamphorgateError):
+    """An open order of the journal contradicts the new one; nothing was sent."""
+
+    code = "order_conflict"
+
+
+class HandoverPending(CamphorgateError):
+    """A predecessor might still send an order to the receiver; nothing was sent."""
+
+    code = "handover_pending"
+
+
+class OrderRefused(CamphorgateError):
+    """The receiver refused the order."""
+
+    code = "order_refused"
+
+
+class OrderUnanswered(CamphorgateError):
+    """The order was sent and no answer came; it stays open in the journal."""
+
+    code = "order_unanswered"
--- /dev/null
+++ b/tests/test_authority/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, the order journal and the hand-over."""
--- /dev/null
+++ b/tests/test_authority/test_decisions.py
@@ -0,0 +1,188 @@
+"""Leases, the order journal and the hand-over, as pure decisions."""
+
+import unittest
+
+from camphorgate.authority.errors import OrderConflict
+from camphorgate.authority.handover import Acknowledgement, Handover
+from camphorgate.authority.leases import (
+    DutyRecord,
+    Lease,
+    LeaseRules,
+    Predecessor,
+    succeed,
+)
+from camphorgate.authority.orders import Journal, OrderRun, adopt, close, write
+
+DRAIN_SECONDS = 15.0
+
+
+def ticking_lease(until, sent_at=0.0):
+    """Return a lease taken at 0.1 s whose clock ticked every half second."""
+    lease = Lease(LeaseRules())
+    lease.taken(1, sent_at, 0.1)
+    now = 0.1
+    while now + 0.5 <= until:
+        now += 0.5
+        lease.tick(now)
+    return lease
+
+
+class LeaseTests(unittest.TestCase):
+    def test_the_deadline_counts_from_before_the_call(self):
+        """Guards against acting after the service let the lease lapse."""
+        cases = [(7.9, True), (8.0, False), (9.0, False)]
+        for now, expected in cases:
+            with self.subTest(now):
+                self.assertIs(ticking_lease(now).valid(now), expected)
+
+    def test_an_answer_that_comes_too_late_gives_nothing(self):
+        """Guards against reviving a lease that others may have seen lapse."""
+        lease = Lease(LeaseRules())
+        self.assertFalse(lease.taken(1, sent_at=0.0, now=8.5))
+        lease = ticking_lease(8.2)
+        self.assertFalse(lease.renewed(sent_at=7.0, now=8.2))
+        self.assertFalse(lease.valid(8.2))
+
+    def test_a_renewal_moves_the_deadline(self):
+        """Guards against losing the duty although it was renewed in time."""
+        lease = ticking_lease(3.1)
+        self.assertTrue(lease.renewed(sent_at=3.0, now=3.2))
+        for tick in range(4, 11):
+            lease.tick(float(tick))
+        self.assertTrue(lease.valid(10.9))
+        self.assertFalse(lease.valid(11.0))
+
+    def test_a_clock_jump_drops_the_duty_for_good(self):
+        """Guards against a paused holder that goes on after waking."""
+        for jump in (2.1, 100.0, -1.0):
+            with self.subTest(jump):
+                lease = ticking_lease(1.0)
+                self.assertFalse(lease.tick(0.6 + jump))
+                self.assertFalse(lease.valid(0.7))
+
+
+class JournalTests(unittest.TestCase):
+    def test_contradicting_orders_are_refused_while_one_is_open(self):
+        """Guards against conflicting orders to one receiver."""
+        cases = [
+            ("engines/p", ("set_role", {}), ("load_model", {"model": "m"}), True),
+            ("engines/p", ("load_model", {"model": "m"}), ("drain", {}), True),
+            (
+                "engines/p",
+                ("load_model", {"model": "m"}),
+                ("unload_model", {"model": "m"}),
+                True,
+            ),
+            (
+                "engines/p",
+                ("load_model", {"model": "m"}),
+                ("load_model", {"model": "n"}),
+                False,
+            ),
+            (
+                "capacity/z",
+                ("stop", {"upstream_id": "u"}),
+                ("stop", {"upstream_id": "u"}),
+                True,
+            ),
+            (
+                "capacity/z",
+                ("start", {"pool": "p", "order_id": "1"}),
+                ("start", {"pool": "p", "order_id": "2"}),
+                False,
+            ),
+            ("usage/0", ("report", {"window": "w"}), ("report", {"window": "w"}), True),
+        ]
+        for duty, first, second, refused in cases:
+            with self.subTest(duty=duty, first=first, second=second):
+                journal, order = write(Journal(), duty, 1, "a", "r", *first)
+                if refused:
+                    with self.assertRaises(OrderConflict):
+                        write(journal, duty, 1, "b", "r", *second)
+                else:
+                    write(journal, duty, 1, "b", "r", *second)
+                closed = close(journal, order.number, "confirmed")
+                _, later = write(closed, duty, 1, "b", "r", *second)
+                self.assertGreater(later.number, order.number)
+
+    def test_an_unanswered_order_is_in_flight_until_it_is_drained(self):
+        """Guards against a late copy that follows a newer order."""
+        _, order = write(Journal(), "engines/p", 1, "a", "r", "drain", {})
+        run = OrderRun(order, 1, DRAIN_SECONDS)
+        self.assertTrue(run.send(0.0))
+        run.unanswered(5.0)
+        for now, free in ((5.0, False), (19.9, False), (20.0, True)):
+            with self.subTest(now):
+                self.assertIs(run.may_close(now, predecessors_settled=True), free)
+                self.assertIs(run.in_flight(now), not free)
+
+    def test_an_adopted_order_needs_an_answer_or_settled_predecessors(self):
+        """Guards against a predecessor's copy taking effect after the closing.
+
+        The model check found this: the successor's copy was lost, so the receiver
+        never learned the new fencing number.
+        """
+        journal, order = write(Journal(), "engines/p", 1, "a", "r", "drain", {})
+        order = adopt(journal, order.number, 2).find(order.number)
+        run = OrderRun(order, 2, DRAIN_SECONDS)
+        run.send(0.0)
+        run.unanswered(1.0)
+        self.assertFalse(run.may_close(100.0, predecessors_settled=False))
+        self.assertTrue(run.may_close(100.0, predecessors_settled=True))
+        run.send(100.0)
+        run.answered()
+        self.assertTrue(run.may_close(100.0, predecessors_settled=False))
+
+
+class HandoverTests(unittest.TestCase):
+    def setUp(self):
+        record = DutyRecord("alpha", 3, 1)
+        self.record = succeed(record, "beta", 1)
+        journal, _ = write(Journal(), "capacity/z", 1, "a", "r", "start", {})
+        self.journal = journal
+        self.handover = self.start(journal)
+
+    def start(self, journal):
+        record = self.record
+        return Handover(record.epoch, record.predecessors, journal, DRAIN_SECONDS)
+
+    def test_what_settles_a_predecessor(self):
+        """Guards against sending while a paused predecessor may still wake."""
+        cases = [
+            ("nothing", [], None),
+            ("same process, idle", [("alpha", 3, 2, 0)], 0.0),
+            ("same process, order in flight", [("alpha", 3, 2, 1)], None),
+            ("answer to an older epoch", [("alpha", 3, 1, 0)], None),
+            ("newer incarnation", [("alpha", 4, 2, 0)], DRAIN_SECONDS),
+            ("older incarnation", [("alpha", 2, 2, 0)], None),
+            ("another instance", [("gamma", 3, 2, 0)], None),
+        ]
+        for name, answers, settled_at in cases:
+            with self.subTest(name):
+                handover = self.start(self.journal)
+                for instance, incarnation, epoch, in_flight in answers:
+                    answer = Acknowledgement(instance, incarnation, epoch, in_flight)
+                    handover.acknowledged(answer, 0.0)
+                for now in (0.0, DRAIN_SECONDS - 0.1, DRAIN_SECONDS, 1e6):
+                    expected = settled_at is not None and now >= settled_at
+                    self.assertIs(handover.settled(now), expected)
+
+    def test_an_instance_that_is_listed_as_gone_is_drained(self):
+        """Guards against overtaking the last order of a dead instance."""
+        self.handover.listed_gone("alpha", 10.0)
+        self.handover.listed_gone("alpha", 20.0)
+        self.assertFalse(self.handover.settled(24.9))
+        self.assertTrue(self.handover.settled(25.0))
+
+    def test_an_empty_journal_needs_no_wait(self):
+        """Guards against a needless wait when the predecessor has nothing to send."""
+        journal = close(self.journal, 1, "confirmed")
+        self.assertTrue(self.start(journal).settled(0.0))
+
+    def test_every_predecessor_counts_until_it_is_settled(self):
+        """Guards against forgetting the holder before the last one."""
+        record = succeed(self.record, "gamma", 1)
+        journal = adopt(self.journal, 1, 2)
+        handover = Handover(3, record.predecessors, journal, DRAIN_SECONDS)
+        handover.acknowledged(Acknowledgement("beta", 1, 3, 0), 0.0)
+        self.assertEqual(handover.waiting, (Predecessor("alpha", 3, 1),))
--- /dev/null
+++ b/tests/test_model/__init__.py
@@ -0,0 +1,1 @@
+"""Model check of the core protocol, and conformance of the real decision code."""
