--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -115,7 +115,7 @@
     ) -> None:
         """Prepare the first reports.
 
-        :param gateways: objects with ``views_by_id``, ``arrive`` and ``release``.
+        :param gateways: objects like those of :mod:`benchmarks.replay_gateways`.
         :param until: when reports stop, in seconds.
         """
         self.now = 0.0
@@ -126,15 +126,26 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
         self._caches_by_id = {name: OrderedDict() for name in self.engines_by_id}
-        self._cursor_by_gateway = [0] * len(gateways)
         for name in self.engines_by_id:
-            self.at(self.random.random() * REPORT_SECONDS, lambda n=name: self._tell(n))
+            self.every(REPORT_SECONDS, lambda name=name: self._tell(name))
+        for gateway in gateways:
+            gateway.start(self, gateways)
 
     def at(self, when: float, action: Callable[[], None]) -> None:
         """Run an action at a time."""
         self._count += 1
         heapq.heappush(self._events, (when, self._count, action))
 
+    def every(self, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action again and again, as long as reports are sent."""
+
+        def again() -> None:
+            action()
+            if self.now < self._until:
+                self.at(self.now + seconds, again)
+
+        self.at(self.random.random() * seconds, again)
+
     def run(self, jobs: list[Job]) -> None:
         """Replay all jobs to their end."""
         for job in jobs:
@@ -166,6 +177,7 @@
         for job in prompts:
             job.first_at = self.now
             job.view.first_token(job.dispatch)
+            self.gateways[job.gateway].first_token(job, self)
         for job in decoded:
             job.view.note_token(seconds, self.now)
         for job in decoded + prompts:
@@ -189,8 +201,6 @@
             lag = self.random.uniform(*REPORT_LAG_SECONDS)
             view = gateway.views_by_id[name]
             self.at(self.now + lag, lambda v=view, f=figures: self._receive(v, f))
-        if self.now < self._until:
-            self.at(self.now + REPORT_SECONDS, lambda: self._tell(name))
 
     def _receive(self, view: UpstreamView, figures: tuple[int, int]) -> None:
         running, waiting = figures
--- a/benchmarks/routing_replay.py
+++ b/benchmarks/routing_replay.py
@@ -6,10 +6,14 @@
 import argparse
 import random
 import statistics
-import time
 
 from benchmarks.replay import Engine, Job, Replay
-from camphorgate.requests.routing import POLICIES
+from benchmarks.replay_gateways import (
+    DECODE_RATE,
+    PREFILL_RATE,
+    Gateway,
+)
+from camphorgate.requests.fairness import service_of
 from camphorgate.requests.views import RequestView, UpstreamView
 
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
@@ -28,37 +32,10 @@
 SECONDS = 60.0
 # The shift with the time until its queues have drained.
 SHIFT = (20.0, 50.0)
-
-
-class Gateway:
-    """Routes each request on arrival, with its own views of the engines."""
-
-    def __init__(self, number: int, policy: str, engines: list[Engine]) -> None:
-        self.views_by_id = {
-            engine.view.id: UpstreamView(
-                id=engine.view.id,
-                pool="models",
-                zone=engine.view.zone,
-                slots=engine.view.slots,
-                prefill_tokens_per_second=20000.0,
-                decode_tokens_per_second=600.0,
-            )
-            for engine in engines
-        }
-        self.policy = POLICIES.get(policy)(f"gateway-{number}")
-        self.choose_seconds = 0.0
-        self.choices = 0
-
-    def arrive(self, job: Job, replay: Replay) -> None:
-        """Route a job at once."""
-        begun = time.perf_counter()
-        choice = self.policy.choose(self.views_by_id.values(), job.request, replay.now)
-        self.choose_seconds += time.perf_counter() - begun
-        self.choices += 1
-        replay.dispatch(job, choice.upstream)
-
-    def release(self, job: Job, replay: Replay) -> None:
-        """Note that a job ended."""
+# What each workspace asks for in the flood, as a part of what the engines can do.
+FLOOD_DEMANDS = (0.3, 0.3, 0.3, 0.04, 0.04, 0.04, 0.04, 1.5)
+FLOOD_WINDOW = (10.0, 110.0)
+FLOOD_SECONDS = 120.0
 
 
 def build_engines(seed: int, spread: float) -> list[Engine]:
@@ -72,8 +49,8 @@
             pool="models",
             zone=ZONES[number % len(ZONES)],
             slots=SLOTS,
-            prefill_tokens_per_second=20000.0 * factor,
-            decode_tokens_per_second=600.0 * factor,
+            prefill_tokens_per_second=PREFILL_RATE * factor,
+            decode_tokens_per_second=DECODE_RATE * factor,
         )
         engines.append(Engine(view, CACHED_PREFIXES))
     return engines
@@ -93,15 +70,17 @@
     when = 0.0
     while True:
         prompt, output = _mix_at(when)
-        seconds = prompt / 20000.0 + output / 600.0
+        seconds = prompt / PREFILL_RATE + output / DECODE_RATE
         when += source.expovariate(load * ENGINES / seconds)
         if when >= SECONDS:
             return jobs
-        jobs.append(_build_job(source, when, prompt, output))
+        number = source.choices(range(8), WORKSPACE_WEIGHTS)[0]
+        jobs.append(_build_job(source, when, prompt, output, number))
 
 
-def _build_job(source: random.Random, when: float, prompt: int, output: int) -> Job:
-    number = source.choices(range(8), WORKSPACE_WEIGHTS)[0]
+def _build_job(
+    source: random.Random, when: float, prompt: int, output: int, number: int
+) -> Job:
     prefix = prompt // 3
     tail = int(source.lognormvariate(-0.5, 1.0) * (prompt - prefix))
     request = RequestView(
@@ -116,13 +95,15 @@
     return Job(when, source.randrange(GATEWAYS), request)
 
 
-def run_once(policy: str, seed: int, load: float, spread: float) -> tuple[float, float]:
+def run_once(
+    policy: str, seed: int, load: float, spread: float, gateway_class: type = Gateway
+) -> tuple[float, float]:
     """Return goodput during the shift and microseconds per choice.
 
     :returns: good requests as a part of those that arrived, and microseconds.
     """
     engines = build_engines(seed, spread)
-    gateways = [Gateway(number, policy, engines) for number in range(GATEWAYS)]
+    gateways = [gateway_class(number, policy, engines) for number in range(GATEWAYS)]
     jobs = build_jobs(seed, load)
     Replay(engines, gateways, seed, SECONDS).run(jobs)
     shift = [job for job in jobs if SHIFT[0] <= job.arrival < SHIFT[1]]
@@ -150,6 +131,55 @@
         )
 
 
+def build_flood(seed: int) -> list[Job]:
+    """Return the requests of three large, four small and one flooding workspace."""
+    source = random.Random(seed + 2000)
+    prompt, output = READS
+    seconds = prompt / PREFILL_RATE + output / DECODE_RATE
+    jobs = []
+    for number, demand in enumerate(FLOOD_DEMANDS):
+        when = 0.0
+        while (
+            when := when + source.expovariate(demand * ENGINES / seconds)
+        ) < FLOOD_SECONDS:
+            jobs.append(_build_job(source, when, prompt, output, number))
+    return sorted(jobs, key=lambda job: job.arrival)
+
+
+def _in_window(when: float) -> bool:
+    return FLOOD_WINDOW[0] <= when < FLOOD_WINDOW[1]
+
+
+def worst_share(jobs: list[Job]) -> float:
+    """Return the lowest ratio of service to fair share of any workspace.
+
+    The fair share is the max-min share of all service given, by what each asked.
+    """
+    asked = dict.fromkeys(WORKSPACES, 0.0)
+    served = dict.fromkeys(WORKSPACES, 0.0)
+    for job in jobs:
+        service = service_of(job.request.prompt_tokens, job.request.output_tokens)
+        if _in_window(job.arrival):
+            asked[job.request.workspace] += service
+        if _in_window(job.done_at):
+            served[job.request.workspace] += service
+    left, share_by_workspace = sum(served.values()), {}
+    for position, name in enumerate(sorted(WORKSPACES, key=asked.get)):
+        share = min(asked[name], left / (len(WORKSPACES) - position))
+        share_by_workspace[name] = share
+        left -= share
+    return min(served[name] / share_by_workspace[name] for name in WORKSPACES)
+
+
+def run_flood(policy: str, seed: int, spread: float, gateway_class: type) -> list[Job]:
+    """Replay the flood and return its requests."""
+    engines = build_engines(seed, spread)
+    gateways = [gateway_class(number, policy, engines) for number in range(GATEWAYS)]
+    jobs = build_flood(seed)
+    Replay(engines, gateways, seed, FLOOD_SECONDS).run(jobs)
+    return jobs
+
+
 def main() -> None:
     """Print one line per load and policy."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -78,10 +78,6 @@
     return max(upstream_ids, key=lambda name: _rendezvous_weight(key, name))
 
 
-def _average(average: float, value: float) -> float:
-    return value if average < 0 else average + AVERAGE_WEIGHT * (value - average)
-
-
 def may_serve(upstream: UpstreamView, request: RequestView) -> bool:
     """Tell whether an upstream may serve a request at all.
 
@@ -171,16 +167,17 @@
 class ExpectedLatency:
     """The upstream with the lowest expected delay to the request and its neighbours."""
 
-    __slots__ = ("instance_id", "_mean_prefill", "_mean_output")
+    __slots__ = ("_turn", "_mean_prefill", "_mean_output")
 
     def __init__(self, instance_id: str = "") -> None:
         """Start without knowledge of the traffic.
 
-        :param instance_id: breaks ties differently on each instance.
+        :param instance_id: makes each instance begin at another upstream.
         """
-        self.instance_id = instance_id
-        self._mean_prefill = -1.0
-        self._mean_output = -1.0
+        # Also counts the requests; equal upstreams are taken in turn.
+        self._turn = xxhash.xxh3_64_intdigest(instance_id.encode()) % 1024 * 1024
+        self._mean_prefill = 0.0
+        self._mean_output = 0.0
 
     def choose(
         self, upstreams: Iterable[UpstreamView], request: RequestView, now: float
@@ -192,8 +189,9 @@
         candidates = [item for item in upstreams if may_serve(item, request)]
         if not candidates:
             return None
-        self._mean_prefill = _average(self._mean_prefill, request.prompt_tokens)
-        self._mean_output = _average(self._mean_output, request.output_tokens)
+        self._note(request)
+        first = self._turn % len(candidates)
+        candidates = candidates[first:] + candidates[:first]
         others = _work_of_others(candidates, now)
         waits = [
             self._wait_seconds(upstream, count, now)
@@ -202,7 +200,7 @@
         bound = AFFINITY_LOAD_BOUND * sum(waits) / len(waits) + AFFINITY_SLACK_SECONDS
         owner = ""
         if request.prefix_digest:
-            ids = tuple([item.id for item in candidates])
+            ids = tuple(sorted([item.id for item in candidates]))
             owner = _owner_of(request.prefix_digest, ids)
         best = None
         for upstream, count, wait in zip(candidates, others, waits, strict=True):
@@ -214,6 +212,12 @@
                 best = (*estimate, upstream)
         return Choice(best[3], best[1], best[2])
 
+    def _note(self, request: RequestView) -> None:
+        self._turn += 1
+        weight = max(AVERAGE_WEIGHT, 1 / (self._turn % 1024))
+        self._mean_prefill += weight * (request.prompt_tokens - self._mean_prefill)
+        self._mean_output += weight * (request.output_tokens - self._mean_output)
+
     def _wait_seconds(self, upstream: UpstreamView, others: float, now: float) -> float:
         """Return the time until an upstream has finished the prompts that it has."""
         slots = upstream.slots
