--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -15,8 +15,10 @@
 from camphorgate.registry import Registry
 from camphorgate.requests.views import RequestView, UpstreamView
 
-# Half-lives in seconds: of the trust in a load report, and in a cached prefix.
-REPORT_HALF_LIFE = 2.0
+# Half-lives in seconds: of the trust in a load report, and in a cached prefix. A
+# report is outdated by the queue's own turnover (a prompt takes 50 to 400 ms); longer
+# trust makes all instances run to the same upstream (docs/measurements/routing.md).
+REPORT_HALF_LIFE = 0.25
 PREFIX_HALF_LIFE = 30.0
 # Chance that the upstream that rendezvous hashing names for a prefix holds it although
 # this process has not sent it there: other instances prefer the same upstream.
@@ -25,6 +27,10 @@
 # cached prefix, plus a slack in seconds that matters when the pool is nearly idle.
 AFFINITY_LOAD_BOUND = 1.5
 AFFINITY_SLACK_SECONDS = 0.1
+# Seconds of prompts that others have waiting at an engine whose streams show that it
+# spends all of its time on prompts, and how long such a sign is valid.
+BUSY_SECONDS = 0.14
+BUSY_VALID_SECONDS = 0.3
 # One-way latency to another zone of the region is about 0.5 ms (1.5 ms at worst).
 OTHER_ZONE_SECONDS = 0.002
 # A specialised engine serves whole requests only when the others are far behind.
@@ -72,10 +78,6 @@
     return max(upstream_ids, key=lambda name: _rendezvous_weight(key, name))
 
 
-def _average(average: float, value: float) -> float:
-    return value if average < 0 else average + AVERAGE_WEIGHT * (value - average)
-
-
 def may_serve(upstream: UpstreamView, request: RequestView) -> bool:
     """Tell whether an upstream may serve a request at all.
 
@@ -165,16 +167,17 @@
 class ExpectedLatency:
     """The upstream with the lowest expected delay to the request and its neighbours."""
 
-    __slots__ = ("instance_id", "_mean_prefill", "_mean_output")
+    __slots__ = ("_turn", "_mean_prefill", "_mean_output")
 
     def __init__(self, instance_id: str = "") -> None:
         """Start without knowledge of the traffic.
 
-        :param instance_id: breaks ties differently on each instance.
+        :param instance_id: makes each instance begin at another upstream.
         """
-        self.instance_id = instance_id
-        self._mean_prefill = -1.0
-        self._mean_output = -1.0
+        # Also counts the requests; equal upstreams are taken in turn.
+        self._turn = xxhash.xxh3_64_intdigest(instance_id.encode()) % 1024 * 1024
+        self._mean_prefill = 0.0
+        self._mean_output = 0.0
 
     def choose(
         self, upstreams: Iterable[UpstreamView], request: RequestView, now: float
@@ -186,17 +189,18 @@
         candidates = [item for item in upstreams if may_serve(item, request)]
         if not candidates:
             return None
-        self._mean_prefill = _average(self._mean_prefill, request.prompt_tokens)
-        self._mean_output = _average(self._mean_output, request.output_tokens)
+        self._note(request)
+        first = self._turn % len(candidates)
+        candidates = candidates[first:] + candidates[:first]
         others = _work_of_others(candidates, now)
         waits = [
-            self._wait_seconds(upstream, count)
+            self._wait_seconds(upstream, count, now)
             for upstream, count in zip(candidates, others, strict=True)
         ]
         bound = AFFINITY_LOAD_BOUND * sum(waits) / len(waits) + AFFINITY_SLACK_SECONDS
         owner = ""
         if request.prefix_digest:
-            ids = tuple([item.id for item in candidates])
+            ids = tuple(sorted([item.id for item in candidates]))
             owner = _owner_of(request.prefix_digest, ids)
         best = None
         for upstream, count, wait in zip(candidates, others, waits, strict=True):
@@ -208,7 +212,13 @@
                 best = (*estimate, upstream)
         return Choice(best[3], best[1], best[2])
 
-    def _wait_seconds(self, upstream: UpstreamView, others: float) -> float:
+    def _note(self, request: RequestView) -> None:
+        self._turn += 1
+        weight = max(AVERAGE_WEIGHT, 1 / (self._turn % 1024))
+        self._mean_prefill += weight * (request.prompt_tokens - self._mean_prefill)
+        self._mean_output += weight * (request.output_tokens - self._mean_output)
+
+    def _wait_seconds(self, upstream: UpstreamView, others: float, now: float) -> float:
         """Return the time until an upstream has finished the prompts that it has."""
         slots = upstream.slots
         outstanding = upstream.own_requests + others
@@ -220,10 +230,13 @@
         excess = max(0.0, outstanding - slots)
         # Of the running requests of others, the part that is expected in prefill.
         in_prefill = prefill_seconds / (prefill_seconds + stream_seconds + 1e-9)
-        others_in_prefill = in_prefill * min(others, slots) + min(excess, others)
         wait = upstream.own_prefill_tokens / upstream.prefill_tokens_per_second
-        wait += others_in_prefill * prefill_seconds
-        wait += excess * stream_seconds / slots
+        if now - upstream.gap_seen_at < BUSY_VALID_SECONDS:
+            # Seen in own streams without any lag, so it replaces half of the guess.
+            wait += BUSY_SECONDS * _busy_share(upstream)
+            in_prefill *= 0.5
+        wait += in_prefill * min(others, slots) * prefill_seconds
+        wait += excess * (stream_seconds / slots + prefill_seconds)
         return wait * upstream.slowness
 
 
@@ -243,8 +256,7 @@
             continue
         count = report.running + report.waiting - upstream.own_requests_at_report
         reported.append(max(0.0, count))
-        age = max(0.0, now - report.observed_at)
-        trusts.append(0.5 ** (age / REPORT_HALF_LIFE))
+        trusts.append(0.5 ** (upstream.report_age(now) / REPORT_HALF_LIFE))
     total = sum(trusts)
     if not total:
         return reported
@@ -256,6 +268,13 @@
     ]
 
 
+def _busy_share(upstream: UpstreamView) -> float:
+    """Return the part of its time that an engine spends on prompts."""
+    if not upstream.gap_seconds:
+        return 0.0
+    return max(0.0, 1.0 - upstream.quiet_gap_seconds / upstream.gap_seconds)
+
+
 def _cached_chance(
     upstream: UpstreamView, request: RequestView, owner: str, now: float
 ) -> float:
