--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/dispatch.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from camphorgated.ext.gateway.errors import (
     GatewayError,
     StaleConnection,
+    StreamUnknown,
     UpstreamFault,
     UpstreamOverloaded,
     UpstreamSilent,
@@ -28,6 +29,7 @@
         "excluded",
         "may_have_run",
         "fresh",
+        "failures",
         "_gateway",
         "_record",
         "_last_fault",
@@ -43,6 +45,8 @@
         # A request that must not be repeated never goes over a pooled connection,
         # which may be dead without this side knowing.
         self.fresh = not request.idempotent
+        # Failed attempts since the last progress.
+        self.failures = 0
         self._gateway = gateway
         self._record = record
         self._last_fault: UpstreamFault | None = None
@@ -77,21 +81,34 @@
             if not self.fresh and replayable:
                 self.fresh = True
                 return
-        elif not isinstance(fault, UpstreamOverloaded):
+        elif not isinstance(fault, UpstreamOverloaded | StreamUnknown):
             self._gateway.upstreams.failed(slot.entry, fault)
-        self.excluded.add(slot.entry.view.id)
+        self.failures += 1
+        self._exclude(slot, fault)
         if self.may_have_run and not self.request.idempotent:
             raise self.final_error(None)
         now = self._gateway.now()
         if (
             not replayable
-            or self._record.attempts >= MAX_ATTEMPTS
+            or self.failures >= MAX_ATTEMPTS
             or now >= self.request.deadline
             or not self._gateway.retries.take(now)
         ):
             message = "upstreams refused the request"
             raise self.final_error(GatewayError("no_upstream", message))
 
+    def _exclude(self, slot: Slot, fault: UpstreamFault) -> None:
+        """Go to another upstream next, or again to the first if there is no other."""
+        self.excluded.add(slot.entry.view.id)
+        upstreams = self._gateway.upstreams
+        if (
+            self.request.idempotent
+            and not isinstance(fault, UpstreamOverloaded)
+            and not upstreams.can_serve(self.request, self.excluded)
+            and upstreams.can_serve(self.request)
+        ):
+            self.excluded.clear()
+
     def final_error(self, error: GatewayError | None) -> GatewayError:
         """Return the error that ends the request.
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/errors.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/errors.py
@@ -79,6 +79,12 @@
     code = "upstream_overloaded"
 
 
+class StreamUnknown(UpstreamRefused):
+    """The engine does not know the stream that it was to resume."""
+
+    code = "stream_unknown"
+
+
 class StaleConnection(UpstreamFault):
     """A reused connection turned out to be closed; nothing came over it."""
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -12,6 +12,7 @@
 )
 from camphorgated.ext.gateway.errors import (
     GatewayError,
+    StreamUnknown,
     UpstreamFault,
     UpstreamRefused,
     encode_error,
@@ -91,6 +92,7 @@
                     raise
                 self.gateway.upstreams.failed(slot.entry, fault)
                 elsewhere = False
+                self.attempts.failures = 0
                 self.call.record.resumes += 1
 
     async def _stream_once(self, slot: Slot, elsewhere: bool) -> None:
@@ -144,7 +146,7 @@
             raise UpstreamFault("the engine's answer is not an event stream")
         if self.tokens.tokens:
             message = f"the engine answered {answer.status} to a resumed stream"
-            raise UpstreamRefused(message, sent=False)
+            raise StreamUnknown(message)
         body = await read_whole(exchange, self.deadline, MAX_PASSED_ON_BYTES)
         content_type = answer.header(b"content-type") or b"application/json"
         raise _PassedOn(answer.status, content_type, body)
--- /dev/null
+++ b/tests/test_gateway/test_services.py
@@ -0,0 +1,201 @@
+"""Service calls under failure: at most once, never cut, never another's answer."""
+
+import asyncio
+
+from camphorgate.manifest import Pool
+from tests.builders import build_upstream
+from tests.test_gateway.harness import BEARER, Caller, GatewayTestCase
+
+
+class FailureTests(GatewayTestCase):
+    async def test_a_call_under_failure(self):
+        """Guards against doubled bookings, cut answers and answers to others."""
+        cases = [
+            ("short_answer", "POST", 502, "outcome_unknown", 1),
+            ("short_answer", "GET", 200, None, 0),
+            ("wrong_request_id", "POST", 502, "outcome_unknown", 1),
+            ("wrong_request_id", "GET", 200, None, 0),
+            ("lose_answers", "POST", 502, "outcome_unknown", 1),
+            ("lose_answers", "GET", 200, None, 0),
+            ("accept_and_hang", "POST", 502, "outcome_unknown", 1),
+            ("accept_and_hang", "GET", 504, "upstream_timeout", 0),
+        ]
+        for fault, method, status, code, booked in cases:
+            with self.subTest(fault=fault, method=method):
+                for desk in self.desks:
+                    desk.bookings.clear()
+                for entry in self.app.service("upstreams").entries_by_id.values():
+                    entry.health.succeeded()
+                count = 100 if fault == "accept_and_hang" else 1
+                self.arm(self.desks[:1], fault, count=count)
+                self.arm(self.desks[1:], fault, count=count - 1)
+                self.configuration.change_pool("desk", routing="least_outstanding")
+                loop = asyncio.get_running_loop()
+                for _ in range(2):
+                    begun = loop.time()
+                    answer = await self.call(method, "/booking/bookings")
+                    if answer.status != 200:
+                        break
+                # Within the service's deadline of one second.
+                self.assertLess(loop.time() - begun, 1.0)
+                self.assertEqual(answer.status, status)
+                if code:
+                    self.assertEqual(answer.code, (code, "unknown"))
+                ids = [booking["request_id"] for booking in self.bookings()]
+                self.assertEqual(len(set(ids)), len(ids))
+                self.assertGreaterEqual(len(ids), booked)
+                self.arm(self.desks, "none")
+
+    async def test_a_booking_that_hangs_runs_once(self):
+        """Guards against a booking that is sent again after silence."""
+        self.arm(self.desks, "accept_and_hang")
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        answer = await self.call("POST", "/booking/bookings", body=b"one sack")
+        self.assertLess(loop.time() - begun, 1.0)
+        self.assertEqual((answer.status, answer.code[0]), (502, "outcome_unknown"))
+        self.assertEqual(len(self.bookings()), 1)
+
+    async def test_refused_connections_are_not_a_run(self):
+        """Guards against lost bookings and false "not run" when a worker is gone."""
+        self.servers[2].servers[0].close()
+        for _ in range(4):
+            answer = await self.call("POST", "/booking/bookings")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.bookings()), 4)
+        self.servers[3].servers[0].close()
+        await self.until(lambda: self._health() == ["suspected"] * 2)
+        answer = await self.call("POST", "/booking/bookings")
+        self.assertEqual(answer.code, ("no_upstream", "not_run"))
+        self.assertGreaterEqual(int(answer.headers["retry-after"]), 1)
+        self.assertEqual(len(self.bookings()), 4)
+
+    async def test_bodies_are_streamed_in_both_directions(self):
+        """Guards against whole bodies in memory, and against bytes that get lost."""
+        caller = await Caller.connect(self.address)
+        headers = {**BEARER, "transfer-encoding": "chunked"}
+        caller.send("PUT", "/booking/echo", headers)
+        caller.writer.write(b"5\r\nfirst\r\n")
+        async with asyncio.timeout(5):
+            await caller.reader.readuntil(b"first")
+        piece = bytes(range(256)) * 128
+        caller.writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(piece), piece))
+        async with asyncio.timeout(5):
+            received = await caller.reader.readuntil(b"0\r\n\r\n")
+        self.assertIn(piece[:1000], received)
+        big = piece * 32
+        answer = await self.call("PUT", "/booking/echo", body=big)
+        self.assertEqual((answer.whole, answer.body), (True, big))
+
+    async def test_methods_and_queries_pass_through(self):
+        """Guards against methods or parameters that the gateway changes."""
+        for method in ("GET", "HEAD", "PUT", "PATCH", "DELETE", "OPTIONS"):
+            caller = await Caller.connect(self.address)
+            caller.send(method, "/booking/x%20y?a=1&api_key=s&b=%2F", BEARER)
+            if method == "HEAD":
+                head = await caller.reader.readuntil(b"\r\n\r\n")
+                self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+            else:
+                self.assertEqual((await caller.read()).status, 200)
+            caller.close()
+            seen = [
+                request["url"]
+                for desk in self.desks
+                for request in desk.requests
+                if request["method"] == method
+            ]
+            self.assertEqual(len(seen), 1)
+            self.assertTrue(seen[0].endswith("?a=1&b=%2F"), seen)
+
+    def _health(self):
+        return [view.health for view in self.app.service("upstreams").views("desk")]
+
+
+class RawUpstreamTests(GatewayTestCase):
+    """One upstream that answers with exactly the bytes of a test."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.replies = []
+        self.connections = []
+        self.raw = await asyncio.start_server(self._reply, "127.0.0.1", 0)
+        address = f"127.0.0.1:{self.raw.sockets[0].getsockname()[1]}"
+        upstream = build_upstream("raw", address=address)
+        pool = Pool("desk", "service", echoes_request_id=False, upstreams=(upstream,))
+        self.configuration.change(pools=(self.configuration.manifest.pools[0], pool))
+
+    async def asyncTearDown(self):
+        await super().asyncTearDown()
+        self.raw.close()
+        for writer in self.connections:
+            writer.transport.abort()
+
+    async def _reply(self, reader, writer):
+        self.connections.append(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"GET /control"):
+                    writer.write(b"HTTP/1.1 404 No\r\ncontent-length: 0\r\n\r\n")
+                    continue
+                reply = self.replies.pop(0)
+                writer.write(reply or b"")
+                if reply is None or reply.endswith(b"CUT"):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+    async def test_cut_answers_are_never_whole(self):
+        """Guards against half an answer that is passed on as a whole one."""
+        long = b"x" * 70000
+        cases = [
+            (b"HTTP/1.1 200 OK\r\ncontent-length: 90000\r\n\r\n" + long, False),
+            (
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nff\r\nfirst",
+                False,
+            ),
+            (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", 502),
+            (b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n", 502),
+            (b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n", 502),
+            (b"garbage\r\n\r\n", 502),
+            (None, 502),
+        ]
+        for reply, expected in cases:
+            with self.subTest(reply=reply and reply[:60]):
+                entry = self.app.service("upstreams").entries_by_id["raw"]
+                entry.health.succeeded()
+                self.replies = [reply + b"CUT" if reply else None]
+                answer = await self.call("POST", "/booking/x")
+                if expected is False:
+                    self.assertFalse(answer.whole)
+                else:
+                    self.assertEqual(answer.status, expected)
+                    self.assertEqual(answer.code, ("outcome_unknown", "unknown"))
+
+    async def test_late_bytes_reach_no_other_request(self):
+        """Guards against bytes after an answer that the next request would read."""
+        whole = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n"
+        self.replies = [
+            whole + b"one!" + whole + b"late",
+            whole + b"two!",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"4\r\ntri!\r\n0\r\nx-late: yes\r\nx-more: yes\r\n\r\n",
+            b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + whole + b"four",
+        ]
+        for expected in (b"one!", b"two!", b"tri!", b"four"):
+            answer = await self.call("GET", "/booking/x")
+            self.assertEqual(answer.body, expected)
+
+    async def test_a_dead_pooled_connection(self):
+        """Guards against calls that fail, or run twice, on a connection that died."""
+        whole = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        self.replies = [whole, None, whole, whole]
+        self.assertEqual((await self.call("GET", "/booking/x")).status, 200)
+        # The pooled connection dies upon the second request; a GET is sent again.
+        self.assertEqual((await self.call("GET", "/booking/x")).status, 200)
+        # A booking never goes over it, as it could not be sent again.
+        before = len(self.connections)
+        self.assertEqual((await self.call("POST", "/booking/x")).status, 200)
+        self.assertEqual(len(self.connections), before + 1)
+        self.assertEqual(self.replies, [])
--- /dev/null
+++ b/tests/test_gateway/test_streams.py
@@ -0,0 +1,112 @@
+"""Streams under failure: whole and without repeats, or ended by an explicit error."""
+
+import asyncio
+import unittest
+
+from camphorgate_standins.engine import answer_text
+from camphorgated.ext.gateway.errors import UpstreamFault
+from camphorgated.ext.gateway.events import TokenStream
+from tests.test_gateway.harness import (
+    BEARER,
+    Caller,
+    GatewayTestCase,
+    completion,
+    stream_text,
+)
+
+
+class BrokenStreamTests(GatewayTestCase):
+    FAULTS = [
+        ("die_after", {"value": 5, "count": 1}),
+        ("die_after", {"value": 0, "count": 1}),
+        ("silent_after", {"value": 5, "count": 1}),
+        ("end_without_done", {"count": 1}),
+        ("wrong_request_id", {"count": 1}),
+        ("down", {"count": 1}),
+    ]
+
+    async def test_a_broken_stream_is_finished_without_gap_or_repeat(self):
+        """Guards against tokens that a resumed stream loses or repeats."""
+        expected = (answer_text("assistant", "hello", 16), list(range(16)))
+        for fault, fields in self.FAULTS:
+            with self.subTest(fault=fault, **fields):
+                self.arm(self.engines, fault, **fields)
+                answer = await self.complete(stream=True)
+                self.assertEqual(stream_text(answer.body), expected)
+                self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
+                self.arm(self.engines, "none")
+                for entry in self.app.service("upstreams").entries_by_id.values():
+                    entry.health.succeeded()
+
+    async def test_a_stream_continues_on_another_engine(self):
+        """Guards against streams that end with the engine that began them."""
+        self.arm(self.engines, "forget_streams")
+        self.arm(self.engines, "die_after", value=5, count=1)
+        answer = await self.complete(stream=True)
+        # The engine that is resumed on dies at once, the other one after 5 tokens.
+        text, numbers = stream_text(answer.body)
+        self.assertEqual(text, answer_text("assistant", "hello", 16))
+        self.assertEqual(numbers, list(range(16)))
+        self.assertGreaterEqual(self.records[0].resumes, 1)
+        resumed = [
+            request["headers"]
+            for engine in self.engines
+            for request in engine.requests
+            if "last-event-id" in request["headers"]
+        ]
+        self.assertTrue(resumed)
+
+    async def test_a_stream_that_cannot_go_on_ends_with_an_error(self):
+        """Guards against a cut stream that a caller takes for a whole one."""
+        self.arm(self.engines, "die_after", value=5)
+        answer = await self.complete(stream=True)
+        self.assertTrue(answer.whole)
+        self.assertNotIn(b"[DONE]", answer.body)
+        last = answer.body.rstrip().split(b"\n\n")[-1]
+        self.assertTrue(last.startswith(b"event: error\ndata: "))
+        self.assertIn(b'"code":"stream_broken"', last)
+        self.assertEqual(self.records[0].outcome, "stream_broken")
+
+    async def test_a_silent_engine_is_given_up_within_its_time(self):
+        """Guards against streams that hang on a connection that went silent."""
+        self.arm(self.engines, "silent_after", value=3)
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        answer = await self.complete(stream=True)
+        self.assertIn(b"stream_broken", answer.body)
+        self.assertLess(loop.time() - begun, 5.0)
+
+    async def test_a_caller_that_leaves_cancels_its_stream(self):
+        """Guards against engines that work for callers who have left."""
+        caller = await Caller.connect(self.address)
+        body = completion(stream=True, max_tokens=5000)
+        caller.send("POST", "/v1/completions", BEARER, body)
+        await caller.reader.readuntil(b"id: 3")
+        caller.close()
+        await self.until(lambda: sum(e.cancelled for e in self.engines) == 1)
+        await self.until(lambda: self.records)
+        self.assertEqual(self.records[0].outcome, "caller_left")
+        views = self.app.service("upstreams").views("models")
+        self.assertEqual([view.own_requests for view in views], [0, 0])
+
+
+class TokenStreamTests(unittest.TestCase):
+    def test_events_are_passed_on_whole(self):
+        """Guards against half an event before a stream continues elsewhere."""
+        stream = TokenStream()
+        whole = b'id: 0\ndata: {"choices":[{"text":"a"}]}\n\n'
+        second = b'id: 1\ndata: {"choices":[{"text":"id: 7"}]}\n\n'
+        passed = b""
+        data = whole + second + b"data: [DONE]\n\n"
+        for position in range(0, len(data), 7):
+            passed += stream.feed(data[position : position + 7])
+        self.assertEqual(passed, whole + second)
+        self.assertTrue(stream.done)
+        self.assertEqual((stream.tokens, stream.text()), (2, "aid: 7"))
+
+    def test_a_gap_or_repeat_is_refused(self):
+        """Guards against late events of another run in the middle of a stream."""
+        for numbers in ((0, 0), (0, 2), (1,), (0, 1, 1)):
+            with self.subTest(numbers=numbers), self.assertRaises(UpstreamFault):
+                stream = TokenStream()
+                stream.feed(b"".join(b"id: %d\ndata: {}\n\n" % n for n in numbers))
