Claim calls with an Idempotency-Key before dispatch

Cause: a caller that retries a booking would book twice. A call that did not run gives its claim back. Without a claims service such a call is refused. A pool whose upstreams are all leaving now refuses at once instead of after the queue's time.

--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/bookings.py
@@ -0,0 +1,136 @@
+"""Calls with an Idempotency-Key: claimed before dispatch, answered once."""
+
+import hashlib
+
+import msgspec
+
+from camphorgate.errors import CamphorgateError
+from camphorgated.ext.gateway.call import Call
+from camphorgated.ext.gateway.errors import GatewayError
+
+# A claim covers the whole request, which is read before it is sent.
+MAX_CLAIMED_BODY_BYTES = 1_048_576
+MAX_KEY_CHARACTERS = 256
+_REPEAT_HEADER = (b"idempotent-replayed", b"true")
+
+
+class StoredAnswer(msgspec.Struct, frozen=True):
+    """The first answer to a claimed call, as the claims service keeps it."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class ClaimedCall:
+    """One call under a claim.
+
+    It runs to its end even if its caller leaves, as a repeat asks for its answer.
+    """
+
+    __slots__ = ("answer", "_call", "_claims", "_claim")
+
+    def __init__(self, call: Call) -> None:
+        """Start without a claim.
+
+        :raises GatewayError: if there is no claims service.
+        """
+        self._call = call
+        self._claims = call.gateway.claims
+        self._claim = None
+        self.answer: StoredAnswer | None = None
+        if self._claims is None:
+            message = "this instance cannot claim idempotency keys"
+            raise GatewayError("claims_unavailable", message)
+
+    async def claim(self, key: str, digest: str) -> bytes | None:
+        """Claim the key; return the stored first answer if there is one.
+
+        :param digest: of the request, as a key stands for one request only.
+        :raises GatewayError: if the claim cannot be made, or its first run has no
+            recorded answer.
+        """
+        workspace = self._call.record.workspace
+        try:
+            self._claim = await self._claims.claim(workspace, key, digest)
+        except GatewayError:
+            raise
+        except CamphorgateError as error:
+            raise _translate(error) from None
+        return self._claim.answer
+
+    def keep(self, status: int, headers: list, body: bytes) -> None:
+        """Note the answer that a repeat will get."""
+        pairs = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in headers
+            if name != b"content-length"
+        ]
+        self.answer = StoredAnswer(status, pairs, body)
+
+    async def finish(self) -> None:
+        """Store the answer; without one a repeat is told that it is not known."""
+        answer = msgspec.json.encode(self.answer) if self.answer else None
+        try:
+            await self._claims.finish(self._claim, answer)
+        except CamphorgateError:
+            # The call has run. A repeat finds the claim without an answer.
+            return
+
+    async def release(self) -> None:
+        """Give the claim up after a call that did not run, so that it may be sent."""
+        await self._claims.release(self._claim)
+
+
+def _translate(error: CamphorgateError) -> GatewayError:
+    if error.code == "outcome_unknown":
+        return GatewayError(error.code, error.message, status=409)
+    if error.code == "bad_request":
+        return GatewayError(error.code, error.message, status=422)
+    return GatewayError("claims_unavailable", error.message)
+
+
+def digest_of_request(call: Call, target: bytes, body: bytes) -> str:
+    """Return the digest that a repeat of the request has as well."""
+    content_type = call.header(b"content-type") or b""
+    method = call.scope["method"].encode()
+    parts = b"\0".join((method, target, content_type, body))
+    return hashlib.sha256(parts).hexdigest()
+
+
+def decode_key(value: bytes) -> str:
+    """Return the idempotency key of a header.
+
+    :raises GatewayError: if it is empty or too long.
+    """
+    key = value.decode("latin-1").strip()
+    if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        message = f"an Idempotency-Key has 1 to {MAX_KEY_CHARACTERS} characters"
+        raise GatewayError("bad_request", message)
+    return key
+
+
+async def read_claimed_body(call: Call) -> bytes:
+    """Return the whole body of a call that is to be claimed.
+
+    :raises GatewayError: if it is too long for that.
+    """
+    length = call.check_body_length()
+    pieces, size = [], 0
+    while length != 0 and (piece := await call.read()):
+        pieces.append(piece)
+        size += len(piece)
+        if size > MAX_CLAIMED_BODY_BYTES:
+            message = (
+                "a body with an Idempotency-Key has at most "
+                f"{MAX_CLAIMED_BODY_BYTES} bytes"
+            )
+            raise GatewayError("body_too_large", message)
+    return b"".join(pieces)
+
+
+async def repeat_answer(call: Call, stored: bytes) -> None:
+    """Send the first answer once more."""
+    answer = msgspec.json.decode(stored, type=StoredAnswer)
+    headers = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in answer.headers]
+    await call.answer(answer.status, [*headers, _REPEAT_HEADER], answer.body)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/callers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/callers.py
@@ -138,6 +138,18 @@
 class CallerServer(uvicorn.Server):
     """uvicorn within the daemon's own loop; signals stay with the daemon."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Prepare a server."""
+        super().__init__(config)
+        self.stopping = asyncio.Event()
+
+    async def main_loop(self) -> None:
+        """Renew the Date header once a second until the server is to stop."""
+        while not await self.on_tick(0):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await self.stopping.wait()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the signal handlers alone."""
@@ -195,6 +207,7 @@
         :param grace_seconds: after which requests still under way are given up.
         """
         self._server.should_exit = True
+        self._server.stopping.set()
         if self._task is None:
             return
         done, _ = await asyncio.wait([self._task], timeout=grace_seconds)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
@@ -245,9 +245,9 @@
             return
         if queue.unserved_since is None:
             queue.unserved_since = now
-        known = self._upstreams.views(request.pool)
+        may_recover = self._upstreams.may_recover(request.pool)
         waited = now - queue.unserved_since
-        if excluded or not known or waited > NO_UPSTREAM_SECONDS:
+        if excluded or not may_recover or waited > NO_UPSTREAM_SECONDS:
             raise GatewayError("no_upstream", "no upstream can serve the request")
 
     def _expired(self, queue: PoolQueue) -> GatewayError:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
@@ -8,6 +8,13 @@
 from camphorgate.manifest import ManifestIndex, Service
 from camphorgate.requests.views import RequestView
 from camphorgated.ext.gateway.access import check_key, normalise_path
+from camphorgated.ext.gateway.bookings import (
+    ClaimedCall,
+    decode_key,
+    digest_of_request,
+    read_claimed_body,
+    repeat_answer,
+)
 from camphorgated.ext.gateway.call import Call
 from camphorgated.ext.gateway.dispatch import Attempts, open_answer, read_whole
 from camphorgated.ext.gateway.errors import GatewayError, UpstreamFault
@@ -32,6 +39,7 @@
     }
 )
 _NOT_SENT = _HOP_BY_HOP | {b"host", b"content-length", b"expect", b"x-request-id"}
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _NOT_RETURNED = _HOP_BY_HOP | {b"date", b"x-request-id", b"x-load"}
 _BODILESS_STATUSES = frozenset({204, 304})
 
@@ -153,20 +161,46 @@
 
 
 async def _run(call: Call, plan: ServicePlan) -> None:
-    idempotency_key = call.header(b"idempotency-key")
-    if idempotency_key is not None and not plan.request.idempotent:
-        from camphorgated.ext.gateway.bookings import run_claimed
-
-        await run_claimed(call, plan, idempotency_key)
+    key = call.header(b"idempotency-key")
+    if key is not None and not plan.request.idempotent:
+        await _run_claimed(call, plan, decode_key(key))
         return
     length = call.check_body_length()
     whole = None
     if length is not None and length <= WHOLE_BYTES:
         whole = await call.read_all() if length else b""
-    await forward(call, plan, BodySource(call, whole))
-
-
-async def forward(call: Call, plan: ServicePlan, body: BodySource) -> None:
+    await _forward(call, plan, BodySource(call, whole))
+
+
+async def _run_claimed(call: Call, plan: ServicePlan, key: str) -> None:
+    claimed = ClaimedCall(call)
+    body = await read_claimed_body(call)
+    digest = digest_of_request(call, plan.target, body)
+    # From here on the call goes on without its caller, up to its deadline.
+    call.detached = True
+    stored = await claimed.claim(key, digest)
+    if stored is not None:
+        await repeat_answer(call, stored)
+        return
+    plan.headers = [pair for pair in plan.headers if pair[0] not in _FRAMING]
+    if body:
+        plan.headers.append((b"content-length", b"%d" % len(body)))
+    try:
+        await _forward(call, plan, BodySource(call, body), claimed)
+    except GatewayError as error:
+        if error.run == "not_run":
+            await claimed.release()
+        else:
+            await claimed.finish()
+        raise
+
+
+async def _forward(
+    call: Call,
+    plan: ServicePlan,
+    body: BodySource,
+    claimed: ClaimedCall | None = None,
+) -> None:
     """Send the call to an upstream and pass the answer on.
 
     :raises GatewayError: if there is no answer.
@@ -177,7 +211,7 @@
         try:
             exchange = await _open(call, plan, slot, body, attempts.fresh)
             try:
-                await _pass_on(call, plan, exchange)
+                await _pass_on(call, plan, exchange, claimed)
             finally:
                 exchange.close()
             call.gateway.upstreams.succeeded(slot.entry)
@@ -219,12 +253,17 @@
         ) from None
 
 
-async def _pass_on(call: Call, plan: ServicePlan, exchange: Exchange) -> None:
+async def _pass_on(
+    call: Call, plan: ServicePlan, exchange: Exchange, claimed: ClaimedCall | None
+) -> None:
     answer = exchange.answer
     headers = _answer_headers(answer)
     length = answer.header(b"content-length")
     if answer.complete or (length is not None and int(length) <= WHOLE_BYTES):
         body = await read_whole(exchange, plan.deadline, WHOLE_BYTES)
+        if claimed is not None:
+            claimed.keep(answer.status, headers, body)
+            await claimed.finish()
         await call.gateway.recorder.account(call.record)
         await _answer_whole(call, answer, headers, body)
         return
@@ -232,6 +271,8 @@
     seconds = plan.service.deadline_seconds
     while piece := await exchange.read_body(call.gateway.now() + seconds):
         await call.write(piece)
+    if claimed is not None:
+        await claimed.finish()
     await call.gateway.recorder.account(call.record)
     await call.write(b"", more=False)
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -117,6 +117,12 @@
             for view in self.views(request.pool)
         )
 
+    def may_recover(self, pool: str) -> bool:
+        """Tell whether a suspected upstream of a pool may soon be back."""
+        return any(
+            view.health != "healthy" and not view.leaving for view in self.views(pool)
+        )
+
     def take_load(self, entry: Entry, report: LoadReport | None) -> None:
         """Keep a load report; a notice of eviction takes effect at once."""
         if report is None:
--- a/tests/test_gateway/harness.py
+++ b/tests/test_gateway/harness.py
@@ -164,7 +164,7 @@
         for server in self.servers:
             server.should_exit = True
             server.force_exit = True
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(0.02)
         logger.remove()
 
     async def serve(self, app):
--- a/tests/test_gateway/test_callers.py
+++ b/tests/test_gateway/test_callers.py
@@ -182,7 +182,7 @@
             await self.app.stop()
         for server in self.servers:
             server.should_exit = True
-        await asyncio.sleep(0.1)
+            server.force_exit = True
 
     async def test_leaving_upstreams_get_no_new_work(self):
         """Guards against work that is sent to an upstream about to go."""
