Fit the closed form of service to the replay's queues

Change: the form models prompt lengths, waits and engines of both roles; its constants are fitted to about 1,100 short runs with fixed splits.

--- a/benchmarks/clairvoyant.py
+++ b/benchmarks/clairvoyant.py
@@ -77,6 +77,7 @@
         return Demand(
             best.prefill + sample.backlog_prefill / clear,
             best.decode + sample.backlog_decode / clear,
+            prompt=best.prompt,
         )
 
     def _plan_roles(self, now: float, window: int, engines: tuple[Engine, ...]) -> None:
@@ -163,12 +164,16 @@
 def _demands(trace: Trace) -> list[Demand]:
     """Return the true demand of each window, smoothed over three of them."""
     count = math.ceil(trace.seconds / WINDOW_SECONDS)
-    totals = np.zeros((2, count))
+    totals = np.zeros((3, count))
     for at, _, prompt, output, kind in trace.requests:
         if kind != "booking":
             window = min(count - 1, int(at // WINDOW_SECONDS))
             totals[0, window] += prompt
             totals[1, window] += output
+            totals[2, window] += 1
     padded = np.pad(totals, ((0, 0), (1, 1)), mode="edge")
     smooth = (padded[:, :-2] + padded[:, 1:-1] + padded[:, 2:]) / 3
-    return [Demand(*map(float, column)) for column in smooth.T / WINDOW_SECONDS]
+    return [
+        Demand(float(prefill), float(decode), prompt=float(prefill / max(count, 1e-9)))
+        for prefill, decode, count in smooth.T / WINDOW_SECONDS
+    ]
--- a/packages/camphorgate/src/camphorgate/fleet/capacity.py
+++ b/packages/camphorgate/src/camphorgate/fleet/capacity.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from camphorgate.fleet.objective import PlannerParameters
-from camphorgate.fleet.service_share import load_in_engines
+from camphorgate.fleet.service_share import engines_needed, load_in_engines
 from camphorgate.fleet.slots import has_turn
 from camphorgate.fleet.state import Demand, Engine, Rates
 from camphorgate.manifest import UpstreamKind
@@ -109,11 +109,16 @@
 def cover_forecast(
     question: CapacityQuestion, memory: CapacityMemory, now: float
 ) -> int:
-    """Cover the forecast at the target utilisation, plus its uncertainty."""
+    """Serve the target share of the forecast, plus its uncertainty."""
     parameters = question.parameters
     demand = question.far.raised(parameters.demand_deviations)
-    load = load_in_engines(demand, question.rates)
-    need = math.ceil(load / parameters.target_utilisation)
+    need = engines_needed(
+        demand,
+        question.rates,
+        parameters.target_share,
+        parameters.both_share,
+        parameters.maximum,
+    )
     return memory.highest(need, now, parameters.hold_seconds)
 
 
--- a/packages/camphorgate/src/camphorgate/fleet/demand.py
+++ b/packages/camphorgate/src/camphorgate/fleet/demand.py
@@ -34,6 +34,7 @@
 class DemandSample(msgspec.Struct, frozen=True):
     """What was asked for over an interval, in tokens, served and refused alike.
 
+    ``prompts`` counts the prompts that ``prefill_tokens`` came from.
     ``backlog_prefill`` and ``backlog_decode`` are tokens that still wait.
     """
 
@@ -44,6 +45,7 @@
     refused_decode_tokens: float = 0.0
     backlog_prefill: float = 0.0
     backlog_decode: float = 0.0
+    prompts: float = 0.0
 
 
 class DemandMemory(msgspec.Struct, frozen=True, array_like=True):
@@ -153,7 +155,7 @@
 class DemandModel:
     """Estimate and forecast of one pool's demand."""
 
-    __slots__ = ("_prefill", "_decode", "_pattern", "_backlog")
+    __slots__ = ("_prefill", "_decode", "_pattern", "_backlog", "_prompt")
 
     def __init__(self, memory: DemandMemory | None = None) -> None:
         """Start without observations.
@@ -164,6 +166,7 @@
         self._prefill = _Rate()
         self._decode = _Rate()
         self._backlog = (0.0, 0.0)
+        self._prompt = 0.0
         self._pattern = _Pattern(memory if _usable(memory) else DemandMemory())
 
     def observe(self, sample: DemandSample, at: float) -> None:
@@ -180,6 +183,10 @@
         self._decode.observe(decode, seconds)
         self._pattern.observe(at, prefill, decode, seconds)
         self._backlog = (sample.backlog_prefill, sample.backlog_decode)
+        if sample.prompts:
+            mean = sample.prefill_tokens / sample.prompts
+            gain = _weight(seconds, FAST_SECONDS) if self._prompt else 1.0
+            self._prompt += gain * (mean - self._prompt)
 
     def forecast(
         self, now: float, ahead: float, clear_seconds: float = math.inf
@@ -198,7 +205,7 @@
             )
         ]
         errors = (self._prefill.error(ahead), self._decode.error(ahead))
-        return Demand(*values, *errors)
+        return Demand(*values, *errors, prompt=self._prompt)
 
     @property
     def observed_seconds(self) -> float:
--- a/packages/camphorgate/src/camphorgate/fleet/objective.py
+++ b/packages/camphorgate/src/camphorgate/fleet/objective.py
@@ -19,7 +19,7 @@
     changing_share: float = 0.25
     both_share: float = 0.25
     # Capacity.
-    target_utilisation: float = 0.65
+    target_share: float = 0.95
     demand_deviations: float = 1.0
     reserve_share: float = 1.0
     reserve_utilisation: float = 0.95
@@ -32,10 +32,9 @@
     provisioning_seconds: float = 180.0
 
 
-# Utilisation at which capacity is ordered: the first figure if only the service
-# counts, the second if only cost counts. Above 0.8 the wait for a first token passes
-# 0.64 s in the replay; below 0.55 more engines no longer raise goodput.
-_UTILISATION = (0.55, 0.8)
+# Each pair: the figure if only the service counts, then if only cost counts.
+# Share of requests served in time for which capacity is ordered.
+_TARGET_SHARE = (0.985, 0.9)
 _DEMAND_DEVIATIONS = (1.5, 0.0)
 _HOLD_SECONDS = (600.0, 120.0)
 _RESERVE_SHARE = (1.0, 0.8)
@@ -53,7 +52,7 @@
     worst = objective.worst_workspace / total if total else 0.25
     capacity = pool.capacity
     return PlannerParameters(
-        target_utilisation=_between(_UTILISATION, thrift),
+        target_share=_between(_TARGET_SHARE, thrift),
         demand_deviations=_between(_DEMAND_DEVIATIONS, thrift),
         hold_seconds=_between(_HOLD_SECONDS, thrift),
         # A workspace with few requests suffers first when the reserve is missing.
--- a/packages/camphorgate/src/camphorgate/fleet/replay.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay.py
@@ -87,7 +87,7 @@
         self.events: list[tuple] = []
         self.waiting: deque[Job] = deque()
         self.batch: deque[Job] = deque()
-        self.sample = [0.0, 0.0, 0.0, 0.0]
+        self.sample = [0.0, 0.0, 0.0, 0.0, 0]
         self.mean_output = 100.0
         self.engine_seconds = {"ordinary": 0.0, "cheap": 0.0}
         self.tokens_by_kind = {"ordinary": 0.0, "cheap": 0.0}
@@ -135,6 +135,7 @@
             self._book(job, now)
             return
         self.sample[0] += job.prompt
+        self.sample[4] += 1
         if job.kind == "batch":
             self.batch.append(job)
             return
@@ -142,6 +143,7 @@
         if engine is None or engine.prefill_wait() > REFUSE_SECONDS:
             job.refused = True
             self.sample[0] -= job.prompt
+            self.sample[4] -= 1
             self.sample[2] += job.prompt
             self.sample[3] += self.mean_output
             return
@@ -272,8 +274,9 @@
             self.sample[3],
             sum(job.prompt for job in self.batch),
             len(self.batch) * self.mean_output,
+            self.sample[4],
         )
-        self.sample = [0.0, decoded, 0.0, 0.0]
+        self.sample = [0.0, decoded, 0.0, 0.0, 0]
         views = tuple(
             engine.view(now, self.planner.target_of(engine.id))
             for engine in self.engines
--- a/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
@@ -12,10 +12,6 @@
 from camphorgate.fleet.state import Engine, Rates
 from camphorgate.manifest import EngineRole, UpstreamKind
 
-# Rates of an engine that does both at once, as parts of its rates for one task. The
-# sum is the mixed efficiency of Rates: chunked prefill costs some of each step.
-MIXED_PREFILL = 0.55
-MIXED_DECODE = 0.30
 # A single stream is bounded by the length of a decode step.
 STREAM_TOKENS_PER_SECOND = 50.0
 
@@ -118,7 +114,7 @@
         a step costs only as many operations as streams end.
         """
         ended = []
-        factor = MIXED_DECODE if self.current is not None else 1.0
+        factor = self.rates.mixed_decode if self.current is not None else 1.0
         total = self.rates.decode * factor
         while self.streams:
             count = len(self.streams)
@@ -150,19 +146,19 @@
 
     def prefill_seconds(self, job: Job) -> float:
         """Return how long the prompt of a request takes now."""
-        factor = MIXED_PREFILL if self.streams else 1.0
+        factor = self.rates.mixed_prefill if self.streams else 1.0
         return (job.prompt + job.produced) / (self.rates.prefill * factor)
 
     def prefill_wait(self) -> float:
         """Return the expected wait of a new prompt."""
-        factor = MIXED_PREFILL if self.streams else 1.0
+        factor = self.rates.mixed_prefill if self.streams else 1.0
         return self.queued_tokens / (self.rates.prefill * factor)
 
     def decode_pressure(self) -> float:
         """Return streams per token/s, to compare engines."""
         factor = 1.0
         if self.role == "both" and (self.current is not None or self.queue):
-            factor = MIXED_DECODE
+            factor = self.rates.mixed_decode
         return (len(self.streams) + 1) / (self.rates.decode * factor)
 
     def running(self) -> int:
--- a/packages/camphorgate/src/camphorgate/fleet/roles.py
+++ b/packages/camphorgate/src/camphorgate/fleet/roles.py
@@ -208,8 +208,8 @@
     up, down = demand.raised(1.0), demand.raised(-1.0)
     return [
         demand,
-        Demand(up.prefill, demand.decode),
-        Demand(down.prefill, demand.decode),
-        Demand(demand.prefill, up.decode),
-        Demand(demand.prefill, down.decode),
+        Demand(up.prefill, demand.decode, prompt=demand.prompt),
+        Demand(down.prefill, demand.decode, prompt=demand.prompt),
+        Demand(demand.prefill, up.decode, prompt=demand.prompt),
+        Demand(demand.prefill, down.decode, prompt=demand.prompt),
     ]
--- a/packages/camphorgate/src/camphorgate/fleet/service_share.py
+++ b/packages/camphorgate/src/camphorgate/fleet/service_share.py
@@ -1,45 +1,89 @@
 """How much of a demand a split of roles serves in time, as a closed form.
 
-The planners compare splits with it; the replay does not use it, so that a wrong form
-shows up as lost goodput there.
+The planners compare splits with it. The form follows the queueing of the replay, and
+its constants are fitted to runs of it (docs/measurements/fleet.md), so it must be
+fitted again to the load reports of engines that behave otherwise.
 """
 
+import math
+
 from camphorgate.fleet.state import Demand, Rates, Split
 
-# Utilisation at which half of the requests miss their time, and how steep the fall
-# is. Fitted to the replay's queues (docs/measurements/fleet.md): the wait for a first
-# token grows earlier and more gently than the time between tokens.
-PREFILL_KNEE = 0.9
-PREFILL_STEEPNESS = 8.0
-DECODE_KNEE = 0.97
-DECODE_STEEPNESS = 12.0
+FIRST_TOKEN_SECONDS = 0.64
+# Spread of the logarithm of prompt lengths.
+LENGTH_SPREAD = 0.44
+# How much faster than in a queue with exponential service times long waits get rare.
+WAIT_DECAY = 1.65
+# The wait formula holds below this utilisation; above it the share falls further.
+STABLE_UTILISATION = 0.98
+# Decode utilisation at which half of the streams miss their time, and the steepness.
+# The knee is above 1 because streams are admitted unevenly and some end early.
+DECODE_KNEE = 1.157
+DECODE_STEEPNESS = 11.9
+# A prompt length that stands in where none is known yet, in tokens.
+USUAL_PROMPT = 3000.0
+SEARCH_LIMIT = 2000
 
 
 def utilisations(split: Split, demand: Demand, rates: Rates) -> tuple[float, float]:
     """Return the utilisation of prefill and of decode.
 
-    Engines that do both divide their time so that the two come as close as possible.
+    Prompts are shared by speed among the engines that take them. The time that an
+    engine of both roles spends on prompts slows its streams.
     """
     prefill_load = demand.prefill / rates.prefill
-    decode_load = demand.decode / rates.decode
-    mixed = split.both * rates.mixed_efficiency
-    total = split.prefill + split.decode + mixed
-    if total <= 0:
-        return float("inf"), float("inf")
-    even = max((prefill_load + decode_load) / total, 1e-9)
-    for_prefill = min(mixed, max(0.0, prefill_load / even - split.prefill))
-    for_decode = mixed - for_prefill
-    return (
-        _ratio(prefill_load, split.prefill + for_prefill),
-        _ratio(decode_load, split.decode + for_decode),
-    )
+    mixed = rates.mixed_prefill * split.both
+    prefill = _ratio(prefill_load, split.prefill + mixed)
+    busy = min(1.0, prefill)
+    for_decode = split.both * (1 - (1 - rates.mixed_decode) * busy)
+    return prefill, _ratio(demand.decode / rates.decode, split.decode + for_decode)
 
 
 def served_share(split: Split, demand: Demand, rates: Rates) -> float:
     """Return the expected share of requests served in time, 0 to 1."""
     prefill, decode = utilisations(split, demand, rates)
-    in_time = 1 / (1 + (prefill / PREFILL_KNEE) ** PREFILL_STEEPNESS)
-    return in_time / (1 + (decode / DECODE_KNEE) ** DECODE_STEEPNESS)
+    share = _prefill_share(split, demand, rates, prefill) if demand.prefill else 1.0
+    return share / (1 + (decode / DECODE_KNEE) ** DECODE_STEEPNESS)
+
+
+def _prefill_share(
+    split: Split, demand: Demand, rates: Rates, utilisation: float
+) -> float:
+    mixed = rates.mixed_prefill * split.both
+    total = split.prefill + mixed
+    if total <= 0:
+        return 0.0
+    prompt = demand.prompt or USUAL_PROMPT
+    engines = split.prefill + split.both
+    share = 0.0
+    for part, speed in (
+        (split.prefill / total, rates.prefill),
+        (mixed / total, rates.prefill * rates.mixed_prefill),
+    ):
+        if part:
+            seconds = prompt / speed
+            share += (
+                part * _short_enough(seconds) * _starts(seconds, utilisation, engines)
+            )
+    return share * min(1.0, STABLE_UTILISATION / utilisation) ** 2
+
+
+def _short_enough(seconds: float) -> float:
+    """Return the share of prompts that are in time without a wait (log-normal)."""
+    middle = math.log(FIRST_TOKEN_SECONDS / seconds) + LENGTH_SPREAD**2 / 2
+    return 0.5 * (1 + math.erf(middle / (LENGTH_SPREAD * math.sqrt(2))))
+
+
+def _starts(seconds: float, utilisation: float, engines: int) -> float:
+    """Return the share that starts early enough.
+
+    The probability of a wait is Sakasegawa's approximation (1977) for many servers.
+    """
+    busy = min(utilisation, STABLE_UTILISATION)
+    waits = busy ** (math.sqrt(2 * (engines + 1)) - 1)
+    slack = max(0.0, FIRST_TOKEN_SECONDS - seconds)
+    decay = WAIT_DECAY * (1 - busy) * engines * slack / seconds
+    return 1 - waits * math.exp(-decay)
 
 
 def load_in_engines(demand: Demand, rates: Rates) -> float:
@@ -47,6 +91,31 @@
     return demand.prefill / rates.prefill + demand.decode / rates.decode
 
 
+def best_share(total: int, both: int, demand: Demand, rates: Rates) -> float:
+    """Return the share that the best split of so many engines serves.
+
+    :param both: how many of them do both.
+    """
+    both = min(both, total)
+    return max(
+        served_share(Split(prefill, total - both - prefill, both), demand, rates)
+        for prefill in range(total - both + 1)
+    )
+
+
+def engines_needed(
+    demand: Demand, rates: Rates, share: float, both_share: float, most: int
+) -> int:
+    """Return the fewest engines that serve a share in time, at most ``most``."""
+    load = load_in_engines(demand, rates)
+    first = max(1, math.ceil(load))
+    for total in range(first, min(most, SEARCH_LIMIT) + 1):
+        both = max(1, math.ceil(both_share * total))
+        if best_share(total, both, demand, rates) >= share:
+            return total
+    return most
+
+
 def _ratio(load: float, engines: float) -> float:
     if engines > 0:
         return min(load / engines, 1e6)
--- a/packages/camphorgate/src/camphorgate/fleet/state.py
+++ b/packages/camphorgate/src/camphorgate/fleet/state.py
@@ -46,12 +46,16 @@
 
 
 class Demand(msgspec.Struct, frozen=True):
-    """Demand of a pool in tokens/s, with one standard deviation of each figure."""
+    """Demand of a pool in tokens/s, with one standard deviation of each figure.
+
+    ``prompt`` is the mean length of a prompt in tokens, 0 if unknown.
+    """
 
     prefill: float = 0.0
     decode: float = 0.0
     prefill_error: float = 0.0
     decode_error: float = 0.0
+    prompt: float = 0.0
 
     def raised(self, deviations: float) -> "Demand":
         """Return the demand plus some standard deviations.
@@ -63,20 +67,21 @@
             max(0.0, self.decode + deviations * self.decode_error),
             self.prefill_error,
             self.decode_error,
+            self.prompt,
         )
 
 
 class Rates(msgspec.Struct, frozen=True):
     """What one engine does, in tokens/s, and how long a role change takes.
 
-    An engine that does both interleaves the two and reaches only
-    ``mixed_efficiency`` of its time.
+    An engine that does both at once reaches these parts of its rates for one task.
     """
 
     prefill: float = 20000.0
     decode: float = 600.0
     role_change_seconds: float = 8.0
-    mixed_efficiency: float = 0.85
+    mixed_prefill: float = 0.55
+    mixed_decode: float = 0.30
 
 
 class Split(msgspec.Struct, frozen=True):
