--- a/packages/camphorgate/src/camphorgate/fleet/demand.py
+++ b/packages/camphorgate/src/camphorgate/fleet/demand.py
@@ -57,6 +57,41 @@
     days: tuple[int, ...] = (0,) * SLOTS_PER_DAY
 
 
+class DecodeLedger:
+    """Counts decode tokens asked for, when only finished requests tell how many.
+
+    Tokens that engines produced would not do: on busy engines they show the supply.
+    A request counts with the usual length when it starts, and is corrected when it
+    ends.
+    """
+
+    __slots__ = ("asked", "usual")
+
+    # Weight of one finished request in the usual length.
+    _WEIGHT = 0.02
+
+    def __init__(self, usual: float = 100.0) -> None:
+        """Start with a usual length in tokens."""
+        self.asked = 0.0
+        self.usual = usual
+
+    def start(self) -> float:
+        """Count a request and return the length it was counted with."""
+        self.asked += self.usual
+        return self.usual
+
+    def finish(self, counted: float, length: float) -> None:
+        """Correct what a request was counted with."""
+        self.asked += length - counted
+        self.usual += self._WEIGHT * (length - self.usual)
+
+    def take(self) -> float:
+        """Return the tokens asked for since the last call, never less than zero."""
+        taken = max(0.0, self.asked)
+        self.asked -= taken
+        return taken
+
+
 class _Rate:
     """Level, trend and error of one rate."""
 
--- a/packages/camphorgate/src/camphorgate/fleet/replay.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay.py
@@ -14,7 +14,7 @@
 
 from camphorgate.fleet.capacity import CapacityAction
 from camphorgate.fleet.changes import RoleOrder
-from camphorgate.fleet.demand import DemandSample
+from camphorgate.fleet.demand import DecodeLedger, DemandSample
 from camphorgate.fleet.eviction import Work, plan_evacuation
 from camphorgate.fleet.replay_engine import Fault, Job, ReplayEngine
 from camphorgate.fleet.state import Engine, Rates
@@ -87,8 +87,8 @@
         self.events: list[tuple] = []
         self.waiting: deque[Job] = deque()
         self.batch: deque[Job] = deque()
-        self.sample = [0.0, 0.0, 0.0, 0.0, 0]
-        self.mean_output = 100.0
+        self.sample = [0.0, 0.0, 0.0, 0]
+        self.ledger = DecodeLedger()
         self.engine_seconds = {"ordinary": 0.0, "cheap": 0.0}
         self.tokens_by_kind = {"ordinary": 0.0, "cheap": 0.0}
         self.stopped_with_work = 0
@@ -135,18 +135,20 @@
             self._book(job, now)
             return
         self.sample[0] += job.prompt
-        self.sample[4] += 1
+        self.sample[3] += 1
         if job.kind == "batch":
+            job.counted = self.ledger.start()
             self.batch.append(job)
             return
         engine = min(self._serving("prefill"), key=_prefill_rank, default=None)
         if engine is None or engine.prefill_wait() > REFUSE_SECONDS:
             job.refused = True
             self.sample[0] -= job.prompt
-            self.sample[4] -= 1
-            self.sample[2] += job.prompt
-            self.sample[3] += self.mean_output
+            self.sample[3] -= 1
+            self.sample[1] += job.prompt
+            self.sample[2] += self.ledger.usual
             return
+        job.counted = self.ledger.start()
         self._prefill(engine, job, now)
 
     def _book(self, job: Job, now: float) -> None:
@@ -208,7 +210,7 @@
 
     def _finish(self, engine: ReplayEngine, now: float) -> None:
         for job in engine.advance(now):
-            self.mean_output += 0.02 * (job.output - self.mean_output)
+            self.ledger.finish(job.counted, job.output)
             self.tokens_by_kind[engine.kind] += job.prompt + job.output
 
     def _resume(self, jobs: list[Job], now: float) -> None:
@@ -265,18 +267,17 @@
 
     def _plan(self, now: float) -> None:
         seconds = PLAN_TICKS * TICK_SECONDS
-        decoded = sum(engine.decoded for engine in self.engines)
         sample = DemandSample(
             seconds,
             self.sample[0],
-            decoded - self.sample[1],
+            self.ledger.take(),
+            self.sample[1],
             self.sample[2],
-            self.sample[3],
             sum(job.prompt for job in self.batch),
-            len(self.batch) * self.mean_output,
-            self.sample[4],
+            len(self.batch) * self.ledger.usual,
+            self.sample[3],
         )
-        self.sample = [0.0, decoded, 0.0, 0.0, 0]
+        self.sample = [0.0, 0.0, 0.0, 0]
         views = tuple(
             engine.view(now, self.planner.target_of(engine.id))
             for engine in self.engines
--- a/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
@@ -28,6 +28,7 @@
         "first_at",
         "done_at",
         "produced",
+        "counted",
         "runs",
         "refused",
         "unknown",
@@ -48,6 +49,7 @@
         self.first_at: float | None = None
         self.done_at: float | None = None
         self.produced = 0.0
+        self.counted = 0.0
         self.runs = 0
         self.refused = False
         self.unknown = False
@@ -76,7 +78,6 @@
         "notice_until",
         "open_until",
         "bookings",
-        "decoded",
         "_sequence",
     )
 
@@ -104,7 +105,6 @@
         self.notice_until: float | None = None
         self.open_until = 0.0
         self.bookings: set[Job] = set()
-        self.decoded = 0.0
         self._sequence = 0
 
     def advance(self, now: float) -> list[Job]:
@@ -121,11 +121,8 @@
             rate = min(STREAM_TOKENS_PER_SECOND, total / count)
             finish = self.at + (self.streams[0][0] - self.progress) / rate
             if finish > now:
-                moved = max(0.0, now - self.at) * rate
-                self.progress += moved
-                self.decoded += moved * count
+                self.progress += max(0.0, now - self.at) * rate
                 break
-            self.decoded += (self.streams[0][0] - self.progress) * count
             self.progress, _, job = heapq.heappop(self.streams)
             self.at = finish
             job.done_at, job.produced = finish, job.output
