Route the replay by expected first token and keep both roles on ordinary engines

Cause: an idle engine of both roles won ties against a busy fast one, so long prompts missed 0.64 s; and when every engine of both roles was cheap, bookings had no place. Change: the replay routes by wait plus own service time; engines that do both are kept ordinary first, the last ordinary one stays.

--- a/benchmarks/traces.py
+++ b/benchmarks/traces.py
@@ -41,7 +41,7 @@
         return [
             (
                 self.zones[index % len(self.zones)],
-                "cheap" if index >= self.engines - self.cheap else "ordinary",
+                "cheap" if index < self.cheap else "ordinary",
                 role,
             )
             for index, role in enumerate(roles)
--- a/packages/camphorgate/src/camphorgate/fleet/replay.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay.py
@@ -90,7 +90,7 @@
         self.sample = [0.0, 0.0, 0.0, 0]
         self.ledger = DecodeLedger()
         self.engine_seconds = {"ordinary": 0.0, "cheap": 0.0}
-        self.tokens_by_kind = {"ordinary": 0.0, "cheap": 0.0}
+        self.work_by_kind = {"ordinary": 0.0, "cheap": 0.0}
         self.stopped_with_work = 0
         self.crash_until = self.late_until = -1.0
         self._sequence = self._created = 0
@@ -128,6 +128,15 @@
             if takes_work and engine.role in (role, "both"):
                 yield engine
 
+    def _soonest(self, job: Job) -> ReplayEngine | None:
+        """Return the engine that gives the first token soonest."""
+        tokens = job.prompt + job.produced
+        return min(
+            self._serving("prefill"),
+            key=lambda item: (item.first_token_in(tokens), len(item.streams)),
+            default=None,
+        )
+
     # Requests.
 
     def _arrive(self, job: Job, now: float) -> None:
@@ -140,7 +149,7 @@
             job.counted = self.ledger.start()
             self.batch.append(job)
             return
-        engine = min(self._serving("prefill"), key=_prefill_rank, default=None)
+        engine = self._soonest(job)
         if engine is None or engine.prefill_wait() > REFUSE_SECONDS:
             job.refused = True
             self.sample[0] -= job.prompt
@@ -188,6 +197,7 @@
         self._finish(engine, now)
         engine.queued_tokens -= job.prompt + job.produced
         engine.current = None
+        self.work_by_kind[engine.kind] += job.prompt / engine.rates.prefill
         if job.first_at is None:
             job.first_at = now
         self._decode(job, engine, now)
@@ -211,12 +221,12 @@
     def _finish(self, engine: ReplayEngine, now: float) -> None:
         for job in engine.advance(now):
             self.ledger.finish(job.counted, job.output)
-            self.tokens_by_kind[engine.kind] += job.prompt + job.output
+            self.work_by_kind[engine.kind] += job.output / engine.rates.decode
 
     def _resume(self, jobs: list[Job], now: float) -> None:
         """Put interrupted work back; it has started, so it is never refused."""
         for job in jobs:
-            engine = min(self._serving("prefill"), key=_prefill_rank, default=None)
+            engine = self._soonest(job)
             if engine is None:
                 self.waiting.append(job)
             else:
@@ -255,7 +265,7 @@
     def _feed_batch(self, now: float) -> None:
         """Give waiting batch work to engines that have room for it."""
         while self.batch:
-            engine = min(self._serving("prefill"), key=_prefill_rank, default=None)
+            engine = self._soonest(self.batch[0])
             streams = min(
                 (len(item.streams) for item in self._serving("decode")), default=99
             )
@@ -378,7 +388,3 @@
         ]
         heapq.heapify(engine.streams)
         self._resume(moved, now)
-
-
-def _prefill_rank(engine: ReplayEngine) -> tuple[float, int]:
-    return engine.prefill_wait(), len(engine.streams)
--- a/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
@@ -146,6 +146,11 @@
         factor = self.rates.mixed_prefill if self.streams else 1.0
         return (job.prompt + job.produced) / (self.rates.prefill * factor)
 
+    def first_token_in(self, tokens: float) -> float:
+        """Return when a new prompt would give its first token, in seconds from now."""
+        factor = self.rates.mixed_prefill if self.streams else 1.0
+        return (self.queued_tokens + tokens) / (self.rates.prefill * factor)
+
     def prefill_wait(self) -> float:
         """Return the expected wait of a new prompt."""
         factor = self.rates.mixed_prefill if self.streams else 1.0
--- a/packages/camphorgate/src/camphorgate/fleet/replay_result.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay_result.py
@@ -63,7 +63,7 @@
     jobs = replay.jobs
     good = [in_time(job) for job in jobs]
     ended = (job.done_at is not None or job.refused or job.unknown for job in jobs)
-    seconds, tokens = replay.engine_seconds, replay.tokens_by_kind
+    seconds, work = replay.engine_seconds, replay.work_by_kind
     return Result(
         goodput=sum(good) / max(1, len(jobs)),
         good=sum(good),
@@ -72,7 +72,7 @@
         changes=replay.planner.changes,
         worst_workspace=_worst_workspace(replay, good),
         cost=(seconds["ordinary"] + cheap_cost * seconds["cheap"]) / 3600,
-        cheap_share=tokens["cheap"] / max(1.0, sum(tokens.values())),
+        cheap_share=work["cheap"] / max(1e-9, sum(work.values())),
         lost=len(jobs) - sum(ended),
         doubled=sum(job.kind == "booking" and job.runs > 1 for job in jobs),
         stopped_with_work=replay.stopped_with_work,
--- a/packages/camphorgate/src/camphorgate/fleet/roles.py
+++ b/packages/camphorgate/src/camphorgate/fleet/roles.py
@@ -127,17 +127,30 @@
         and engine.role == move.source
         and not _in_flight(engine)
     ]
-    count = min(move.count, most, len(able))
     if move.source == "both":
-        count = min(count, len(able) - both_floor(len(present), parameters))
-    # The least busy engine drains soonest.
-    able.sort(key=lambda engine: (engine.running, engine.id))
+        able = _spare_of_both(able, present, parameters)
+    count = min(move.count, most, len(able))
+    # Ordinary engines are kept for both roles, as cheap ones may vanish at once. The
+    # least busy engine drains soonest.
+    kind = "ordinary" if move.role == "both" else "cheap"
+    able.sort(key=lambda e: (e.kind != kind, e.running, e.id))
     return [
         RoleChange(engine.id, move.role, move.gain, move.cost)
         for engine in able[: max(0, count)]
     ]
 
 
+def _spare_of_both(
+    able: list[Engine], present: list[Engine], parameters: PlannerParameters
+) -> list[Engine]:
+    """Return engines that may leave the role ``both``, all of them at once."""
+    spare = len(able) - both_floor(len(present), parameters)
+    cheap = [engine for engine in able if engine.kind == "cheap"]
+    ordinary = [engine for engine in able if engine.kind == "ordinary"]
+    ordinary.sort(key=lambda engine: (engine.running, engine.id))
+    return [*cheap, *ordinary[:-1]][: max(0, spare)]
+
+
 def moves_of(question: RoleQuestion) -> Iterator[tuple[Move, Split]]:
     """Yield every move that keeps the floor of engines that do both."""
     split = question.split
--- a/packages/camphorgate/src/camphorgate/fleet/service_share.py
+++ b/packages/camphorgate/src/camphorgate/fleet/service_share.py
@@ -11,15 +11,20 @@
 
 FIRST_TOKEN_SECONDS = 0.64
 # Spread of the logarithm of prompt lengths.
-LENGTH_SPREAD = 0.44
+LENGTH_SPREAD = 0.363
 # How much faster than in a queue with exponential service times long waits get rare.
-WAIT_DECAY = 1.65
+WAIT_DECAY = 1.575
 # The wait formula holds below this utilisation; above it the share falls further.
 STABLE_UTILISATION = 0.98
 # Decode utilisation at which half of the streams miss their time, and the steepness.
 # The knee is above 1 because streams are admitted unevenly and some end early.
-DECODE_KNEE = 1.157
-DECODE_STEEPNESS = 11.9
+DECODE_KNEE = 1.096
+DECODE_STEEPNESS = 21.1
+# Prompts go to engines of both roles only when the others are busy: their part by
+# speed is multiplied by the utilisation to this power.
+OVERFLOW_POWER = 0.338
+# Streams catch up after a prompt, so they lose only a part of the time it takes.
+LOST_DECODE = 0.34
 # A prompt length that stands in where none is known yet, in tokens.
 USUAL_PROMPT = 3000.0
 SEARCH_LIMIT = 2000
@@ -28,14 +33,15 @@
 def utilisations(split: Split, demand: Demand, rates: Rates) -> tuple[float, float]:
     """Return the utilisation of prefill and of decode.
 
-    Prompts are shared by speed among the engines that take them. The time that an
-    engine of both roles spends on prompts slows its streams.
+    The time that an engine of both roles spends on prompts slows its streams.
     """
     prefill_load = demand.prefill / rates.prefill
     mixed = rates.mixed_prefill * split.both
     prefill = _ratio(prefill_load, split.prefill + mixed)
-    busy = min(1.0, prefill)
-    for_decode = split.both * (1 - (1 - rates.mixed_decode) * busy)
+    there = prefill_load * _mixed_part(split, rates, prefill)
+    busy = min(1.0, there / mixed) if mixed else 0.0
+    lost = LOST_DECODE * (1 - rates.mixed_decode) * busy
+    for_decode = split.both * (1 - lost)
     return prefill, _ratio(demand.decode / rates.decode, split.decode + for_decode)
 
 
@@ -49,23 +55,32 @@
 def _prefill_share(
     split: Split, demand: Demand, rates: Rates, utilisation: float
 ) -> float:
-    mixed = rates.mixed_prefill * split.both
-    total = split.prefill + mixed
-    if total <= 0:
+    if split.prefill + split.both == 0:
         return 0.0
     prompt = demand.prompt or USUAL_PROMPT
     engines = split.prefill + split.both
     share = 0.0
+    overflow = _mixed_part(split, rates, utilisation)
     for part, speed in (
-        (split.prefill / total, rates.prefill),
-        (mixed / total, rates.prefill * rates.mixed_prefill),
+        (1 - overflow, rates.prefill),
+        (overflow, rates.prefill * rates.mixed_prefill),
     ):
         if part:
             seconds = prompt / speed
             share += (
                 part * _short_enough(seconds) * _starts(seconds, utilisation, engines)
             )
-    return share * min(1.0, STABLE_UTILISATION / utilisation) ** 2
+    # Not fitted: keeps a slope where the fitted form is flat near zero.
+    return share * min(1.0, STABLE_UTILISATION / utilisation)
+
+
+def _mixed_part(split: Split, rates: Rates, utilisation: float) -> float:
+    """Return the part of the prompts that engines of both roles take."""
+    if not split.prefill:
+        return 1.0
+    mixed = rates.mixed_prefill * split.both
+    by_speed = mixed / (split.prefill + mixed)
+    return by_speed * min(1.0, utilisation) ** OVERFLOW_POWER
 
 
 def _short_enough(seconds: float) -> float:
