--- a/packages/camphorgate/src/camphorgate/fleet/replay.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay.py
@@ -14,7 +14,7 @@
 
 from camphorgate.fleet.capacity import CapacityAction
 from camphorgate.fleet.changes import RoleOrder
-from camphorgate.fleet.demand import DemandSample
+from camphorgate.fleet.demand import DecodeLedger, DemandSample
 from camphorgate.fleet.eviction import Work, plan_evacuation
 from camphorgate.fleet.replay_engine import Fault, Job, ReplayEngine
 from camphorgate.fleet.state import Engine, Rates
@@ -87,10 +87,10 @@
         self.events: list[tuple] = []
         self.waiting: deque[Job] = deque()
         self.batch: deque[Job] = deque()
-        self.sample = [0.0, 0.0, 0.0, 0.0]
-        self.mean_output = 100.0
+        self.sample = [0.0, 0.0, 0.0, 0]
+        self.ledger = DecodeLedger()
         self.engine_seconds = {"ordinary": 0.0, "cheap": 0.0}
-        self.tokens_by_kind = {"ordinary": 0.0, "cheap": 0.0}
+        self.work_by_kind = {"ordinary": 0.0, "cheap": 0.0}
         self.stopped_with_work = 0
         self.crash_until = self.late_until = -1.0
         self._sequence = self._created = 0
@@ -128,6 +128,15 @@
             if takes_work and engine.role in (role, "both"):
                 yield engine
 
+    def _soonest(self, job: Job) -> ReplayEngine | None:
+        """Return the engine that gives the first token soonest."""
+        tokens = job.prompt + job.produced
+        return min(
+            self._serving("prefill"),
+            key=lambda item: (item.first_token_in(tokens), len(item.streams)),
+            default=None,
+        )
+
     # Requests.
 
     def _arrive(self, job: Job, now: float) -> None:
@@ -135,16 +144,20 @@
             self._book(job, now)
             return
         self.sample[0] += job.prompt
+        self.sample[3] += 1
         if job.kind == "batch":
+            job.counted = self.ledger.start()
             self.batch.append(job)
             return
-        engine = min(self._serving("prefill"), key=_prefill_rank, default=None)
+        engine = self._soonest(job)
         if engine is None or engine.prefill_wait() > REFUSE_SECONDS:
             job.refused = True
             self.sample[0] -= job.prompt
-            self.sample[2] += job.prompt
-            self.sample[3] += self.mean_output
+            self.sample[3] -= 1
+            self.sample[1] += job.prompt
+            self.sample[2] += self.ledger.usual
             return
+        job.counted = self.ledger.start()
         self._prefill(engine, job, now)
 
     def _book(self, job: Job, now: float) -> None:
@@ -184,6 +197,7 @@
         self._finish(engine, now)
         engine.queued_tokens -= job.prompt + job.produced
         engine.current = None
+        self.work_by_kind[engine.kind] += job.prompt / engine.rates.prefill
         if job.first_at is None:
             job.first_at = now
         self._decode(job, engine, now)
@@ -206,13 +220,13 @@
 
     def _finish(self, engine: ReplayEngine, now: float) -> None:
         for job in engine.advance(now):
-            self.mean_output += 0.02 * (job.output - self.mean_output)
-            self.tokens_by_kind[engine.kind] += job.prompt + job.output
+            self.ledger.finish(job.counted, job.output)
+            self.work_by_kind[engine.kind] += job.output / engine.rates.decode
 
     def _resume(self, jobs: list[Job], now: float) -> None:
         """Put interrupted work back; it has started, so it is never refused."""
         for job in jobs:
-            engine = min(self._serving("prefill"), key=_prefill_rank, default=None)
+            engine = self._soonest(job)
             if engine is None:
                 self.waiting.append(job)
             else:
@@ -251,7 +265,7 @@
     def _feed_batch(self, now: float) -> None:
         """Give waiting batch work to engines that have room for it."""
         while self.batch:
-            engine = min(self._serving("prefill"), key=_prefill_rank, default=None)
+            engine = self._soonest(self.batch[0])
             streams = min(
                 (len(item.streams) for item in self._serving("decode")), default=99
             )
@@ -263,17 +277,17 @@
 
     def _plan(self, now: float) -> None:
         seconds = PLAN_TICKS * TICK_SECONDS
-        decoded = sum(engine.decoded for engine in self.engines)
         sample = DemandSample(
             seconds,
             self.sample[0],
-            decoded - self.sample[1],
+            self.ledger.take(),
+            self.sample[1],
             self.sample[2],
-            self.sample[3],
             sum(job.prompt for job in self.batch),
-            len(self.batch) * self.mean_output,
+            len(self.batch) * self.ledger.usual,
+            self.sample[3],
         )
-        self.sample = [0.0, decoded, 0.0, 0.0]
+        self.sample = [0.0, 0.0, 0.0, 0]
         views = tuple(
             engine.view(now, self.planner.target_of(engine.id))
             for engine in self.engines
@@ -374,7 +388,3 @@
         ]
         heapq.heapify(engine.streams)
         self._resume(moved, now)
-
-
-def _prefill_rank(engine: ReplayEngine) -> tuple[float, int]:
-    return engine.prefill_wait(), len(engine.streams)
