Report acceptance and being in force as the daemon states them

Cause: the daemon's submit waits itself and names the instances that are missing; polling the status from the command said it a second time and less exactly.

--- a/packages/camphorgate-cli/src/camphorgate_cli/client.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/client.py
@@ -1,6 +1,7 @@
 """Calls to the admin interface of a daemon."""
 
 from typing import Any
+from urllib.parse import urlencode
 
 import aiosonic
 import msgspec
@@ -42,25 +43,36 @@
         :raises UnreachableError: if no daemon answers in time.
         :raises CommandError: if the daemon answers with an error.
         """
-        return await self._call("GET", path, None)
+        return await self._call("GET", path)
 
-    async def submit(self, text: str, base_version: int | None) -> dict[str, Any]:
+    async def submit(
+        self, text: str, base_version: int | None, wait_seconds: int
+    ) -> dict[str, Any]:
         """Submit a manifest.
 
-        :param base_version: the version that the manifest replaces; the version in
-            force by default.
+        :param base_version: the version that the manifest replaces; the newest one
+            that the daemon knows by default.
+        :param wait_seconds: how long the daemon waits until it is in force on every
+            instance; 0 does not wait.
         :raises ConflictError: if the base version is not the newest one.
         :raises CommandError: if the manifest is refused.
         """
-        path = "/admin/manifest"
-        if base_version is not None:
-            path += f"?base_version={base_version}"
-        return await self._call("POST", path, text.encode())
-
-    async def _call(self, method: str, path: str, body: bytes | None) -> dict[str, Any]:
+        options = {"wait_seconds": wait_seconds, "base_version": base_version}
+        given = {name: value for name, value in options.items() if value is not None}
+        path = f"/admin/manifest?{urlencode(given)}"
+        limit = wait_seconds + ANSWER_SECONDS
+        return await self._call("POST", path, text.encode(), limit)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        limit: float = ANSWER_SECONDS,
+    ) -> dict[str, Any]:
         url = f"http://{self.address}{path}"
         timeouts = aiosonic.Timeouts(
-            sock_connect=CONNECT_SECONDS, request_timeout=ANSWER_SECONDS
+            sock_connect=CONNECT_SECONDS, sock_read=limit, request_timeout=limit
         )
         try:
             async with aiosonic.HTTPClient() as client:
--- a/packages/camphorgate-cli/src/camphorgate_cli/main.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/main.py
@@ -18,7 +18,6 @@
 
 DEFAULT_ADDRESS = "127.0.0.1:18102"
 ADDRESS_VARIABLE = "CAMPHORGATE_ADDRESS"
-POLL_SECONDS = 0.2
 
 
 class Commands:
@@ -53,11 +52,10 @@
         text = _read(manifest)
         try:
             _validate(text, manifest)
-            answer = asyncio.run(self._submit(text, base_version, wait, timeout))
+            answer = self._submit(text, base_version, round(timeout) if wait else 0)
+            _check_in_force(answer, wait)
         except CommandError as error:
-            problems = error.answer.get("problems")
-            if problems:
-                error.message = output.format_problems(problems, manifest)
+            error.message = _explain(error, manifest)
             raise
         self._print(answer, _format_submitted(answer))
 
@@ -93,46 +91,43 @@
         answer = asyncio.run(client.get("/admin/dump"))
         self._print(answer, output.format_tree(answer))
 
-    async def _submit(
-        self, text: str, base_version: int | None, wait: bool, timeout: float
+    def _submit(
+        self, text: str, base_version: int | None, wait_seconds: int
     ) -> dict[str, Any]:
         client = AdminClient(self._address)
-        answer = await client.submit(text, base_version)
-        if wait:
-            started = time.monotonic()
-            answer["missing"] = await _wait_in_force(client, answer, timeout)
-            answer["seconds"] = round(time.monotonic() - started, 3)
+        started = time.monotonic()
+        answer = asyncio.run(client.submit(text, base_version, wait_seconds))
+        answer["seconds"] = round(time.monotonic() - started, 3)
         return answer
 
     def _print(self, answer: dict[str, Any], text: str) -> None:
         print(json.dumps(answer, indent=2) if self._json else text)
 
 
-async def _wait_in_force(
-    client: AdminClient, answer: dict[str, Any], timeout: float
-) -> list[str]:
-    """Wait until the version is in force on every instance.
+def _explain(error: CommandError, manifest: str) -> str:
+    problems = error.answer.get("problems")
+    if problems:
+        return output.format_problems(problems, manifest)
+    changes = "".join(f"\n  {line}" for line in error.answer.get("changes", ()))
+    return error.message + (f"; changed since:{changes}" if changes else "")
+
+
+def _check_in_force(answer: dict[str, Any], wait: bool) -> None:
+    """Check that a submission went as far as the operator asked.
 
     :raises NotInForceError: naming the instances that are missing.
     """
-    deadline = time.monotonic() + timeout
-    while True:
-        status = await client.get("/admin/status")
-        missing = [
-            member["instance"]
-            for member in status["instances"]
-            if member["version"] < answer["version"]
-        ]
-        if not missing:
-            return []
-        if time.monotonic() > deadline:
-            names = ", ".join(missing)
-            message = (
-                f"version {answer['version']} was accepted but is not in force "
-                f"on: {names}"
-            )
-            raise NotInForceError(message, {**answer, "missing": missing})
-        await asyncio.sleep(POLL_SECONDS)
+    if answer["in_force_everywhere"] or (answer["accepted"] and not wait):
+        return
+    version, names = answer["version"], ", ".join(answer["missing"]) or "unknown"
+    if answer["accepted"]:
+        text = f"version {version} is accepted but not known to be in force on: {names}"
+    else:
+        text = (
+            f"version {version} is written, but not known to a majority of the "
+            f"instances; missing: {names}"
+        )
+    raise NotInForceError(text, answer)
 
 
 def _read(path: str) -> str:
@@ -158,7 +153,7 @@
 
 def _format_submitted(answer: dict[str, Any]) -> str:
     text = f"version {answer['version']} is accepted"
-    if "seconds" in answer:
+    if answer["in_force_everywhere"]:
         seconds = output.format_duration(answer["seconds"])
         text += f" and in force on every instance after {seconds}"
     return text
--- a/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
@@ -18,11 +18,13 @@
 from camphorgated.http import EmbeddedServer, start_server, stop_server
 
 MAX_MANIFEST_BYTES = 64 * 1024 * 1024
+# A submission that does not wait still answers whether a majority knows it.
+ACCEPT_SECONDS = 2
 
 STATUS_BY_CODE = {
     "manifest_invalid": 400,
     "bad_request": 400,
-    "manifest_conflict": 409,
+    "conflict": 409,
     "manifest_too_large": 413,
 }
 
@@ -36,7 +38,7 @@
     body: dict[str, Any] = {"code": error.code, "message": error.message}
     if isinstance(error, ManifestError):
         body["problems"] = error.problems
-    for name in ("current_version", "changed"):
+    for name in ("current", "changes"):
         if hasattr(error, name):
             body[name] = getattr(error, name)
     return _encode({"error": body}, STATUS_BY_CODE.get(error.code, 503))
@@ -122,20 +124,20 @@
         return _encode(self._app.dump())
 
     async def submit(self, request: Request) -> Response:
-        """Take a manifest and answer once it is accepted or refused."""
+        """Take a manifest; answer once it is refused, in force, or time is over."""
+        configuration = self._app.service("configuration")
         try:
             text = await _read_text(request)
-            base_version = _base_version(request)
-            configuration = self._app.service("configuration")
-            result = await configuration.submit(text, base_version)
+            base_version = _whole_number(request, "base_version")
+            if base_version is None:
+                base_version = configuration.highest_known
+            wait = _whole_number(request, "wait_seconds") or ACCEPT_SECONDS
+            result = await configuration.submit(text, base_version, wait)
         except CamphorgateError as error:
             log_event("manifest_refused", code=error.code, error=error.message)
             return _error(error)
-        except TimeoutError:
-            message = "the manifest was not accepted in time; read the status"
-            return _error(AdminError(message, "outcome_unknown"))
-        log_event("manifest_accepted", version=result.version)
-        return _encode({"accepted": True, **msgspec.to_builtins(result)})
+        log_event("manifest_written", version=result.version, accepted=result.accepted)
+        return _encode(result)
 
     async def metrics(self, request: Request) -> Response:
         """Answer with the metrics."""
@@ -157,12 +159,12 @@
         raise AdminError("the manifest is not UTF-8") from None
 
 
-def _base_version(request: Request) -> int | None:
-    text = request.query_params.get("base_version")
+def _whole_number(request: Request, name: str) -> int | None:
+    text = request.query_params.get(name)
     if text is None:
         return None
     if not text.isdecimal():
-        raise AdminError(f"base_version {text!r} is not a whole number")
+        raise AdminError(f"{name} {text!r} is not a whole number")
     return int(text)
 
 
