--- /dev/null
+++ b/tests/test_model/test_conformance.py
@@ -0,0 +1,335 @@
+"""Drives the real decision code with the specifications' steps and compares states.
+
+Random walks with fixed seeds; a step that the specification allows must be allowed by
+the code, and both must agree on the state after it.
+"""
+
+import random
+import unittest
+
+from camphorgate.authority.errors import OrderConflict
+from camphorgate.authority.handover import Acknowledgement, Handover
+from camphorgate.authority.leases import DutyRecord, Lease, LeaseRules, succeed
+from camphorgate.authority.orders import Journal, OrderRun, adopt, close, write
+from camphorgate.configuration.freshness import Freshness
+from camphorgate.configuration.versions import Ledger, Root
+from tests.builders import build_manifest
+from tests.test_model import freshness_spec
+from tests.test_model.orders_spec import Bounds, OrderSpec, State
+
+DUTY = "engines/p"
+ORDER = ("order", "engine-1", "set_role", {})
+# Far above the time that the lapses of a walk take, so that only the steps that need
+# the drain time let it pass.
+DRAIN_SECONDS = 200.0
+LAPSE_SECONDS = 9
+
+
+class RealProcess:
+    """One process made of the real decision code."""
+
+    def __init__(self, index: int, incarnation: int) -> None:
+        self.instance = str(index)
+        self.incarnation = incarnation
+        self.lease = Lease(LeaseRules())
+        self.handover = None
+        self.run = None
+        self.runs = []
+        self.taking = None
+
+
+class RealSystem:
+    """The records of the key-value service and the processes."""
+
+    def __init__(self, case: unittest.TestCase, fences: bool) -> None:
+        self.case = case
+        self.fences = fences
+        self.now = 0.0
+        self.record = DutyRecord()
+        self.journal = Journal()
+        self.processes = [RealProcess(0, 1), RealProcess(1, 1)]
+
+    def advance(self, state: State, seconds: int) -> None:
+        """Let time pass; running holders tick, and renew what has not lapsed."""
+        for _ in range(seconds):
+            self.now += 1.0
+            for real, process in zip(self.processes, state.processes, strict=True):
+                if process.paused or not process.alive:
+                    continue
+                if real.lease.tick(self.now) and state.lease == real.lease.epoch:
+                    real.lease.renewed(self.now, self.now)
+
+    def step(self, label: str, before: State, after: State) -> None:
+        """Take the step that the specification took."""
+        name = label.partition(",")[0].split()
+        handler = getattr(self, "_" + "_".join(name[:-1] or name))
+        if name[-1].isdigit() and name[0] not in ("acknowledge", "drained"):
+            index = int(name[-1])
+            handler(self.processes[index], index, label, before)
+        else:
+            handler(name[-1], label, before, after)
+
+    def _take(self, real, index, label, before):
+        self.record = succeed(self.record, real.instance, real.incarnation)
+        real.taking = (self.record, self.journal, self.now)
+        if "no answer" not in label:
+            self._resolve_take(real, index, label, before)
+
+    def _resolve_take(self, real, index, label, before):
+        record, _, sent_at = real.taking
+        if self.record.epoch != record.epoch:
+            return
+        real.lease.taken(record.epoch, sent_at, self.now)
+        real.handover = Handover(
+            record.epoch, record.predecessors, self.journal, DRAIN_SECONDS
+        )
+
+    def _write(self, real, index, label, before):
+        try:
+            self.journal, order = write(self.journal, DUTY, real.lease.epoch, *ORDER)
+        except OrderConflict:
+            self.case.fail("the code refuses an order that the specification allows")
+        real.run = OrderRun(order, real.lease.epoch, DRAIN_SECONDS)
+        real.runs.append(real.run)
+
+    def _lost_write(self, real, index, label, before):
+        real.run = None
+
+    def _resolve_write(self, real, index, label, before):
+        pass
+
+    def _adopt(self, real, index, label, before):
+        self._require_settled(real)
+        number = self.journal.open_orders[0].number
+        self.journal = adopt(self.journal, number, real.lease.epoch)
+        order = self.journal.find(number)
+        real.run = OrderRun(order, real.lease.epoch, DRAIN_SECONDS)
+        real.runs.append(real.run)
+
+    def _abandon(self, real, index, label, before):
+        self.case.assertTrue(real.handover.settled(self.now))
+        number = self.journal.open_orders[0].number
+        self.journal = close(self.journal, number, "abandoned")
+
+    def _require_settled(self, real):
+        if not self.fences:
+            self.case.assertTrue(real.handover.settled(self.now))
+
+    def _check(self, real, index, label, before):
+        self.case.assertTrue(real.lease.valid(self.now))
+        self.case.assertTrue(real.run.send(self.now))
+
+    def _send(self, real, index, label, before):
+        self.case.assertTrue(real.run.in_flight(self.now))
+
+    def _again(self, real, index, label, before):
+        self._drain(real, before)
+
+    def _close(self, real, index, label, before):
+        self._drain(real, before)
+        settled = real.handover.settled(self.now)
+        self.case.assertTrue(real.run.may_close(self.now, settled))
+        self.journal = close(self.journal, real.run.order.number, "confirmed")
+
+    def _drain(self, real, before):
+        if real.run.in_flight(self.now):
+            self.advance(before, int(DRAIN_SECONDS))
+
+    def _refused_close(self, real, index, label, before):
+        pass
+
+    _refused_write = _drop = _pause = _resume = _refused_close
+
+    def _crash(self, real, index, label, before):
+        self.processes[index] = RealProcess(index, real.incarnation + 1)
+
+    def _lapse(self, _, label, before, after):
+        self.advance(before._replace(lease=0), LAPSE_SECONDS)
+
+    def _deliver(self, message, label, before, after):
+        for index, process in enumerate(before.processes):
+            if process.step == "sent" and after.processes[index].step == "answered":
+                self.processes[index].run.answered()
+
+    def _time_out(self, message, label, before, after):
+        for index, process in enumerate(before.processes):
+            if process.step == "sent" and after.processes[index].step == "unanswered":
+                self.processes[index].run.unanswered(self.now)
+
+    def _lose(self, message, label, before, after):
+        pass
+
+    def _acknowledge(self, epoch, label, before, after):
+        former_index, _ = before.holders[int(epoch) - 1]
+        former = self.processes[former_index]
+        if any(run.in_flight(self.now) for run in former.runs):
+            self.advance(before, int(DRAIN_SECONDS))
+        in_flight = sum(run.in_flight(self.now) for run in former.runs)
+        self.case.assertEqual(in_flight, 0)
+        self._settle(before, after, former_index, former.incarnation)
+        successor = self.processes[self._successor(before, after)]
+        if former is not successor:
+            former.lease.lose()
+
+    def _drained(self, epoch, label, before, after):
+        former_index, incarnation = before.holders[int(epoch) - 1]
+        successor = self.processes[self._successor(before, after)]
+        if before.processes[former_index].alive:
+            self._settle(before, after, former_index, incarnation + 1)
+        else:
+            successor.handover.listed_gone(str(former_index), self.now)
+        self.advance(before, int(DRAIN_SECONDS))
+        successor.handover.settled(self.now)
+
+    def _settle(self, before, after, former_index, incarnation):
+        successor = self.processes[self._successor(before, after)]
+        answer = Acknowledgement(
+            str(former_index), incarnation, successor.handover.epoch, 0
+        )
+        successor.handover.acknowledged(answer, self.now)
+
+    def _successor(self, before, after):
+        for index, process in enumerate(before.processes):
+            if process.waiting != after.processes[index].waiting:
+                return index
+        raise AssertionError("no process settled a predecessor")
+
+    def compare(self, label: str, state: State) -> None:
+        """Compare the real state with the specification's."""
+        case = self.case
+        opened = None
+        if self.journal.open_orders:
+            order = self.journal.open_orders[0]
+            opened = (order.number, frozenset(order.epochs))
+        case.assertEqual(opened, state.opened, label)
+        case.assertEqual(self.record.epoch, state.epoch, label)
+        case.assertEqual(self.journal.next_number, state.next_number, label)
+        for real, process in zip(self.processes, state.processes, strict=True):
+            if process.paused or process.step in ("idle", "taking"):
+                continue
+            case.assertEqual(real.lease.valid(self.now), process.valid, label)
+            waiting = {item.epoch for item in real.handover.waiting}
+            if state.opened and process.epoch not in state.opened[1]:
+                case.assertEqual(waiting, process.waiting, label)
+            if process.step in ("sent", "checked"):
+                case.assertTrue(real.run.in_flight(self.now), label)
+
+
+def needs_drain(label: str) -> bool:
+    """Tell whether a step may let the drain time pass."""
+    return label.split()[0] in ("acknowledge", "drained", "close", "again")
+
+
+def possible(label: str, state: State) -> bool:
+    """Tell whether a step fits into one timeline of the harness.
+
+    The drain time outlasts every message, and every lease that is not renewed. One
+    holder that settles several epochs of a process at once is compared elsewhere.
+    """
+    if not needs_drain(label):
+        return True
+    paused = any(
+        p.paused and p.valid and p.epoch == state.lease for p in state.processes
+    )
+    taking = any(p.step == "taking" for p in state.processes)
+    holders = [state.holders[e - 1] for p in state.processes for e in p.waiting]
+    return not (paused or taking or state.messages or len(holders) > 1)
+
+
+class OrderConformanceTests(unittest.TestCase):
+    def test_the_code_follows_the_specification(self):
+        """Guards against code and specification drifting apart."""
+        for fences in (True, False):
+            spec = OrderSpec(fences, bounds=Bounds(4, 4, 3, 2))
+            seen = set()
+            for seed in range(300):
+                with self.subTest(fences=fences, seed=seed):
+                    seen |= self.walk(spec, fences, random.Random(seed))
+            expected = {"take", "resolve", "write", "lost", "adopt", "check", "send"}
+            expected |= {"close", "again", "crash", "pause", "resume", "lapse", "drop"}
+            expected |= {"deliver", "time", "acknowledge", "drained", "abandon"}
+            self.assertLessEqual(expected, seen)
+
+    def walk(self, spec, fences, generator):
+        state, real, seen = State(), RealSystem(self, fences), set()
+        path = []
+        for _ in range(80):
+            steps = [s for s in spec.transitions(state) if possible(s[0], state)]
+            if not steps:
+                break
+            label, after = generator.choice(steps)
+            path.append(label)
+            real.step(label, state, after)
+            real.compare(str(path), after)
+            state = after
+            seen.add(label.split()[0])
+        return seen
+
+
+class RealObserver:
+    """The real decisions of an observer; its clock stands still while it is paused."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.freshness = Freshness(freshness_spec.BOUND)
+        self.ledger = Ledger()
+        self.ledger.apply(Root(1, 0, {}), build_manifest())
+        self.heard_at = [-1e9, -1e9]
+        self.asked_at = 0.0
+
+    def step(self, label, before):
+        """Take a step; versions of the code start at 1."""
+        question = before.question
+        if label == "tick" and not before.paused:
+            self.now += 1.0
+        elif label == "resume":
+            self.freshness.forget()
+            self.heard_at = [-1e9, -1e9]
+        elif label.startswith("ask"):
+            self.asked_at = self.now
+        elif label == "apply":
+            root = Root(self.ledger.highest_known, 0, {})
+            self.ledger.apply(root, build_manifest())
+        elif label.startswith("receive"):
+            self.ledger.learn(question.version + 1)
+            if question.read_age < freshness_spec.BOUND:
+                begun_at = self.asked_at - question.read_age
+                self.freshness.confirm(
+                    question.version + 1, begun_at, self.ledger.highest_known
+                )
+            if question.target:
+                number = question.target - 1
+                self.heard_at[number] = max(self.heard_at[number], self.asked_at)
+
+    def fresh(self):
+        """Tell whether keys may be decided about."""
+        version, highest = self.ledger.version, self.ledger.highest_known
+        bound = freshness_spec.BOUND
+        confirmed = 1 + sum(self.now - at < bound for at in self.heard_at)
+        return self.freshness.by_kv(version, self.now) or self.freshness.by_majority(
+            version, highest, confirmed, 1 + len(self.heard_at)
+        )
+
+
+class FreshnessConformanceTests(unittest.TestCase):
+    def test_the_code_follows_the_specification(self):
+        """Guards against freshness rules that differ from the explored ones."""
+        spec = freshness_spec.FreshnessSpec()
+        compared = {True: 0, False: 0}
+        for seed in range(600):
+            generator = random.Random(seed)
+            state, real, path = freshness_spec.State(), RealObserver(), []
+            for _ in range(60):
+                label, after = generator.choice(spec.transitions(state))
+                path.append(label)
+                real.step(label, state)
+                state = after
+                self.assertEqual(real.ledger.version, state.version + 1, path)
+                self.assertEqual(real.ledger.highest_known, state.highest + 1, path)
+                # With version 1 in force nothing can be wrong; the code then also
+                # counts reads from before it was applied.
+                if not state.paused and state.version == 0:
+                    expected = spec.fresh(state)
+                    compared[expected] += 1
+                    self.assertIs(real.fresh(), expected, path)
+        self.assertGreater(min(compared.values()), 200)
