Use reports for slots only, and widen the dispatch window's floor

Cause: trusting late reports for a quarter of a second hid full engines, and the window of 0.25 s of prompts per engine cost goodput below overload. Change: prompts of others count as the average of all upstreams, the slots that they take by the report of each (half-life 2 s); the floor of the window is 0.5 s; a workspace may catch up 5000 units.

--- a/packages/camphorgate/src/camphorgate/requests/fairness.py
+++ b/packages/camphorgate/src/camphorgate/requests/fairness.py
@@ -15,8 +15,10 @@
 PREFILL_WEIGHT = 0.03
 # Service of a plain call, in decode tokens; only ratios within a pool count.
 CALL_SERVICE = 100.0
-# Service that a workspace of weight 1 may catch up after it was idle: two long reads.
-CREDIT_SERVICE = 500.0
+# Service that a workspace of weight 1 may catch up after it was idle: about 30 long
+# reads. The queue of one instance is often empty for a moment although the workspace
+# is busy on the others, so a credit of a few requests would forget its claim.
+CREDIT_SERVICE = 5000.0
 # Time in which an advantage or a debt loses half of its size, in seconds.
 HALF_LIFE = 60.0
 DECAY_PERIOD_SECONDS = 1.0
--- a/packages/camphorgate/src/camphorgate/requests/pacing.py
+++ b/packages/camphorgate/src/camphorgate/requests/pacing.py
@@ -10,7 +10,8 @@
 # Wait at an engine, beyond a request's own prompt, above which the window shrinks, and
 # the prompt work in seconds that all instances together may always keep at an engine.
 TARGET_SECONDS = 0.25
-FLOOR_SECONDS = 0.25
+# With 0.25 s in both places the queue cost a tenth of the goodput below overload.
+FLOOR_SECONDS = 0.5
 # How much the window grows, in floors, once a whole window was answered in time.
 GROWTH = 0.15
 SHRINK_FACTOR = 0.7
--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -15,10 +15,11 @@
 from camphorgate.registry import Registry
 from camphorgate.requests.views import RequestView, UpstreamView
 
-# Half-lives in seconds: of the trust in a load report, and in a cached prefix. A
-# report is outdated by the queue's own turnover (a prompt takes 50 to 400 ms); longer
-# trust makes all instances run to the same upstream (docs/measurements/routing.md).
-REPORT_HALF_LIFE = 0.25
+# Half-lives in seconds: of the trust in a load report, and in a cached prefix. Streams
+# last for seconds, so a report still tells which upstreams have no free slot; prompts
+# take 50 to 400 ms, so of the prompts of others only the average over all upstreams is
+# used (docs/measurements/routing.md).
+REPORT_HALF_LIFE = 2.0
 PREFIX_HALF_LIFE = 30.0
 # Chance that the upstream that rendezvous hashing names for a prefix holds it although
 # this process has not sent it there: other instances prefer the same upstream.
@@ -192,9 +193,9 @@
         self._note(request)
         first = self._turn % len(candidates)
         candidates = candidates[first:] + candidates[:first]
-        others = _work_of_others(candidates, now)
+        mean, others = _work_of_others(candidates, now)
         waits = [
-            self._wait_seconds(upstream, count, now)
+            self._wait_seconds(upstream, mean, count, now)
             for upstream, count in zip(candidates, others, strict=True)
         ]
         bound = AFFINITY_LOAD_BOUND * sum(waits) / len(waits) + AFFINITY_SLACK_SECONDS
@@ -203,11 +204,11 @@
             ids = tuple(sorted([item.id for item in candidates]))
             owner = _owner_of(request.prefix_digest, ids)
         best = None
-        for upstream, count, wait in zip(candidates, others, waits, strict=True):
+        for upstream, wait in zip(candidates, waits, strict=True):
             cached = 0.0
             if owner and wait <= bound:
                 cached = _cached_chance(upstream, request, owner, now)
-            estimate = _estimate(upstream, request, count, wait, cached)
+            estimate = _estimate(upstream, request, mean, wait, cached)
             if best is None or estimate[0] < best[0]:
                 best = (*estimate, upstream)
         return Choice(best[3], best[1], best[2])
@@ -218,54 +219,63 @@
         self._mean_prefill += weight * (request.prompt_tokens - self._mean_prefill)
         self._mean_output += weight * (request.output_tokens - self._mean_output)
 
-    def _wait_seconds(self, upstream: UpstreamView, others: float, now: float) -> float:
-        """Return the time until an upstream has finished the prompts that it has."""
+    def _wait_seconds(
+        self, upstream: UpstreamView, mean: float, others: float, now: float
+    ) -> float:
+        """Return the time until an upstream has finished the prompts that it has.
+
+        :param mean: requests of others at an average upstream.
+        :param others: requests of others at this one.
+        """
         slots = upstream.slots
-        outstanding = upstream.own_requests + others
+        own = upstream.own_requests
         if not self._mean_prefill:
-            return outstanding / slots * SERVICE_SECONDS * upstream.slowness
-        token_seconds = min(outstanding, slots) / upstream.decode_tokens_per_second
+            return (own + others) / slots * SERVICE_SECONDS * upstream.slowness
+        token_seconds = min(own + mean, slots) / upstream.decode_tokens_per_second
         prefill_seconds = self._mean_prefill / upstream.prefill_tokens_per_second
         stream_seconds = self._mean_output * token_seconds
-        excess = max(0.0, outstanding - slots)
-        # Of the running requests of others, the part that is expected in prefill.
-        in_prefill = prefill_seconds / (prefill_seconds + stream_seconds + 1e-9)
+        # Of the requests of others, the part that is expected in prefill.
+        in_prefill = prefill_seconds / (prefill_seconds + stream_seconds)
         wait = upstream.own_prefill_tokens / upstream.prefill_tokens_per_second
         if now - upstream.gap_seen_at < BUSY_VALID_SECONDS:
             # Seen in own streams without any lag, so it replaces half of the guess.
             wait += BUSY_SECONDS * _busy_share(upstream)
             in_prefill *= 0.5
-        wait += in_prefill * min(others, slots) * prefill_seconds
-        wait += excess * (stream_seconds / slots + prefill_seconds)
+        wait += in_prefill * min(mean, slots) * prefill_seconds
+        if own + others > slots:
+            excess = own + others - slots
+            wait += excess * (stream_seconds / slots + prefill_seconds)
         return wait * upstream.slowness
 
 
-def _work_of_others(candidates: list[UpstreamView], now: float) -> list[float]:
-    """Return the requests that other instances have in flight at each upstream.
+def _work_of_others(
+    candidates: list[UpstreamView], now: float
+) -> tuple[float, list[float]]:
+    """Return the requests that other instances have in flight.
 
     An old report says less about one upstream than about all of them, so each value is
     drawn towards the average as its report ages.
+
+    :returns: the average over all upstreams, and the value of each.
     """
-    reported = []
+    counts = []
     trusts = []
     for upstream in candidates:
         report = upstream.report
         if report is None:
-            reported.append(0.0)
+            counts.append(0.0)
             trusts.append(0.0)
             continue
         count = report.running + report.waiting - upstream.own_requests_at_report
-        reported.append(max(0.0, count))
-        trusts.append(0.5 ** (upstream.report_age(now) / REPORT_HALF_LIFE))
+        counts.append(count if count > 0 else 0.0)
+        age = now - report.observed_at + report.lag_seconds
+        trusts.append(0.5 ** (max(age, 0.0) / REPORT_HALF_LIFE))
     total = sum(trusts)
     if not total:
-        return reported
-    weighted = zip(reported, trusts, strict=True)
-    mean = sum(count * trust for count, trust in weighted) / total
-    return [
-        mean + trust * (count - mean)
-        for count, trust in zip(reported, trusts, strict=True)
-    ]
+        return 0.0, counts
+    pairs = list(zip(counts, trusts, strict=True))
+    mean = sum([count * trust for count, trust in pairs]) / total
+    return mean, [mean + trust * (count - mean) for count, trust in pairs]
 
 
 def _busy_share(upstream: UpstreamView) -> float:
