--- a/tests/test_requests/test_decisions.py
+++ b/tests/test_requests/test_decisions.py
@@ -90,6 +90,15 @@
             used |= {item.id for item in chosen}
         self.assertEqual(len(used), 80)
 
+    def test_equal_upstreams_share_the_work_for_a_long_time(self):
+        """Guards against a counter that wraps and against a favoured upstream."""
+        views = build_views()
+        policy = POLICIES.get("expected_latency")("gateway")
+        request = RequestView(workspace="w", pool="p", prompt_tokens=9, zone="zone-a")
+        chosen = [policy.choose(views, request, 0.0).upstream.id for _ in range(3000)]
+        for view in views:
+            self.assertEqual(chosen.count(view.id), 1000)
+
     def test_an_unknown_policy_is_refused(self):
         """Guards against a manifest whose routing silently falls back."""
         with self.assertRaises(RegistryError):
