--- a/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
+++ b/packages/camphorgate/src/camphorgate/fleet/replay_engine.py
@@ -12,10 +12,6 @@
 from camphorgate.fleet.state import Engine, Rates
 from camphorgate.manifest import EngineRole, UpstreamKind
 
-# Rates of an engine that does both at once, as parts of its rates for one task. The
-# sum is the mixed efficiency of Rates: chunked prefill costs some of each step.
-MIXED_PREFILL = 0.55
-MIXED_DECODE = 0.30
 # A single stream is bounded by the length of a decode step.
 STREAM_TOKENS_PER_SECOND = 50.0
 
@@ -32,6 +28,7 @@
         "first_at",
         "done_at",
         "produced",
+        "counted",
         "runs",
         "refused",
         "unknown",
@@ -52,6 +49,7 @@
         self.first_at: float | None = None
         self.done_at: float | None = None
         self.produced = 0.0
+        self.counted = 0.0
         self.runs = 0
         self.refused = False
         self.unknown = False
@@ -80,7 +78,6 @@
         "notice_until",
         "open_until",
         "bookings",
-        "decoded",
         "_sequence",
     )
 
@@ -108,7 +105,6 @@
         self.notice_until: float | None = None
         self.open_until = 0.0
         self.bookings: set[Job] = set()
-        self.decoded = 0.0
         self._sequence = 0
 
     def advance(self, now: float) -> list[Job]:
@@ -118,18 +114,15 @@
         a step costs only as many operations as streams end.
         """
         ended = []
-        factor = MIXED_DECODE if self.current is not None else 1.0
+        factor = self.rates.mixed_decode if self.current is not None else 1.0
         total = self.rates.decode * factor
         while self.streams:
             count = len(self.streams)
             rate = min(STREAM_TOKENS_PER_SECOND, total / count)
             finish = self.at + (self.streams[0][0] - self.progress) / rate
             if finish > now:
-                moved = max(0.0, now - self.at) * rate
-                self.progress += moved
-                self.decoded += moved * count
+                self.progress += max(0.0, now - self.at) * rate
                 break
-            self.decoded += (self.streams[0][0] - self.progress) * count
             self.progress, _, job = heapq.heappop(self.streams)
             self.at = finish
             job.done_at, job.produced = finish, job.output
@@ -150,19 +143,24 @@
 
     def prefill_seconds(self, job: Job) -> float:
         """Return how long the prompt of a request takes now."""
-        factor = MIXED_PREFILL if self.streams else 1.0
+        factor = self.rates.mixed_prefill if self.streams else 1.0
         return (job.prompt + job.produced) / (self.rates.prefill * factor)
 
+    def first_token_in(self, tokens: float) -> float:
+        """Return when a new prompt would give its first token, in seconds from now."""
+        factor = self.rates.mixed_prefill if self.streams else 1.0
+        return (self.queued_tokens + tokens) / (self.rates.prefill * factor)
+
     def prefill_wait(self) -> float:
         """Return the expected wait of a new prompt."""
-        factor = MIXED_PREFILL if self.streams else 1.0
+        factor = self.rates.mixed_prefill if self.streams else 1.0
         return self.queued_tokens / (self.rates.prefill * factor)
 
     def decode_pressure(self) -> float:
         """Return streams per token/s, to compare engines."""
         factor = 1.0
         if self.role == "both" and (self.current is not None or self.queue):
-            factor = MIXED_DECODE
+            factor = self.rates.mixed_decode
         return (len(self.streams) + 1) / (self.rates.decode * factor)
 
     def running(self) -> int:
