--- a/tests/test_accounting/test_decisions.py
+++ b/tests/test_accounting/test_decisions.py
@@ -134,7 +134,7 @@
         self.assertEqual(store.authors(), [])
 
     def test_the_holder_is_in_another_zone_and_stays(self):
-        """Guards against copies that die with their author's zone, and against moves."""
+        """Guards against copies that die with the zone, and against moves."""
         peers = [Candidate(f"p{number}", "zone-a") for number in range(3)]
         self.assertIn(choose_holder("own", "zone-a", peers), {"p0", "p1", "p2"})
         far = [Candidate(f"q{number}", "zone-b") for number in range(3)]
