Keep cancellations while connecting to an upstream

Cause: the tests hung about once in 10 runs of an area, in the stop of the daemon: a load poll had not ended upon its cancellation. aiosonic connects with asyncio.wait_for, which in Python 3.11 returns the result instead of the cancellation if both come in the same turn. A request whose caller leaves at that moment would have gone on as well. The connector now waits with asyncio.timeout.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/client.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/client.py
@@ -6,13 +6,14 @@
 through llhttp (:mod:`httptools`), which settles where an answer ends.
 """
 
+import asyncio
 import socket
 from urllib.parse import ParseResult, urlsplit
 
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import ConnectTimeout
 from aiosonic.pools import BasePool, PoolConfig
-from aiosonic.resolver import AbstractResolver
 from aiosonic.timeout import Timeouts
 from aiosonic.utils import connection_key
 
@@ -21,6 +22,12 @@
 IDLE_CONNECTIONS_PER_UPSTREAM = 64
 
 
+def _address_info(url: ParseResult) -> dict:
+    family = socket.AF_INET6 if ":" in url.hostname else socket.AF_INET
+    fields = {"hostname": url.hostname, "host": url.hostname, "port": url.port}
+    return {**fields, "family": family, "proto": 0, "flags": 0}
+
+
 class UpstreamConnection(Connection):
     """A connection that is reused only if nothing has arrived while it was idle."""
 
@@ -110,21 +117,6 @@
         self._idle_by_key.clear()
 
 
-class NumericResolver(AbstractResolver):
-    """Takes IP numbers as they are; upstreams are never named."""
-
-    async def resolve(
-        self, host: str, port: int = 0, family: int = socket.AF_INET
-    ) -> list[dict]:
-        """Return the address of an IP number."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        fields = {"hostname": host, "host": host, "port": port, "family": family}
-        return [{**fields, "proto": 0, "flags": 0}]
-
-    async def close(self) -> None:
-        """Release nothing."""
-
-
 class UpstreamConnector(TCPConnector):
     """Opens connections to upstreams."""
 
@@ -141,7 +133,6 @@
             timeouts=Timeouts(sock_connect=connect_seconds),
             connection_cls=UpstreamConnection,
             pool_cls=UpstreamPool,
-            resolver=NumericResolver(),
         )
 
     @property
@@ -163,6 +154,28 @@
             url, connection, True, None, self.timeouts, False
         )
 
+    async def after_acquire(self, urlparsed, conn, verify, ssl, timeouts, http2):
+        """Connect a connection unless it is open.
+
+        aiosonic waits with ``asyncio.wait_for``, which in Python 3.11 loses a
+        cancellation that meets the end of the wait, so that the request of a caller
+        who has left would go on. Upstreams are IP numbers, so nothing is resolved.
+        """
+        if conn.reuse(urlparsed, verify):
+            conn.reused = True
+            return conn
+        try:
+            async with asyncio.timeout(timeouts.sock_connect):
+                address = _address_info(urlparsed)
+                await conn.connect(urlparsed, address, verify, ssl, http2)
+        except TimeoutError:
+            self.release(conn)
+            raise ConnectTimeout from None
+        except BaseException:
+            self.release(conn)
+            raise
+        return conn
+
 
 def parse_address(address: str) -> ParseResult:
     """Return ``host:port`` in the form that connections take."""
--- a/tests/test_gateway/harness.py
+++ b/tests/test_gateway/harness.py
@@ -12,7 +12,13 @@
 
 from camphorgate.application import Application
 from camphorgate.manifest import ManifestIndex, Pool, Service
-from camphorgate.settings import KvSettings, LimitSettings, PlatformSettings, Settings
+from camphorgate.settings import (
+    KvSettings,
+    LimitSettings,
+    PlatformSettings,
+    Settings,
+    TimingSettings,
+)
 from camphorgate_standins.engine import EngineStandin
 from camphorgate_standins.service import ServiceStandin
 from camphorgate_standins.serving import make_server
@@ -160,7 +166,9 @@
         self.address = self.app.service("gateway").address
 
     async def asyncTearDown(self):
-        await self.app.stop()
+        # A task that outlives its cancellation shows as a timeout here.
+        async with asyncio.timeout(10):
+            await self.app.stop()
         for server in self.servers:
             server.should_exit = True
             server.force_exit = True
@@ -228,6 +236,7 @@
                 platform, platform, platform, list_lag_seconds=self.LIST_LAG_SECONDS
             ),
             limits=LimitSettings(**self.LIMITS),
+            timing=TimingSettings(stop_grace_seconds=5.0),
             seed=1,
         )
 
--- /dev/null
+++ b/tests/test_gateway/test_client.py
@@ -0,0 +1,36 @@
+"""Connections to upstreams."""
+
+import asyncio
+import unittest
+
+from camphorgated.ext.gateway.client import UpstreamConnector, parse_address
+
+
+class ConnectorTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_cancellation_is_never_lost_while_connecting(self):
+        """Guards against a request that goes on after its caller has left."""
+        for turns in range(4):
+            with self.subTest(turns=turns):
+                connector = UpstreamConnector(connect_seconds=1.0)
+                connection = connector.pool.open_connection()
+                connected = asyncio.Event()
+
+                async def connect(*arguments, connected=connected):
+                    await connected.wait()
+
+                connection.connect = connect
+                connector.pool.open_connection = lambda item=connection: item
+                url = parse_address("127.0.0.1:9")
+
+                async def request(url=url, connector=connector):
+                    await connector.open(url, fresh=True)
+                    await asyncio.sleep(5)
+
+                task = asyncio.create_task(request())
+                await asyncio.sleep(0.01)
+                connected.set()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                task.cancel()
+                done, _ = await asyncio.wait([task], timeout=1.0)
+                self.assertTrue(done and task.cancelled())
