--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/access.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/access.py
@@ -1,12 +1,16 @@
 """Who may send a request: configuration, key, limits of the workspace."""
 
 import re
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from camphorgate.manifest import ManifestIndex, Workspace
+from camphorgate.requests.admission import WorkspaceLimiter
 from camphorgated.ext.gateway.call import Call
 from camphorgated.ext.gateway.errors import GatewayError
 from camphorgated.ext.gateway.keys import find_key
+from camphorgated.ext.gateway.queueing import refused
 
 _SLASHES = re.compile(r"/{2,}")
 _DOT_SEGMENTS = frozenset({".", ".."})
@@ -49,54 +53,45 @@
 class LimitBook:
     """Holds the workspaces to their limits, as this instance's share of them."""
 
-    __slots__ = ("_gateway", "_buckets_by_workspace", "_tokens_by_workspace")
+    __slots__ = ("_gateway", "_limiters_by_workspace")
 
     def __init__(self, gateway: Any) -> None:
-        """Start with full buckets."""
+        """Start without requests."""
         self._gateway = gateway
-        self._buckets_by_workspace: dict[str, list[float]] = {}
-        self._tokens_by_workspace: dict[str, list[float]] = {}
+        self._limiters_by_workspace: dict[str, WorkspaceLimiter] = {}
 
-    def check(self, workspace: Workspace) -> None:
-        """Count a request against the limits.
+    @contextmanager
+    def hold(self, call: Call, workspace: Workspace, tokens: int = 0) -> Iterator[None]:
+        """Count a request in and, when the block ends, out.
 
+        :param tokens: expected prompt and output tokens.
         :raises GatewayError: if a limit is reached.
         """
-        limits = workspace.limits
-        share = 1.0 / max(1, self._gateway.live_count())
-        if limits.concurrent_requests:
-            running = self._gateway.recorder.in_flight_by_workspace[workspace.name]
-            if running >= max(1, limits.concurrent_requests * share):
-                raise GatewayError("limit_exceeded", "too many concurrent requests")
-        if limits.tokens_per_second:
-            rate = limits.tokens_per_second * share
-            level = self._level(self._tokens_by_workspace, workspace.name, rate)
-            if level[0] <= 0:
-                wait = -level[0] / rate
-                message = "too many tokens per second"
-                raise GatewayError("limit_exceeded", message, retry_after=wait)
-        if limits.requests_per_second:
-            rate = limits.requests_per_second * share
-            level = self._level(self._buckets_by_workspace, workspace.name, rate)
-            if level[0] < 1:
-                wait = (1 - level[0]) / rate
-                message = "too many requests per second"
-                raise GatewayError("limit_exceeded", message, retry_after=wait)
-            level[0] -= 1
-
-    def spend_tokens(self, workspace: str, tokens: int) -> None:
-        """Take the tokens of a finished request."""
-        level = self._tokens_by_workspace.get(workspace)
-        if level is not None:
-            level[0] -= tokens
-
-    def _level(
-        self, levels: dict[str, list[float]], workspace: str, rate: float
-    ) -> list[float]:
-        """Return a bucket, filled up to now; it holds one second, at least one."""
-        now = self._gateway.now()
-        size = max(1.0, rate)
-        level = levels.setdefault(workspace, [size, now])
-        level[0] = min(size, level[0] + (now - level[1]) * rate)
-        level[1] = now
-        return level
+        limiter = self._limiter(workspace)
+        refusal = limiter.admit(tokens, self._gateway.now())
+        if refusal is not None:
+            raise refused(refusal)
+        running = self._gateway.recorder.in_flight_by_workspace
+        running[workspace.name] += 1
+        try:
+            yield
+        finally:
+            running[workspace.name] -= 1
+            used = call.record.prompt_tokens + call.record.output_tokens
+            correction = used - tokens if tokens else 0
+            limiter.finish(correction, self._gateway.now())
+
+    def _limiter(self, workspace: Workspace) -> WorkspaceLimiter:
+        instances = self._gateway.live_count()
+        known = self._limiters_by_workspace.get(workspace.name)
+        if (
+            known is not None
+            and known.limits == workspace.limits
+            and known.instances == instances
+        ):
+            return known
+        limiter = WorkspaceLimiter(workspace.limits, instances)
+        if known is not None:
+            limiter.running = known.running
+        self._limiters_by_workspace[workspace.name] = limiter
+        return limiter
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/core.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/core.py
@@ -1,19 +1,23 @@
 """What the parts of the gateway share: settings, services, upstreams, counters."""
 
+import asyncio
+import random
 import secrets
 from itertools import count
 from typing import Any
 
 from camphorgate.application import Application
 from camphorgate.manifest import ManifestIndex
+from camphorgate.requests.demand_log import DemandLog
+from camphorgate.requests.retries import RetryBudget
 from camphorgated.ext.gateway.access import LimitBook
 from camphorgated.ext.gateway.client import UpstreamConnector
 from camphorgated.ext.gateway.errors import GatewayError
 from camphorgated.ext.gateway.exchange import Exchange, RequestHead
+from camphorgated.ext.gateway.polling import Poller
 from camphorgated.ext.gateway.queueing import Admission
 from camphorgated.ext.gateway.records import Recorder
-from camphorgated.ext.gateway.retries import RetryBudget
-from camphorgated.ext.gateway.upstreams import UpstreamTable
+from camphorgated.ext.gateway.upstreams import Entry, UpstreamTable
 from camphorgated.ext.gateway.watch import DeadlineWatch
 
 
@@ -32,6 +36,7 @@
         "recorder",
         "retries",
         "workspace_limits",
+        "demand",
         "configuration",
         "claims",
         "usage",
@@ -51,8 +56,9 @@
         self.upstreams = UpstreamTable(self)
         self.admission = Admission(self)
         self.recorder = Recorder(self)
-        self.retries = RetryBudget()
+        self.retries = RetryBudget(self.now())
         self.workspace_limits = LimitBook(self)
+        self.demand = DemandLog()
         self.configuration: Any = None
         self.claims: Any = None
         self.usage: Any = None
@@ -73,7 +79,17 @@
         """Take a manifest, or the platform's list on top of the same one."""
         membership = self._optional("membership")
         listed = membership.platform_upstreams() if membership else ()
+        self.admission.fairness.set_weights(index)
         self.upstreams.rebuild(index, listed)
+        self.admission.take_shares()
+
+    def start_polling(self, entry: Entry) -> asyncio.Task:
+        """Begin to poll an upstream and return the task that does."""
+        source = random.Random(f"{self.settings.seed} {entry.view.id}")
+        if not self.settings.seed:
+            source = random.Random()
+        poller = Poller(self, self.upstreams, entry, source)
+        return self.app.spawn(poller.run(), f"poll load of {entry.view.id}")
 
     def live_count(self) -> int:
         """Return how many instances are live, 1 without a membership service."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/dispatch.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/dispatch.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from camphorgate.requests import retries
+from camphorgate.requests.retries import Action, Stage
 from camphorgate.requests.views import RequestView
 from camphorgated.ext.gateway.errors import (
     GatewayError,
@@ -16,20 +18,22 @@
 from camphorgated.ext.gateway.queueing import Slot
 from camphorgated.ext.gateway.records import RequestRecord
 
-MAX_ATTEMPTS = 3
 # Statuses by which an upstream says that it refused a request before running it.
 _OVERLOADED = frozenset({429, 503})
 
 
 class Attempts:
-    """Follows one request from upstream to upstream."""
+    """Follows one request from upstream to upstream.
+
+    Whether it may be sent again is decided by :class:`retries.Attempts`.
+    """
 
     __slots__ = (
         "request",
         "excluded",
-        "may_have_run",
         "fresh",
-        "failures",
+        "_decision",
+        "_ran",
         "_gateway",
         "_record",
         "_last_fault",
@@ -41,16 +45,22 @@
         """Start before the first attempt."""
         self.request = request
         self.excluded: set[str] = set()
-        self.may_have_run = False
         # A request that must not be repeated never goes over a pooled connection,
         # which may be dead without this side knowing.
         self.fresh = not request.idempotent
-        # Failed attempts since the last progress.
-        self.failures = 0
+        self._decision = retries.Attempts(
+            idempotent=request.idempotent, resumable=request.resumable
+        )
+        # Set once an attempt has failed after which the request may have run.
+        self._ran = False
         self._gateway = gateway
         self._record = record
         self._last_fault: UpstreamFault | None = None
-        gateway.retries.note_request()
+        now = gateway.now()
+        gateway.retries.note_request(now)
+        gateway.demand.note(
+            "asked", request.pool, request.prompt_tokens, request.output_tokens, now
+        )
 
     async def admit(self) -> Slot:
         """Return a place at an upstream that has not failed this request.
@@ -60,61 +70,77 @@
         try:
             slot = await self._gateway.admission.admit(self.request, self.excluded)
         except GatewayError as error:
-            raise self.final_error(error) from None
+            raise self._final_error(error) from None
+        self._decision.begin()
         self._record.attempts += 1
         self._record.upstream_id = slot.entry.view.id
         if not self._record.admitted_at:
             self._record.admitted_at = self._gateway.now()
         return slot
 
+    def sending(self) -> None:
+        """Note that the first byte may leave from now on."""
+        self._decision.sending()
+
+    def succeed(self) -> None:
+        """Note that the answer was passed on whole."""
+        self._decision.succeed()
+
+    def progressed(self) -> None:
+        """Start the count of attempts anew after a resumed stream went on."""
+        self._decision.count = 1
+
     def note_fault(
-        self, slot: Slot, fault: UpstreamFault, replayable: bool = True
+        self,
+        slot: Slot,
+        fault: UpstreamFault,
+        *,
+        begun: bool = False,
+        replayable: bool = True,
     ) -> None:
         """Take a failed attempt; returns if there may be another one.
 
+        :param begun: a part of the answer was passed on to the caller.
         :param replayable: the body can be sent again.
         :raises GatewayError: if the request ends here.
         """
-        self.may_have_run = self.may_have_run or fault.sent
+        stage = _stage_of(fault, begun)
+        self._ran = self._ran or stage in (Stage.SENT, Stage.BEGUN)
         self._last_fault = fault
-        if isinstance(fault, StaleConnection):
-            if not self.fresh and replayable:
-                self.fresh = True
-                return
-        elif not isinstance(fault, UpstreamOverloaded | StreamUnknown):
-            self._gateway.upstreams.failed(slot.entry, fault)
-        self.failures += 1
-        self._exclude(slot, fault)
-        if self.may_have_run and not self.request.idempotent:
-            raise self.final_error(None)
+        stale = isinstance(fault, StaleConnection) and not self.fresh
+        if stale:
+            # Says nothing about the upstream, which may be tried again.
+            self.fresh = True
+        else:
+            self._exclude(slot, fault)
         now = self._gateway.now()
-        if (
-            not replayable
-            or self.failures >= MAX_ATTEMPTS
-            or now >= self.request.deadline
-            or not self._gateway.retries.take(now)
-        ):
+        action = self._decision.fail(stage, self._gateway.retries, now)
+        late = now >= self.request.deadline
+        if action not in (Action.RETRY, Action.RESUME) or late or not replayable:
             message = "upstreams refused the request"
-            raise self.final_error(GatewayError("no_upstream", message))
+            raise self._final_error(GatewayError("no_upstream", message))
 
     def _exclude(self, slot: Slot, fault: UpstreamFault) -> None:
         """Go to another upstream next, or again to the first if there is no other."""
-        self.excluded.add(slot.entry.view.id)
         upstreams = self._gateway.upstreams
+        refused = isinstance(fault, UpstreamOverloaded)
+        if not refused and not isinstance(fault, StreamUnknown):
+            upstreams.failed(slot.entry, fault)
+        self.excluded.add(slot.entry.view.id)
         if (
             self.request.idempotent
-            and not isinstance(fault, UpstreamOverloaded)
+            and not refused
             and not upstreams.can_serve(self.request, self.excluded)
             and upstreams.can_serve(self.request)
         ):
             self.excluded.clear()
 
-    def final_error(self, error: GatewayError | None) -> GatewayError:
+    def _final_error(self, error: GatewayError) -> GatewayError:
         """Return the error that ends the request.
 
         :param error: the refusal that holds if no attempt may have run.
         """
-        if not self.may_have_run and error is not None:
+        if not self._ran:
             return error
         if self.request.idempotent and isinstance(self._last_fault, UpstreamSilent):
             return GatewayError("upstream_timeout", "the upstream did not answer")
@@ -122,12 +148,21 @@
         return GatewayError("outcome_unknown", message)
 
 
+def _stage_of(fault: UpstreamFault, begun: bool) -> Stage:
+    if begun:
+        return Stage.BEGUN
+    if isinstance(fault, UpstreamOverloaded | StreamUnknown):
+        return Stage.REFUSED
+    return Stage.SENT if fault.sent else Stage.NOT_SENT
+
+
 async def open_answer(
     gateway: Any,
     slot: Slot,
     head: RequestHead,
     body: bytes | AsyncIterator[bytes],
     deadline: float,
+    attempts: Attempts,
     *,
     fresh: bool,
     echoes_id: bool,
@@ -135,12 +170,13 @@
     """Send a request and return the exchange once the answer's headers are read.
 
     :param deadline: monotonic seconds until which the headers must be there.
+    :param attempts: learns of the first byte before it is sent.
     :param echoes_id: the upstream must echo the request's id.
     :raises UpstreamFault: if there is no answer to this request.
     """
     exchange = gateway.open_exchange(head, fresh=fresh)
     try:
-        await exchange.send(slot.entry.url, body)
+        await exchange.send(slot.entry.url, body, attempts.sending)
         answer = await exchange.read_head(deadline)
         exchange.check_request_id(echoes_id)
     except BaseException:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
@@ -1,7 +1,7 @@
 """One request and its answer on one upstream connection."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from urllib.parse import ParseResult
 
 import httptools
@@ -207,11 +207,15 @@
         self._received = 0
 
     async def send(
-        self, url: ParseResult, body: bytes | AsyncIterator[bytes] = b""
+        self,
+        url: ParseResult,
+        body: bytes | AsyncIterator[bytes] = b"",
+        before_send: Callable[[], None] = lambda: None,
     ) -> None:
         """Open a connection and send the request.
 
         :param body: whole, or pieces that are sent while the answer is read.
+        :param before_send: called once the connection is open.
         :raises UpstreamRefused: if no connection could be made; nothing was sent.
         """
         try:
@@ -223,6 +227,7 @@
         self._reused = self.connection.reused
         self._watch.add(self)
         head = self._head.encode(url.netloc)
+        before_send()
         try:
             if isinstance(body, bytes):
                 self.connection.write(head + body)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
@@ -19,7 +19,8 @@
         app.add_event(event)
     app.connect("manifest-changed", gateway.take_manifest)
     app.provide("upstreams", gateway.upstreams)
-    app.provide("fairness", gateway.admission.ledger)
+    app.provide("fairness", gateway.admission.fairness)
+    app.provide("demand", gateway.demand)
     app.provide("gateway", GatewayService(gateway, listener))
     app.add_dump_section("gateway", lambda: _dump(gateway))
 
@@ -79,6 +80,7 @@
     while True:
         await asyncio.sleep(REFRESH_SECONDS)
         gateway.connector.pool.close_idle()
+        gateway.admission.take_shares()
         if not gateway.app.has_service("membership"):
             continue
         listed = list(gateway.app.service("membership").platform_upstreams())
@@ -95,5 +97,8 @@
         "requests": gateway.recorder.dump(),
         "queues": gateway.admission.dump(),
         "upstreams": gateway.upstreams.dump(),
-        "retries_refused": gateway.retries.refused,
+        "fairness": {
+            kind: order.snapshot()
+            for kind, order in gateway.admission.fairness.by_kind.items()
+        },
     }
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
@@ -0,0 +1,98 @@
+"""Reads the load of each upstream, and probes the suspected ones one at a time."""
+
+import asyncio
+import random
+from typing import Any
+
+import msgspec
+
+from camphorgated.ext.gateway.errors import UpstreamFault
+from camphorgated.ext.gateway.exchange import RequestHead
+from camphorgated.ext.gateway.load import parse_load_body
+from camphorgated.ext.gateway.upstreams import Entry, UpstreamTable
+
+POLL_SECONDS = 1.0
+POLL_JITTER = 0.25
+# Suspected upstreams are looked at more often, as their next probe may be due.
+SUSPECTED_POLL_SECONDS = 0.25
+TIMEOUT_SECONDS = 1.0
+MAX_REPORT_BYTES = 65536
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Poller:
+    """Polls one upstream until it is cancelled."""
+
+    __slots__ = ("_gateway", "_table", "_entry", "_random")
+
+    def __init__(
+        self, gateway: Any, table: UpstreamTable, entry: Entry, source: random.Random
+    ) -> None:
+        """Prepare to poll.
+
+        :param source: for the jitter.
+        """
+        self._gateway = gateway
+        self._table = table
+        self._entry = entry
+        self._random = source
+
+    async def run(self) -> None:
+        """Poll and probe."""
+        await asyncio.sleep(self._random.uniform(0, POLL_SECONDS / 2))
+        while True:
+            await self._read_load()
+            if self._table.due_probe(self._entry):
+                self._table.note_probe(self._entry, await self._probe())
+            healthy = self._entry.view.health == "healthy"
+            seconds = POLL_SECONDS if healthy else SUSPECTED_POLL_SECONDS
+            jitter = self._random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+            await asyncio.sleep(seconds * jitter)
+
+    async def _read_load(self) -> None:
+        try:
+            status, body = await self._ask("GET", b"/control/load")
+        except UpstreamFault as fault:
+            self._table.failed(self._entry, fault)
+            return
+        if status == 200:
+            report = parse_load_body(body, self._gateway.now())
+            self._table.take_load(self._entry, report)
+            self._table.on_room(self._entry.view.pool)
+
+    async def _probe(self) -> bool:
+        """Send a small request of the system's own, so that no caller's is at risk."""
+        model = self._table.probe_model(self._entry)
+        try:
+            if model:
+                body = {"model": model, "prompt": "probe", "max_tokens": 1}
+                content = msgspec.json.encode(body)
+                status, _ = await self._ask("POST", b"/v1/completions", content)
+            else:
+                status, _ = await self._ask("GET", b"/control/load")
+        except UpstreamFault:
+            return False
+        return status < 500
+
+    async def _ask(
+        self, method: str, target: bytes, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        gateway = self._gateway
+        headers: Headers = [(b"content-length", b"%d" % len(body))] if body else []
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        head = RequestHead(method, target, headers, gateway.next_request_id())
+        exchange = gateway.open_exchange(head, fresh=bool(body))
+        content = b""
+        try:
+            await exchange.send(self._entry.url, body)
+            deadline = gateway.now() + TIMEOUT_SECONDS
+            answer = await exchange.read_head(deadline)
+            while piece := await exchange.read_body(deadline):
+                content += piece
+                if len(content) > MAX_REPORT_BYTES:
+                    raise UpstreamFault("the load report is too long")
+        finally:
+            exchange.close()
+        return answer.status, content
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
@@ -1,127 +1,126 @@
-"""Admission: each pool's queue of requests that wait for a place at an upstream."""
+"""Admission: runs each pool's queue and gives its requests places at upstreams."""
 
 import asyncio
-from collections import deque
 from typing import Any
 
 import msgspec
 
+from camphorgate.manifest import ManifestIndex
+from camphorgate.requests.admission import PoolQueue, QueueBounds, Refusal
+from camphorgate.requests.fairness import FairOrder, service_of
+from camphorgate.requests.pacing import DispatchWindow
+from camphorgate.requests.routing import Choice
 from camphorgate.requests.views import Dispatch, RequestView
 from camphorgated.ext.gateway.errors import GatewayError
-from camphorgated.ext.gateway.fairness import ServiceLedger
-from camphorgated.ext.gateway.upstreams import Entry, UpstreamTable
+from camphorgated.ext.gateway.upstreams import Entry
 
-# Weight of the newest interval in the average time between starts from the queue.
-_INTERVAL_WEIGHT = 0.1
 # How long a pool without any usable upstream may still be waited for.
 NO_UPSTREAM_SECONDS = 2.0
+_MESSAGE_BY_CODE = {
+    "queue_full": "too many requests wait",
+    "deadline_unreachable": "the request would start too late",
+    "limit_exceeded": "the workspace has reached its limit",
+}
+# Marks the service of plain calls among the deltas; no workspace has it in its name.
+_SERVICE_PREFIX = "service:"
 
 
 class Slot:
     """A place at an upstream; must be released."""
 
-    __slots__ = ("entry", "dispatch", "_table")
+    __slots__ = ("entry", "dispatch", "choice", "request", "given", "_admission")
 
-    def __init__(self, table: UpstreamTable, entry: Entry, dispatch: Dispatch) -> None:
+    def __init__(
+        self,
+        admission: "Admission",
+        choice: Choice,
+        dispatch: Dispatch,
+        request: RequestView,
+    ) -> None:
         """Keep what ends the dispatch."""
-        self.entry = entry
+        self.entry: Entry = admission.upstreams.entries_by_id[choice.upstream.id]
         self.dispatch = dispatch
-        self._table = table
+        self.choice = choice
+        self.request = request
+        # Service that the request received here, from service_of.
+        self.given = 0.0
+        self._admission = admission
 
-    def first_token(self) -> None:
+    def first_token(self, now: float) -> None:
         """Note that the prompt has been read."""
-        self.entry.view.first_token(self.dispatch)
+        self._admission.first_token(self, now)
 
     def release(self) -> None:
         """Give the place back; callable twice."""
         if not self.dispatch.ended:
-            self._table.end(self.entry.view, self.dispatch)
+            self._admission.release(self)
+
+
+class FairnessService:
+    """Service given per workspace, for the peers; provided as ``fairness``."""
+
+    __slots__ = ("_clock", "by_kind")
+
+    def __init__(self, clock: Any) -> None:
+        """Start with nothing given."""
+        self._clock = clock
+        self.by_kind = {"engines": FairOrder(), "service": FairOrder()}
 
+    def take_deltas(self) -> dict[str, float]:
+        """Return what was given since the last call, per workspace."""
+        deltas = self.by_kind["engines"].take_deltas()
+        calls = self.by_kind["service"].take_deltas()
+        return deltas | {_SERVICE_PREFIX + name: calls[name] for name in calls}
 
-class Waiter(msgspec.Struct, eq=False):
-    """One request in a queue."""
+    def merge(self, instance_id: str, deltas: dict[str, float]) -> None:
+        """Add what another instance gave."""
+        parts: dict[str, dict[str, float]] = {"engines": {}, "service": {}}
+        for name, delta in deltas.items():
+            kind = "service" if name.startswith(_SERVICE_PREFIX) else "engines"
+            parts[kind][name.removeprefix(_SERVICE_PREFIX)] = delta
+        for kind, part in parts.items():
+            self.by_kind[kind].merge(part, self._clock.monotonic())
+
+    def set_weights(self, index: ManifestIndex) -> None:
+        """Take the weights of a manifest."""
+        weights = {item.name: item.weight for item in index.manifest.workspaces}
+        for order in self.by_kind.values():
+            order.set_weights(weights)
+
+
+class _Waiter(msgspec.Struct, eq=False):
+    """What belongs to a queued request besides its view; known by the view's id."""
 
     request: RequestView
     excluded: set[str]
-    enqueued_at: float
-    expires_at: float
     future: asyncio.Future
 
 
-class PoolQueue:
-    """The waiting requests of one pool, by workspace, oldest first."""
-
-    __slots__ = (
-        "waiters_by_workspace",
-        "size",
-        "growing_since",
-        "interval",
-        "unserved_since",
-        "_started_at",
-    )
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self.waiters_by_workspace: dict[str, deque[Waiter]] = {}
-        self.size = 0
-        self.growing_since: float | None = None
-        # Average seconds between two starts from the queue, 0 if unknown.
-        self.interval = 0.0
+class _Pool:
+    """One pool's queue, its window and who waits."""
+
+    __slots__ = ("queue", "window", "waiters_by_id", "unserved_since", "engines")
+
+    def __init__(self, bounds: QueueBounds, fair: FairOrder, engines: bool) -> None:
+        self.queue = PoolQueue(bounds, fair)
+        self.window = DispatchWindow()
+        self.waiters_by_id: dict[str, _Waiter] = {}
         self.unserved_since: float | None = None
-        self._started_at: float | None = None
-
-    def add(self, waiter: Waiter) -> None:
-        """Append a request to its workspace's line."""
-        if not self.size:
-            self.growing_since = waiter.enqueued_at
-            self._started_at = None
-        line = self.waiters_by_workspace.setdefault(waiter.request.workspace, deque())
-        line.append(waiter)
-        self.size += 1
-
-    def remove(self, waiter: Waiter) -> None:
-        """Take a request out, if it is still there."""
-        workspace = waiter.request.workspace
-        line = self.waiters_by_workspace.get(workspace)
-        if line is None or waiter not in line:
-            return
-        line.remove(waiter)
-        if not line:
-            del self.waiters_by_workspace[workspace]
-        self.size -= 1
-        if not self.size:
-            self.growing_since = None
-
-    def note_start(self, now: float) -> None:
-        """Learn from a start how fast the queue moves."""
-        if self._started_at is not None:
-            gap = now - self._started_at
-            old = self.interval or gap
-            self.interval = old + _INTERVAL_WEIGHT * (gap - old)
-        self._started_at = now
-
-    def predicted_wait(self) -> float:
-        """Return the seconds until a new request would start, 0 if unknown."""
-        return self.size * self.interval
-
-    def oldest_age(self, now: float) -> float:
-        """Return the age of the oldest waiting request in seconds."""
-        firsts = [line[0].enqueued_at for line in self.waiters_by_workspace.values()]
-        return now - min(firsts) if firsts else 0.0
+        self.engines = engines
 
 
 class Admission:
     """Gives each request a place at an upstream, the least served workspace first."""
 
-    __slots__ = ("queues_by_pool", "ledger", "_gateway", "_upstreams")
+    __slots__ = ("fairness", "upstreams", "_pools_by_name", "_gateway")
 
     def __init__(self, gateway: Any) -> None:
         """Start without queues."""
-        self.queues_by_pool: dict[str, PoolQueue] = {}
-        self.ledger = ServiceLedger()
+        self.fairness = FairnessService(gateway.app.clock)
+        self.upstreams = gateway.upstreams
+        self._pools_by_name: dict[str, _Pool] = {}
         self._gateway = gateway
-        self._upstreams: UpstreamTable = gateway.upstreams
-        self._upstreams.on_room = self.pump
+        self.upstreams.on_room = self.pump
         gateway.watch.add_sweeper(self.sweep)
 
     async def admit(self, request: RequestView, excluded: set[str]) -> Slot:
@@ -130,129 +129,182 @@
         :param excluded: ids of upstreams that failed this request already.
         :raises GatewayError: if the request cannot be started in time.
         """
-        queue = self.queues_by_pool.setdefault(request.pool, PoolQueue())
-        if not queue.size:
-            slot = self._try_start(request, excluded)
-            if slot is not None:
-                queue.unserved_since = None
-                return slot
         now = self._gateway.now()
-        self._refuse_early(queue, request, excluded, now)
-        limit = now + self._gateway.limits.queue_seconds
+        pool = self._pool(request.pool)
+        self._check_upstreams(pool, request, excluded, now)
+        number = str(id(request))
+        refusal = pool.queue.offer(number, request, expected_service(request), now)
+        if refusal is not None:
+            raise refused(refusal)
         future = asyncio.get_running_loop().create_future()
-        waiter = Waiter(request, excluded, now, min(limit, request.deadline), future)
-        self.ledger.lift(request.workspace)
-        queue.add(waiter)
-        self.pump(request.pool)
+        pool.waiters_by_id[number] = _Waiter(request, excluded, future)
+        self._pump(pool)
         try:
             return await future
         except asyncio.CancelledError:
-            self._withdraw(queue, waiter)
+            self._withdraw(pool, number, future)
             raise
 
-    def pump(self, pool: str) -> None:
-        """Start as many waiting requests as there are places."""
-        queue = self.queues_by_pool.get(pool)
-        while queue is not None and queue.size:
-            started = self._start_next(queue)
-            if started is None:
-                return
-            queue.remove(started)
-            queue.note_start(self._gateway.now())
+    def pump(self, name: str) -> None:
+        """Start as many waiting requests of a pool as there are places."""
+        pool = self._pools_by_name.get(name)
+        if pool is not None and len(pool.queue):
+            self._pump(pool)
 
     def sweep(self, now: float) -> None:
         """End the waiting of requests that have become too old."""
-        for pool, queue in self.queues_by_pool.items():
-            if not queue.size:
+        for pool in self._pools_by_name.values():
+            if not len(pool.queue):
                 continue
-            unserved = self._is_unserved(queue, now)
-            for line in list(queue.waiters_by_workspace.values()):
-                for waiter in list(line):
-                    if waiter.expires_at > now and not unserved:
-                        continue
-                    queue.remove(waiter)
-                    if not waiter.future.done():
-                        waiter.future.set_exception(self._expired(queue))
-            self.pump(pool)
-
-    def _is_unserved(self, queue: PoolQueue, now: float) -> bool:
-        """Tell whether the pool has been without a usable upstream for too long."""
-        if queue.unserved_since is None:
-            return False
-        first = next(iter(queue.waiters_by_workspace.values()))[0]
-        if self._upstreams.can_serve(first.request, first.excluded):
-            queue.unserved_since = None
-            return False
-        return now - queue.unserved_since > NO_UPSTREAM_SECONDS
+            for waiting in pool.queue.expire(now):
+                self._end(pool, waiting.request_id, self._expired(pool))
+            self._end_unserved(pool, now)
+            self._pump(pool)
+
+    def first_token(self, slot: Slot, now: float) -> None:
+        """Take the first token of a request, from which the window learns."""
+        view, dispatch = slot.entry.view, slot.dispatch
+        if dispatch.started:
+            return
+        view.first_token(dispatch)
+        pool = self._pool(view.pool)
+        prompt_seconds = dispatch.prefill_tokens / view.prefill_tokens_per_second
+        wait = now - dispatch.begun_at - prompt_seconds
+        pool.window.note_first_token(wait, dispatch.prefill_tokens, now)
+        self.pump(view.pool)
+
+    def release(self, slot: Slot) -> None:
+        """End a dispatch and correct what its workspace was charged."""
+        request = slot.request
+        correction = slot.given - expected_service(request)
+        fair = self._pool(request.pool).queue.fair
+        fair.finish(request.workspace, correction, self._gateway.now())
+        self.upstreams.end(slot.entry.view, slot.dispatch)
+
+    def take_shares(self) -> None:
+        """Set the windows to this instance's part of the usable engines."""
+        instances = self._gateway.live_count()
+        for name, pool in self._pools_by_name.items():
+            usable = [
+                view
+                for view in self.upstreams.views(name)
+                if view.health == "healthy" and not view.leaving
+            ]
+            rate = sum(view.prefill_tokens_per_second for view in usable)
+            slots = sum(view.slots for view in usable)
+            pool.window.set_share(rate, slots, instances)
 
     def dump(self) -> dict[str, dict]:
         """Return the backlog of every pool."""
         now = self._gateway.now()
-        return {
-            pool: {
-                "depth": queue.size,
-                "oldest_age_seconds": round(queue.oldest_age(now), 3),
-                "growing_for_seconds": round(now - (queue.growing_since or now), 3),
-                "predicted_wait_seconds": round(queue.predicted_wait(), 3),
+        sections = {}
+        for name, pool in self._pools_by_name.items():
+            status = pool.queue.status(now)
+            since = status.growing_since
+            sections[name] = {
+                "depth": status.depth,
+                "oldest_age_seconds": round(status.oldest_seconds, 3),
+                "growing_for_seconds": 0.0 if since is None else round(now - since, 3),
+                "window": round(pool.window.scale, 2),
             }
-            for pool, queue in self.queues_by_pool.items()
-        }
-
-    def _try_start(self, request: RequestView, excluded: set[str]) -> Slot | None:
-        entry = self._upstreams.choose(request, excluded)
-        if entry is None:
-            return None
-        self.ledger.note_turn(request.workspace)
-        dispatch = self._upstreams.begin(entry.view, request)
-        return Slot(self._upstreams, entry, dispatch)
-
-    def _start_next(self, queue: PoolQueue) -> Waiter | None:
-        """Start the first request of the least served workspace that can start."""
-        order = sorted(queue.waiters_by_workspace, key=self.ledger.served)
-        for workspace in order:
-            waiter = queue.waiters_by_workspace[workspace][0]
+        return sections
+
+    def _pool(self, name: str) -> _Pool:
+        pool = self._pools_by_name.get(name)
+        if pool is None:
+            limits = self._gateway.limits
+            bounds = QueueBounds(limits.queued_requests, limits.queue_seconds)
+            kind = self.upstreams.kind(name)
+            fair = self.fairness.by_kind[kind]
+            pool = _Pool(bounds, fair, kind == "engines")
+            self._pools_by_name[name] = pool
+            self.take_shares()
+        return pool
+
+    def _pump(self, pool: _Pool) -> None:
+        choices: list[Choice] = []
+
+        def startable(request: RequestView) -> bool:
+            waiter = pool.waiters_by_id[str(id(request))]
+            choice = self._choose(pool, request, waiter.excluded)
+            if choice is not None:
+                choices.append(choice)
+            return choice is not None
+
+        while waiting := pool.queue.take(self._gateway.now(), startable):
+            waiter = pool.waiters_by_id.pop(waiting.request_id)
+            choice = choices.pop()
+            dispatch = self.upstreams.begin(choice.upstream, waiter.request)
+            slot = Slot(self, choice, dispatch, waiter.request)
+            pool.unserved_since = None
             if waiter.future.done():
-                return waiter
-            slot = self._try_start(waiter.request, waiter.excluded)
-            if slot is not None:
+                slot.release()
+            else:
                 waiter.future.set_result(slot)
-                return waiter
-        return None
 
-    def _withdraw(self, queue: PoolQueue, waiter: Waiter) -> None:
-        queue.remove(waiter)
-        future = waiter.future
+    def _choose(
+        self, pool: _Pool, request: RequestView, excluded: set[str]
+    ) -> Choice | None:
+        if pool.engines:
+            views = self.upstreams.views(request.pool)
+            prefill = sum([view.own_prefill_tokens for view in views])
+            requests = sum([view.own_requests for view in views])
+            if not pool.window.allows(prefill, requests):
+                return None
+        return self.upstreams.choose(request, excluded)
+
+    def _withdraw(self, pool: _Pool, number: str, future: asyncio.Future) -> None:
+        pool.waiters_by_id.pop(number, None)
+        pool.queue.remove(number)
         if future.done() and not future.cancelled() and future.exception() is None:
             future.result().release()
 
-    def _refuse_early(
-        self, queue: PoolQueue, request: RequestView, excluded: set[str], now: float
-    ) -> None:
-        self._refuse_without_upstream(queue, request, excluded, now)
-        limits = self._gateway.limits
-        wait = queue.predicted_wait()
-        if queue.size >= limits.queued_requests:
-            raise GatewayError("queue_full", "too many requests wait", retry_after=wait)
-        if wait > min(limits.queue_seconds, request.deadline - now):
-            message = "the request would start too late"
-            raise GatewayError("deadline_unreachable", message, retry_after=wait)
-
-    def _refuse_without_upstream(
-        self, queue: PoolQueue, request: RequestView, excluded: set[str], now: float
+    def _end(self, pool: _Pool, number: str, error: GatewayError) -> None:
+        waiter = pool.waiters_by_id.pop(number, None)
+        if waiter is not None and not waiter.future.done():
+            waiter.future.set_exception(error)
+
+    def _end_unserved(self, pool: _Pool, now: float) -> None:
+        """Refuse whoever waits for a pool that has long been without an upstream."""
+        for number, waiter in list(pool.waiters_by_id.items()):
+            if self.upstreams.can_serve(waiter.request, waiter.excluded):
+                pool.unserved_since = None
+                return
+            if pool.unserved_since is None:
+                pool.unserved_since = now
+            if now - pool.unserved_since > NO_UPSTREAM_SECONDS:
+                pool.queue.remove(number)
+                self._end(pool, number, self._expired(pool))
+
+    def _check_upstreams(
+        self, pool: _Pool, request: RequestView, excluded: set[str], now: float
     ) -> None:
-        if self._upstreams.can_serve(request, excluded):
-            queue.unserved_since = None
+        """Refuse at once what no upstream can serve soon."""
+        if self.upstreams.can_serve(request, excluded):
+            pool.unserved_since = None
             return
-        if queue.unserved_since is None:
-            queue.unserved_since = now
-        may_recover = self._upstreams.may_recover(request.pool)
-        waited = now - queue.unserved_since
+        if pool.unserved_since is None:
+            pool.unserved_since = now
+        waited = now - pool.unserved_since
+        may_recover = self.upstreams.may_recover(request.pool)
         if excluded or not may_recover or waited > NO_UPSTREAM_SECONDS:
             raise GatewayError("no_upstream", "no upstream can serve the request")
 
-    def _expired(self, queue: PoolQueue) -> GatewayError:
-        if queue.unserved_since is not None:
+    @staticmethod
+    def _expired(pool: _Pool) -> GatewayError:
+        if pool.unserved_since is not None:
             return GatewayError("no_upstream", "no upstream can serve the request")
-        message = "no upstream was free in time"
-        wait = queue.predicted_wait()
-        return GatewayError("deadline_unreachable", message, retry_after=wait)
+        return GatewayError("deadline_unreachable", "no upstream was free in time")
+
+
+def expected_service(request: RequestView) -> float:
+    """Return the service that a request is charged with when it starts."""
+    if not request.model:
+        return service_of(0, 0, calls=1)
+    return service_of(request.prompt_tokens, request.output_tokens)
+
+
+def refused(refusal: Refusal) -> GatewayError:
+    """Return the error of a refusal."""
+    message = _MESSAGE_BY_CODE[refusal.code]
+    return GatewayError(refusal.code, message, retry_after=refusal.retry_after)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/records.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/records.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from camphorgate.log import log_event
-from camphorgated.ext.gateway.fairness import CALL_SERVICE, DECODE_TOKEN_WEIGHT
+from camphorgate.requests import fairness
 
 FIRST_TOKEN_BOUND_SECONDS = 0.64
 TOKEN_BOUND_SECONDS = 0.067
@@ -72,8 +72,8 @@
 
 def service_of(record: RequestRecord) -> float:
     """Return the service that a request received, in weighted tokens."""
-    tokens = record.prompt_tokens + DECODE_TOKEN_WEIGHT * record.output_tokens
-    return tokens or CALL_SERVICE
+    calls = 0 if record.model else 1
+    return fairness.service_of(record.prompt_tokens, record.output_tokens, calls)
 
 
 class Recorder:
@@ -131,12 +131,22 @@
         self.tokens_by_kind["decode"] += record.output_tokens
         self.resumes += record.resumes
         self.good += record.is_good()
-        if record.workspace and record.attempts:
-            ledger = self._gateway.admission.ledger
-            ledger.add(record.workspace, service_of(record), record.weight)
+        self._note_demand(record)
         self._gateway.app.emit("request-finished", record)
         self._log(record)
 
+    def _note_demand(self, record: RequestRecord) -> None:
+        if not record.pool or record.outcome == "caller_left":
+            return
+        outcome = "served" if record.outcome == "ok" else "refused"
+        self._gateway.demand.note(
+            outcome,
+            record.pool,
+            record.prompt_tokens,
+            record.output_tokens,
+            record.ended_at,
+        )
+
     def dump(self) -> dict:
         """Return the counters."""
         return {
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
@@ -1,7 +1,6 @@
 """Plain services: any method and body, streamed in both directions."""
 
 from collections.abc import AsyncIterator
-from typing import Any
 
 import msgspec
 
@@ -20,10 +19,14 @@
 from camphorgated.ext.gateway.errors import GatewayError, UpstreamFault
 from camphorgated.ext.gateway.exchange import Answer, Exchange, RequestHead
 from camphorgated.ext.gateway.keys import is_key_header, strip_cookie, strip_query
+from camphorgated.ext.gateway.queueing import Slot
+from camphorgated.ext.gateway.records import service_of
 
 # Bodies up to this size are read whole, so that they can be sent again and a short
 # answer shows before its headers have left.
 WHOLE_BYTES = 65536
+# Expected time of a call; only ratios between the workers of a pool count.
+CALL_SECONDS = 0.02
 # Part of a service's deadline that is kept for the answer on its way to the caller.
 DEADLINE_MARGIN = 0.05
 MIN_MARGIN_SECONDS = 0.1
@@ -100,13 +103,8 @@
         await _run(call, _build_plan(call, index, service, path))
         return
     index, workspace = check_key(gateway, call)
-    gateway.workspace_limits.check(workspace)
-    running = gateway.recorder.in_flight_by_workspace
-    running[workspace.name] += 1
-    try:
+    with gateway.workspace_limits.hold(call, workspace):
         await _run(call, _build_plan(call, index, service, path))
-    finally:
-        running[workspace.name] -= 1
 
 
 def _build_plan(
@@ -209,12 +207,15 @@
     while True:
         slot = await attempts.admit()
         try:
-            exchange = await _open(call, plan, slot, body, attempts.fresh)
+            exchange = await _open(call, plan, slot, body, attempts)
             try:
                 await _pass_on(call, plan, exchange, claimed)
             finally:
                 exchange.close()
-            call.gateway.upstreams.succeeded(slot.entry)
+            attempts.succeed()
+            slot.given = service_of(call.record)
+            taken = call.gateway.now() - slot.dispatch.begun_at
+            call.gateway.upstreams.succeeded(slot.entry, taken / CALL_SECONDS)
             return
         except UpstreamFault as fault:
             slot.release()
@@ -222,13 +223,13 @@
                 call.gateway.upstreams.failed(slot.entry, fault)
                 message = "the answer broke off"
                 raise GatewayError("outcome_unknown", message) from None
-            attempts.note_fault(slot, fault, body.replayable)
+            attempts.note_fault(slot, fault, replayable=body.replayable)
         finally:
             slot.release()
 
 
 async def _open(
-    call: Call, plan: ServicePlan, slot: Any, body: BodySource, fresh: bool
+    call: Call, plan: ServicePlan, slot: Slot, body: BodySource, attempts: Attempts
 ) -> Exchange:
     gateway = call.gateway
     request_id = gateway.next_request_id()
@@ -241,7 +242,8 @@
             head,
             body.open(),
             plan.deadline,
-            fresh=fresh,
+            attempts,
+            fresh=attempts.fresh,
             echoes_id=plan.echoes_id,
         )
     except GatewayError as error:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from camphorgate.requests.fairness import service_of
 from camphorgated.ext.gateway.call import Call
 from camphorgated.ext.gateway.completions import Plan
 from camphorgated.ext.gateway.dispatch import (
@@ -22,6 +23,8 @@
 from camphorgated.ext.gateway.queueing import Slot
 
 MAX_PASSED_ON_BYTES = 1_048_576
+# Shorter expectations say more about this process than about an engine.
+MIN_EXPECTED_SECONDS = 0.02
 # How long a resumed stream may wait for a place at another engine.
 RESUME_ADMISSION_SECONDS = 5.0
 # The chunk that ends an answer usually comes with the last event.
@@ -69,13 +72,15 @@
         """
         while not self.tokens.done:
             slot = await self.attempts.admit()
+            before = self.tokens.tokens
             try:
                 await self._run_on(slot)
+                self.attempts.succeed()
             except UpstreamFault as fault:
-                slot.release()
-                self._note_fault(slot, fault)
+                self._release(slot, before)
+                self._note_fault(slot, fault, before)
             finally:
-                slot.release()
+                self._release(slot, before)
 
     async def _run_on(self, slot: Slot) -> None:
         """Stream from one engine, resuming there as long as that makes progress."""
@@ -92,7 +97,6 @@
                     raise
                 self.gateway.upstreams.failed(slot.entry, fault)
                 elsewhere = False
-                self.attempts.failures = 0
                 self.call.record.resumes += 1
 
     async def _stream_once(self, slot: Slot, elsewhere: bool) -> None:
@@ -107,7 +111,6 @@
         try:
             await self._check_answer(exchange)
             await self._pass_on(slot, exchange)
-            self.gateway.upstreams.succeeded(slot.entry)
             await self._finish(exchange)
         finally:
             exchange.close()
@@ -127,6 +130,7 @@
             head,
             body,
             self.deadline,
+            self.attempts,
             fresh=resumed or self.attempts.fresh,
             echoes_id=self.plan.pool.echoes_request_id,
         )
@@ -154,7 +158,9 @@
     async def _pass_on(self, slot: Slot, exchange: Exchange) -> None:
         """Pass events on until the last one; the hot path of the system."""
         call, tokens, now = self.call, self.tokens, self.gateway.now
+        note_token = slot.entry.view.note_token
         silence = self.gateway.limits.silence_seconds
+        last_at = 0.0
         if not call.answer_begun:
             await call.begin_answer(
                 200,
@@ -167,14 +173,28 @@
             data = await exchange.read_body(self.deadline)
             if not data:
                 raise UpstreamFault("the stream ended without its last event")
+            before = tokens.tokens
             events = tokens.feed(data)
             if not events:
                 continue
-            if not call.record.first_token_at:
-                call.record.first_token_at = now()
-                slot.first_token()
             await call.write(events)
-            self.deadline = now() + silence
+            arrived_at = now()
+            if last_at:
+                gap = (arrived_at - last_at) / max(1, tokens.tokens - before)
+                note_token(gap, arrived_at)
+            else:
+                self._note_first(slot, arrived_at)
+            last_at = arrived_at
+            self.deadline = arrived_at + silence
+
+    def _note_first(self, slot: Slot, now: float) -> None:
+        """Take the first event from an engine."""
+        record = self.call.record
+        record.first_token_at = record.first_token_at or now
+        expected = max(slot.choice.first_token_seconds, MIN_EXPECTED_SECONDS)
+        taken = now - slot.dispatch.begun_at
+        self.gateway.upstreams.succeeded(slot.entry, taken / expected)
+        slot.first_token(now)
 
     async def _finish(self, exchange: Exchange) -> None:
         call = self.call
@@ -188,17 +208,28 @@
             # The whole stream has been passed on; only the connection is lost.
             return
 
-    def _note_fault(self, slot: Slot, fault: UpstreamFault) -> None:
-        if not self.tokens.tokens:
-            self.attempts.note_fault(slot, fault)
-            return
-        if not self.tokens.resumable:
+    def _release(self, slot: Slot, before: int) -> None:
+        """Give the place back, with the service that was received there.
+
+        :param before: how many tokens the stream had when it came there.
+        """
+        produced = self.tokens.tokens - before
+        prompt = self.plan.request.prompt_tokens if produced else 0
+        slot.given = service_of(prompt, produced)
+        slot.release()
+
+    def _note_fault(self, slot: Slot, fault: UpstreamFault, before: int) -> None:
+        begun = self.tokens.tokens > 0
+        if begun and not self.tokens.resumable:
             raise GatewayError("stream_broken", "the stream cannot be resumed")
-        self.call.record.resumes += 1
-        limit = self.gateway.now() + RESUME_ADMISSION_SECONDS
-        request = msgspec.structs.replace(self.attempts.request, deadline=limit)
-        self.attempts.request = request
-        self.attempts.note_fault(slot, fault)
+        if begun:
+            self.call.record.resumes += 1
+            limit = self.gateway.now() + RESUME_ADMISSION_SECONDS
+            request = msgspec.structs.replace(self.attempts.request, deadline=limit)
+            self.attempts.request = request
+        if self.tokens.tokens > before:
+            self.attempts.progressed()
+        self.attempts.note_fault(slot, fault, begun=begun)
 
 
 async def stream(call: Call, plan: Plan) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -8,16 +8,13 @@
 
 from camphorgate.log import log_event
 from camphorgate.manifest import ManifestIndex, Pool, Upstream
-from camphorgate.requests.routing import POLICIES, Policy, may_serve, subset
+from camphorgate.requests.health import FAILURES_IN_ROW, HealthBoard
+from camphorgate.requests.routing import POLICIES, Choice, Policy, may_serve, subset
 from camphorgate.requests.views import Dispatch, LoadReport, RequestView, UpstreamView
 from camphorgated.ext.gateway.client import parse_address
 from camphorgated.ext.gateway.errors import UpstreamFault, UpstreamRefused
-from camphorgated.ext.gateway.exchange import RequestHead
-from camphorgated.ext.gateway.health import HealthRecord
-from camphorgated.ext.gateway.load import parse_load_body, parse_load_header
+from camphorgated.ext.gateway.load import parse_load_header
 
-POLL_SECONDS = 1.0
-POLL_TIMEOUT_SECONDS = 1.0
 # Above this many instances each one uses a subset of the upstreams.
 SUBSET_ABOVE_INSTANCES = 16
 SUBSET_PER_ZONE = 8
@@ -26,18 +23,13 @@
 class Entry:
     """One upstream with its address and its polling task."""
 
-    __slots__ = ("view", "address", "url", "health", "kind", "task", "leaving_causes")
+    __slots__ = ("view", "address", "url", "task", "leaving_causes")
 
-    def __init__(self, view: UpstreamView, address: str, kind: str) -> None:
-        """Start healthy and without a report.
-
-        :param kind: of the pool, ``engines`` or ``service``.
-        """
+    def __init__(self, view: UpstreamView, address: str) -> None:
+        """Start healthy and without a report."""
         self.view = view
         self.address = address
         self.url: ParseResult = parse_address(address)
-        self.health = HealthRecord(view)
-        self.kind = kind
         self.task: asyncio.Task | None = None
         self.leaving_causes: set[str] = set()
 
@@ -51,6 +43,9 @@
         "_gateway",
         "_views_by_pool",
         "_policies_by_pool",
+        "_kinds_by_pool",
+        "_boards_by_pool",
+        "_probe_models_by_pool",
         "_random",
     )
 
@@ -64,6 +59,9 @@
         self._gateway = gateway
         self._views_by_pool: dict[str, list[UpstreamView]] = {}
         self._policies_by_pool: dict[str, tuple[str, Policy]] = {}
+        self._kinds_by_pool: dict[str, str] = {}
+        self._boards_by_pool: dict[str, HealthBoard] = {}
+        self._probe_models_by_pool: dict[str, str] = {}
         self._random = random.Random(gateway.settings.seed or None)
 
     def views(self, pool: str) -> list[UpstreamView]:
@@ -88,32 +86,31 @@
         if entry is not None:
             self._set_leaving(entry, cause, True)
 
+    def kind(self, pool: str) -> str:
+        """Return the kind of a pool, ``engines`` or ``service``."""
+        return self._kinds_by_pool.get(pool, "service")
+
     def choose(
         self, request: RequestView, excluded: Iterable[str] = ()
-    ) -> Entry | None:
+    ) -> Choice | None:
         """Return the upstream for a request, ``None`` if none has room.
 
         :param excluded: ids of upstreams that failed this request already.
         """
-        views = self.views(request.pool)
-        probe = self._probe_candidate(views, request, excluded)
-        if probe is not None:
-            return self.entries_by_id[probe.id]
-        now = self._gateway.now()
-        candidates = [
-            view for view in views if view.id not in excluded and _has_room(view, now)
-        ]
+        candidates = self.views(request.pool)
+        if excluded:
+            candidates = [view for view in candidates if view.id not in excluded]
+        if not request.model:
+            candidates = [view for view in candidates if _has_room(view)]
         policy = self._policies_by_pool.get(request.pool)
         if policy is None or not candidates:
             return None
-        choice = policy[1].choose(candidates, request, now)
-        return self.entries_by_id[choice.upstream.id] if choice else None
+        return policy[1].choose(candidates, request, self._gateway.now())
 
     def can_serve(self, request: RequestView, excluded: Iterable[str] = ()) -> bool:
         """Tell whether any upstream may serve a request, now or once it has room."""
         return any(
-            view.id not in excluded
-            and (may_serve(view, request) or self._is_probe(view, request))
+            view.id not in excluded and may_serve(view, request)
             for view in self.views(request.pool)
         )
 
@@ -128,6 +125,8 @@
         if report is None:
             return
         entry.view.take_report(report)
+        if not self._board(entry).trusts_report(entry.view, self._gateway.now()):
+            entry.view.report = None
         if report.slots:
             entry.view.slots = report.slots
         self._set_leaving(entry, "notice", report.leaving_seconds is not None)
@@ -137,25 +136,41 @@
         if load is not None:
             self.take_load(entry, parse_load_header(load, self._gateway.now()))
 
-    def succeeded(self, entry: Entry) -> None:
-        """Note a whole answer."""
-        if entry.view.health != "healthy":
-            log_event("upstream_healthy", upstream=entry.view.id)
-        entry.health.succeeded()
+    def succeeded(self, entry: Entry, ratio: float = 1.0) -> None:
+        """Note a whole answer.
 
-    def failed(self, entry: Entry, fault: UpstreamFault, poll: bool = False) -> None:
+        :param ratio: its measured over its expected time.
+        """
+        board = self._board(entry)
+        board.note_success(entry.view.id, ratio, self._gateway.now())
+        self._apply(entry, "slow answers")
+
+    def failed(self, entry: Entry, fault: UpstreamFault) -> None:
         """Note a failed request or poll."""
-        before = entry.view.health
+        board = self._board(entry)
+        # A refused connection needs no further proof.
         refused = isinstance(fault, UpstreamRefused) and not fault.sent
-        entry.health.failed(self._gateway.now(), refused, poll)
-        if entry.view.health != before:
-            log_event(
-                "upstream_suspected",
-                level="WARNING",
-                upstream=entry.view.id,
-                cause=fault.code,
-                message=fault.message,
-            )
+        for _ in range(FAILURES_IN_ROW if refused else 1):
+            board.note_failure(entry.view.id, self._gateway.now())
+        self._apply(entry, fault.code)
+
+    def due_probe(self, entry: Entry) -> bool:
+        """Tell whether a suspected upstream is to be probed now."""
+        due = self._board(entry).due_probe(entry.view.id, self._gateway.now())
+        self._apply(entry, "probe")
+        return due
+
+    def note_probe(self, entry: Entry, answered: bool) -> None:
+        """Take the result of a probe."""
+        board = self._board(entry)
+        board.note_probe(entry.view.id, answered, self._gateway.now())
+        self._apply(entry, "probe")
+        if answered:
+            self.on_room(entry.view.pool)
+
+    def probe_model(self, entry: Entry) -> str:
+        """Return a model that an engine can be probed with, empty for services."""
+        return self._probe_models_by_pool.get(entry.view.pool, "")
 
     def rebuild(self, index: ManifestIndex, platform_list: Iterable[Any] = ()) -> None:
         """Take the upstreams of a manifest and of the platform's list.
@@ -163,8 +178,12 @@
         :param platform_list: entries with id, address, pool, zone, kind and state.
         """
         seen = set()
+        self._probe_models_by_pool = {
+            model.pool: model.name for model in index.manifest.models
+        }
         for pool in index.manifest.pools:
             self._set_policy(pool)
+            self._kinds_by_pool[pool.name] = pool.kind
             for upstream in pool.upstreams:
                 seen.add(upstream.id)
                 self._put(pool, upstream)
@@ -206,11 +225,9 @@
         if entry is None:
             view = UpstreamView(id=upstream.id, pool=pool.name)
             view.slots = upstream.slots
-            entry = Entry(view, upstream.address, pool.kind)
+            entry = Entry(view, upstream.address)
             self.entries_by_id[upstream.id] = entry
-            entry.task = self._gateway.app.spawn(
-                self._poll(entry), f"poll load of {upstream.id}"
-            )
+            entry.task = self._gateway.start_polling(entry)
         view = entry.view
         cheap = upstream.kind == "cheap"
         view.zone = upstream.availability_zone
@@ -276,67 +293,33 @@
     def _forget(self, upstream_id: str) -> None:
         entry = self.entries_by_id.pop(upstream_id)
         entry.view.leaving = True
+        self._board(entry).forget(upstream_id)
         if entry.task is not None:
             entry.task.cancel()
 
-    def _probe_candidate(
-        self, views: list[UpstreamView], request: RequestView, excluded: Iterable[str]
-    ) -> UpstreamView | None:
-        for view in views:
-            if view.health != "probing" or view.own_requests or view.id in excluded:
-                continue
-            if self._is_probe(view, request) and (
-                request.idempotent
-                or not any(may_serve(other, request) for other in views)
-            ):
-                return view
-        return None
-
-    @staticmethod
-    def _is_probe(view: UpstreamView, request: RequestView) -> bool:
-        if view.health != "probing" or view.leaving:
-            return False
-        return request.idempotent or view.kind != "cheap"
-
-    async def _poll(self, entry: Entry) -> None:
-        """Read the load of one upstream again and again, with jitter."""
-        await asyncio.sleep(self._random.uniform(0, POLL_SECONDS / 2))
-        while True:
-            try:
-                await self._poll_once(entry)
-            except UpstreamFault as fault:
-                self.failed(entry, fault, poll=True)
-            await asyncio.sleep(POLL_SECONDS * self._random.uniform(0.7, 1.1))
-
-    async def _poll_once(self, entry: Entry) -> None:
-        gateway = self._gateway
-        head = RequestHead("GET", b"/control/load", [], gateway.next_request_id())
-        exchange = gateway.open_exchange(head, fresh=False)
-        try:
-            await exchange.send(entry.url)
-            deadline = gateway.now() + POLL_TIMEOUT_SECONDS
-            answer = await exchange.read_head(deadline)
-            body = b""
-            while piece := await exchange.read_body(deadline):
-                body += piece
-        finally:
-            exchange.close()
-        if answer.status == 200:
-            entry.health.polled(gateway.now())
-            self.take_load(entry, parse_load_body(body, gateway.now()))
-            self.on_room(entry.view.pool)
+    def _board(self, entry: Entry) -> HealthBoard:
+        board = self._boards_by_pool.get(entry.view.pool)
+        if board is None:
+            board = HealthBoard(self._random)
+            self._boards_by_pool[entry.view.pool] = board
+        return board
 
+    def _apply(self, entry: Entry, cause: str) -> None:
+        before = entry.view.health
+        self._board(entry).apply(entry.view)
+        if entry.view.health != before:
+            log_event(
+                "upstream_health",
+                level="INFO" if entry.view.health == "healthy" else "WARNING",
+                upstream=entry.view.id,
+                health=entry.view.health,
+                cause=cause,
+            )
 
-def _has_room(view: UpstreamView, now: float) -> bool:
-    """Tell whether an upstream probably has a free slot.
 
-    Requests of others count as far as the last report is recent.
-    """
-    others = 0.0
-    if view.report is not None:
-        count = view.report.running + view.report.waiting - view.own_requests_at_report
-        others = max(0, count) * 0.5 ** (view.report_age(now) / 2.0)
-    return view.own_requests + others < view.slots
+def _has_room(view: UpstreamView) -> bool:
+    """Tell whether a worker of a service has a free slot for this process."""
+    return view.own_requests < view.slots
 
 
 def _field(listed: Any, name: str) -> Any:
--- a/tests/test_gateway/harness.py
+++ b/tests/test_gateway/harness.py
@@ -12,6 +12,7 @@
 
 from camphorgate.application import Application
 from camphorgate.manifest import ManifestIndex, Pool, Service
+from camphorgate.requests.retries import RetryBudget
 from camphorgate.settings import (
     KvSettings,
     LimitSettings,
@@ -259,6 +260,15 @@
         for standin in standins:
             standin.faults.arm({"fault": fault, **fields})
 
+    def heal(self):
+        """Forget every failure that the gateway has seen."""
+        table = self.app.service("upstreams")
+        for entry in table.entries_by_id.values():
+            table._board(entry).forget(entry.view.id)
+            entry.view.health = "healthy"
+        gateway = self.app.service("gateway").gateway
+        gateway.retries = RetryBudget(gateway.now())
+
     def bookings(self):
         """Return every booking that ran on any worker."""
         return [booking for desk in self.desks for booking in desk.bookings]
