--- a/tests/test_gateway/harness.py
+++ b/tests/test_gateway/harness.py
@@ -12,7 +12,14 @@
 
 from camphorgate.application import Application
 from camphorgate.manifest import ManifestIndex, Pool, Service
-from camphorgate.settings import KvSettings, LimitSettings, PlatformSettings, Settings
+from camphorgate.requests.retries import RetryBudget
+from camphorgate.settings import (
+    KvSettings,
+    LimitSettings,
+    PlatformSettings,
+    Settings,
+    TimingSettings,
+)
 from camphorgate_standins.engine import EngineStandin
 from camphorgate_standins.service import ServiceStandin
 from camphorgate_standins.serving import make_server
@@ -160,7 +167,9 @@
         self.address = self.app.service("gateway").address
 
     async def asyncTearDown(self):
-        await self.app.stop()
+        # A task that outlives its cancellation shows as a timeout here.
+        async with asyncio.timeout(10):
+            await self.app.stop()
         for server in self.servers:
             server.should_exit = True
             server.force_exit = True
@@ -228,6 +237,7 @@
                 platform, platform, platform, list_lag_seconds=self.LIST_LAG_SECONDS
             ),
             limits=LimitSettings(**self.LIMITS),
+            timing=TimingSettings(stop_grace_seconds=5.0),
             seed=1,
         )
 
@@ -250,6 +260,15 @@
         for standin in standins:
             standin.faults.arm({"fault": fault, **fields})
 
+    def heal(self):
+        """Forget every failure that the gateway has seen."""
+        table = self.app.service("upstreams")
+        for entry in table.entries_by_id.values():
+            table._board(entry).forget(entry.view.id)
+            entry.view.health = "healthy"
+        gateway = self.app.service("gateway").gateway
+        gateway.retries = RetryBudget(gateway.now())
+
     def bookings(self):
         """Return every booking that ran on any worker."""
         return [booking for desk in self.desks for booking in desk.bookings]
