--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/configuration/service.py
@@ -0,0 +1,226 @@
+"""The service ``configuration``: versions, freshness and what peers are told."""
+
+import asyncio
+import random
+from typing import Any
+
+from camphorgate.application import Application
+from camphorgate.configuration.freshness import Freshness
+from camphorgate.configuration.parts import PartStore
+from camphorgate.configuration.versions import Ledger, Root, encode_root
+from camphorgate.log import log_event
+from camphorgate.manifest import Manifest, ManifestIndex
+from camphorgate.membership.roster import hash_name
+from camphorgated.ext.configuration.fetching import Fetcher
+from camphorgated.ext.configuration.reading import RootReader
+from camphorgated.ext.configuration.submitting import Submission, Submitter
+
+
+class ConfigurationService:
+    """The configuration in force; see section 9 of the design."""
+
+    def __init__(self, app: Application) -> None:
+        """Prepare the service; nothing runs before ``start``."""
+        self.ledger = Ledger()
+        self.store = PartStore()
+        self.freshness = Freshness(app.settings.timing.freshness_seconds)
+        self.app = app
+        self.clock = app.clock
+        self.random = random.Random(f"{app.settings.seed}/{app.settings.instance_id}/c")
+        self.membership: Any = None
+        self.kv: Any = None
+        # Set whenever a member's version rose or a new version came into force.
+        self.progress = asyncio.Event()
+        self._fetcher = Fetcher(self)
+        self._reader = RootReader(self)
+        self._submitter = Submitter(self)
+        self._confirmed = False
+        self._kept_digests: list[set[bytes]] = []
+
+    # Interface of section 9.
+
+    @property
+    def index(self) -> ManifestIndex | None:
+        """Return the manifest in force, with its look-ups."""
+        return self.ledger.index
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self.ledger.version
+
+    @property
+    def highest_known(self) -> int:
+        """Return the highest version that this instance ever heard of."""
+        return self.ledger.highest_known
+
+    def fresh(self) -> bool:
+        """Tell whether the configuration in force may decide about keys now."""
+        return self.ledger.index is not None and self._fresh_rule() is not None
+
+    async def submit(
+        self, text: str, base_version: int, wait_seconds: float = 8.0
+    ) -> Submission:
+        """Submit a manifest.
+
+        :param text: JSON with comments.
+        :param base_version: the version that the operator started from.
+        :param wait_seconds: bound on waiting until it is in force everywhere.
+        :returns: what is known about the new version when it is in force everywhere or
+            the time is over.
+        :raises ManifestError: with every error of the manifest; nothing was written.
+        :raises ConflictError: if another version is newest; nothing was written.
+        :raises SubmissionError: if KV is not available; nothing is in force.
+        :raises OutcomeUnknownError: if KV failed before the outcome was known.
+        """
+        return await self._submitter.submit(text, base_version, wait_seconds)
+
+    def in_force_by_instance(self) -> dict[str, int | None]:
+        """Return the version in force at each listed instance, ``None`` if not known.
+
+        Far zones of a large system are known by a count only. Their instances have a
+        version here if all of them run it.
+        """
+        book = self.membership.book
+        versions: dict[str, int | None] = {}
+        for zone, members in book.roster.listed_by_zone().items():
+            if book.detailed(zone):
+                versions |= {m.instance_id: m.version or None for m in members}
+                continue
+            summary = book.summaries_by_hash.get(hash_name(zone))
+            whole = summary is not None and summary.current >= len(members)
+            common = summary.version if whole else None
+            versions |= {member.instance_id: common for member in members}
+        return versions
+
+    # What the beats need.
+
+    def newest_read(self) -> tuple[int, float]:
+        """Return the newest KV read known: its version and when it began."""
+        return self.freshness.newest_read()
+
+    def read_relayed(self, version: int, begun_at: float) -> bool:
+        """Take in a KV read that a peer relayed; tells whether it is news."""
+        return self.confirm(version, begun_at)
+
+    def version_heard(self, highest: int, instance_id: str, in_force: int) -> None:
+        """Take note of the versions that a peer knows and runs."""
+        if in_force > self.version:
+            self._fetcher.add_source(instance_id)
+        if self.ledger.learn(highest) or in_force > self.version:
+            self._fetcher.wake()
+
+    def evidence_changed(self) -> None:
+        """Take note that a member's version rose."""
+        self.progress.set()
+
+    def part(self, digest: bytes) -> bytes | None:
+        """Return a part of the configuration, if it is held."""
+        return self.store.get(digest)
+
+    def root(self, above_version: int) -> tuple[int, bytes]:
+        """Return the version in force and its root, empty if not above a version."""
+        root = self.ledger.root
+        if root is None or root.version <= above_version:
+            return self.version, b""
+        return root.version, encode_root(root)
+
+    # What the parts of this extension share.
+
+    def confirm(self, version: int, begun_at: float) -> bool:
+        """Take in a KV read of the root, own or relayed."""
+        if self.ledger.learn(version):
+            self._fetcher.wake()
+        return self.freshness.confirm(version, begun_at, self.ledger.highest_known)
+
+    def root_found(self, root: Root) -> None:
+        """Take in a root that was read from KV."""
+        self._fetcher.add_root(root)
+        self.ledger.learn(root.version)
+        if root.version > self.version:
+            self._fetcher.wake()
+
+    def apply(self, root: Root, manifest: Manifest) -> None:
+        """Put a version in force unless the one in force is as new."""
+        if not self.ledger.apply(root, manifest):
+            return
+        self._keep_parts(root)
+        log_event("configuration_in_force", version=root.version, base=root.base)
+        self.membership.own_changed(self.version, self._confirmed)
+        self.app.emit("manifest-changed", self.ledger.index)
+        self.progress.set()
+
+    def forget_evidence(self) -> None:
+        """Drop the evidence of freshness, after a pause of the process."""
+        self.freshness.forget()
+        self._reader.read_now()
+
+    async def start(self) -> None:
+        """Start the tasks."""
+        self.membership = self.app.service("membership")
+        self.kv = self.app.service("kv")
+        self.membership.attach_versions(self)
+        spawn = self.app.spawn
+        spawn(self._reader.watch(), "configuration watch")
+        spawn(self._reader.confirm(), "configuration confirmation")
+        spawn(self._fetcher.run(), "configuration fetch")
+        spawn(self._observe(), "configuration freshness")
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        version, read_at = self.freshness.newest_read()
+        now = self.clock.monotonic()
+        return {
+            "version": self.version,
+            "highest_known": self.highest_known,
+            "fresh": self.fresh(),
+            "rule": self._fresh_rule(),
+            "confirmed": self._confirmed,
+            "kv_read_version": version,
+            "kv_read_age": round(now - read_at, 3) if version else None,
+            "parts": len(self.store),
+            "fetches": dict(self._fetcher.counts),
+            "in_force_by_instance": self.in_force_by_instance(),
+        }
+
+    def _fresh_rule(self) -> str | None:
+        """Return the rule under which this instance is fresh."""
+        self.membership.check_pause()
+        now = self.clock.monotonic()
+        if self.freshness.by_kv(self.version, now):
+            rule = "kv"
+        elif self._majority(now):
+            rule = "majority"
+        else:
+            return None
+        if not self._confirmed:
+            self._confirmed = True
+            self.membership.own_changed(self.version, True)
+        return rule
+
+    def _majority(self, now: float) -> bool:
+        if not self.membership.roster_known:
+            return False
+        book = self.membership.book
+        confirmed = book.count_confirmed(now, self.freshness.bound_seconds)
+        listed = len(book.roster.listed())
+        return self.freshness.by_majority(
+            self.version, self.highest_known, confirmed, listed
+        )
+
+    async def _observe(self) -> None:
+        """Become confirmed without waiting for a request."""
+        was_fresh = None
+        while True:
+            is_fresh = self._fresh_rule() is not None
+            if is_fresh != was_fresh:
+                level = "INFO" if is_fresh else "WARNING"
+                log_event("freshness", level=level, fresh=is_fresh)
+            was_fresh = is_fresh
+            await asyncio.sleep(self.app.settings.timing.beat_seconds)
+
+    def _keep_parts(self, root: Root) -> None:
+        """Keep the parts of this version and the one before, which peers may want."""
+        self._kept_digests.append(set(root.digests_by_name().values()))
+        del self._kept_digests[:-2]
+        self.store.keep_only(set().union(*self._kept_digests))
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/configuration/submitting.py
@@ -0,0 +1,209 @@
+"""Submissions: checked whole, written by compare-and-swap, followed until in force."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NoReturn
+
+import msgspec
+
+from camphorgate.configuration.errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    PartError,
+    SubmissionError,
+)
+from camphorgate.configuration.parts import digest_of, encode_digest, split_manifest
+from camphorgate.configuration.versions import (
+    PART_PREFIX,
+    ROOT_KEY,
+    Root,
+    check_base,
+    decode_root,
+    encode_root,
+    next_root,
+)
+from camphorgate.errors import ManifestError
+from camphorgate.kv.errors import (
+    KvConflict,
+    KvError,
+    KvOutcomeUnknown,
+    KvRefused,
+    KvUnavailable,
+)
+from camphorgate.kv.records import Put, new_token, unchanged
+from camphorgate.log import log_event
+from camphorgate.manifest_check import Problem, parse_manifest
+
+if TYPE_CHECKING:
+    from camphorgated.ext.configuration.service import ConfigurationService
+
+# Bounds of one transaction that writes parts: KV takes up to 128 operations in one and
+# the body stays below its 1 MB.
+PARTS_PER_WRITE = 64
+BYTES_PER_WRITE = 900_000
+
+# How long to wait for the manifests that a conflict is compared with.
+CATCH_UP_SECONDS = 1.0
+_CHECK_SECONDS = 0.25
+
+
+class Submission(msgspec.Struct, frozen=True):
+    """What is known about a version that was written to KV.
+
+    ``accepted`` means that a majority of the listed instances runs it. ``missing``
+    names the instances that are not known to run it.
+    """
+
+    version: int
+    accepted: bool
+    in_force_everywhere: bool
+    missing: tuple[str, ...] = ()
+
+
+class Submitter:
+    """Writes new versions."""
+
+    __slots__ = ("_service",)
+
+    def __init__(self, service: "ConfigurationService") -> None:
+        """Work for a configuration service."""
+        self._service = service
+
+    async def submit(
+        self, text: str, base_version: int, wait_seconds: float
+    ) -> Submission:
+        """Submit a manifest; see ``ConfigurationService.submit``."""
+        manifest = parse_manifest(text)
+        try:
+            parts_by_name = split_manifest(manifest)
+        except PartError as error:
+            raise ManifestError([Problem("$", error.message)]) from None
+        deadline = self._service.clock.monotonic() + wait_seconds
+        current, revision = await self._read_root()
+        await self._check_base(current, base_version)
+        await self._write_parts(current, parts_by_name.values())
+        token = new_token()
+        root = next_root(current, parts_by_name, token)
+        version = await self._write_root(root, revision, token, base_version)
+        log_event("configuration_written", version=version, base=base_version)
+        for content in parts_by_name.values():
+            self._service.store.add(digest_of(content), content)
+        self._service.root_found(root)
+        return await self._follow(version, deadline)
+
+    async def _read_root(self) -> tuple[Root | None, int]:
+        try:
+            entry = await self._service.kv.get(ROOT_KEY)
+            root = decode_root(entry.value) if entry else None
+        except (KvError, PartError) as error:
+            raise SubmissionError(f"cannot read the root: {error.message}") from None
+        if root is not None:
+            self._service.root_found(root)
+        return root, entry.mod_revision if entry else 0
+
+    async def _check_base(self, current: Root | None, base_version: int) -> None:
+        version = current.version if current else 0
+        if version != base_version:
+            await self._catch_up(version)
+        check_base(current, base_version, self._service.ledger)
+
+    async def _catch_up(self, version: int) -> None:
+        """Wait a moment until a version is in force here, to compare with it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CATCH_UP_SECONDS):
+                while self._service.version < version:
+                    await self._wait_for_progress()
+
+    async def _write_parts(
+        self, current: Root | None, contents: Iterable[bytes]
+    ) -> None:
+        """Write the parts that the newest root does not name."""
+        held = set(current.digests.values()) if current else set()
+        batch: list[Put] = []
+        size = 0
+        for content in contents:
+            digest = encode_digest(digest_of(content))
+            if digest in held:
+                continue
+            full = size + len(content) > BYTES_PER_WRITE
+            if batch and (full or len(batch) == PARTS_PER_WRITE):
+                await self._write_batch(batch)
+                batch, size = [], 0
+            batch.append(Put(PART_PREFIX + digest, content))
+            size += len(content)
+        if batch:
+            await self._write_batch(batch)
+
+    async def _write_batch(self, batch: list[Put]) -> None:
+        # A part is the same whoever writes it, so a lost answer is simply repeated.
+        for last in (False, True):
+            try:
+                await self._service.kv.transact([], batch)
+                return
+            except KvOutcomeUnknown as error:
+                if last:
+                    raise self._not_written(error) from None
+            except (KvUnavailable, KvRefused) as error:
+                raise self._not_written(error) from None
+
+    def _not_written(self, error: KvError) -> SubmissionError:
+        return SubmissionError(f"cannot write the configuration: {error.message}")
+
+    async def _write_root(
+        self, root: Root, revision: int, token: str, base_version: int
+    ) -> int:
+        """Write the root if it is still unchanged, and return its version."""
+        try:
+            await self._service.kv.write_once(
+                [unchanged(ROOT_KEY, revision)], [Put(ROOT_KEY, encode_root(root))]
+            )
+        except (KvUnavailable, KvRefused) as error:
+            raise self._not_written(error) from None
+        except KvConflict:
+            return await self._resolve_conflict(token, base_version)
+        except KvOutcomeUnknown:
+            await self._raise_unknown(root.version)
+        return root.version
+
+    async def _resolve_conflict(self, token: str, base_version: int) -> int:
+        """Find out whether the own root was written and then followed by another."""
+        try:
+            current, _ = await self._read_root()
+        except SubmissionError as error:
+            raise OutcomeUnknownError(error.message) from None
+        version = current.wrote(token) if current else None
+        if version is not None:
+            return version
+        await self._check_base(current, base_version)
+        # The root is at the base version after all: KV lost a write, which it must not.
+        raise ConflictError(base_version, base_version, [])
+
+    async def _raise_unknown(self, version: int) -> NoReturn:
+        raise OutcomeUnknownError(
+            f"KV failed while version {version} was written; read the status before "
+            "submitting again"
+        )
+
+    async def _follow(self, version: int, deadline: float) -> Submission:
+        """Wait until a version is in force everywhere, or the time is over."""
+        while True:
+            found = self._state(version)
+            left = deadline - self._service.clock.monotonic()
+            if found.in_force_everywhere or left <= 0:
+                return found
+            await self._wait_for_progress(min(left, _CHECK_SECONDS))
+
+    def _state(self, version: int) -> Submission:
+        book = self._service.membership.book
+        listed = len(book.roster.listed())
+        current = book.count_current(version)
+        missing = tuple(book.missing(version))
+        return Submission(version, current * 2 > listed, not missing, missing)
+
+    async def _wait_for_progress(self, seconds: float = _CHECK_SECONDS) -> None:
+        progress = self._service.progress
+        progress.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await progress.wait()
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/beats.py
@@ -0,0 +1,276 @@
+"""What beats carry and what is done with them; the handler of all peer calls."""
+
+import math
+from typing import TYPE_CHECKING, Any, Protocol
+
+import msgspec
+
+from camphorgate.membership.evidence import LinkMemory
+from camphorgate.peers.exchange import Link
+from camphorgate.peers.peers_pb2 import (
+    Beat,
+    EpochAcknowledgement,
+    EpochNotice,
+    Hello,
+    Packet,
+    ServiceDelta,
+    SnapshotAnswer,
+    UsageAck,
+    UsageBatch,
+)
+from camphorgated.ext.membership.records import (
+    member_of_hello,
+    member_of_record,
+    record_of_member,
+)
+
+if TYPE_CHECKING:
+    from camphorgated.ext.membership.service import MembershipService
+
+# Bounds of one beat. What does not fit waits for the next one.
+RECORDS_PER_BEAT = 64
+DELTAS_PER_BEAT = 64
+
+# Records are sent again after this long while digests differ.
+RESEND_SECONDS = 10.0
+
+# A confirmation younger than this lets evidence rest, see `evidence.RESTING_SECONDS`.
+RESTING_AGE_SECONDS = 1.8
+
+# A relayed confirmation that is newer by this much is passed on at once, so that it
+# crosses a large system faster than one beat period a hop.
+RELAY_SECONDS = 0.7
+
+
+class VersionSource(Protocol):
+    """What the configuration tells the beats."""
+
+    highest_known: int
+    version: int
+
+    def newest_read(self) -> tuple[int, float]:
+        """Return the newest KV read known: its version and when it began."""
+
+    def read_relayed(self, version: int, begun_at: float) -> bool:
+        """Take in a KV read that a peer relayed; tells whether it is news."""
+
+    def version_heard(self, highest: int, instance_id: str, in_force: int) -> None:
+        """Take note of the versions that a peer knows and runs."""
+
+    def evidence_changed(self) -> None:
+        """Take note that a member's version rose."""
+
+    def part(self, digest: bytes) -> bytes | None:
+        """Return a part of the configuration, if it is held."""
+
+    def root(self, above_version: int) -> tuple[int, bytes]:
+        """Return the version in force and its root, empty if not above a version."""
+
+
+class _NoVersions:
+    """Stands in for the configuration while that extension is not loaded."""
+
+    highest_known = 0
+    version = 0
+
+    def newest_read(self) -> tuple[int, float]:
+        return 0, -math.inf
+
+    def read_relayed(self, version: int, begun_at: float) -> bool:
+        return False
+
+    def version_heard(self, highest: int, instance_id: str, in_force: int) -> None:
+        pass
+
+    def evidence_changed(self) -> None:
+        pass
+
+    def part(self, digest: bytes) -> bytes | None:
+        return None
+
+    def root(self, above_version: int) -> tuple[int, bytes]:
+        return 0, b""
+
+
+class _PeerMemory(msgspec.Struct):
+    """What is remembered about the peer of one link."""
+
+    evidence: LinkMemory = msgspec.field(default_factory=LinkMemory)
+    deltas_by_workspace: dict[str, float] = {}
+
+
+class BeatExchange:
+    """Makes and takes beats, and answers the calls of peers."""
+
+    def __init__(self, service: "MembershipService") -> None:
+        """Work for a membership service."""
+        self.versions: VersionSource = _NoVersions()
+        self.on_usage_batch: Any = None
+        self.on_usage_ack: Any = None
+        self.beats_received = 0
+        self._service = service
+        self._clock = service._clock
+        self._fairness: Any = None
+
+    def hello(self) -> Hello:
+        """Return the own hello."""
+        own = self._service.roster.own
+        return Hello(
+            instance=own.instance_id,
+            incarnation=own.incarnation,
+            availability_zone=own.availability_zone,
+            region=own.region,
+            peer_address=own.peer_address,
+        )
+
+    def link_opened(self, link: Link) -> None:
+        """Take in a link and what its hello says."""
+        link.memory = _PeerMemory()
+        self._service.record_received(member_of_hello(link.hello))
+        self._service.links.adopt(link)
+
+    def link_closed(self, link: Link) -> None:
+        """Forget a link."""
+        self._service.links.release(link)
+
+    def make_beat(self, link: Link) -> Beat:
+        """Return the next beat for a peer."""
+        roster, book = self._service.roster, self._service.book
+        memory: LinkMemory = link.memory.evidence
+        versions = self.versions
+        read_version, read_at = versions.newest_read()
+        # Taken last: a pause before this line makes every age in the beat larger.
+        now = self._clock.monotonic()
+        beat = Beat(
+            roster_digest=roster.digest(),
+            roster_known=self._service.roster_known,
+            highest_version=versions.highest_known,
+            version=versions.version,
+            confirmed=roster.own.confirmed,
+        )
+        if now - read_at < 60.0:
+            beat.kv_version = read_version
+            beat.kv_age_ms = math.ceil((now - read_at) * 1000) + 1
+        due = book.due(memory, now, now - read_at < RESTING_AGE_SECONDS)
+        highest = versions.highest_known
+        peer = roster.member(link.instance_id)
+        beat.members = book.pack_members(peer, memory, now, highest, due)
+        beat.zones = book.pack_zones(memory, now, highest, due)
+        if due:
+            memory.sent_at = now
+        self._add_records(beat, memory)
+        self._add_deltas(beat, link.memory.deltas_by_workspace)
+        return beat
+
+    def beat_received(self, link: Link, beat: Beat, made_at: float | None) -> None:
+        """Take in a beat."""
+        self.beats_received += 1
+        service = self._service
+        for record in beat.records:
+            service.record_received(member_of_record(record))
+        if beat.deltas and self._fairness is not None:
+            deltas = {item.workspace: item.service for item in beat.deltas}
+            self._fairness.merge(link.instance_id, deltas)
+        self._compare_digest(link.memory.evidence, beat)
+        self.versions.version_heard(
+            beat.highest_version, link.instance_id, beat.version
+        )
+        if made_at is not None:
+            self._take_evidence(link, beat, made_at)
+
+    def collect_deltas(self) -> None:
+        """Take the service given since the last beat, for every linked peer."""
+        app = self._service._app
+        if self._fairness is None:
+            if not app.has_service("fairness"):
+                return
+            self._fairness = app.service("fairness")
+        deltas = self._fairness.take_deltas()
+        for link in self._service.links.links_by_id.values():
+            pending = link.memory.deltas_by_workspace
+            for workspace, service in deltas.items():
+                pending[workspace] = pending.get(workspace, 0.0) + service
+
+    def usage_batch_received(self, link: Link, batch: UsageBatch) -> None:
+        """Hand a usage batch to its handler."""
+        if self.on_usage_batch is not None:
+            self.on_usage_batch(link.instance_id, batch)
+
+    def usage_ack_received(self, link: Link, ack: UsageAck) -> None:
+        """Hand the acknowledgement of usage to its handler."""
+        if self.on_usage_ack is not None:
+            self.on_usage_ack(link.instance_id, ack)
+
+    def send_usage(self, instance_id: str, packet: UsageBatch | UsageAck) -> bool:
+        """Queue a usage packet; false if there is no link or its queue is full."""
+        link = self._service.links.links_by_id.get(instance_id)
+        if link is None:
+            return False
+        if isinstance(packet, UsageBatch):
+            return link.send(Packet(usage_batch=packet))
+        return link.send(Packet(usage_ack=packet))
+
+    def part(self, digest: bytes) -> bytes | None:
+        """Return a part of the configuration, if it is held."""
+        return self.versions.part(digest)
+
+    def snapshot(self, above_version: int) -> SnapshotAnswer:
+        """Return the root in force and the known members."""
+        version, root = self.versions.root(above_version)
+        members = self._service.roster.listed()
+        records = [record_of_member(member) for member in members]
+        return SnapshotAnswer(version=version, root=root, records=records)
+
+    async def acknowledge_epoch(self, notice: EpochNotice) -> EpochAcknowledgement:
+        """Acknowledge a duty's newer epoch."""
+        return await self._service.acknowledge_epoch(notice)
+
+    def _take_evidence(self, link: Link, beat: Beat, made_at: float) -> None:
+        service = self._service
+        memory: LinkMemory = link.memory.evidence
+        now = self._clock.monotonic()
+        member = service.roster.member(link.instance_id)
+        if member is None:
+            return
+        before = member.version
+        service.roster.hear(member, made_at, beat.version, beat.confirmed, now)
+        rose = member.version > before
+        highest = beat.highest_version
+        book = service.book
+        rose |= book.take_members(beat.members, memory, made_at, highest, now)
+        rose |= book.take_zones(beat.zones, memory, made_at, highest)
+        if rose:
+            self.versions.evidence_changed()
+        if beat.kv_age_ms:
+            begun_at = made_at - beat.kv_age_ms / 1000.0
+            _, known_at = self.versions.newest_read()
+            news = self.versions.read_relayed(beat.kv_version, begun_at)
+            if news and begun_at - known_at > RELAY_SECONDS:
+                service.relay_beat()
+
+    def _compare_digest(self, memory: LinkMemory, beat: Beat) -> None:
+        """Send every record again if records differ although all were sent."""
+        roster = self._service.roster
+        now = self._clock.monotonic()
+        if beat.roster_digest == roster.digest():
+            memory.resent_at = now
+            memory.records_revision = roster.revision
+            if beat.roster_known:
+                self._service.roster_known = True
+        elif now - memory.resent_at > RESEND_SECONDS:
+            memory.resent_at = now
+            memory.records_revision = 0
+
+    def _add_records(self, beat: Beat, memory: LinkMemory) -> None:
+        changed = self._service.roster.changed_since(memory.records_revision)
+        for member in changed[:RECORDS_PER_BEAT]:
+            beat.records.append(record_of_member(member))
+            memory.records_revision = member.revision
+
+    def _add_deltas(self, beat: Beat, pending: dict[str, float]) -> None:
+        if not pending:
+            return
+        largest = sorted(pending, key=pending.get, reverse=True)[:DELTAS_PER_BEAT]
+        for workspace in largest:
+            service = pending.pop(workspace)
+            beat.deltas.append(ServiceDelta(workspace=workspace, service=service))
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/records.py
@@ -0,0 +1,95 @@
+"""Forms of a member's record: in beats and in KV."""
+
+import msgspec
+
+from camphorgate.membership.roster import Member, MemberState
+from camphorgate.peers.peers_pb2 import Hello, MemberRecord
+
+ROSTER_PREFIX = "roster/"
+
+# Earlier incarnations whose usage may not be complete yet are kept in the entry.
+KEPT_INCARNATIONS = 16
+
+
+class EarlierIncarnation(msgspec.Struct, frozen=True):
+    """An earlier run of an instance and who held copies of its usage."""
+
+    incarnation: int
+    copy_holders: tuple[str, ...] = ()
+
+
+class RosterEntry(msgspec.Struct, frozen=True):
+    """An instance's own entry in KV."""
+
+    instance_id: str
+    incarnation: int
+    availability_zone: str
+    region: str
+    peer_address: str
+    copy_holders: tuple[str, ...] = ()
+    earlier: tuple[EarlierIncarnation, ...] = ()
+
+
+def follow(entry: RosterEntry, stored: RosterEntry | None) -> RosterEntry:
+    """Return an entry that replaces a stored one and remembers its incarnation."""
+    if stored is None or stored.incarnation == entry.incarnation:
+        return entry
+    previous = EarlierIncarnation(stored.incarnation, stored.copy_holders)
+    earlier = (previous, *stored.earlier)[:KEPT_INCARNATIONS]
+    return msgspec.structs.replace(entry, earlier=earlier)
+
+
+def decode_entry(value: bytes) -> RosterEntry | None:
+    """Return an entry from its stored form, ``None`` if it is damaged."""
+    try:
+        return msgspec.json.decode(value, type=RosterEntry)
+    except msgspec.DecodeError:
+        return None
+
+
+def member_of_entry(entry: RosterEntry) -> Member:
+    """Return the record that an entry describes."""
+    return Member(
+        entry.instance_id,
+        entry.incarnation,
+        entry.availability_zone,
+        entry.region,
+        entry.peer_address,
+    )
+
+
+def member_of_hello(hello: Hello) -> Member:
+    """Return the record that a hello describes."""
+    return Member(
+        hello.instance,
+        hello.incarnation,
+        hello.availability_zone,
+        hello.region,
+        hello.peer_address,
+    )
+
+
+def member_of_record(record: MemberRecord) -> Member:
+    """Return the record that came in a beat."""
+    return Member(
+        record.instance,
+        record.incarnation,
+        record.availability_zone,
+        record.region,
+        record.peer_address,
+        MemberState(min(record.state, MemberState.GONE)),
+        record.state_sequence,
+    )
+
+
+def record_of_member(member: Member) -> MemberRecord:
+    """Return the form of a record in beats."""
+    return MemberRecord(
+        instance=member.instance_id,
+        incarnation=member.incarnation,
+        availability_zone=member.availability_zone,
+        region=member.region,
+        peer_address=member.peer_address,
+        state=int(member.state),
+        state_sequence=member.state_sequence,
+    )
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/registration.py
@@ -0,0 +1,107 @@
+"""Chooses the incarnation and keeps the own entry in KV."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from camphorgate.clock import Clock
+from camphorgate.kv.budget import Priority
+from camphorgate.kv.errors import KvConflict, KvError
+from camphorgate.log import log_event
+from camphorgated.ext.membership.records import (
+    ROSTER_PREFIX,
+    RosterEntry,
+    decode_entry,
+    follow,
+)
+
+# A start waits this long for KV before it takes the wall clock's word alone.
+START_SECONDS = 3.0
+FIRST_RETURN_SECONDS = 1.0
+LONGEST_RETURN_SECONDS = 30.0
+
+
+class Registration:
+    """The own roster entry of one run of a daemon."""
+
+    __slots__ = ("entry", "registered", "_kv", "_random", "_revision")
+
+    def __init__(self, entry: RosterEntry, kv: Any, generator: random.Random) -> None:
+        """Prepare an entry; nothing is written yet.
+
+        :param entry: its incarnation is replaced by the chosen one.
+        """
+        self.entry = entry
+        self.registered = False
+        self._kv = kv
+        self._random = generator
+        self._revision = 0
+
+    async def start(self, clock: Clock, ask_peers: Callable[[], Awaitable[int]]) -> int:
+        """Choose the incarnation, and register it if KV answers in time.
+
+        The wall clock in milliseconds rises across restarts. If the clock went back,
+        KV or else a peer knows a higher incarnation, which is exceeded by one. The
+        choice is final: a running process that took a higher number would look like a
+        restart, which proves to others that its orders in flight are dead.
+
+        :param ask_peers: returns the highest incarnation of this instance that a peer
+            knows, 0 for none; asked if KV does not answer.
+        :returns: the incarnation.
+        """
+        self._choose(int(clock.now().timestamp() * 1000))
+        try:
+            async with asyncio.timeout(START_SECONDS):
+                await self.write(raise_above=True)
+        except (KvError, TimeoutError) as error:
+            log_event("registration_postponed", level="WARNING", error=repr(error))
+            self._choose(max(self.entry.incarnation, 1 + await ask_peers()))
+        return self.entry.incarnation
+
+    async def write(self, raise_above: bool = False) -> None:
+        """Write the entry over the one that is stored.
+
+        :param raise_above: whether the own incarnation may still rise.
+        :raises KvError: if that is not possible now.
+        """
+        key = ROSTER_PREFIX + self.entry.instance_id
+        found = await self._kv.get(key, Priority.BACKGROUND)
+        stored = decode_entry(found.value) if found else None
+        if stored is not None and stored.incarnation > self.entry.incarnation:
+            if not raise_above:
+                raise KvConflict(f"{key} holds a higher incarnation")
+            self._choose(stored.incarnation + 1)
+        entry = follow(self.entry, stored)
+        if stored == entry:
+            self.registered = True
+            return
+        revision = found.mod_revision if found else 0
+        value = msgspec.json.encode(entry)
+        await self._kv.replace(key, value, revision, Priority.BACKGROUND)
+        self.entry = entry
+        self.registered = True
+
+    async def keep(self) -> None:
+        """Write the entry until it is registered, with growing jittered pauses."""
+        delay = FIRST_RETURN_SECONDS
+        while not self.registered:
+            try:
+                await self.write()
+            except KvError:
+                await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
+                delay = min(LONGEST_RETURN_SECONDS, delay * 2)
+
+    async def set_copy_holders(self, copy_holders: tuple[str, ...]) -> None:
+        """Record who holds copies of the current usage.
+
+        :raises KvError: if that is not possible now.
+        """
+        self.entry = msgspec.structs.replace(self.entry, copy_holders=copy_holders)
+        self.registered = False
+        await self.write()
+
+    def _choose(self, incarnation: int) -> None:
+        self.entry = msgspec.structs.replace(self.entry, incarnation=incarnation)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
@@ -0,0 +1,434 @@
+"""The service ``membership``: own record, links, beats, platform lists."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from camphorgate.application import Application
+from camphorgate.configuration.freshness import PauseDetector
+from camphorgate.kv.errors import KvError
+from camphorgate.log import log_event
+from camphorgate.membership.evidence import EvidenceBook
+from camphorgate.membership.roster import Member, MemberState, Roster
+from camphorgate.membership.topology import is_watcher, neighbours
+from camphorgate.peers.errors import PeerError
+from camphorgate.peers.links import PeerLinks
+from camphorgate.peers.peers_pb2 import EpochAcknowledgement, EpochNotice
+from camphorgate.peers.service import bind_server
+from camphorgated.ext.membership.beats import BeatExchange, VersionSource
+from camphorgated.ext.membership.platform import PlatformLists, PlatformUpstream
+from camphorgated.ext.membership.records import (
+    ROSTER_PREFIX,
+    RosterEntry,
+    decode_entry,
+    member_of_entry,
+    member_of_record,
+)
+from camphorgated.ext.membership.registration import Registration
+
+# A peer that should dial this instance gets this long before it is dialled itself.
+DIAL_GRACE_SECONDS = 2.0
+
+# Bound on asking the seeds for an own earlier incarnation while KV is down.
+ASK_SECONDS = 1.5
+
+_SPREAD = 0.1
+
+EpochHandler = Callable[[str, int], Awaitable[Iterable[str]]]
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """A listed instance as other extensions see it."""
+
+    instance_id: str
+    incarnation: int
+    availability_zone: str
+    region: str
+    peer_address: str
+    live: bool
+    leaving: bool
+    version: int
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Calls to one instance."""
+
+    instance_id: str
+    address: str
+    links: PeerLinks
+
+    async def acknowledge_epoch(
+        self, duty: str, epoch: int, sender: str
+    ) -> EpochAcknowledgement:
+        """Ask the instance to acknowledge a newer epoch.
+
+        :raises PeerError: if it does not answer; nothing is acknowledged then.
+        """
+        notice = EpochNotice(duty=duty, epoch=epoch, sender=sender)
+        return await self.links.acknowledge_epoch(self.address, notice)
+
+
+class MembershipService:
+    """Who is present; see section 9 of the design."""
+
+    def __init__(self, app: Application) -> None:
+        """Prepare the service; nothing runs before ``start``."""
+        settings = app.settings
+        self.instance_id: str = settings.instance_id
+        self.incarnation = 0
+        self.outranked = False
+        self.listen_address = ""
+        self._app = app
+        self._clock = app.clock
+        self._random = random.Random(f"{settings.seed}/{settings.instance_id}")
+        own = Member(
+            settings.instance_id,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+        )
+        self.roster = Roster(own, app.clock.monotonic())
+        self.book = EvidenceBook(self.roster)
+        self.beats = BeatExchange(self)
+        self.links = PeerLinks(self.beats, app.clock, self._random.getrandbits(32))
+        self.platform = PlatformLists(
+            settings.platform.list_address,
+            app.clock,
+            self._random,
+            self._apply_platform_list,
+            self._announce_upstreams,
+        )
+        self.registration: Registration | None = None
+        self._pause = PauseDetector(*self._readings())
+        self._epoch_handler: EpochHandler | None = None
+        self._server: Any = None
+        self._beat_now = asyncio.Event()
+        self._beat_at = 0.0
+        # Whether KV or the platform has told who there is; before that, the few known
+        # instances must not be taken for the whole.
+        self.roster_known = False
+        self._dialled_revision = -1
+        self._wanted_since_by_id: dict[str, float] = {}
+
+    # Interface of section 9.
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether this instance announced that it leaves."""
+        return self.roster.own.state == MemberState.LEAVING
+
+    def members(self) -> list[MemberView]:
+        """Return the listed instances, by id."""
+        now = self._clock.monotonic()
+        return [self._view(item, now) for item in self.roster.listed()]
+
+    def live_count(self) -> int:
+        """Return how many instances were heard recently, the own one included."""
+        return self.book.live_count(self._clock.monotonic())
+
+    def announce_leaving(self) -> None:
+        """Tell all instances that this one leaves."""
+        own = self.roster.own
+        self.roster.set_state(own, MemberState.LEAVING, self._clock.monotonic())
+        self.pull_beat()
+
+    def peer(self, instance_id: str) -> Peer | None:
+        """Return calls to an instance, ``None`` if its address is not known."""
+        member = self.roster.member(instance_id)
+        if member is None or not member.peer_address:
+            return None
+        return Peer(instance_id, member.peer_address, self.links)
+
+    def platform_upstreams(self) -> tuple[PlatformUpstream, ...]:
+        """Return the platform's list of upstreams as it was read last."""
+        return self.platform.upstreams
+
+    # Further interface for usage and duties.
+
+    def platform_state(self, instance_id: str) -> str | None:
+        """Return an instance's state in the platform's list, ``None`` if not listed."""
+        entry = self.platform.instances_by_id.get(instance_id)
+        return entry.state if entry else None
+
+    def linked(self) -> list[MemberView]:
+        """Return the instances to which a link is open."""
+        now = self._clock.monotonic()
+        members = map(self.roster.member, list(self.links.links_by_id))
+        return [self._view(item, now) for item in members if item is not None]
+
+    def handle_epochs(self, handler: EpochHandler) -> None:
+        """Let a handler acknowledge newer epochs of duties.
+
+        :param handler: takes the duty and the epoch; from its return on, the instance
+            acts under no older epoch. Returns the orders that may be in flight.
+        """
+        self._epoch_handler = handler
+
+    def handle_usage(self, on_batch: Callable, on_ack: Callable) -> None:
+        """Let handlers take usage packets; each gets the peer's id and the packet."""
+        self.beats.on_usage_batch = on_batch
+        self.beats.on_usage_ack = on_ack
+
+    def send_usage(self, instance_id: str, packet: Any) -> bool:
+        """Queue a ``UsageBatch`` or ``UsageAck`` for a linked instance.
+
+        :returns: false if there is no link or its queue is full.
+        """
+        return self.beats.send_usage(instance_id, packet)
+
+    async def set_copy_holders(self, copy_holders: Iterable[str]) -> None:
+        """Record in KV who holds copies of the current usage.
+
+        :raises KvError: if that is not possible now.
+        """
+        await self.registration.set_copy_holders(tuple(copy_holders))
+
+    def attach_versions(self, source: VersionSource) -> None:
+        """Let the configuration take part in the beats."""
+        self.beats.versions = source
+
+    def check_pause(self) -> bool:
+        """Drop all evidence if the process stood still since the last check.
+
+        :returns: whether it did.
+        """
+        if not self._pause.tick(*self._readings()):
+            return False
+        log_event("pause_detected", level="WARNING", instance=self.instance_id)
+        self.book.forget()
+        self._app.emit("pause-detected")
+        return True
+
+    def is_watcher(self) -> bool:
+        """Tell whether this instance is one of those that watch KV."""
+        now = self._clock.monotonic()
+        zone = self.roster.own.availability_zone
+        members = self.roster.listed_by_zone()[zone]
+        live = [m.instance_id for m in members if self.roster.is_live(m, now)]
+        return is_watcher(self.instance_id, live, len(self.roster.listed()))
+
+    def pull_beat(self) -> None:
+        """Send the next beat at once."""
+        self._beat_now.set()
+
+    def relay_beat(self) -> None:
+        """Send the next beat at once, unless the last one is too recent.
+
+        Beats that follow one another through a system carry news faster than beats at
+        independent moments, at the same number of beats.
+        """
+        period = self._app.settings.timing.beat_seconds
+        if self._clock.monotonic() - self._beat_at > period / 2:
+            self.pull_beat()
+
+    def own_changed(self, version: int, confirmed: bool) -> None:
+        """Tell all instances which version is in force here."""
+        own = self.roster.own
+        if (own.version, own.confirmed) != (version, confirmed):
+            own.version, own.confirmed = version, confirmed
+            self.pull_beat()
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Choose the incarnation, listen for peers and start the tasks."""
+        settings = self._app.settings
+        self._server, self.listen_address = bind_server(
+            self.beats, settings.peer_address, self._clock
+        )
+        own = self.roster.own
+        own.peer_address = settings.advertised_peer_address or self.listen_address
+        entry = RosterEntry(
+            own.instance_id, 0, own.availability_zone, own.region, own.peer_address
+        )
+        self.registration = Registration(entry, self._app.service("kv"), self._random)
+        self.incarnation = await self.registration.start(
+            self._clock, self._ask_incarnation
+        )
+        own.incarnation = self.incarnation
+        # Peers reach this instance only now, as a hello needs the incarnation.
+        await self._server.start()
+        self._pause = PauseDetector(*self._readings())
+        spawn = self._app.spawn
+        spawn(self._beat(), "membership beats")
+        spawn(self.registration.keep(), "membership registration")
+        spawn(self._read_roster(), "membership roster")
+        spawn(self.platform.poll_instances(), "platform instances")
+        spawn(self.platform.poll_upstreams(), "platform upstreams")
+
+    async def stop(self) -> None:
+        """Close the links and stop listening."""
+        await self.links.close()
+        if self._server is not None:
+            await self._server.stop(0)
+        await self.platform.close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        now = self._clock.monotonic()
+        return {
+            "instance": self.instance_id,
+            "incarnation": self.incarnation,
+            "registered": bool(self.registration and self.registration.registered),
+            "outranked": self.outranked,
+            "listed": len(self.roster.listed()),
+            "live": self.live_count(),
+            "links": sorted(self.links.links_by_id),
+            "connections": self.links.connections,
+            "watcher": self.is_watcher(),
+            "platform_list_age": _age(self.platform.read_at, now),
+            "members": [
+                {
+                    "instance": item.instance_id,
+                    "incarnation": item.incarnation,
+                    "zone": item.availability_zone,
+                    "state": item.state.name.lower(),
+                    "version": item.version,
+                    "heard_age": _age(item.heard_at, now),
+                }
+                for item in self.roster.listed()
+                if self.book.detailed(item.availability_zone)
+            ],
+        }
+
+    # What the beats need.
+
+    def record_received(self, record: Member) -> None:
+        """Take in a record from a peer or from KV."""
+        now = self._clock.monotonic()
+        if self.roster.outranked_by(record) and not self.outranked:
+            self.outranked = True
+            log_event(
+                "incarnation_outranked",
+                level="ERROR",
+                own=self.incarnation,
+                known=record.incarnation,
+            )
+        if self.roster.merge(record, now):
+            self._members_changed()
+
+    async def acknowledge_epoch(self, notice: EpochNotice) -> EpochAcknowledgement:
+        """Let the handler acknowledge an epoch; without one nothing is acknowledged."""
+        answer = EpochAcknowledgement(
+            instance=self.instance_id, incarnation=self.incarnation
+        )
+        if self._epoch_handler is not None:
+            orders = await self._epoch_handler(notice.duty, notice.epoch)
+            answer.acknowledged = True
+            answer.orders_in_flight.extend(orders)
+        return answer
+
+    # Tasks.
+
+    async def _beat(self) -> None:
+        period = self._app.settings.timing.beat_seconds
+        while True:
+            self.check_pause()
+            self._choose_links()
+            self.links.close_silent(period)
+            self.beats.collect_deltas()
+            self.links.beat()
+            self._beat_at = self._clock.monotonic()
+            spread = self._random.uniform(1 - _SPREAD, 1 + _SPREAD)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period * spread):
+                    await self._beat_now.wait()
+            self._beat_now.clear()
+
+    async def _read_roster(self) -> None:
+        """Read the roster once, so that a start does not depend on the seeds."""
+        while True:
+            try:
+                entries = await self._app.service("kv").get_prefix(ROSTER_PREFIX)
+                break
+            except KvError:
+                await asyncio.sleep(self._random.uniform(2.0, 6.0))
+        self.roster_known = True
+        for found in entries:
+            entry = decode_entry(found.value)
+            if entry is not None and entry.instance_id != self.instance_id:
+                self.record_received(member_of_entry(entry))
+
+    async def _ask_incarnation(self) -> int:
+        """Return the highest own incarnation that a seed knows, 0 for none."""
+
+        async def ask(address: str) -> int:
+            answer = await self.links.snapshot(address)
+            records = map(member_of_record, answer.records)
+            own = [r.incarnation for r in records if r.instance_id == self.instance_id]
+            return max(own, default=0)
+
+        seeds = [*self._app.settings.peers][:3]
+        known = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ASK_SECONDS):
+                for seed in seeds:
+                    with contextlib.suppress(PeerError):
+                        known = max(known, await ask(seed))
+        return known
+
+    def _choose_links(self) -> None:
+        """Dial the neighbours of the topology, and seeds that are not known yet."""
+        now = self._clock.monotonic()
+        roster = self.roster
+        zones = roster.listed_by_zone()
+        ids_by_zone = {z: [m.instance_id for m in ms] for z, ms in zones.items()}
+        wanted = neighbours(self.instance_id, ids_by_zone)
+        since = self._wanted_since_by_id
+        self._wanted_since_by_id = {item: since.get(item, now) for item in wanted}
+        addresses = {
+            roster.member(item).peer_address
+            for item in wanted
+            if self._should_dial(item, now)
+        }
+        known = {member.peer_address for member in roster.listed()}
+        addresses |= set(self._app.settings.peers) - known
+        self.links.dial_only(addresses - {"", roster.own.peer_address})
+
+    def _should_dial(self, instance_id: str, now: float) -> bool:
+        if self.instance_id < instance_id:
+            return True
+        link = self.links.links_by_id.get(instance_id)
+        if link is not None:
+            return link.dialled
+        return now - self._wanted_since_by_id[instance_id] > DIAL_GRACE_SECONDS
+
+    def _apply_platform_list(self) -> None:
+        self.roster_known = self.roster_known or bool(self.platform.instances_by_id)
+        states = {
+            item.id: (item.zone, item.state)
+            for item in self.platform.instances_by_id.values()
+        }
+        if self.roster.apply_platform_list(states, self._clock.monotonic()):
+            self._members_changed()
+
+    def _announce_upstreams(self) -> None:
+        if self._app.has_service("upstreams"):
+            self._app.emit("upstreams-changed")
+
+    def _members_changed(self) -> None:
+        self._app.emit("member-changed")
+
+    def _view(self, member: Member, now: float) -> MemberView:
+        return MemberView(
+            member.instance_id,
+            member.incarnation,
+            member.availability_zone,
+            member.region,
+            member.peer_address,
+            live=self.roster.is_live(member, now),
+            leaving=member.state == MemberState.LEAVING,
+            version=member.version,
+        )
+
+    def _readings(self) -> tuple[float, float]:
+        return self._clock.monotonic(), self._clock.now().timestamp()
+
+
+def _age(moment: float | None, now: float) -> float | None:
+    if moment is None or moment < 0:
+        return None
+    return round(now - moment, 3)
--- a/packages/camphorgate/src/camphorgate/application.py
+++ b/packages/camphorgate/src/camphorgate/application.py
@@ -10,6 +10,9 @@
 from camphorgate.events import EventManager
 from camphorgate.log import log_event
 
+# How long a task may take to end after it was cancelled before it is cancelled again.
+CANCEL_AGAIN_SECONDS = 0.5
+
 
 class Application:
     """One process: its settings, clock, events, services, tasks and state dump.
@@ -135,10 +138,13 @@
         """Run the stop hooks in reverse order, then cancel the tasks that are left."""
         for hook in reversed(self._stop_hooks):
             await hook()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # A cancellation can get lost: asyncio.wait_for of Python 3.11, which aiosonic
+        # uses, drops one that arrives together with a result, and grpc.aio turns one
+        # into an error of its own. A task that goes on is cancelled again.
+        while self._tasks:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.wait(list(self._tasks), timeout=CANCEL_AGAIN_SECONDS)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of every section, for the operators."""
--- a/packages/camphorgate/src/camphorgate/configuration/freshness.py
+++ b/packages/camphorgate/src/camphorgate/configuration/freshness.py
@@ -2,8 +2,8 @@
 
 An instance is fresh under rule (a) if a KV read that began less than 3 s ago confirmed
 its version, and under rule (b) if a majority of the listed instances was heard within
-3 s and none of them knew a newer version. An acceptance is reported only when a majority
-knows the version, so any later majority contains an instance that knows it.
+3 s and none of them knew a newer version. An acceptance is reported only when a
+majority knows the version, so any later majority contains an instance that knows it.
 """
 
 import math
--- a/packages/camphorgate/src/camphorgate/configuration/parts.py
+++ b/packages/camphorgate/src/camphorgate/configuration/parts.py
@@ -142,7 +142,7 @@
         count *= 2
     buckets = defaultdict(list)
     for item in items:
-        number = xxhash.xxh32_intdigest(getattr(item, key)) % count
+        number = xxhash.xxh32_intdigest(getattr(item, key).encode()) % count
         buckets[f"{prefix}/{count}.{number}"].append(item)
     return {name: _pack(bucket) for name, bucket in buckets.items()}
 
--- a/packages/camphorgate/src/camphorgate/membership/evidence.py
+++ b/packages/camphorgate/src/camphorgate/membership/evidence.py
@@ -284,7 +284,7 @@
 
 
 def _better(summary: ZoneSummary, known: ZoneSummary) -> bool:
-    """Tell whether a summary replaces a known one: newer, and not for an old version."""
+    """Tell whether a summary replaces a known one: newer version, then newer time."""
     if summary.version != known.version:
         return summary.version > known.version
     return summary.at > known.at
--- a/packages/camphorgate/src/camphorgate/membership/roster.py
+++ b/packages/camphorgate/src/camphorgate/membership/roster.py
@@ -1,5 +1,6 @@
 """The known instances: who they are, when each was last heard, who is leaving."""
 
+import functools
 import math
 from collections import defaultdict
 from collections.abc import Iterable
@@ -62,9 +63,10 @@
     confirmed: bool = False
 
 
+@functools.lru_cache(maxsize=4096)
 def hash_name(name: str) -> int:
     """Return the 32-bit form of an instance id or a zone in beats."""
-    return xxhash.xxh32_intdigest(name)
+    return xxhash.xxh32_intdigest(name.encode())
 
 
 class Roster:
@@ -177,11 +179,6 @@
         same = record.instance_id == own.instance_id
         return same and record.incarnation > own.incarnation
 
-    def restart_above(self, incarnation: int, now: float) -> None:
-        """Raise the own incarnation above another one."""
-        self.own.incarnation = incarnation + 1
-        self._changed(self.own, now)
-
     def set_state(self, member: Member, state: MemberState, now: float) -> None:
         """Change a member's state, as a new change that peers take over."""
         if member.state != state:
--- a/packages/camphorgate/src/camphorgate/peers/links.py
+++ b/packages/camphorgate/src/camphorgate/peers/links.py
@@ -45,9 +45,10 @@
         "_handler",
         "_clock",
         "_random",
-        "_resolve",
+        "resolve",
         "_tasks_by_address",
         "_channels_by_address",
+        "_closed",
     )
 
     def __init__(
@@ -67,13 +68,14 @@
         self._handler = handler
         self._clock = clock
         self._random = random.Random(seed)
-        self._resolve = resolve or (lambda address: address)
+        self.resolve = resolve or (lambda address: address)
         self._tasks_by_address: dict[str, asyncio.Task] = {}
         self._channels_by_address: dict[str, grpc.aio.Channel] = {}
+        self._closed = False
 
     def dial_only(self, addresses: Iterable[str]) -> None:
         """Keep exactly these addresses dialled."""
-        wanted = set(addresses)
+        wanted = set() if self._closed else set(addresses)
         for address in self._tasks_by_address.keys() - wanted:
             self._tasks_by_address.pop(address).cancel()
         for address in wanted - self._tasks_by_address.keys():
@@ -144,10 +146,13 @@
         return await self._call(address, "AcknowledgeEpoch", notice)
 
     async def close(self) -> None:
-        """End every link and connection."""
+        """End every link and connection, for good."""
+        self._closed = True
+        tasks = list(self._tasks_by_address.values())
         self.dial_only(())
         for link in list(self.links_by_id.values()):
             link.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
         channels = list(self._channels_by_address.values())
         self._channels_by_address.clear()
         for channel in channels:
@@ -161,7 +166,9 @@
 
     async def _keep_link(self, address: str) -> None:
         delay = FIRST_RETURN_SECONDS
-        while True:
+        # grpc.aio turns the cancellation of a write into an AioRpcError, so the end of
+        # this task does not depend on CancelledError alone.
+        while self._tasks_by_address.get(address) is asyncio.current_task():
             opened_at = self._clock.monotonic()
             with contextlib.suppress(PeerError, grpc.RpcError, TimeoutError):
                 await self._run_link(address)
@@ -172,7 +179,7 @@
 
     async def _run_link(self, address: str) -> None:
         self.connections += 1
-        channel = grpc.aio.insecure_channel(self._resolve(address), _DIAL_OPTIONS)
+        channel = grpc.aio.insecure_channel(self.resolve(address), _DIAL_OPTIONS)
         try:
             call = PeersStub(channel).Exchange()
             async with asyncio.timeout(HELLO_SECONDS):
@@ -186,7 +193,7 @@
     async def _call(self, address: str, method: str, request):
         channel = self._channels_by_address.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(self._resolve(address), _DIAL_OPTIONS)
+            channel = grpc.aio.insecure_channel(self.resolve(address), _DIAL_OPTIONS)
             self._channels_by_address[address] = channel
         try:
             call = getattr(PeersStub(channel), method)
--- a/packages/camphorgate/src/camphorgate/peers/service.py
+++ b/packages/camphorgate/src/camphorgate/peers/service.py
@@ -91,13 +91,13 @@
         return self._handler.snapshot(request.above_version)
 
 
-async def start_server(
+def bind_server(
     handler: PeerHandler, address: str, clock: Clock
 ) -> tuple[grpc.aio.Server, str]:
-    """Listen for peers.
+    """Return a server for peers, bound to its address but not started.
 
     :param address: ``host:port``; port 0 takes a free one.
-    :returns: the server and the address that it listens on.
+    :returns: the server and its address.
     :raises PeerError: if the address cannot be used.
     """
     server = grpc.aio.server(options=CHANNEL_OPTIONS)
@@ -106,5 +106,4 @@
         port = server.add_insecure_port(address)
     except RuntimeError as error:
         raise PeerError(f"cannot listen on {address}: {error}") from None
-    await server.start()
     return server, f"{address.rpartition(':')[0]}:{port}"
--- /dev/null
+++ b/tests/control_cluster.py
@@ -0,0 +1,171 @@
+"""Several daemons' control extensions in one process, with a faulty network."""
+
+import asyncio
+import itertools
+
+import msgspec
+
+from camphorgate.application import Application
+from camphorgate.settings import KvSettings, PlatformSettings, Settings, TimingSettings
+from camphorgate_standins.kv import KvStandin
+from camphorgate_standins.platform import PlatformStandin
+from tests.builders import build_manifest
+from tests.faulty_network import Forwarder, eventually
+from tests.serving import serve
+
+ZONES = ("zone-a", "zone-b")
+# Half of the default, to keep the tests short.
+FRESHNESS_SECONDS = 1.5
+EXTENSIONS = ("kv", "membership", "configuration")
+
+
+class Daemon:
+    """One application with the control extensions."""
+
+    def __init__(self, app: Application) -> None:
+        """Wrap an application that was not started."""
+        self.app = app
+        self.membership = app.service("membership")
+        self.configuration = app.service("configuration")
+        self.versions = []
+        app.connect("manifest-changed", lambda index: self.versions.append(index))
+
+
+class Cluster:
+    """Daemons by id, joined by one forwarder for each ordered pair."""
+
+    def __init__(self, count: int, beat_seconds: float = 0.1) -> None:
+        """Describe a cluster of ``i-0``, ``i-1``, and so on."""
+        self.ids = [f"i-{number}" for number in range(count)]
+        self.beat_seconds = beat_seconds
+        self.daemons_by_id: dict[str, Daemon] = {}
+        self.kv = KvStandin()
+        self.platform = PlatformStandin()
+        self._forwarders: dict[tuple[str, str], Forwarder] = {}
+        self._kv_forwarders: dict[str, Forwarder] = {}
+
+    async def start(self, test) -> "Cluster":
+        """Start the stand-ins and every daemon; a test's clean-up stops them."""
+        kv_address = await test.enterAsyncContext(serve(self.kv.app()))
+        app = self.platform.app()
+        self._platform_address = await test.enterAsyncContext(serve(app))
+        for pair in itertools.permutations(self.ids, 2):
+            self._forwarders[pair] = await Forwarder("127.0.0.1:1").start()
+        for item in self.ids:
+            self._kv_forwarders[item] = await Forwarder(kv_address).start()
+        test.addAsyncCleanup(self._stop)
+        await asyncio.gather(*map(self.start_daemon, self.ids))
+        return self
+
+    async def start_daemon(self, instance_id: str) -> Daemon:
+        """Start a daemon, or start it anew under its address."""
+        daemon = Daemon(self._build(instance_id))
+        self.daemons_by_id[instance_id] = daemon
+        daemon.membership.links.resolve = lambda address: self._resolve(
+            instance_id, address
+        )
+        start_server = asyncio.create_task(daemon.app.start())
+        await eventually(
+            lambda: daemon.membership.listen_address or start_server.done()
+        )
+        port = daemon.membership.listen_address.rpartition(":")[2]
+        for (_, target), forwarder in self._forwarders.items():
+            if target == instance_id:
+                forwarder.target = f"127.0.0.1:{port}"
+        await start_server
+        return daemon
+
+    async def stop_daemon(self, instance_id: str) -> None:
+        """Stop a daemon without notice to the others."""
+        await self.daemons_by_id.pop(instance_id).app.stop()
+
+    def partition(self, *groups: set[str]) -> None:
+        """Let only instances of the same group reach each other."""
+        for (first, second), forwarder in self._forwarders.items():
+            joined = any(first in group and second in group for group in groups)
+            forwarder.silent = not joined
+            if not joined:
+                forwarder.break_connections()
+
+    def heal(self) -> None:
+        """Join all instances and KV again."""
+        for forwarder in (*self._forwarders.values(), *self._kv_forwarders.values()):
+            forwarder.silent = False
+            forwarder.break_connections()
+
+    def cut_kv(self, *instance_ids: str) -> None:
+        """Cut instances off from KV, all of them by default."""
+        for item in instance_ids or self.ids:
+            self._kv_forwarders[item].silent = True
+            self._kv_forwarders[item].break_connections()
+
+    async def submit(self, instance_id: str, base: int, wait=8.0, **changes):
+        """Submit the test manifest with changes at one daemon."""
+        configuration = self.daemons_by_id[instance_id].configuration
+        return await configuration.submit(manifest_text(**changes), base, wait)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force by instance."""
+        return {i: d.configuration.version for i, d in self.daemons_by_id.items()}
+
+    def fresh(self) -> set[str]:
+        """Return the instances that are fresh."""
+        return {i for i, d in self.daemons_by_id.items() if d.configuration.fresh()}
+
+    async def settled(self, version: int) -> None:
+        """Wait until every daemon knows all, runs a version and is fresh."""
+        everyone = set(self.daemons_by_id)
+        await eventually(
+            lambda: all(
+                {m.instance_id for m in d.membership.members() if m.live} >= everyone
+                for d in self.daemons_by_id.values()
+            ),
+            what="all instances know each other",
+        )
+        await eventually(
+            lambda: set(self.versions().values()) == {version}, what="in force"
+        )
+        await eventually(lambda: not version or self.fresh() == everyone, what="fresh")
+
+    async def _stop(self) -> None:
+        for instance_id in list(self.daemons_by_id):
+            await self.stop_daemon(instance_id)
+        for forwarder in (*self._forwarders.values(), *self._kv_forwarders.values()):
+            await forwarder.stop()
+
+    def _resolve(self, source: str, address: str) -> str:
+        target = address.partition(":")[0]
+        return self._forwarders[source, target].address
+
+    def _build(self, instance_id: str) -> Application:
+        number = self.ids.index(instance_id)
+        settings = Settings(
+            instance_id=instance_id,
+            availability_zone=ZONES[number % len(ZONES)],
+            region="region-1",
+            caller_address="127.0.0.1:0",
+            admin_address="127.0.0.1:0",
+            peer_address="127.0.0.1:0",
+            # Forwarders are found by this name; the port is not used.
+            advertised_peer_address=f"{instance_id}:1",
+            peers=(f"{self.ids[0]}:1",),
+            kv=KvSettings(
+                (self._kv_forwarders[instance_id].address,),
+                calls_per_second=200.0,
+                timeout_seconds=1.0,
+            ),
+            platform=PlatformSettings(*[self._platform_address] * 3),
+            timing=TimingSettings(
+                beat_seconds=self.beat_seconds, freshness_seconds=FRESHNESS_SECONDS
+            ),
+            seed=number,
+        )
+        app = Application(settings)
+        for name in EXTENSIONS:
+            app.setup_extension(f"camphorgated.ext.{name}")
+        return app
+
+
+def manifest_text(**changes) -> str:
+    """Return the test manifest with changes, as text."""
+    return msgspec.json.encode(build_manifest(**changes)).decode()
--- /dev/null
+++ b/tests/test_configuration/test_failures.py
@@ -0,0 +1,183 @@
+"""Configuration over real links, with faults of KV and of the network."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from camphorgate.configuration.errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    SubmissionError,
+)
+from camphorgate.errors import ManifestError
+from camphorgate.kv.client import KvClient
+from camphorgate.kv.records import Put
+from camphorgate.manifest import Workspace, digest_of_key
+from tests.builders import KEYS_BY_WORKSPACE
+from tests.control_cluster import FRESHNESS_SECONDS, Cluster
+from tests.faulty_network import eventually
+
+WITHDRAWN = (
+    Workspace("north", key_digests=()),
+    Workspace("south", key_digests=(digest_of_key(KEYS_BY_WORKSPACE["south"]),)),
+)
+
+
+class FailureTests(unittest.IsolatedAsyncioTestCase):
+    async def _cluster(self, count):
+        cluster = await Cluster(count).start(self)
+        await cluster.settled(0)
+        submission = await cluster.submit("i-0", 0)
+        self.assertTrue(submission.accepted, submission)
+        await cluster.settled(1)
+        return cluster
+
+    async def test_a_withdrawn_key_stops_working_everywhere(self):
+        """Guards against a withdrawn key that still works somewhere (I4, I12)."""
+        cluster = await self._cluster(4)
+        submission = await cluster.submit("i-1", 1, workspaces=WITHDRAWN)
+        self.assertEqual(
+            (submission.version, submission.in_force_everywhere), (2, True)
+        )
+        for daemon in cluster.daemons_by_id.values():
+            index = daemon.configuration.index
+            self.assertIsNone(index.workspace_of_key(KEYS_BY_WORKSPACE["north"]))
+            self.assertEqual([i.version for i in daemon.versions], [1, 2])
+        versions = cluster.daemons_by_id["i-0"].configuration.in_force_by_instance()
+        self.assertEqual(versions, dict.fromkeys(cluster.ids, 2))
+
+    async def test_one_of_two_submitters_wins(self):
+        """Guards against a submission that silently overwrites another one."""
+        cluster = await self._cluster(3)
+        results = await asyncio.gather(
+            cluster.submit("i-0", 1, deployment="first"),
+            cluster.submit("i-1", 1, deployment="second"),
+            return_exceptions=True,
+        )
+        conflicts = [r for r in results if isinstance(r, ConflictError)]
+        self.assertEqual(len(conflicts), 1, results)
+        winner = "first" if results[1] is conflicts[0] else "second"
+        self.assertEqual(conflicts[0].changes, [f"$.deployment: 'test' -> '{winner}'"])
+        await cluster.settled(2)
+        for daemon in cluster.daemons_by_id.values():
+            self.assertEqual(daemon.configuration.index.manifest.deployment, winner)
+
+    async def test_a_wrong_manifest_writes_nothing(self):
+        """Guards against a manifest that is accepted in part."""
+        cluster = await self._cluster(2)
+        calls = dict(cluster.kv.calls)
+        with self.assertRaises(ManifestError):
+            await cluster.submit("i-0", 1, pools=())
+        self.assertEqual(cluster.versions(), {"i-0": 1, "i-1": 1})
+        self.assertEqual(cluster.kv.calls["put"], calls.get("put", 0))
+
+    async def test_a_lost_answer_does_not_hide_an_acceptance(self):
+        """Guards against an accepted version that is reported as failed."""
+        cluster = await self._cluster(3)
+        cluster.cut_kv("i-1", "i-2")
+        kv = cluster.daemons_by_id["i-0"].configuration.kv
+        real = KvClient.transact
+        lost = []
+
+        async def transact(client, compares, operations, *args):
+            # One more than needed, as a read of the root may use one up.
+            if compares and isinstance(operations[0], Put) and not lost:
+                lost.append(True)
+                cluster.kv.faults.arm({"fault": "lose_answers", "count": 2})
+            return await real(client, compares, operations, *args)
+
+        with mock.patch.object(KvClient, "transact", transact):
+            submission = await cluster.submit("i-0", 1, deployment="second")
+        self.assertGreaterEqual(kv.resolved_by_outcome["applied"], 1)
+        cluster.heal()
+        self.assertEqual(submission.version, 2)
+        self.assertTrue(submission.accepted)
+        await cluster.settled(2)
+
+    async def test_kv_down_refuses_a_submission_and_keeps_service(self):
+        """Guards against a refusal of all keyed requests while only KV is down."""
+        cluster = await self._cluster(4)
+        cluster.cut_kv()
+        with self.assertRaises((SubmissionError, OutcomeUnknownError)):
+            await cluster.submit("i-0", 1, deployment="second")
+        # Long enough for every KV read to be too old.
+        await asyncio.sleep(FRESHNESS_SECONDS + 0.2)
+        self.assertEqual(cluster.fresh(), set(cluster.ids))
+        rules = {
+            daemon.configuration.dump()["rule"]
+            for daemon in cluster.daemons_by_id.values()
+        }
+        self.assertEqual(rules, {"majority"})
+
+    async def test_kv_down_after_the_write_still_brings_the_version_everywhere(self):
+        """Guards against an accepted version that only its submitter ever runs."""
+        cluster = await self._cluster(4)
+        task = asyncio.create_task(cluster.submit("i-2", 1, deployment="second"))
+        root = b"config/root"
+        await eventually(lambda: cluster.kv.store.entries_by_key[root]["version"] == 2)
+        cluster.cut_kv()
+        submission = await task
+        self.assertTrue(submission.in_force_everywhere, submission)
+        await eventually(lambda: set(cluster.versions().values()) == {2})
+
+    async def test_an_instance_cut_off_from_everyone_becomes_stale(self):
+        """Guards against an instance that accepts withdrawn keys in a partition."""
+        cluster = await self._cluster(4)
+        cluster.partition({"i-0", "i-1", "i-2"}, {"i-3"})
+        cluster.cut_kv("i-3")
+        submission = await cluster.submit("i-0", 1, wait=1.0, workspaces=WITHDRAWN)
+        self.assertTrue(submission.accepted)
+        self.assertEqual(submission.missing, ("i-3",))
+        await eventually(lambda: cluster.fresh() == {"i-0", "i-1", "i-2"})
+        self.assertEqual(cluster.versions()["i-3"], 1)
+        cluster.heal()
+        await cluster.settled(2)
+
+    async def test_half_without_kv_becomes_stale_and_half_with_kv_serves(self):
+        """Guards against two halves that decide by different versions."""
+        cluster = await self._cluster(4)
+        cluster.partition({"i-0", "i-1"}, {"i-2", "i-3"})
+        cluster.cut_kv("i-2", "i-3")
+        await eventually(lambda: cluster.fresh() == {"i-0", "i-1"})
+        submission = await cluster.submit("i-0", 1, wait=0.5, deployment="second")
+        self.assertFalse(submission.accepted)
+        self.assertEqual(set(submission.missing), {"i-2", "i-3"})
+        cluster.heal()
+        await cluster.settled(2)
+
+    async def test_a_restarted_instance_catches_up_from_peers_without_kv(self):
+        """Guards against a fresh instance that needs KV, or that counts as evidence.
+
+        A restarted instance has forgotten what it knew, so it must not help a majority
+        to overlook an accepted version.
+        """
+        cluster = await self._cluster(4)
+        await cluster.submit("i-0", 1, deployment="second")
+        before = cluster.daemons_by_id["i-3"].membership.incarnation
+        cluster.cut_kv()
+        await cluster.stop_daemon("i-3")
+        daemon = await cluster.start_daemon("i-3")
+        self.assertGreater(daemon.membership.incarnation, before)
+        await eventually(lambda: daemon.configuration.version == 2)
+        await eventually(daemon.configuration.fresh)
+        self.assertEqual(daemon.configuration.dump()["rule"], "majority")
+        await eventually(
+            lambda: (
+                {
+                    m.incarnation
+                    for d in cluster.daemons_by_id.values()
+                    for m in d.membership.members()
+                    if m.instance_id == "i-3"
+                }
+                == {daemon.membership.incarnation}
+            ),
+            what="the new incarnation is known",
+        )
+
+    async def test_a_pause_drops_the_evidence(self):
+        """Guards against a process that wakes up and trusts what it knew before."""
+        cluster = await self._cluster(2)
+        configuration = cluster.daemons_by_id["i-0"].configuration
+        configuration.membership._pause._monotonic -= 2.5
+        self.assertFalse(configuration.fresh())
+        await eventually(configuration.fresh)
--- a/tests/test_peers/test_links.py
+++ b/tests/test_peers/test_links.py
@@ -17,7 +17,7 @@
     UsageBatch,
 )
 from camphorgate.peers.peers_pb2_grpc import PeersStub
-from camphorgate.peers.service import start_server
+from camphorgate.peers.service import bind_server
 from tests.faulty_network import Forwarder, eventually
 
 
@@ -32,7 +32,8 @@
         self.batches = []
 
     async def start(self):
-        self.server, self.address = await start_server(self, "127.0.0.1:0", self.clock)
+        self.server, self.address = bind_server(self, "127.0.0.1:0", self.clock)
+        await self.server.start()
 
     async def stop(self):
         await self.links.close()
@@ -139,7 +140,7 @@
 
     async def test_two_peers_that_dial_each_other_keep_one_link(self):
         """Guards against doubled beats when both sides dial at the same time."""
-        self.second.links._resolve = lambda address: self.first.address
+        self.second.links.resolve = lambda address: self.first.address
         self.second.links.dial_only(["to-first"])
         await self._connect()
         await eventually(
