--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/beats.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/beats.py
@@ -225,6 +225,13 @@
         """Acknowledge a duty's newer epoch."""
         return await self._service.acknowledge_epoch(notice)
 
+    def report(self) -> bytes:
+        """Return what this instance adds to the operators' report."""
+        app = self._service._app
+        if not app.has_service("report"):
+            return b""
+        return app.service("report").encoded_part()
+
     def _take_evidence(self, link: Link, beat: Beat, made_at: float) -> None:
         service = self._service
         memory: LinkMemory = link.memory.evidence
--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
@@ -6,20 +6,19 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-import msgspec
-
 from camphorgate.application import Application
 from camphorgate.configuration.freshness import PauseDetector
 from camphorgate.kv.errors import KvError
 from camphorgate.log import log_event
 from camphorgate.membership.evidence import EvidenceBook
 from camphorgate.membership.roster import Member, MemberState, Roster
-from camphorgate.membership.topology import is_watcher, neighbours
+from camphorgate.membership.topology import is_watcher
 from camphorgate.peers.errors import PeerError
 from camphorgate.peers.links import PeerLinks
 from camphorgate.peers.peers_pb2 import EpochAcknowledgement, EpochNotice
 from camphorgate.peers.service import bind_server
 from camphorgated.ext.membership.beats import BeatExchange, VersionSource
+from camphorgated.ext.membership.dialling import Dialling
 from camphorgated.ext.membership.platform import PlatformLists, PlatformUpstream
 from camphorgated.ext.membership.records import (
     ROSTER_PREFIX,
@@ -29,9 +28,7 @@
     member_of_record,
 )
 from camphorgated.ext.membership.registration import Registration
-
-# A peer that should dial this instance gets this long before it is dialled itself.
-DIAL_GRACE_SECONDS = 2.0
+from camphorgated.ext.membership.views import MemberView, Peer, age_of, view_member
 
 # Bound on asking the seeds for an own earlier incarnation while KV is down.
 ASK_SECONDS = 1.5
@@ -41,37 +38,6 @@
 EpochHandler = Callable[[str, int], Awaitable[Iterable[str]]]
 
 
-class MemberView(msgspec.Struct, frozen=True):
-    """A listed instance as other extensions see it."""
-
-    instance_id: str
-    incarnation: int
-    availability_zone: str
-    region: str
-    peer_address: str
-    live: bool
-    leaving: bool
-    version: int
-
-
-class Peer(msgspec.Struct, frozen=True):
-    """Calls to one instance."""
-
-    instance_id: str
-    address: str
-    links: PeerLinks
-
-    async def acknowledge_epoch(
-        self, duty: str, epoch: int, sender: str
-    ) -> EpochAcknowledgement:
-        """Ask the instance to acknowledge a newer epoch.
-
-        :raises PeerError: if it does not answer; nothing is acknowledged then.
-        """
-        notice = EpochNotice(duty=duty, epoch=epoch, sender=sender)
-        return await self.links.acknowledge_epoch(self.address, notice)
-
-
 class MembershipService:
     """Who is present; see section 9 of the design."""
 
@@ -110,8 +76,9 @@
         # Whether KV or the platform has told who there is; before that, the few known
         # instances must not be taken for the whole.
         self.roster_known = False
-        self._dialled_revision = -1
-        self._wanted_since_by_id: dict[str, float] = {}
+        self._dialling = Dialling(
+            self.roster, self.links, app.clock, app.settings.peers
+        )
 
     # Interface of section 9.
 
@@ -123,7 +90,7 @@
     def members(self) -> list[MemberView]:
         """Return the listed instances, by id."""
         now = self._clock.monotonic()
-        return [self._view(item, now) for item in self.roster.listed()]
+        return [view_member(self.roster, item, now) for item in self.roster.listed()]
 
     def live_count(self) -> int:
         """Return how many instances were heard recently, the own one included."""
@@ -136,9 +103,9 @@
         self.pull_beat()
 
     def peer(self, instance_id: str) -> Peer | None:
-        """Return calls to an instance, ``None`` if its address is not known."""
+        """Return calls to an instance, ``None`` if it is not known."""
         member = self.roster.member(instance_id)
-        if member is None or not member.peer_address:
+        if member is None:
             return None
         return Peer(instance_id, member.peer_address, self.links)
 
@@ -157,7 +124,9 @@
         """Return the instances to which a link is open."""
         now = self._clock.monotonic()
         members = map(self.roster.member, list(self.links.links_by_id))
-        return [self._view(item, now) for item in members if item is not None]
+        return [
+            view_member(self.roster, item, now) for item in members if item is not None
+        ]
 
     def handle_epochs(self, handler: EpochHandler) -> None:
         """Let a handler acknowledge newer epochs of duties.
@@ -279,7 +248,7 @@
             "links": sorted(self.links.links_by_id),
             "connections": self.links.connections,
             "watcher": self.is_watcher(),
-            "platform_list_age": _age(self.platform.read_at, now),
+            "platform_list_age": age_of(self.platform.read_at, now),
             "members": [
                 {
                     "instance": item.instance_id,
@@ -287,7 +256,7 @@
                     "zone": item.availability_zone,
                     "state": item.state.name.lower(),
                     "version": item.version,
-                    "heard_age": _age(item.heard_at, now),
+                    "heard_age": age_of(item.heard_at, now),
                 }
                 for item in self.roster.listed()
                 if self.book.detailed(item.availability_zone)
@@ -327,7 +296,7 @@
         period = self._app.settings.timing.beat_seconds
         while True:
             self.check_pause()
-            self._choose_links()
+            self._dialling.choose()
             self.links.close_silent(period)
             self.beats.collect_deltas()
             self.links.beat()
@@ -370,32 +339,6 @@
                         known = max(known, await ask(seed))
         return known
 
-    def _choose_links(self) -> None:
-        """Dial the neighbours of the topology, and seeds that are not known yet."""
-        now = self._clock.monotonic()
-        roster = self.roster
-        zones = roster.listed_by_zone()
-        ids_by_zone = {z: [m.instance_id for m in ms] for z, ms in zones.items()}
-        wanted = neighbours(self.instance_id, ids_by_zone)
-        since = self._wanted_since_by_id
-        self._wanted_since_by_id = {item: since.get(item, now) for item in wanted}
-        addresses = {
-            roster.member(item).peer_address
-            for item in wanted
-            if self._should_dial(item, now)
-        }
-        known = {member.peer_address for member in roster.listed()}
-        addresses |= set(self._app.settings.peers) - known
-        self.links.dial_only(addresses - {"", roster.own.peer_address})
-
-    def _should_dial(self, instance_id: str, now: float) -> bool:
-        if self.instance_id < instance_id:
-            return True
-        link = self.links.links_by_id.get(instance_id)
-        if link is not None:
-            return link.dialled
-        return now - self._wanted_since_by_id[instance_id] > DIAL_GRACE_SECONDS
-
     def _apply_platform_list(self) -> None:
         self.roster_known = self.roster_known or bool(self.platform.instances_by_id)
         states = {
@@ -412,23 +355,5 @@
     def _members_changed(self) -> None:
         self._app.emit("member-changed")
 
-    def _view(self, member: Member, now: float) -> MemberView:
-        return MemberView(
-            member.instance_id,
-            member.incarnation,
-            member.availability_zone,
-            member.region,
-            member.peer_address,
-            live=self.roster.is_live(member, now),
-            leaving=member.state == MemberState.LEAVING,
-            version=member.version,
-        )
-
     def _readings(self) -> tuple[float, float]:
         return self._clock.monotonic(), self._clock.now().timestamp()
-
-
-def _age(moment: float | None, now: float) -> float | None:
-    if moment is None or moment < 0:
-        return None
-    return round(now - moment, 3)
--- a/packages/camphorgate/src/camphorgate/peers/links.py
+++ b/packages/camphorgate/src/camphorgate/peers/links.py
@@ -16,6 +16,7 @@
     EpochNotice,
     Packet,
     PartsRequest,
+    ReportRequest,
     SnapshotAnswer,
     SnapshotRequest,
 )
@@ -145,6 +146,14 @@
         """
         return await self._call(address, "AcknowledgeEpoch", notice)
 
+    async def report(self, address: str, timeout: float) -> bytes:
+        """Return what an instance adds to the operators' report.
+
+        :raises PeerError: if the instance does not answer.
+        """
+        answer = await self._call(address, "Report", ReportRequest(), timeout)
+        return answer.payload
+
     async def close(self) -> None:
         """End every link and connection, for good."""
         self._closed = True
@@ -190,14 +199,18 @@
         finally:
             await channel.close()
 
-    async def _call(self, address: str, method: str, request):
+    async def _call(
+        self, address: str, method: str, request, timeout: float = CALL_SECONDS
+    ):
+        if not address:
+            raise PeerError(f"{method} failed: the address of the peer is not known")
         channel = self._channels_by_address.get(address)
         if channel is None:
             channel = grpc.aio.insecure_channel(self.resolve(address), _DIAL_OPTIONS)
             self._channels_by_address[address] = channel
         try:
             call = getattr(PeersStub(channel), method)
-            return await call(request, timeout=CALL_SECONDS)
+            return await call(request, timeout=timeout)
         except grpc.RpcError as error:
             # A connection that went silent must not be used for the next call.
             if self._channels_by_address.get(address) is channel:
--- a/packages/camphorgate/src/camphorgate/peers/service.py
+++ b/packages/camphorgate/src/camphorgate/peers/service.py
@@ -14,6 +14,8 @@
     Part,
     PartsAnswer,
     PartsRequest,
+    ReportAnswer,
+    ReportRequest,
     SnapshotAnswer,
     SnapshotRequest,
 )
@@ -43,6 +45,9 @@
     async def acknowledge_epoch(self, notice: EpochNotice) -> EpochAcknowledgement:
         """Acknowledge a duty's newer epoch."""
 
+    def report(self) -> bytes:
+        """Return what this instance adds to the operators' report."""
+
 
 class PeerServicer(PeersServicer):
     """Answers the calls of peers."""
@@ -90,6 +95,12 @@
         """Return the root in force and the members."""
         return self._handler.snapshot(request.above_version)
 
+    async def Report(  # noqa: N802
+        self, request: ReportRequest, context
+    ) -> ReportAnswer:
+        """Return what this instance adds to the operators' report."""
+        return ReportAnswer(payload=self._handler.report())
+
 
 def bind_server(
     handler: PeerHandler, address: str, clock: Clock
--- /dev/null
+++ b/tests/test_membership/test_topology.py
@@ -0,0 +1,167 @@
+"""Links between instances: degree, connection, traffic."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphorgate.membership.evidence import EvidenceBook, LinkMemory
+from camphorgate.membership.roster import Member, Roster, hash_name
+from camphorgate.membership.topology import MAX_LINKS, is_watcher, neighbours
+from camphorgate.peers.peers_pb2 import Beat, Packet
+
+# HTTP/2 frame, gRPC prefix, and the TCP and IP headers of a message.
+WIRE_BYTES = 9 + 5 + 52
+BEATS_PER_SECOND = 2.0
+TARGET_BYTES_PER_SECOND = 3000
+LARGE = [45] * 2 + [44] * 15
+
+
+def _zones(sizes):
+    return {
+        f"zone-{zone:02}": [f"i-{zone:02}-{number:03}" for number in range(size)]
+        for zone, size in enumerate(sizes)
+    }
+
+
+def _edges(zones):
+    ids = [item for members in zones.values() for item in members]
+    return {item: neighbours(item, zones) for item in ids}
+
+
+def _reached(edges, without=frozenset()):
+    start = next(item for item in edges if item not in without)
+    reached, open_ids = {start}, [start]
+    while open_ids:
+        for item in edges[open_ids.pop()] - without - reached:
+            reached.add(item)
+            open_ids.append(item)
+    return reached
+
+
+def _diameter(edges, sources):
+    longest = 0
+    for source in sources:
+        distance, level, depth = {source}, {source}, 0
+        while level := {n for item in level for n in edges[item]} - distance:
+            distance |= level
+            depth += 1
+        longest = max(longest, depth)
+    return longest
+
+
+class TopologyTests(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.lists(st.integers(1, 30), min_size=1, max_size=20))
+    def test_links_are_mutual_few_and_connect_everyone(self, sizes):
+        """Guards against instances that nobody reaches, or with too many links."""
+        zones = _zones(sizes)
+        edges = _edges(zones)
+        for item, others in edges.items():
+            self.assertLessEqual(len(others), MAX_LINKS, (item, sizes))
+            self.assertNotIn(item, others)
+            for other in others:
+                self.assertIn(item, edges[other])
+        self.assertEqual(_reached(edges), set(edges))
+
+    def test_a_small_system_is_fully_meshed(self):
+        """Guards against relays where direct links are possible."""
+        edges = _edges(_zones([2, 2, 2, 2]))
+        self.assertEqual({len(others) for others in edges.values()}, {7})
+
+    def test_the_target_size_stays_connected_under_failures(self):
+        """Guards against a system that falls apart when a zone and more fail."""
+        zones = _zones(LARGE)
+        edges = _edges(zones)
+        self.assertEqual(len(edges), 750)
+        self.assertLessEqual(max(map(len, edges.values())), MAX_LINKS)
+        generator = random.Random(1)
+        for trial in range(30):
+            lost = set(generator.sample(sorted(edges), 75))
+            lost |= set(zones[f"zone-{trial % 17:02}"])
+            self.assertEqual(_reached(edges, lost), set(edges) - lost)
+
+    def test_news_reaches_everyone_in_few_hops(self):
+        """Guards against a topology in which a change takes too long to travel."""
+        edges = _edges(_zones(LARGE))
+        self.assertLessEqual(_diameter(edges, sorted(edges)[::50]), 10)
+
+    def test_two_live_instances_of_a_zone_watch_kv(self):
+        """Guards against a zone without a reader, and a KV called by everyone."""
+        zones = _zones(LARGE)
+        for ids in zones.values():
+            chosen = [item for item in ids if is_watcher(item, ids, 750)]
+            self.assertEqual(len(chosen), 2)
+            rest = [item for item in ids if item not in chosen]
+            again = [item for item in rest if is_watcher(item, rest, 750)]
+            self.assertEqual(len(again), 2)
+        self.assertTrue(is_watcher("i-1", ["i-0", "i-1", "i-2", "i-3"], 8))
+
+
+class TrafficTests(unittest.TestCase):
+    def _bytes_per_second(self, resting):
+        """Run one instance's beats for 10 s as if all others were heard by peers."""
+        zones = _zones(LARGE)
+        own_id = max(
+            (item for ids in zones.values() for item in ids),
+            key=lambda item: len(neighbours(item, zones)),
+        )
+        own_zone = next(zone for zone, ids in zones.items() if own_id in ids)
+        roster = Roster(Member(own_id, 1, own_zone, confirmed=True), 0.0)
+        for zone, ids in zones.items():
+            for item in ids:
+                roster.merge(Member(item, 1, zone), 0.0)
+        book = EvidenceBook(roster)
+        memories = {item: LinkMemory() for item in neighbours(own_id, zones)}
+        generator = random.Random(2)
+        total = 0
+        for beat in range(20):
+            now = 100.0 + beat / BEATS_PER_SECOND
+            self._hear(roster, book, zones, memories, now, generator)
+            for item, memory in memories.items():
+                due = book.due(memory, now, resting)
+                peer = roster.member(item)
+                message = Beat(
+                    sequence=100000 + beat,
+                    echo=100000 + beat,
+                    echo_held_ms=400,
+                    roster_digest=roster.digest(),
+                    roster_known=True,
+                    highest_version=40000,
+                    version=40000,
+                    confirmed=True,
+                    kv_version=40000,
+                    kv_age_ms=900,
+                    members=book.pack_members(peer, memory, now, 40000, due),
+                    zones=book.pack_zones(memory, now, 40000, due),
+                )
+                if due:
+                    memory.sent_at = now
+                total += len(Packet(beat=message).SerializeToString()) + WIRE_BYTES
+        return total / 10.0
+
+    def _hear(self, roster, book, zones, memories, now, generator):
+        """Take evidence of all others; half of it came from each peer first."""
+        for member in roster.listed_by_zone()[roster.own.availability_zone]:
+            at = now - generator.uniform(0.0, 1.5)
+            roster.hear(member, at, 40000, True, now)
+            for memory in memories.values():
+                if generator.random() < 0.5:
+                    number = hash_name(member.instance_id)
+                    memory.heard_at_by_hash[number] = at
+                    memory.version_by_hash[number] = 40000
+        for zone, ids in zones.items():
+            entry = (hash_name(zone), 10, len(ids), len(ids) - 10, len(ids))
+            packed = b"".join([entry[0].to_bytes(4, "little"), bytes(entry[1:])])
+            for memory in memories.values():
+                if generator.random() < 0.5:
+                    book.take_zones(packed, memory, now, 40000)
+
+    def test_beats_stay_within_the_budget_at_the_target_size(self):
+        """Guards against beats that grow with the system beyond 3 KB/s a node."""
+        resting = self._bytes_per_second(resting=True)
+        outage = self._bytes_per_second(resting=False)
+        self.assertLess(resting, TARGET_BYTES_PER_SECOND)
+        # Without KV all evidence travels with every beat.
+        self.assertLess(outage, 2 * TARGET_BYTES_PER_SECOND)
