--- a/tests/test_configuration/test_decisions.py
+++ b/tests/test_configuration/test_decisions.py
@@ -1,5 +1,6 @@
 """Versions, parts and freshness, without I/O."""
 
+import random
 import unittest
 
 import msgspec
@@ -29,7 +30,7 @@
 from tests.builders import build_manifest, build_upstream
 
 BOUND = 3.0
-INSTANCES = 5
+INSTANCES = 3
 
 
 def _large_manifest(changed=""):
@@ -178,15 +179,9 @@
                 self.assertEqual(detector.tick(monotonic, 1000.0 + wall), expected)
 
 
-MOVES = st.lists(
-    st.tuples(
-        st.sampled_from(["write", "tell", "ask", "restart", "wait"]),
-        st.integers(0, INSTANCES - 1),
-        st.integers(0, INSTANCES - 1),
-        st.floats(0.0, 4.0),
-    ),
-    max_size=60,
-)
+MOVES = ("write", "tell", "ask", "ask", "restart", "wait")
+WALKS = 3000
+STEPS = 40
 
 
 class _Instance:
@@ -194,6 +189,10 @@
         self.ledger = Ledger()
         self.confirmed = False
         self.heard_at = [float("-inf")] * INSTANCES
+        self.questions = []
+
+    def known(self):
+        return self.ledger.highest_known
 
     def fresh(self, own, now):
         others = [now - at < BOUND for at in self.heard_at]
@@ -205,32 +204,38 @@
 
 
 class MajorityTests(unittest.TestCase):
-    @settings(derandomize=True, deadline=None, max_examples=300)
-    @given(MOVES)
-    def test_no_instance_is_fresh_after_a_majority_accepted_a_newer_version(
-        self, moves
-    ):
+    def test_no_instance_is_fresh_after_a_majority_accepted_a_newer_version(self):
         """Guards against a withdrawn key that is accepted without KV.
 
         Messages are lost, late and repeated in any order, and instances restart and
-        forget. A version is accepted when a majority knows it at the same time.
+        forget. A version is accepted when a majority knows it at the same time. Random
+        walks reach the counterexamples of weakened rules, shrinking strategies do not.
         """
+        for seed in range(WALKS):
+            with self.subTest(seed=seed):
+                self._walk(random.Random(seed))
+
+    def _walk(self, generator):
         instances = [_Instance() for _ in range(INSTANCES)]
         for item in instances:
             item.confirmed = True
         now, newest, accepted = 0.0, 0, [(0.0, 0)]
-        for move, first, second, number in moves:
+        for _ in range(STEPS):
+            move, number = generator.choice(MOVES), generator.uniform(0.0, 4.0)
+            first, second = generator.sample(range(INSTANCES), 2)
             one, other = instances[first], instances[second]
             if move == "write" and one.fresh(first, now):
                 newest += 1
                 one.ledger.learn(newest)
             elif move == "tell":
                 one.ledger.learn(other.ledger.highest_known)
-            elif move == "ask" and first != second:
-                # The question left `number` seconds ago, the answer is of now.
-                one.ledger.learn(other.ledger.highest_known)
-                if other.confirmed:
-                    one.heard_at[second] = max(one.heard_at[second], now - number)
+            elif move == "ask":
+                # Any earlier answer may arrive now, also for a second time.
+                one.questions.append((second, now, other.confirmed, other.known()))
+                asked, at, confirmed, known = generator.choice(one.questions)
+                one.ledger.learn(known)
+                if confirmed:
+                    one.heard_at[asked] = max(one.heard_at[asked], at)
             elif move == "restart":
                 instances[first] = _Instance()
             elif move == "wait":
