--- a/benchmarks/clairvoyant.py
+++ b/benchmarks/clairvoyant.py
@@ -100,7 +100,8 @@
     def _best_move(self, window: int, start: Split) -> Move | None:
         """Return the first step of the best sequence of splits."""
         last = min(window + LOOK_AHEAD, len(self.demands))
-        floor = both_floor(start.total, self.parameters)
+        # A crash can leave fewer of both roles than the floor of the rest.
+        floor = min(start.both, both_floor(start.total, self.parameters))
         value: dict[Split, float] = {}
         splits = _splits(start.total, floor)
         choice: dict[Split, Split] = {}
--- a/packages/camphorgate/src/camphorgate/fleet/roles.py
+++ b/packages/camphorgate/src/camphorgate/fleet/roles.py
@@ -89,7 +89,8 @@
     if most <= 0 or len(present) < 2:
         return []
     question = RoleQuestion(split_of(present), demand, rates, parameters, most)
-    move = policies.get(parameters.role_policy)(question)
+    move = _restore_both(question.split)
+    move = move or policies.get(parameters.role_policy)(question)
     return bounded_changes(move, engines, parameters) if move else []
 
 
@@ -117,6 +118,13 @@
     )
 
 
+def _restore_both(split: Split) -> Move | None:
+    """Propose an engine for both roles if the last one was lost."""
+    if split.both:
+        return None
+    return Move("prefill" if split.prefill >= split.decode else "decode", "both")
+
+
 def _assign(
     move: Move, present: list[Engine], parameters: PlannerParameters, most: int
 ) -> list[RoleChange]:
--- a/packages/camphorgate/src/camphorgate/fleet/service_share.py
+++ b/packages/camphorgate/src/camphorgate/fleet/service_share.py
@@ -121,16 +121,26 @@
 def engines_needed(
     demand: Demand, rates: Rates, share: float, both_share: float, most: int
 ) -> int:
-    """Return the fewest engines that serve a share in time, at most ``most``."""
+    """Return the fewest engines that serve a share in time, at most ``most``.
+
+    The share is one of what any number of engines would serve: prompts that are too
+    long for the first token in time do not call for more engines.
+    """
     load = load_in_engines(demand, rates)
     first = max(1, math.ceil(load))
-    for total in range(first, min(most, SEARCH_LIMIT) + 1):
-        both = max(1, math.ceil(both_share * total))
-        if best_share(total, both, demand, rates) >= share:
+    most = min(most, first + SEARCH_LIMIT)
+    ample = min(most, max(first + 4, 3 * first))
+    goal = share * best_share(ample, _both(both_share, ample), demand, rates)
+    for total in range(min(first, most), most + 1):
+        if best_share(total, _both(both_share, total), demand, rates) >= goal:
             return total
     return most
 
 
+def _both(share: float, total: int) -> int:
+    return max(1, math.ceil(share * total))
+
+
 def _ratio(load: float, engines: float) -> float:
     if engines > 0:
         return min(load / engines, 1e6)
