State the reserve as a share served in time and ask for clearer role gains

The clairvoyant plan no longer holds capacity, since it knows what comes. Change: the reserve is the engines that still serve a share of the present demand in time; a role change needs 1.5 times its cost after one deviation of uncertainty; the margins of demand and of holding capacity are smaller than at first.

--- a/benchmarks/clairvoyant.py
+++ b/benchmarks/clairvoyant.py
@@ -3,6 +3,7 @@
 import functools
 import math
 
+import msgspec
 import numpy as np
 
 from camphorgate.fleet.capacity import (
@@ -26,6 +27,7 @@
 WINDOW_SECONDS = 20.0
 # How far the plan looks ahead, in windows; a role change pays off well before.
 LOOK_AHEAD = 30
+HOLD_SECONDS = 60.0
 
 
 class ClairvoyantPlanner:
@@ -34,7 +36,8 @@
     def __init__(self, trace: Trace, parameters: PlannerParameters) -> None:
         """Read the whole trace."""
         self.trace = trace
-        self.parameters = parameters
+        # Knowing what comes, it need not hold capacity in case the demand returns.
+        self.parameters = msgspec.structs.replace(parameters, hold_seconds=HOLD_SECONDS)
         self.demands = _demands(trace)
         self.role_changes = RoleChanges()
         self.capacity_memory = CapacityMemory()
--- a/packages/camphorgate/src/camphorgate/fleet/capacity.py
+++ b/packages/camphorgate/src/camphorgate/fleet/capacity.py
@@ -123,11 +123,17 @@
 
 
 def reserve_of(question: CapacityQuestion) -> int:
-    """Return how many upstreams must be left after any zone's cheap ones vanish."""
+    """Return how many upstreams must be left after any zone's cheap ones vanish.
+
+    They still serve ``reserve_share`` of the present demand in time.
+    """
     parameters = question.parameters
-    load = load_in_engines(question.near, question.rates) * parameters.reserve_share
-    return min(
-        parameters.maximum, math.ceil(load / parameters.reserve_utilisation - 1e-9)
+    return engines_needed(
+        question.near,
+        question.rates,
+        parameters.reserve_share,
+        parameters.both_share,
+        parameters.maximum,
     )
 
 
--- a/packages/camphorgate/src/camphorgate/fleet/objective.py
+++ b/packages/camphorgate/src/camphorgate/fleet/objective.py
@@ -15,14 +15,14 @@
     capacity_policy: str = "forecast_reserve"
     # Roles.
     horizon_seconds: float = 240.0
-    gain_deviations: float = 0.5
+    gain_deviations: float = 1.0
+    gain_margin: float = 1.5
     changing_share: float = 0.25
     both_share: float = 0.25
     # Capacity.
     target_share: float = 0.95
     demand_deviations: float = 1.0
-    reserve_share: float = 1.0
-    reserve_utilisation: float = 0.95
+    reserve_share: float = 0.9
     hold_seconds: float = 300.0
     clear_seconds: float = 1800.0
     cheap_use: float = 1.0
@@ -35,9 +35,10 @@
 # Each pair: the figure if only the service counts, then if only cost counts.
 # Share of requests served in time for which capacity is ordered.
 _TARGET_SHARE = (0.985, 0.9)
-_DEMAND_DEVIATIONS = (1.5, 0.0)
-_HOLD_SECONDS = (600.0, 120.0)
-_RESERVE_SHARE = (1.0, 0.8)
+_DEMAND_DEVIATIONS = (1.0, 0.4)
+_HOLD_SECONDS = (300.0, 150.0)
+# Share still served in time after any one zone's cheap upstreams vanish.
+_RESERVE_SHARE = (0.95, 0.75)
 
 
 def parameters_of(objective: Objective, pool: Pool) -> PlannerParameters:
--- a/packages/camphorgate/src/camphorgate/fleet/roles.py
+++ b/packages/camphorgate/src/camphorgate/fleet/roles.py
@@ -211,6 +211,7 @@
         spread = math.sqrt(sum((gain - mean) ** 2 for gain in gains) / len(gains))
         gain = mean - question.parameters.gain_deviations * spread
         cost = move.count * (question.rates.role_change_seconds + DRAIN_SECONDS)
+        cost *= question.parameters.gain_margin
         if gain - cost > best_surplus:
             best_surplus = gain - cost
             best = msgspec.structs.replace(move, gain=gain, cost=cost)
