--- /dev/null
+++ b/benchmarks/routing_replay.py
@@ -0,0 +1,195 @@
+"""Measures routing policies through a shift of the prompt-to-output mix.
+
+Run ``python -m benchmarks.routing_replay --seeds 20``.
+"""
+
+import argparse
+import random
+import statistics
+
+from benchmarks.replay import Engine, Job, Replay
+from benchmarks.replay_gateways import (
+    DECODE_RATE,
+    PREFILL_RATE,
+    Gateway,
+)
+from camphorgate.requests.fairness import service_of
+from camphorgate.requests.views import RequestView, UpstreamView
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+WORKSPACES = tuple(f"workspace-{number}" for number in range(8))
+WORKSPACE_WEIGHTS = (8, 6, 4, 1, 1, 1, 1, 1)
+GATEWAYS = 7
+ENGINES = 9
+SLOTS = 16
+CACHED_PREFIXES = 12
+PREFIXES_PER_WORKSPACE = 4
+# Mean prompt and output tokens of the two mixes, and requests per second at which
+# the nine engines are just busy.
+CHAT = (700, 120)
+READS = (4200, 60)
+PHASES = ((0.0, CHAT), (20.0, READS), (45.0, CHAT))
+SECONDS = 60.0
+# The shift with the time until its queues have drained.
+SHIFT = (20.0, 50.0)
+# What each workspace asks for in the flood, as a part of what the engines can do.
+FLOOD_DEMANDS = (0.3, 0.3, 0.3, 0.04, 0.04, 0.04, 0.04, 1.5)
+FLOOD_WINDOW = (10.0, 110.0)
+FLOOD_SECONDS = 120.0
+
+
+def build_engines(seed: int, spread: float) -> list[Engine]:
+    """Return the engines; their real rates differ by up to ``spread``."""
+    source = random.Random(seed)
+    engines = []
+    for number in range(ENGINES):
+        factor = 1 + source.uniform(-spread, spread)
+        view = UpstreamView(
+            id=f"engine-{number}",
+            pool="models",
+            zone=ZONES[number % len(ZONES)],
+            slots=SLOTS,
+            prefill_tokens_per_second=PREFILL_RATE * factor,
+            decode_tokens_per_second=DECODE_RATE * factor,
+        )
+        engines.append(Engine(view, CACHED_PREFIXES))
+    return engines
+
+
+def _mix_at(when: float) -> tuple[int, int]:
+    return [mix for begin, mix in PHASES if begin <= when][-1]
+
+
+def build_jobs(seed: int, load: float) -> list[Job]:
+    """Return the requests of one run.
+
+    :param load: offered work as a part of what the engines can do without a cache.
+    """
+    source = random.Random(seed + 1000)
+    jobs = []
+    when = 0.0
+    while True:
+        prompt, output = _mix_at(when)
+        seconds = prompt / PREFILL_RATE + output / DECODE_RATE
+        when += source.expovariate(load * ENGINES / seconds)
+        if when >= SECONDS:
+            return jobs
+        number = source.choices(range(8), WORKSPACE_WEIGHTS)[0]
+        jobs.append(_build_job(source, when, prompt, output, number))
+
+
+def _build_job(
+    source: random.Random, when: float, prompt: int, output: int, number: int
+) -> Job:
+    prefix = prompt // 3
+    tail = int(source.lognormvariate(-0.5, 1.0) * (prompt - prefix))
+    request = RequestView(
+        workspace=WORKSPACES[number],
+        pool="models",
+        prompt_tokens=min(prefix + tail, 9000),
+        output_tokens=max(1, int(source.expovariate(1 / output))),
+        prefix_digest=f"{number}-{prefix}-{source.randrange(PREFIXES_PER_WORKSPACE)}",
+        prefix_tokens=prefix,
+        zone=source.choice(ZONES),
+    )
+    return Job(when, source.randrange(GATEWAYS), request)
+
+
+def run_once(
+    policy: str, seed: int, load: float, spread: float, gateway_class: type = Gateway
+) -> tuple[float, float]:
+    """Return goodput during the shift and microseconds per choice.
+
+    :returns: good requests as a part of those that arrived, and microseconds.
+    """
+    engines = build_engines(seed, spread)
+    gateways = [gateway_class(number, policy, engines) for number in range(GATEWAYS)]
+    jobs = build_jobs(seed, load)
+    Replay(engines, gateways, seed, SECONDS).run(jobs)
+    shift = [job for job in jobs if SHIFT[0] <= job.arrival < SHIFT[1]]
+    good = sum(job.good() for job in shift) / len(shift)
+    choices = sum(gateway.choices for gateway in gateways)
+    return good, 1e6 * sum(gateway.choose_seconds for gateway in gateways) / choices
+
+
+def _report(load: float, spread: float, seeds: int) -> None:
+    goodput_by_policy = {}
+    for policy in ("round_robin", "least_outstanding", "expected_latency"):
+        runs = [run_once(policy, seed, load, spread) for seed in range(seeds)]
+        goodput_by_policy[policy] = [good for good, _ in runs]
+        micros = statistics.median(micro for _, micro in runs)
+        base = goodput_by_policy["round_robin"]
+        pairs = zip(goodput_by_policy[policy], base, strict=True)
+        ratios = sorted(good / reference for good, reference in pairs)
+        share = statistics.mean(good for good, _ in runs)
+        print(
+            f"load={load} spread={spread} policy={policy} "
+            f"shift_good_share={share:.3f} "
+            f"ratio_mean={statistics.mean(ratios):.3f} ratio_min={ratios[0]:.3f} "
+            f"ratio_max={ratios[-1]:.3f} choose_us={micros:.1f}",
+            flush=True,
+        )
+
+
+def build_flood(seed: int) -> list[Job]:
+    """Return the requests of three large, four small and one flooding workspace."""
+    source = random.Random(seed + 2000)
+    prompt, output = READS
+    seconds = prompt / PREFILL_RATE + output / DECODE_RATE
+    jobs = []
+    for number, demand in enumerate(FLOOD_DEMANDS):
+        when = 0.0
+        while (
+            when := when + source.expovariate(demand * ENGINES / seconds)
+        ) < FLOOD_SECONDS:
+            jobs.append(_build_job(source, when, prompt, output, number))
+    return sorted(jobs, key=lambda job: job.arrival)
+
+
+def _in_window(when: float) -> bool:
+    return FLOOD_WINDOW[0] <= when < FLOOD_WINDOW[1]
+
+
+def worst_share(jobs: list[Job]) -> float:
+    """Return the lowest ratio of service to fair share of any workspace.
+
+    The fair share is the max-min share of all service given, by what each asked.
+    """
+    asked = dict.fromkeys(WORKSPACES, 0.0)
+    served = dict.fromkeys(WORKSPACES, 0.0)
+    for job in jobs:
+        service = service_of(job.request.prompt_tokens, job.request.output_tokens)
+        if _in_window(job.arrival):
+            asked[job.request.workspace] += service
+        if _in_window(job.done_at):
+            served[job.request.workspace] += service
+    left, share_by_workspace = sum(served.values()), {}
+    for position, name in enumerate(sorted(WORKSPACES, key=asked.get)):
+        share = min(asked[name], left / (len(WORKSPACES) - position))
+        share_by_workspace[name] = share
+        left -= share
+    return min(served[name] / share_by_workspace[name] for name in WORKSPACES)
+
+
+def run_flood(policy: str, seed: int, spread: float, gateway_class: type) -> list[Job]:
+    """Replay the flood and return its requests."""
+    engines = build_engines(seed, spread)
+    gateways = [gateway_class(number, policy, engines) for number in range(GATEWAYS)]
+    jobs = build_flood(seed)
+    Replay(engines, gateways, seed, FLOOD_SECONDS).run(jobs)
+    return jobs
+
+
+def main() -> None:
+    """Print one line per load and policy."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--loads", type=float, nargs="+", default=[0.4, 0.7, 0.9, 1.0])
+    parser.add_argument("--spread", type=float, default=0.2)
+    options = parser.parse_args()
+    for load in options.loads:
+        _report(load, options.spread, options.seeds)
+
+
+if __name__ == "__main__":
+    main()
