--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,6 +8,8 @@
 import unittest
 from pathlib import Path
 
+from camphorgate.log import configure_logging
+
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
@@ -37,6 +39,7 @@
     """Run the tests and return the exit code."""
     faulthandler.dump_traceback_later(RUN_SECONDS, exit=True)
     sys.path.insert(0, str(ROOT))
+    configure_logging("CRITICAL")
     pattern = sys.argv[1] if len(sys.argv) > 1 else ""
     suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=ROOT)
     cases = [case for case in _flatten(suite) if pattern in case.id()]
