--- a/packages/camphorgate/src/camphorgate/accounting/copies.py
+++ b/packages/camphorgate/src/camphorgate/accounting/copies.py
@@ -78,6 +78,11 @@
         self._sent_window = (-1, -1)
         self._new = True
 
+    @property
+    def awaiting(self) -> bool:
+        """Tell whether a batch is on its way."""
+        return self._in_flight
+
     def next_batch(self, book: UsageBook) -> Batch | None:
         """Return the next batch if one is due, with its number in ``sequence``.
 
--- /dev/null
+++ b/tests/test_accounting/cluster.py
@@ -0,0 +1,248 @@
+"""Usage services of several instances in one process, linked in memory."""
+
+import asyncio
+import contextlib
+from datetime import timedelta
+from types import SimpleNamespace
+
+import msgspec
+
+from camphorgate.clock import SystemClock
+from camphorgate.kv.client import KvClient
+from camphorgate.kv.records import Put
+from camphorgate.membership.roster import MemberState
+from camphorgated.ext.usage.service import UsageService
+from camphorgated.ext.usage.timing import UsageTiming
+
+# The test calls what the loops would do, so the loops run once and then rest.
+TIMING = UsageTiming(
+    copy_tick_seconds=1e6,
+    hand_in_seconds=1e6,
+    report_seconds=1e6,
+    ack_seconds=1e6,
+    force_seconds=0.0,
+)
+WINDOW_SECONDS = 60
+
+
+class SkippingClock(SystemClock):
+    """The machine's clock, whose wall time a test can move forward."""
+
+    def __init__(self):
+        self.skipped = timedelta()
+
+    def now(self):
+        """Return the moved wall time."""
+        return super().now() + self.skipped
+
+    def skip_window(self):
+        """Move past the end of the current window and the time for late parts."""
+        self.skipped += timedelta(seconds=WINDOW_SECONDS + TIMING.close_seconds + 1)
+
+
+class MemoryMembership:
+    """The part of ``membership`` that usage needs."""
+
+    def __init__(self, cluster, instance_id, zone, incarnation):
+        self.instance_id = instance_id
+        self.incarnation = incarnation
+        self.zone = zone
+        self.cluster = cluster
+        self.roster = SimpleNamespace(member=self._member)
+        self.copy_holders = ()
+        self.on_batch = self.on_ack = None
+
+    def members(self):
+        """Return every instance that runs."""
+        return [self._view(item) for item in self.cluster.instances_by_id.values()]
+
+    linked = members
+
+    def platform_state(self, instance_id):
+        """Return the platform's word about an instance."""
+        return self.cluster.platform_states.get(instance_id)
+
+    def handle_usage(self, on_batch, on_ack):
+        """Keep the handlers."""
+        self.on_batch, self.on_ack = on_batch, on_ack
+
+    def send_usage(self, instance_id, packet):
+        """Deliver a packet soon, unless the link is cut or the peer gone."""
+        pair = frozenset((self.instance_id, instance_id))
+        if instance_id not in self.cluster.instances_by_id:
+            return False
+        if pair not in self.cluster.silent_links:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._deliver, instance_id, packet)
+        return True
+
+    async def set_copy_holders(self, holders):
+        """Write the holders into the roster."""
+        self.copy_holders = tuple(holders)
+        await self.register()
+
+    async def register(self):
+        """Write the roster entry."""
+        entry = {
+            "instance_id": self.instance_id,
+            "incarnation": self.incarnation,
+            "copy_holders": self.copy_holders,
+        }
+        key = f"roster/{self.instance_id}"
+        await self.cluster.kv.transact([], [Put(key, msgspec.json.encode(entry))])
+
+    def _deliver(self, instance_id, packet):
+        peer = self.cluster.instances_by_id.get(instance_id)
+        if peer is None:
+            return
+        membership = peer.membership
+        handler = membership.on_ack
+        if hasattr(packet, "payload") and packet.payload:
+            handler = membership.on_batch
+        handler(self.instance_id, packet)
+
+    def _member(self, instance_id):
+        found = self.cluster.instances_by_id.get(instance_id)
+        if found is None:
+            return None
+        view = self._view(found)
+        return SimpleNamespace(state=MemberState.PRESENT, incarnation=view.incarnation)
+
+    @staticmethod
+    def _view(instance):
+        return SimpleNamespace(
+            instance_id=instance.membership.instance_id,
+            availability_zone=instance.membership.zone,
+            incarnation=instance.membership.incarnation,
+            live=True,
+            leaving=False,
+        )
+
+
+class MemoryDuties:
+    """Lets named instances act for every duty and records the reports."""
+
+    def __init__(self, cluster, instance_id):
+        self.cluster = cluster
+        self.instance_id = instance_id
+
+    def authority(self, duty):
+        """Return the right to act if the test gave it."""
+        if self.instance_id not in self.cluster.reporters:
+            return None
+        return SimpleNamespace(valid=lambda: True)
+
+    async def submit_order(self, duty, receiver, order):
+        """Record a report."""
+        self.cluster.reports.append((order["window"], order["figures"]))
+
+
+class Instance:
+    """One running daemon, as far as usage goes."""
+
+    def __init__(self, cluster, instance_id, zone, incarnation):
+        self.membership = MemoryMembership(cluster, instance_id, zone, incarnation)
+        self.tasks = []
+        services = {
+            "membership": self.membership,
+            "kv": cluster.kv,
+            "duties": MemoryDuties(cluster, instance_id),
+        }
+        app = SimpleNamespace(
+            clock=cluster.clock,
+            settings=SimpleNamespace(availability_zone=zone),
+            service=services.__getitem__,
+            has_service=services.__contains__,
+            spawn=self._spawn,
+        )
+        self.usage = UsageService(app, TIMING)
+
+    def _spawn(self, coroutine, name):
+        self.tasks.append(asyncio.create_task(coroutine, name=name))
+
+    async def use(self, workspace, calls=1):
+        """Record usage and return whether it is protected."""
+        entry = SimpleNamespace(
+            workspace=workspace,
+            model="assistant",
+            service="",
+            calls=calls,
+            prompt_tokens=10 * calls,
+            output_tokens=calls,
+        )
+        self.usage.record(entry)
+        return await self.usage.durable(entry)
+
+
+class Cluster:
+    """Instances, the key-value service and what reached the platform."""
+
+    def __init__(self, kv_address):
+        self.clock = SkippingClock()
+        self.kv = KvClient((kv_address,), self.clock, 5000.0, 0.3, seed=1)
+        self.instances_by_id = {}
+        self.platform_states = {}
+        self.silent_links = set()
+        self.reporters = set()
+        self.reports = []
+        self._starts = 0
+
+    async def start(self, instance_id, zone):
+        """Start an instance, or a newer incarnation of it."""
+        self._starts += 1
+        begun = int(self.clock.now().timestamp() * 1000) + self._starts
+        instance = Instance(self, instance_id, zone, begun)
+        self.instances_by_id[instance_id] = instance
+        await instance.membership.register()
+        await instance.usage.start()
+        # Lets the loops do their first round.
+        await asyncio.sleep(0.05)
+        return instance
+
+    async def kill(self, instance_id):
+        """End an instance without a word."""
+        instance = self.instances_by_id.pop(instance_id)
+        for task in instance.tasks:
+            task.cancel()
+        await asyncio.gather(*instance.tasks, return_exceptions=True)
+
+    async def close(self):
+        """End everything."""
+        for instance_id in list(self.instances_by_id):
+            await self.kill(instance_id)
+        await self.kv.close()
+
+    async def hand_in(self):
+        """Let every instance hand in."""
+        for instance in self.instances_by_id.values():
+            await instance.usage.handing.hand_in_own()
+            await instance.usage.handing.hand_in_orphans()
+
+    async def report(self):
+        """Let the reporters report all shards."""
+        for instance in list(self.instances_by_id.values()):
+            for shard in range(4):
+                await instance.usage.reporting.report(shard)
+
+    def calls_by_workspace(self):
+        """Return what was reported, every window's figures once."""
+        figures_by_window = dict(self.reports)
+        totals = {}
+        for figures in figures_by_window.values():
+            for row in figures["usage"]:
+                name = row["workspace"]
+                totals[name] = totals.get(name, 0) + row["calls"]
+        return totals
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(kv_address, names=("a", "b", "c")):
+    """Yield a cluster with one instance in each zone."""
+    cluster = Cluster(kv_address)
+    try:
+        for name in names:
+            await cluster.start(name, f"zone-{name}")
+        cluster.reporters = {names[-1]}
+        yield cluster
+    finally:
+        await cluster.close()
