--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -175,6 +175,7 @@
 
         :param instance_id: makes each instance begin at another upstream.
         """
+        # Equal upstreams are taken in turn.
         self._turn = xxhash.xxh3_64_intdigest(instance_id.encode())
         self._seen = 0
         self._mean_prefill = 0.0
