Relay token streams in the transport's callback

Change: while a stream runs, the upstream transport's callback parses what arrived, counts its events and writes them to the caller; the task wakes up only for the end, a fault, or a caller that takes nothing.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/call.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/call.py
@@ -137,6 +137,24 @@
             {"type": "http.response.body", "body": body, "more_body": more}
         )
 
+    def write_now(self, body: bytes) -> bool:
+        """Send a piece of the answer without waiting.
+
+        :returns: whether that was possible; if not, :meth:`write` waits for the
+            caller to take what was sent before.
+        """
+        if self._protocol.flow.write_paused:
+            return False
+        sending = self._send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+        try:
+            # uvicorn waits only while writing is paused, so this runs to its end.
+            sending.send(None)
+        except StopIteration:
+            return True
+        raise RuntimeError("sending waited although writing is not paused")
+
     async def answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
@@ -300,6 +300,26 @@
         if self.connection is not None:
             self.connection.close()
 
+    def spoil(self) -> None:
+        """Never use the connection again."""
+        self._spoiled = True
+
+    def fault(self, message: str) -> UpstreamFault:
+        """Return the error of a connection that ended before the answer did.
+
+        :raises Exception: that of the caller's body, if that is why it ended.
+        """
+        task = self._body_task
+        if task is not None and task.done() and not task.cancelled():
+            error = task.exception()
+            if error is not None:
+                raise error
+        if self._expired:
+            return UpstreamSilent("nothing came from the upstream in time")
+        if self._reused and not self._received:
+            return StaleConnection(message)
+        return UpstreamFault(message)
+
     async def _send_body(self, body: AsyncIterator[bytes]) -> None:
         chunked = any(name == b"transfer-encoding" for name, _ in self._head.headers)
         try:
@@ -322,31 +342,19 @@
     async def _read_more(self, deadline: float) -> None:
         reader = self.connection.reader if self.connection else None
         if reader is None:
-            raise self._fault("the connection is closed")
+            raise self.fault("the connection is closed")
         self.deadline = deadline
         try:
             data = await reader.read(READ_BYTES)
         except (OSError, AiosonicError) as error:
-            raise self._fault(f"the connection broke: {error!r}") from None
+            raise self.fault(f"the connection broke: {error!r}") from None
         finally:
             self.deadline = NEVER
         if not data:
-            raise self._fault("the answer broke off")
+            raise self.fault("the answer broke off")
         try:
             self.answer.feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._spoiled = True
             raise UpstreamFault(f"the answer is malformed: {error!r}") from None
         self._received += len(data)
-
-    def _fault(self, message: str) -> UpstreamFault:
-        task = self._body_task
-        if task is not None and task.done() and not task.cancelled():
-            error = task.exception()
-            if error is not None:
-                raise error
-        if self._expired:
-            return UpstreamSilent("nothing came from the upstream in time")
-        if self._reused and not self._received:
-            return StaleConnection(message)
-        return UpstreamFault(message)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -21,6 +21,8 @@
 from camphorgated.ext.gateway.events import DONE_EVENT, TokenStream
 from camphorgated.ext.gateway.exchange import Exchange
 from camphorgated.ext.gateway.queueing import Slot
+from camphorgated.ext.gateway.relay import relay
+from camphorgated.ext.gateway.watch import NEVER
 
 MAX_PASSED_ON_BYTES = 1_048_576
 # Shorter expectations say more about this process than about an engine.
@@ -41,6 +43,61 @@
         self.body = body
 
 
+class _Passing:
+    """Passes the events of one connection on; the hot path of the system."""
+
+    __slots__ = (
+        "unsent",
+        "silence",
+        "_streamed",
+        "_slot",
+        "_exchange",
+        "_tokens",
+        "_now",
+        "_write_now",
+        "_note_token",
+        "_last_at",
+    )
+
+    def __init__(
+        self, streamed: "StreamedCall", slot: Slot, exchange: Exchange
+    ) -> None:
+        """Start before the first event of a connection."""
+        self.unsent = b""
+        self.silence = streamed.gateway.limits.silence_seconds
+        self._streamed = streamed
+        self._slot = slot
+        self._exchange = exchange
+        self._tokens = streamed.tokens
+        self._now = streamed.gateway.now
+        self._write_now = streamed.call.write_now
+        self._note_token = slot.entry.view.note_token
+        self._last_at = 0.0
+
+    def take(self, data: bytes) -> bool:
+        """Pass on the whole events among the bytes that arrived.
+
+        :returns: whether more events may follow at once.
+        """
+        tokens = self._tokens
+        before = tokens.tokens
+        events = tokens.feed(data)
+        if not events:
+            return not tokens.done
+        sent = self._write_now(events)
+        if not sent:
+            self.unsent = events
+        now = self._now()
+        self._exchange.deadline = now + self.silence
+        if self._last_at:
+            gap = (now - self._last_at) / max(1, tokens.tokens - before)
+            self._note_token(gap, now)
+        else:
+            self._streamed.note_first(self._slot, now)
+        self._last_at = now
+        return sent and not tokens.done
+
+
 class StreamedCall:
     """One streamed completion, over as many connections as it takes."""
 
@@ -156,38 +213,27 @@
         raise _PassedOn(answer.status, content_type, body)
 
     async def _pass_on(self, slot: Slot, exchange: Exchange) -> None:
-        """Pass events on until the last one; the hot path of the system."""
-        call, tokens, now = self.call, self.tokens, self.gateway.now
-        note_token = slot.entry.view.note_token
-        silence = self.gateway.limits.silence_seconds
-        last_at = 0.0
-        if not call.answer_begun:
-            await call.begin_answer(
-                200,
-                [
-                    (b"content-type", b"text/event-stream"),
-                    (b"cache-control", b"no-cache"),
-                ],
-            )
-        while not tokens.done:
-            data = await exchange.read_body(self.deadline)
-            if not data:
+        """Pass events on until the last one."""
+        if not self.call.answer_begun:
+            headers = [
+                (b"content-type", b"text/event-stream"),
+                (b"cache-control", b"no-cache"),
+            ]
+            await self.call.begin_answer(200, headers)
+        exchange.deadline = self.deadline
+        passing = _Passing(self, slot, exchange)
+        while not self.tokens.done:
+            await relay(exchange, passing.take)
+            if passing.unsent:
+                events, passing.unsent = passing.unsent, b""
+                exchange.deadline = NEVER
+                await self.call.write(events)
+                exchange.deadline = self.gateway.now() + passing.silence
+            elif exchange.answer.complete and not self.tokens.done:
                 raise UpstreamFault("the stream ended without its last event")
-            before = tokens.tokens
-            events = tokens.feed(data)
-            if not events:
-                continue
-            await call.write(events)
-            arrived_at = now()
-            if last_at:
-                gap = (arrived_at - last_at) / max(1, tokens.tokens - before)
-                note_token(gap, arrived_at)
-            else:
-                self._note_first(slot, arrived_at)
-            last_at = arrived_at
-            self.deadline = arrived_at + silence
-
-    def _note_first(self, slot: Slot, now: float) -> None:
+        exchange.deadline = NEVER
+
+    def note_first(self, slot: Slot, now: float) -> None:
         """Take the first event from an engine."""
         record = self.call.record
         record.first_token_at = record.first_token_at or now
