Record whole sessions and name dispatches after their request

Golden files hold seven sessions as a caller and the upstreams saw them: a streamed answer, a resumed one, a booking, one with unknown outcome, a refusal, a withdrawn key and a planned stop. The id that an upstream sees is now the request's id with the number of the dispatch, so that a caller's id is found in the logs of the upstreams.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/call.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/call.py
@@ -57,6 +57,11 @@
         self._body_bytes = 0
         self._protocol.on_lost = self._caller_left
 
+    @property
+    def dispatch_id(self) -> str:
+        """Return the id of the current dispatch, which names the request as well."""
+        return f"{self.record.request_id}.{self.record.attempts}"
+
     @property
     def headers(self) -> list[tuple[bytes, bytes]]:
         """Return the caller's headers, names in lower case."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/models.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/models.py
@@ -82,7 +82,7 @@
     exchange = await open_answer(
         gateway,
         slot,
-        plan.head(gateway.next_request_id(), plan.body),
+        plan.head(call.dispatch_id, plan.body),
         plan.body,
         deadline,
         attempts,
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
@@ -232,9 +232,8 @@
     call: Call, plan: ServicePlan, slot: Slot, body: BodySource, attempts: Attempts
 ) -> Exchange:
     gateway = call.gateway
-    request_id = gateway.next_request_id()
     method = call.scope["method"]
-    head = RequestHead(method, plan.target, plan.headers, request_id)
+    head = RequestHead(method, plan.target, plan.headers, call.dispatch_id)
     try:
         return await open_answer(
             gateway,
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -120,7 +120,7 @@
         self.attempts = Attempts(call.gateway, plan.request, call.record)
         self.deadline = 0.0
         # Stable over resumptions, so that an engine can find its stream.
-        self._upstream_request_id = call.gateway.next_request_id()
+        self._upstream_request_id = f"{call.record.request_id}.1"
 
     async def run(self) -> None:
         """Pass the stream on to its end.
--- /dev/null
+++ b/tests/test_gateway/test_golden.py
@@ -0,0 +1,172 @@
+"""Whole sessions, compared with the files under tests/golden/gateway.
+
+``UPDATE_GOLDEN=1 python -m tests test_golden`` writes the files anew; read the
+difference before committing it.
+"""
+
+import asyncio
+import os
+import re
+from pathlib import Path
+
+import msgspec
+
+from tests.test_gateway.harness import BEARER, Caller, GatewayTestCase, completion
+
+FOLDER = Path(__file__).parent.parent / "golden" / "gateway"
+_REQUEST_ID = re.compile(r"[0-9a-f]{16}-[0-9a-f]+")
+_SHOWN_HEADERS = ("last-event-id", "x-request-id", "idempotency-key", "content-length")
+
+
+class Transcript:
+    """What a caller and the upstreams saw, with ids by order of appearance."""
+
+    def __init__(self):
+        self.lines = []
+        self._names_by_id = {}
+
+    def note(self, text):
+        """Add lines."""
+        for line in text.rstrip("\n").split("\n"):
+            self.lines.append(line.rstrip())
+
+    def request(self, method, path, body=b""):
+        """Add a request of the caller."""
+        self.note(f"caller > {method} {path}")
+        if body:
+            self.note(f"         {body.decode()}")
+
+    def answer(self, answer):
+        """Add an answer; header order and chunking are not part of a session."""
+        self.note(f"caller < {answer.status}" + ("" if answer.whole else " CUT"))
+        for name, value in sorted(answer.headers.items()):
+            # The length of an error depends on how long the request's id is.
+            if name == "content-length" and _REQUEST_ID.search(answer.body.decode()):
+                value = "<length>"
+            if name != "date":
+                self.note(f"         {name}: {value}")
+        self.note(self._indent(answer.body.decode()))
+
+    def upstream(self, standin):
+        """Add what an upstream received."""
+        for request in standin.requests:
+            path = "/" + request["url"].split("/", 3)[-1]
+            self.note(f"upstream < {request.get('method', 'POST')} {path}")
+            for name in _SHOWN_HEADERS:
+                if name in request["headers"]:
+                    self.note(f"         {name}: {request['headers'][name]}")
+
+    def text(self):
+        """Return the session with stable ids."""
+        return _REQUEST_ID.sub(self._name, "\n".join(self.lines)) + "\n"
+
+    def _name(self, found):
+        names = self._names_by_id
+        return names.setdefault(found.group(), f"<id-{len(names) + 1}>")
+
+    @staticmethod
+    def _indent(text):
+        return "\n".join(f"         {line}" for line in text.split("\n"))
+
+
+class GoldenTests(GatewayTestCase):
+    LIST_LAG_SECONDS = 0.3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # One upstream of each kind, so that a session has one course.
+        pools = tuple(
+            msgspec.structs.replace(pool, upstreams=pool.upstreams[:1])
+            for pool in self.configuration.manifest.pools
+        )
+        self.configuration.change(pools=pools)
+        self.transcript = Transcript()
+
+    async def asyncTearDown(self):
+        if not self.app.service("gateway").gateway.leaving:
+            await super().asyncTearDown()
+
+    async def _exchange(self, method, path, body=b"", headers=None, caller=None):
+        connection = caller or await Caller.connect(self.address)
+        self.transcript.request(method, path, body)
+        connection.send(method, path, headers or BEARER, body)
+        answer = await connection.read()
+        self.transcript.answer(answer)
+        if caller is None:
+            connection.close()
+
+    def _compare(self, name):
+        path = FOLDER / f"{name}.txt"
+        text = self.transcript.text()
+        if os.environ.get("UPDATE_GOLDEN"):
+            path.write_text(text, encoding="utf-8")
+        self.assertEqual(path.read_text(encoding="utf-8"), text)
+
+    async def test_streamed_answer(self):
+        """Guards against any unintended change of a streamed answer."""
+        body = completion(stream=True, max_tokens=3)
+        await self._exchange("POST", "/v1/completions", body)
+        self.transcript.upstream(self.engines[0])
+        self._compare("streamed_answer")
+
+    async def test_resumed_stream(self):
+        """Guards against any unintended change in how a stream is resumed."""
+        self.arm(self.engines, "die_after", value=2, count=1)
+        body = completion(stream=True, max_tokens=4)
+        await self._exchange("POST", "/v1/chat/completions", body)
+        self.transcript.upstream(self.engines[0])
+        self._compare("resumed_stream")
+
+    async def test_booking(self):
+        """Guards against any unintended change of a booking."""
+        await self._exchange("POST", "/booking/bookings", b"one sack")
+        self.transcript.upstream(self.desks[0])
+        self._compare("booking")
+
+    async def test_booking_with_unknown_outcome(self):
+        """Guards against a changed answer to a booking that may have run."""
+        self.arm(self.desks, "lose_answers", count=1)
+        await self._exchange("POST", "/booking/bookings", b"one sack")
+        self.transcript.upstream(self.desks[0])
+        self.transcript.note(f"bookings that ran: {len(self.bookings())}")
+        self._compare("booking_with_unknown_outcome")
+
+    async def test_refusal(self):
+        """Guards against a changed refusal, or one that reaches an upstream."""
+        self.configuration.is_fresh = False
+        await self._exchange("POST", "/v1/completions", completion())
+        self.transcript.upstream(self.engines[0])
+        self._compare("refusal")
+
+    async def test_withdrawn_key(self):
+        """Guards against a changed course when a key is withdrawn mid-connection."""
+        caller = await Caller.connect(self.address)
+        await self._exchange("GET", "/booking/stock", caller=caller)
+        self.configuration.change(workspaces=())
+        self.transcript.note("operator: withdraws the key")
+        await self._exchange("GET", "/booking/stock", caller=caller)
+        self.transcript.upstream(self.desks[0])
+        self._compare("withdrawn_key")
+
+    async def test_drain(self):
+        """Guards against a changed course of a planned stop."""
+        caller = await Caller.connect(self.address)
+        body = completion(stream=True, max_tokens=200)
+        caller.send("POST", "/v1/completions", BEARER, body)
+        await self.until(lambda: self.engines[0].running)
+        self.transcript.note("caller 1: a stream of 200 tokens is under way")
+        stopping = asyncio.create_task(self.app.stop())
+        await asyncio.sleep(0.05)
+        self.transcript.note("platform: SIGTERM")
+        await self._exchange("GET", "/readyz")
+        await self._exchange("GET", "/booking/stock")
+        streamed = await caller.read()
+        count = streamed.body.count(b"\n\nid: ") + 1
+        whole = streamed.whole and streamed.body.endswith(b"data: [DONE]\n\n")
+        self.transcript.note(f"caller 1: whole: {whole}, tokens: {count}")
+        await stopping
+        try:
+            await Caller.connect(self.address)
+        except OSError:
+            self.transcript.note("caller: new connections are refused")
+        self._compare("drain")
