Test the fleet decisions and add the fleet extension

Cause: plans must keep their bounds for any state, and the daemon must run them. The engine stand-in keeps a drain, and the gateway can take an upstream back. The extension is not tested yet.

--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/fleet/observing.py
@@ -0,0 +1,194 @@
+"""What this instance sees of engines and of demand."""
+
+import asyncio
+import random
+from typing import Any
+
+import msgspec
+
+from camphorgate.application import Application
+from camphorgate.connections import build_http_client
+from camphorgate.errors import CamphorgateError
+from camphorgate.fleet.demand import DemandSample
+from camphorgate.fleet.state import Engine, Phase
+from camphorgate.manifest import Pool
+
+STATE_SECONDS = 1.0
+# A state or a load report older than this says nothing about the present.
+STALE_SECONDS = 5.0
+STATE_CONNECTIONS = 32
+# Instances that are asked for their demand; the rest is estimated from them.
+ASKED_INSTANCES = 16
+ASK_SECONDS = 1.0
+
+
+class EngineStatus(msgspec.Struct):
+    """What ``GET /control/state`` tells."""
+
+    role: str = "both"
+    models: tuple[str, ...] = ()
+    busy: bool = False
+    draining: bool = False
+
+
+class _Part(msgspec.Struct):
+    """The part of another instance's report that is read here."""
+
+    sections: dict[str, Any]
+
+
+class Observer:
+    """Reads engine states and collects demand."""
+
+    __slots__ = ("_app", "_http", "_random", "_seen_by_id")
+
+    def __init__(self, app: Application) -> None:
+        """Start without observations."""
+        self._app = app
+        self._http = build_http_client(STATE_CONNECTIONS, STATE_SECONDS, STATE_SECONDS)
+        self._random = random.Random(app.settings.seed or None)
+        self._seen_by_id: dict[str, tuple[float, EngineStatus]] = {}
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.aclose()
+
+    async def read_states(self) -> None:
+        """Read the state of every engine, and tell the gateway roles and drains."""
+        entries = self._app.service("upstreams").entries_by_id
+        engines = [entry for entry in entries.values() if entry.kind == "engines"]
+        await asyncio.gather(*(self._read_state(entry) for entry in engines))
+        for upstream_id in self._seen_by_id.keys() - entries.keys():
+            del self._seen_by_id[upstream_id]
+
+    async def _read_state(self, entry: Any) -> None:
+        url = f"http://{entry.address}/control/state"
+        try:
+            async with asyncio.timeout(STATE_SECONDS):
+                response = await self._http.request(url, "GET")
+                content = await response.content()
+            status = msgspec.json.decode(content, type=EngineStatus)
+        except Exception:  # noqa: BLE001 - any failure leaves the last state
+            return
+        view = entry.view
+        self._seen_by_id[view.id] = (self._app.clock.monotonic(), status)
+        view.role = status.role
+        upstreams = self._app.service("upstreams")
+        if status.draining:
+            upstreams.mark_leaving(view.id, "drain")
+        else:
+            upstreams.mark_returned(view.id, "drain")
+
+    def engines(
+        self,
+        pool: Pool,
+        withdrawn_at_by_id: dict[str, float],
+        open_receivers: set[str],
+        targets: dict[str, str],
+    ) -> tuple[Engine, ...]:
+        """Return the upstreams of a pool as the planners see them.
+
+        :param withdrawn_at_by_id: seconds since the Unix epoch.
+        :param open_receivers: upstreams with an open order.
+        """
+        now = self._app.clock.monotonic()
+        wall = self._app.clock.now().timestamp()
+        listed = self._listed_states()
+        found = []
+        for entry in self._app.service("upstreams").entries_by_id.values():
+            view = entry.view
+            if view.pool != pool.name:
+                continue
+            seen_at, status = self._seen_by_id.get(view.id, (-1e9, EngineStatus()))
+            fresh = entry.kind != "engines" or now - seen_at < STALE_SECONDS
+            withdrawn = withdrawn_at_by_id.get(view.id)
+            found.append(
+                Engine(
+                    id=view.id,
+                    availability_zone=view.zone,
+                    kind=view.kind,
+                    role=view.role,
+                    phase=_phase(entry, status, fresh, listed.get(view.id, "live")),
+                    running=_running(view, now),
+                    open_order=view.id in open_receivers,
+                    target=targets.get(view.id),
+                    loaded=tuple(status.models),
+                    notice_seconds=view.report and view.report.leaving_seconds,
+                    withdrawn_for=None if withdrawn is None else wall - withdrawn,
+                )
+            )
+        return tuple(found)
+
+    def _listed_states(self) -> dict[str, str]:
+        membership = self._app.service("membership")
+        return {item.id: item.state for item in membership.platform_upstreams()}
+
+    def own_demand(self) -> dict[str, list[float]]:
+        """Return what was asked of this instance: requests, prompt and output
+        tokens per second of each pool.
+        """
+        now = self._app.clock.monotonic()
+        log = self._app.service("demand")
+        rates = {pool: log.rates(pool, "asked", 5.0, now) for pool in log.pools()}
+        return {
+            pool: [rate.requests, rate.prefill_tokens, rate.decode_tokens]
+            for pool, rate in rates.items()
+        }
+
+    async def collect_demand(self, seconds: float) -> dict[str, DemandSample]:
+        """Return the demand of each pool over all instances.
+
+        Beyond a number of instances some are asked, and stand for the rest: the load
+        balancer spreads requests evenly.
+        """
+        membership = self._app.service("membership")
+        others = [
+            member.instance_id
+            for member in membership.members()
+            if member.instance_id != membership.instance_id
+        ]
+        asked = self._random.sample(others, min(ASKED_INSTANCES, len(others)))
+        answers = await asyncio.gather(*(self._ask(name) for name in asked))
+        parts = [self.own_demand(), *(part for part in answers if part is not None)]
+        scale = max(1.0, membership.live_count() / len(parts)) * seconds
+        totals: dict[str, list[float]] = {}
+        for part in parts:
+            for pool, rates in part.items():
+                total = totals.setdefault(pool, [0.0, 0.0, 0.0])
+                for index, rate in enumerate(rates):
+                    total[index] += rate * scale
+        return {
+            pool: DemandSample(seconds, prefill, decode, prompts=requests)
+            for pool, (requests, prefill, decode) in totals.items()
+        }
+
+    async def _ask(self, instance_id: str) -> dict[str, list[float]] | None:
+        peer = self._app.service("membership").peer(instance_id)
+        if peer is None:
+            return None
+        try:
+            payload = await peer.report(timeout=ASK_SECONDS)
+            sections = msgspec.msgpack.decode(payload, type=_Part).sections
+            return sections["fleet"]["demand"]
+        except (CamphorgateError, msgspec.DecodeError, KeyError, TypeError):
+            return None
+
+
+def _phase(entry: Any, status: EngineStatus, fresh: bool, listed: str) -> Phase:
+    view = entry.view
+    noticed = view.report is not None and view.report.leaving_seconds is not None
+    causes = entry.leaving_causes - {"drain", "order"}
+    if noticed or listed != "live" or causes:
+        return "leaving"
+    if status.busy and fresh:
+        return "changing"
+    if not fresh or view.health != "healthy":
+        return "down"
+    return "draining" if status.draining else "serving"
+
+
+def _running(view: Any, now: float) -> int:
+    """Return the requests in flight; one if it is not known, so that none is cut."""
+    if view.report is None or now - view.report.observed_at > STALE_SECONDS:
+        return max(1, view.own_requests)
+    return max(view.report.running + view.report.waiting, view.own_requests)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -88,6 +88,15 @@
         if entry is not None:
             self._set_leaving(entry, cause, True)
 
+    def mark_returned(self, upstream_id: str, cause: str = "order") -> None:
+        """Give an upstream work again unless another cause holds.
+
+        :param cause: the cause that has ended.
+        """
+        entry = self.entries_by_id.get(upstream_id)
+        if entry is not None:
+            self._set_leaving(entry, cause, False)
+
     def choose(
         self, request: RequestView, excluded: Iterable[str] = ()
     ) -> Entry | None:
--- a/packages/camphorgate-standins/src/camphorgate_standins/engine.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/engine.py
@@ -51,6 +51,7 @@
         "fencing",
         "faults",
         "role",
+        "draining",
         "models",
         "slots",
         "token_seconds",
@@ -84,6 +85,7 @@
         self.fencing = fencing
         self.faults = Faults()
         self.role = "both"
+        self.draining = False
         self.models: set[str] = set()
         self.slots = slots
         self.token_seconds = token_seconds
@@ -302,6 +304,7 @@
             {
                 "name": self.name,
                 "role": self.role,
+                "draining": self.draining,
                 "models": sorted(self.models),
                 "busy": time.monotonic() < self._unavailable_until,
                 "fencing": self.highest_fencing,
@@ -338,6 +341,9 @@
             if order["role"] != self.role:
                 self._unavailable_until = time.monotonic() + self.role_seconds
             self.role = order["role"]
+            self.draining = False
+        elif order["kind"] in ("drain", "release"):
+            self.draining = order["kind"] == "drain"
         elif order["kind"] == "load_model":
             self.models.add(order["model"])
         elif order["kind"] == "unload_model":
--- a/packages/camphorgate/src/camphorgate/fleet/changes.py
+++ b/packages/camphorgate/src/camphorgate/fleet/changes.py
@@ -1,10 +1,10 @@
 """Carries out changes of role: drain, order, confirm, and repair what went wrong."""
 
 import msgspec
-from transitions import Machine
 
 from camphorgate.fleet.roles import RoleChange
 from camphorgate.fleet.state import Engine, Rates
+from camphorgate.lifecycle import Lifecycle
 from camphorgate.manifest import EngineRole
 
 # A stream may last for minutes. A change that waits longer than this for its engine
@@ -15,15 +15,18 @@
 # An engine that does not answer for this long is left to health checks.
 DOWN_LIMIT_SECONDS = 60.0
 
-_STATES = ["draining", "ordered", "done", "given_up"]
-_TRANSITIONS = [
-    ["order", "draining", "ordered"],
-    ["restart", ["draining", "ordered"], "draining"],
-    ["confirm", ["draining", "ordered"], "done"],
-    ["give_up", ["draining", "ordered"], "given_up"],
-]
-_machine = Machine(
-    model=None, states=_STATES, transitions=_TRANSITIONS, initial="draining"
+LIFECYCLE = Lifecycle(
+    "change of role",
+    ("draining", "ordered", "done", "given_up"),
+    (
+        ("order", "draining", "ordered"),
+        ("restart", "draining", "draining"),
+        ("restart", "ordered", "draining"),
+        ("confirm", "draining", "done"),
+        ("confirm", "ordered", "done"),
+        ("give_up", "draining", "given_up"),
+        ("give_up", "ordered", "given_up"),
+    ),
 )
 
 
@@ -42,13 +45,19 @@
 class _Change:
     """The lifecycle of one engine's change."""
 
+    __slots__ = ("engine_id", "role", "since", "repair", "down_since", "state")
+
     def __init__(self, change: RoleChange, now: float, repair: bool) -> None:
         self.engine_id = change.engine_id
         self.role = change.role
         self.since = now
         self.repair = repair
         self.down_since: float | None = None
-        _machine.add_model(self)
+        self.state = LIFECYCLE.initial
+
+    def step(self, trigger: str) -> None:
+        """Take a step of the lifecycle."""
+        self.state = LIFECYCLE.after(self.state, trigger)
 
 
 class RoleChanges:
@@ -103,7 +112,6 @@
 
     def _end(self, change: _Change) -> None:
         del self._changes_by_engine[change.engine_id]
-        _machine.remove_model(change)
         if change.state == "given_up":
             self.counts["given_up"] += 1
             # The engine keeps what it has; wanting it again is a new decision.
@@ -115,7 +123,7 @@
         self, change: _Change, engine: Engine | None, rates: Rates, now: float
     ) -> RoleOrder | None:
         if engine is None or engine.phase == "leaving" or engine.withdrawn:
-            change.give_up()
+            change.step("give_up")
             return None
         if engine.phase == "down":
             return self._wait_for(change, now)
@@ -123,14 +131,14 @@
         if engine.open_order:
             return None
         if engine.role == change.role and engine.phase == "serving":
-            change.confirm()
+            change.step("confirm")
             return None
         if change.state == "draining":
             return self._drain(change, engine, now)
         late = now - change.since > LATE_FACTOR * rates.role_change_seconds
         if late and engine.phase != "changing":
             # The engine may have taken work since, so it drains again first.
-            change.restart()
+            change.step("restart")
             change.since, change.repair = now, True
             return self._drain(change, engine, now)
         return None
@@ -138,10 +146,10 @@
     def _wait_for(self, change: _Change, now: float) -> None:
         if change.down_since is None:
             change.down_since = now
-            change.restart()
+            change.step("restart")
             change.since, change.repair = now, True
         elif now - change.down_since > DOWN_LIMIT_SECONDS:
-            change.give_up()
+            change.step("give_up")
 
     def _drain(self, change: _Change, engine: Engine, now: float) -> RoleOrder | None:
         if engine.phase == "serving":
@@ -151,12 +159,12 @@
         if engine.running == 0:
             return self._send(change, now, change.repair)
         if now - change.since > DRAIN_LIMIT_SECONDS:
-            change.give_up()
+            change.step("give_up")
             return RoleOrder(engine.id, "release")
         return None
 
     def _send(self, change: _Change, now: float, repair: bool) -> RoleOrder:
-        change.order()
+        change.step("order")
         change.since = now
         return RoleOrder(change.engine_id, "set_role", change.role, repair)
 
--- /dev/null
+++ b/tests/test_fleet/test_capacity.py
@@ -0,0 +1,207 @@
+"""Capacity: share, reserve, drains and the way back down, under random histories."""
+
+import random
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphorgate.fleet.capacity import (
+    SETTLE_SECONDS,
+    CapacityMemory,
+    CapacityQuestion,
+    plan_capacity,
+    policies,
+    reserve_holds,
+    reserve_of,
+    share_holds,
+    target_by_place,
+)
+from camphorgate.fleet.eviction import Work, plan_evacuation
+from camphorgate.fleet.objective import PlannerParameters, parameters_of
+from camphorgate.fleet.state import Demand, Engine, Rates
+from camphorgate.manifest import Objective, Pool
+
+ZONES = ["zone-a", "zone-b", "zone-c"]
+RATES = Rates()
+
+
+class _World:
+    """A fleet that follows the plans, with random work and delays."""
+
+    def __init__(self, seed, parameters, count=4):
+        self.random = random.Random(seed)
+        self.parameters = parameters
+        self.memory = CapacityMemory()
+        self.now = 0.0
+        self.withdrawn_at = {}
+        self.engines = {
+            f"u{n}": Engine(f"u{n}", ZONES[n % 3], phase="serving")
+            for n in range(count)
+        }
+        self.created = count
+        self.checks = lambda question, actions: None
+
+    def step(self, load, seconds=5.0):
+        self.now += seconds
+        self._move()
+        demand = Demand(load * 0.43 * RATES.prefill, load * 0.57 * RATES.decode)
+        question = CapacityQuestion(
+            tuple(self.engines.values()), demand, demand, RATES, self.parameters
+        )
+        actions = plan_capacity(question, ZONES, self.memory, self.now)
+        self.checks(question, actions)
+        for action in actions:
+            self._apply(action)
+        return actions
+
+    def _move(self):
+        for key, engine in list(self.engines.items()):
+            at = self.withdrawn_at.get(key)
+            fields = {"running": self.random.choice((0, 0, 3)) if at else 3}
+            if engine.phase == "starting" and self.random.random() < 0.1:
+                fields["phase"] = "serving"
+            if at is not None:
+                fields["withdrawn_for"] = self.now - at
+            self.engines[key] = msgspec.structs.replace(engine, **fields)
+
+    def _apply(self, action):
+        if action.kind == "start":
+            key = f"u{self.created}"
+            self.created += 1
+            self.engines[key] = Engine(
+                key, action.availability_zone, action.upstream_kind, phase="starting"
+            )
+        elif action.kind == "withdraw":
+            self.withdrawn_at[action.upstream_id] = self.now
+        else:
+            del self.engines[action.upstream_id]
+
+    def present(self):
+        return [engine for engine in self.engines.values() if engine.present]
+
+
+class HistoryTests(unittest.TestCase):
+    @settings(max_examples=25, derandomize=True, deadline=None)
+    @given(
+        st.integers(0, 1000),
+        st.sampled_from((0.0, 0.3, 0.5, 1.0)),
+        st.lists(st.floats(0.5, 7.0), min_size=3, max_size=6),
+        st.sampled_from(sorted(policies)),
+    )
+    def test_share_reserve_and_work(self, seed, share, loads, policy):
+        """Guards against too many cheap upstreams in whatever order they arrive, a
+        reserve given away, a stop that cuts work, and orders beyond the maximum.
+        """
+        parameters = PlannerParameters(
+            cheap_share=share, maximum=14, hold_seconds=60.0, capacity_policy=policy
+        )
+        world = _World(seed, parameters)
+
+        def check(question, actions):
+            self.assertLessEqual(len(question.engines), parameters.maximum)
+            for action in actions:
+                engine = world.engines.get(action.upstream_id)
+                if action.kind == "stop":
+                    self.assertEqual(engine.running, 0)
+                    self.assertGreaterEqual(engine.withdrawn_for, SETTLE_SECONDS)
+                elif action.kind == "withdraw" and policy == "forecast_reserve":
+                    rest = [e for e in world.present() if e is not engine]
+                    self.assertTrue(reserve_holds(rest, reserve_of(question)))
+
+        world.checks = check
+        for load in loads:
+            for _ in range(60):
+                world.step(load)
+                self.assertTrue(share_holds(world.present(), parameters))
+
+    def test_follows_service_up_and_down(self):
+        """Guards against capacity that is never given back, and against flapping."""
+        parameters = PlannerParameters(cheap_share=0.4, hold_seconds=60.0)
+        world = _World(1, parameters)
+        counts = []
+        for load in (2.0, 6.0, 1.0):
+            for _ in range(200):
+                world.step(load)
+            counts.append(len(world.present()))
+        self.assertGreater(counts[1], counts[0])
+        self.assertLess(counts[2], counts[0])
+        actions = [action for _ in range(100) for action in world.step(1.0)]
+        self.assertEqual(actions, [])
+
+    def test_settled_fleet_survives_the_loss_of_any_zone(self):
+        """Guards against cheap upstreams of one zone that carry the reserve."""
+        parameters = PlannerParameters(cheap_share=0.5)
+        world = _World(3, parameters)
+        for _ in range(300):
+            world.step(4.0)
+        engines = world.present()
+        self.assertTrue(any(engine.kind == "cheap" for engine in engines))
+        demand = Demand(4 * 0.43 * RATES.prefill, 4 * 0.57 * RATES.decode)
+        question = CapacityQuestion(tuple(engines), demand, demand, RATES, parameters)
+        for zone in ZONES:
+            left = [
+                engine
+                for engine in engines
+                if engine.kind != "cheap" or engine.availability_zone != zone
+            ]
+            self.assertGreaterEqual(len(left), reserve_of(question), zone)
+
+    def test_holders_of_two_zones_do_not_start_cheap_ones_at_once(self):
+        """Guards against a share exceeded because each holder sees the same room."""
+        parameters = PlannerParameters(cheap_share=0.3, maximum=10)
+        engines = tuple(Engine(f"u{n}", ZONES[n % 3]) for n in range(5))
+        demand = Demand(70000, 2500)
+        question = CapacityQuestion(engines, demand, demand, RATES, parameters)
+        for second in range(120):
+            plan = plan_capacity(question, ZONES, CapacityMemory(), float(second))
+            zones = {
+                action.availability_zone
+                for action in plan
+                if action.kind == "start" and action.upstream_kind == "cheap"
+            }
+            self.assertLessEqual(len(zones), 1)
+
+
+class TargetTests(unittest.TestCase):
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(st.integers(0, 40), st.integers(0, 20), st.floats(0, 1), st.integers(1, 30))
+    def test_targets_keep_share_reserve_and_maximum(self, need, reserve, share, most):
+        """Guards against targets that no order of starts and stops may reach."""
+        parameters = PlannerParameters(cheap_share=share, maximum=most)
+        reserve = min(reserve, most)
+        targets = target_by_place(need, reserve, ZONES, parameters)
+        total = sum(targets.values())
+        cheap = [targets[zone, "cheap"] for zone in ZONES]
+        self.assertLessEqual(total, most)
+        self.assertLessEqual(sum(cheap), share * total + 1e-6)
+        self.assertGreaterEqual(total - max(cheap), reserve)
+
+    def test_objective_moves_the_parameters(self):
+        """Guards against weights that change nothing, or that point the wrong way."""
+        pool = Pool("models", "engines")
+        thrifty = parameters_of(Objective(1.0, 1.0, 2.0, 2.0), pool)
+        careful = parameters_of(Objective(2.0, 2.0, 1.0, 0.5), pool)
+        self.assertLess(thrifty.target_share, careful.target_share)
+        self.assertLess(thrifty.hold_seconds, careful.hold_seconds)
+        self.assertLess(thrifty.reserve_share, careful.reserve_share)
+        self.assertGreater(thrifty.cheap_use, careful.cheap_use)
+        self.assertEqual(
+            parameters_of(Objective(2.0, 2.0, 4.0, 4.0), pool), thrifty, "ratios only"
+        )
+        parameters_of(Objective(0.0, 0.0, 0.0, 0.0), pool)
+
+
+class EvictionTests(unittest.TestCase):
+    def test_resumable_work_moves_longest_first(self):
+        """Guards against a booking that runs twice and a stream cut at the end."""
+        work = [
+            Work("short", True, 1.0),
+            Work("booking", False, 9.0),
+            Work("long", True, 30.0),
+            Work("middle", True, 4.0),
+        ]
+        plan = plan_evacuation(work, 5.0)
+        self.assertEqual(plan.move, ("long", "middle"))
+        self.assertEqual(set(plan.let_finish), {"booking", "short"})
--- /dev/null
+++ b/tests/test_fleet/test_changes.py
@@ -0,0 +1,99 @@
+"""Carrying out a change of role when engines crash, answer late or never drain."""
+
+import unittest
+
+import msgspec
+
+from camphorgate.fleet.changes import DOWN_LIMIT_SECONDS, RoleChanges
+from camphorgate.fleet.roles import RoleChange
+from camphorgate.fleet.state import Engine, Rates
+
+RATES = Rates(role_change_seconds=8.0)
+
+
+class _Scene:
+    """One engine, the changes, and a clock."""
+
+    def __init__(self, **fields):
+        self.changes = RoleChanges()
+        self.engine = Engine("e1", role="decode", **fields)
+        self.now = 0.0
+
+    def begin(self):
+        self.changes.start([RoleChange("e1", "prefill")], self.now)
+
+    def step(self, seconds=5.0, **fields):
+        self.now += seconds
+        self.engine = msgspec.structs.replace(self.engine, **fields)
+        orders = self.changes.step((self.engine,), RATES, self.now, 2)
+        return [(order.kind, order.role) for order in orders]
+
+
+class ChangeTests(unittest.TestCase):
+    def test_drains_before_the_order_and_confirms(self):
+        """Guards against a change that interrupts a request."""
+        scene = _Scene(running=2)
+        scene.begin()
+        self.assertEqual(scene.step(), [("drain", None)])
+        self.assertEqual(scene.step(phase="draining"), [])
+        self.assertEqual(scene.step(running=0), [("set_role", "prefill")])
+        self.assertEqual(scene.step(phase="changing"), [])
+        self.assertEqual(scene.step(phase="serving", role="prefill"), [])
+        self.assertEqual(scene.changes.counts["done"], 1)
+        self.assertEqual(scene.changes.targets(), {})
+
+    def test_crash_partway_is_repaired_with_a_new_drain(self):
+        """Guards against an order to an engine that took work after its restart."""
+        scene = _Scene()
+        scene.begin()
+        scene.step()
+        scene.step(phase="draining")
+        self.assertEqual(scene.step(phase="down"), [])
+        self.assertEqual(scene.step(phase="serving", running=1), [("drain", None)])
+        self.assertEqual(scene.step(phase="draining"), [])
+        self.assertEqual(scene.step(running=0), [("set_role", "prefill")])
+        scene.step(phase="serving", role="prefill")
+        self.assertEqual(scene.changes.counts["repaired"], 1)
+
+    def test_order_without_effect_is_repeated_late_only(self):
+        """Guards against a lost order, and against a second one while one is open."""
+        scene = _Scene()
+        scene.begin()
+        scene.step()
+        scene.step(phase="draining")
+        self.assertEqual(scene.step(open_order=True, seconds=60), [])
+        self.assertEqual(scene.step(open_order=False), [("set_role", "prefill")])
+
+    def test_finds_engines_that_differ_from_what_was_wanted(self):
+        """Guards against an engine that restarts in its old role unnoticed."""
+        scene = _Scene()
+        scene.step()
+        self.assertEqual(scene.step(role="both"), [])
+        self.assertEqual(scene.step(), [("drain", None)])
+        self.assertEqual(scene.changes.targets(), {"e1": "decode"})
+
+    def test_gives_up(self):
+        """Guards against a change that keeps an engine from work for ever."""
+        cases = [
+            ("never drains", {"phase": "draining", "running": 1}, "release"),
+            ("stays down", {"phase": "down"}, None),
+            ("is evicted", {"phase": "leaving"}, None),
+            ("is withdrawn", {"withdrawn_for": 1.0}, None),
+        ]
+        for name, fields, last in cases:
+            with self.subTest(name):
+                scene = _Scene(running=1)
+                scene.begin()
+                scene.step()
+                kinds = []
+                for _ in range(4):
+                    kinds += [kind for kind, _ in scene.step(50.0, **fields)]
+                self.assertEqual(scene.changes.counts["given_up"], 1)
+                self.assertEqual(kinds[:1], [last] if last else [])
+                self.assertNotIn("set_role", kinds)
+        self.assertGreater(200.0, DOWN_LIMIT_SECONDS)
+
+    def test_successor_releases_a_drain_that_nobody_wants(self):
+        """Guards against engines left drained by a holder that died."""
+        scene = _Scene(phase="draining")
+        self.assertEqual(scene.step(), [("release", None)])
--- /dev/null
+++ b/tests/test_fleet/test_roles.py
@@ -0,0 +1,128 @@
+"""Roles: the bounds that hold for every policy, and what the default policy weighs."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphorgate.fleet.objective import PlannerParameters
+from camphorgate.fleet.roles import (
+    both_floor,
+    changes_allowed,
+    plan_roles,
+    policies,
+)
+from camphorgate.fleet.state import Demand, Engine, Rates
+
+ROLES = ("prefill", "decode", "both")
+RATES = Rates()
+engines_strategy = st.lists(
+    st.builds(
+        Engine,
+        id=st.just(""),
+        kind=st.sampled_from(("ordinary", "cheap")),
+        role=st.sampled_from(ROLES),
+        phase=st.sampled_from(
+            ("serving", "serving", "serving", "draining", "changing", "down")
+        ),
+        running=st.integers(0, 5),
+        open_order=st.sampled_from((False, False, True)),
+        target=st.sampled_from((None, None, None, *ROLES)),
+    ),
+    max_size=24,
+).map(lambda items: tuple(_named(items)))
+demands = st.builds(
+    Demand,
+    st.floats(0, 4e5),
+    st.floats(0, 1e4),
+    st.floats(0, 1e5),
+    st.floats(0, 2e3),
+    st.floats(0, 20000),
+)
+
+
+def _named(items):
+    for number, item in enumerate(items):
+        yield Engine(
+            f"engine-{number}",
+            "zone-a",
+            item.kind,
+            item.role,
+            item.phase,
+            item.running,
+            item.open_order,
+            item.target,
+        )
+
+
+class BoundTests(unittest.TestCase):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(engines_strategy, demands, st.sampled_from(sorted(policies)))
+    def test_bounds_hold_for_every_policy(self, engines, demand, policy):
+        """Guards against a plan that empties a role, contradicts an order or overruns
+        the bound on engines that are away.
+        """
+        parameters = PlannerParameters(role_policy=policy)
+        changes = plan_roles(engines, demand, RATES, parameters)
+        engines_by_id = {engine.id: engine for engine in engines}
+        chosen = [engines_by_id[change.engine_id] for change in changes]
+        for engine in chosen:
+            self.assertEqual(engine.phase, "serving")
+            self.assertFalse(engine.open_order)
+            self.assertIn(engine.target, (None, engine.role))
+        present = [engine for engine in engines if engine.present]
+        away = sum(
+            engine.open_order
+            or engine.phase in ("draining", "changing")
+            or engine.target not in (None, engine.role)
+            for engine in engines
+        )
+        if changes:
+            allowed = changes_allowed(len(present), parameters)
+            self.assertLessEqual(away + len(changes), allowed)
+        if any(engine.role == "both" for engine in chosen):
+            left = [
+                engine
+                for engine in present
+                if engine.role == "both"
+                and engine.phase == "serving"
+                and engine not in chosen
+            ]
+            self.assertGreaterEqual(len(left), both_floor(len(present), parameters))
+            if any(engine.kind == "ordinary" for engine in chosen):
+                self.assertTrue(any(engine.kind == "ordinary" for engine in left))
+
+
+class GainTests(unittest.TestCase):
+    def _plan(self, demand, roles="pppdddbbb", **changes):
+        names = {"p": "prefill", "d": "decode", "b": "both"}
+        engines = tuple(
+            Engine(f"e{number}", role=names[letter])
+            for number, letter in enumerate(roles)
+        )
+        parameters = PlannerParameters(**changes)
+        return plan_roles(engines, demand, RATES, parameters)
+
+    def test_table(self):
+        """Guards against changes for nothing and against missing a clear shift."""
+        steady = Demand(45000, 1900, 2000, 80, 4500)
+        reads = Demand(84000, 720, 3000, 60, 7000)
+        talk = Demand(16000, 2900, 1500, 80, 1600)
+        sure = Demand(60000, 1300, 1200, 26, 6000)
+        unsure = Demand(60000, 1300, 18000, 390, 6000)
+        cases = [
+            ("steady mix", steady, {}, set()),
+            ("long reads", reads, {}, {"prefill"}),
+            ("long answers", talk, {}, set()),
+            ("long answers, few for decode", talk, {"roles": "ppppppbbb"}, {"decode"}),
+            ("certain enough", sure, {}, {"prefill"}),
+            ("too uncertain", unsure, {}, set()),
+            ("too short to pay off", reads, {"horizon_seconds": 10.0}, set()),
+            ("static", reads, {"role_policy": "static"}, set()),
+            ("greedy", reads, {"role_policy": "greedy_threshold"}, {"prefill"}),
+            ("no engine of both roles", steady, {"roles": "ppppppddd"}, {"both"}),
+        ]
+        for name, demand, changes, wanted in cases:
+            with self.subTest(name):
+                plan = self._plan(demand, **changes)
+                self.assertEqual({change.role for change in plan}, wanted)
