Let the ordering stand-in take its fault orders

Cause: its catch-all route stood before the control routes, so a fault armed over HTTP was answered as a booking path and never took effect; seen in a trial with faults against two daemons. Change: fault routes come first.

--- a/packages/camphorgate-standins/src/camphorgate_standins/serving.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/serving.py
@@ -151,7 +151,8 @@
 
 def build_app(routes: Sequence[Route], faults: Faults) -> FaultyApp:
     """Return an application with fault injection around the routes."""
-    return FaultyApp(Starlette(routes=[*routes, *faults.routes()]), faults)
+    # The faults come first, as a stand-in may have a route for every path.
+    return FaultyApp(Starlette(routes=[*faults.routes(), *routes]), faults)
 
 
 def parse_options(description: str, **defaults: object) -> argparse.Namespace:
