Add the extension duties: leases, orders through receivers, hand-over

All duties of a process share one KV lease.

The first version of the tests hung when a node was killed: Python 3.11's wait_for can swallow a cancellation, so a task went on and gather waited for ever. Application.stop had the same fault; it now cancels again until every task has ended.

--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/held.py
@@ -0,0 +1,302 @@
+"""One duty that this process holds: its journal and the sending of its orders."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from camphorgate.authority import orders
+from camphorgate.authority.errors import (
+    AuthorityLost,
+    HandoverPending,
+    OrderRefused,
+    OrderUnanswered,
+)
+from camphorgate.authority.handover import Handover
+from camphorgate.authority.leases import DutyRecord, Lease
+from camphorgate.authority.orders import Journal, Order, OrderRun
+from camphorgate.clock import Clock
+from camphorgate.kv.budget import Priority
+from camphorgate.kv.errors import (
+    KvConflict,
+    KvError,
+    KvOutcomeUnknown,
+    KvRefused,
+    KvUnavailable,
+)
+from camphorgate.kv.records import Put, new_token, unchanged
+from camphorgate.log import log_event
+from camphorgated.ext.duties.receivers import FENCED, OrderUnsent, Receiver, Sending
+
+# Pause between attempts to settle an open order, such as reading a receiver's state.
+SETTLE_SECONDS = 1.0
+LONGEST_SETTLE_SECONDS = 15.0
+
+
+def record_key(duty: str) -> str:
+    """Return the key of a duty's record."""
+    return f"duties/{duty}"
+
+
+def lease_key(duty: str) -> str:
+    """Return the key that exists while the duty's lease runs."""
+    return f"duties/{duty}/lease"
+
+
+def journal_key(duty: str) -> str:
+    """Return the key of a duty's order journal."""
+    return f"journal/{duty}"
+
+
+class DutyState(msgspec.Struct, frozen=True):
+    """What the key-value service holds of a duty at one revision."""
+
+    record: DutyRecord
+    record_revision: int
+    journal: Journal
+    journal_revision: int
+    free: bool
+
+
+class HeldDuty:
+    """A duty from the moment it is taken until it is lost or given up."""
+
+    def __init__(
+        self,
+        duty: str,
+        record: DutyRecord,
+        record_revision: int,
+        before: DutyState,
+        lease: Lease,
+        drain_seconds: float,
+        kv: Any,
+        clock: Clock,
+        receiver: Receiver,
+        spawn: Callable[[Coroutine, str], Any],
+    ) -> None:
+        """Start after the transaction that took the duty.
+
+        :param record: the record that it wrote, at ``record_revision``.
+        :param before: the state that it found; the journal is still the same.
+        :param spawn: runs a coroutine for the life of the process.
+        """
+        self.duty = duty
+        self.record = record
+        self.record_revision = record_revision
+        self.journal = before.journal
+        self.lease = lease
+        self.receiver = receiver
+        self._spawn = spawn
+        self.handover = Handover(
+            record.epoch, record.predecessors, before.journal, drain_seconds
+        )
+        self.runs: list[OrderRun] = []
+        self._journal_revision = before.journal_revision
+        self._drain_seconds = drain_seconds
+        self._kv = kv
+        self._clock = clock
+        self._lock = asyncio.Lock()
+
+    @property
+    def epoch(self) -> int:
+        """Return the fencing number."""
+        return self.record.epoch
+
+    def valid(self) -> bool:
+        """Tell whether this process may act now."""
+        return self.lease.valid(self._clock.monotonic())
+
+    def settled(self) -> bool:
+        """Tell whether no predecessor can send any more."""
+        return self.handover.settled(self._clock.monotonic())
+
+    def orders_in_flight(self) -> list[str]:
+        """Return the ids of orders that may still reach their receiver."""
+        now = self._clock.monotonic()
+        self.runs = [run for run in self.runs if run.in_flight(now)]
+        return [run.order.order_id for run in self.runs]
+
+    async def submit(self, target: str, kind: str, body: dict[str, Any]) -> Order:
+        """Write an order, send it once and write its outcome.
+
+        :returns: the confirmed order.
+        :raises AuthorityLost: if the duty is not held; nothing was sent.
+        :raises HandoverPending: if a predecessor may still send; nothing was sent.
+        :raises OrderConflict: if an open order contradicts it; nothing was sent.
+        :raises KvUnavailable: if it could not be written; nothing was sent.
+        :raises OrderRefused: if the receiver refused it.
+        :raises OrderUnanswered: if it may have arrived; it is settled later.
+        """
+        self._require_authority()
+        if not self.receiver.honours_fencing(self.duty) and not self.settled():
+            waiting = [item.instance for item in self.handover.waiting]
+            raise HandoverPending(f"{self.duty}: waiting for {', '.join(waiting)}")
+        body = dict(body)
+        order_id = body.pop("order_id", None) or new_token()
+        written: list[Order] = []
+
+        def write(journal: Journal) -> Journal:
+            written.clear()
+            journal, order = orders.write(
+                journal, self.duty, self.epoch, order_id, target, kind, body
+            )
+            written.append(order)
+            return journal
+
+        await self.change(write)
+        run = self._start_run(written[0])
+        try:
+            await self._send(run)
+        finally:
+            if self.journal.find(written[0].number) and self.valid():
+                self._spawn(self._settle(run), f"settle order of {self.duty}")
+        return written[0]
+
+    async def resume(self) -> None:
+        """Finish or abandon every order that a predecessor left open."""
+        await asyncio.gather(
+            *(
+                self._resume_order(order)
+                for order in self.journal.open_orders
+                if self.epoch not in order.epochs
+            )
+        )
+
+    async def change(self, edit: Callable[[Journal], Journal]) -> None:
+        """Write the journal, on condition that this process still holds the duty.
+
+        :raises AuthorityLost: if another process took the duty, or the outcome of the
+            write is not known; the duty is then dropped.
+        :raises KvUnavailable: if it was certainly not written.
+        """
+        async with self._lock:
+            self._require_authority()
+            edited = edit(self.journal)
+            if edited == self.journal:
+                return
+            conditions = [
+                unchanged(journal_key(self.duty), self._journal_revision),
+                unchanged(record_key(self.duty), self.record_revision),
+            ]
+            value = msgspec.json.encode(edited)
+            operations = [Put(journal_key(self.duty), value)]
+            try:
+                result = await self._kv.write_once(
+                    conditions, operations, Priority.AUTHORITY
+                )
+            except (KvConflict, KvOutcomeUnknown, KvRefused) as error:
+                self.lease.lose()
+                raise AuthorityLost(f"{self.duty}: {error.message}") from None
+            self.journal = edited
+            self._journal_revision = result.revision
+
+    def _require_authority(self) -> None:
+        if not self.valid():
+            raise AuthorityLost(f"{self.duty} is not held by this process")
+
+    def _start_run(self, order: Order) -> OrderRun:
+        run = OrderRun(order, self.epoch, self._drain_seconds)
+        self.runs.append(run)
+        return run
+
+    async def _send(self, run: OrderRun) -> None:
+        """Send an order that is written, and write what came of it."""
+        # No await may come between the check and the note that the order is sent: an
+        # acknowledgement of a newer epoch reports the orders in flight.
+        self._require_authority()
+        if not run.send(self._clock.monotonic()):
+            raise OrderUnanswered(f"order {run.order.order_id} is in flight")
+        sender = f"{self.record.holder}.{self.record.incarnation}"
+        sending = Sending(self.duty, self.epoch, sender)
+        failure: OrderRefused | OrderUnsent | None = None
+        try:
+            await self.receiver.send(sending, run.order)
+        except OrderRefused as error:
+            failure = error
+            if error.code == FENCED:
+                self.lease.lose()
+        except BaseException as error:
+            # An adopted order that did not leave has not raised the fencing number.
+            if not isinstance(error, OrderUnsent) or run.adopted:
+                run.unanswered(self._clock.monotonic())
+                raise
+            failure = error
+        run.answered()
+        await self._close(run, "abandoned" if failure else "confirmed")
+        if failure:
+            raise failure
+
+    async def _close(self, run: OrderRun, outcome: str) -> bool:
+        """Write an order's outcome; on failure it stays open and is settled later."""
+        number = run.order.number
+        try:
+            await self.change(lambda journal: orders.close(journal, number, outcome))
+        except (KvUnavailable, AuthorityLost) as error:
+            log_event(
+                "order_left_open",
+                level="WARNING",
+                duty=self.duty,
+                order=number,
+                error=error.code,
+            )
+            return False
+        if run in self.runs:
+            self.runs.remove(run)
+        return True
+
+    async def _settle(self, run: OrderRun) -> None:
+        """Close an own order that is still open, once no copy of it is in flight."""
+        delay = SETTLE_SECONDS
+        while self.valid():
+            now = self._clock.monotonic()
+            if run.may_close(now, self.settled()):
+                outcome = await self._read_outcome(run.order)
+                if outcome and await self._close(run, outcome):
+                    return
+            await asyncio.sleep(delay)
+            delay = min(LONGEST_SETTLE_SECONDS, delay * 1.5)
+
+    async def _read_outcome(self, order: Order) -> str | None:
+        if not self.receiver.known(self.duty, order.receiver):
+            return "abandoned"
+        effect = await self.receiver.took_effect(self.duty, order)
+        if effect is None:
+            return None
+        return "confirmed" if effect else "abandoned"
+
+    async def _resume_order(self, order: Order) -> None:
+        """Finish or abandon one order of a predecessor.
+
+        A receiver that fences gets the same order again with the new fencing number,
+        which stops the predecessor's copy. For others the state is read once no
+        predecessor can send any more.
+        """
+        delay = SETTLE_SECONDS
+        run: OrderRun | None = None
+        while self.valid() and self.journal.find(order.number):
+            try:
+                if self.settled():
+                    run = run or OrderRun(order, self.epoch, self._drain_seconds)
+                    if run.may_close(self._clock.monotonic(), True):
+                        outcome = await self._read_outcome(order)
+                        if outcome:
+                            await self._close(run, outcome)
+                elif self.receiver.honours_fencing(self.duty):
+                    run = await self._send_again(order, run)
+            except (OrderUnanswered, OrderUnsent, OrderRefused, KvError) as error:
+                log_event("order_not_resumed", duty=self.duty, error=error.code)
+            except AuthorityLost:
+                return
+            if self.journal.find(order.number):
+                await asyncio.sleep(delay)
+                delay = min(LONGEST_SETTLE_SECONDS, delay * 1.5)
+
+    async def _send_again(self, order: Order, run: OrderRun | None) -> OrderRun:
+        if run is None:
+            number, epoch = order.number, self.epoch
+            await self.change(lambda journal: orders.adopt(journal, number, epoch))
+            run = self._start_run(self.journal.find(number))
+        if not run.in_flight(self._clock.monotonic()):
+            await self._send(run)
+        return run
--- a/packages/camphorgate/src/camphorgate/application.py
+++ b/packages/camphorgate/src/camphorgate/application.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import importlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from camphorgate.clock import Clock, SystemClock
@@ -10,6 +10,19 @@
 from camphorgate.events import EventManager
 from camphorgate.log import log_event
 
+# A cancellation can be lost: Python 3.11's wait_for returns a result that arrives at
+# the same moment instead. The task is then cancelled again after this long.
+CANCEL_SECONDS = 0.5
+
+
+async def cancel_tasks(tasks: Iterable[asyncio.Task]) -> None:
+    """Cancel tasks until all of them have ended."""
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_SECONDS)
+
 
 class Application:
     """One process: its settings, clock, events, services, tasks and state dump.
@@ -135,10 +148,7 @@
         """Run the stop hooks in reverse order, then cancel the tasks that are left."""
         for hook in reversed(self._stop_hooks):
             await hook()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of every section, for the operators."""
--- a/packages/camphorgate/src/camphorgate/authority/errors.py
+++ b/packages/camphorgate/src/camphorgate/authority/errors.py
@@ -31,3 +31,9 @@
     """The order was sent and no answer came; it stays open in the journal."""
 
     code = "order_unanswered"
+
+
+class OrderDeferred(CamphorgateError):
+    """The weight store's rate limit does not allow the order now; nothing was sent."""
+
+    code = "order_deferred"
--- a/packages/camphorgate/src/camphorgate/authority/leases.py
+++ b/packages/camphorgate/src/camphorgate/authority/leases.py
@@ -47,17 +47,24 @@
     margin_seconds: float = 2.0
 
 
-def succeed(record: DutyRecord, instance: str, incarnation: int) -> DutyRecord:
+def succeed(
+    record: DutyRecord, instance: str, incarnation: int, open_epochs: frozenset[int]
+) -> DutyRecord:
     """Return the record under which a process takes the duty.
 
     The epoch grows with every change of hands, so that it serves as the fencing
-    number. The former holder joins the predecessors.
+    number. The former holder joins the predecessors. Those that no open order names
+    have nothing left to send and are left out.
+
+    :param open_epochs: the epochs that the journal's open orders name. The record must
+        be written on the condition that the journal is unchanged.
     """
     predecessors = record.predecessors
     if record.holder:
         former = Predecessor(record.holder, record.incarnation, record.epoch)
         predecessors = (*predecessors, former)
-    return DutyRecord(instance, incarnation, record.epoch + 1, predecessors)
+    kept = tuple(item for item in predecessors if item.epoch in open_epochs)
+    return DutyRecord(instance, incarnation, record.epoch + 1, kept)
 
 
 def resign(record: DutyRecord) -> DutyRecord:
--- a/packages/camphorgate/src/camphorgate/authority/orders.py
+++ b/packages/camphorgate/src/camphorgate/authority/orders.py
@@ -88,10 +88,9 @@
 
 @SCOPES.register("capacity")
 def _capacity_scope(kind: str, body: dict[str, Any]) -> frozenset[str]:
-    # Starting and stopping in one pool at a time would cancel each other out, but
-    # several starts at once are what a lost zone needs.
+    # Several starts at once are what a lost zone needs; each has its own order id.
     if kind == "start":
-        return frozenset({f"start/{body.get('pool', '')}/{body.get('order_id', '')}"})
+        return frozenset()
     return frozenset({f"stop/{body.get('upstream_id', '')}"})
 
 
--- /dev/null
+++ b/tests/test_duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties, orders and hand-over in running nodes, under failures."""
--- /dev/null
+++ b/tests/test_duties/harness.py
@@ -0,0 +1,256 @@
+"""Nodes with the real extensions ``kv`` and ``duties`` against the stand-ins."""
+
+import asyncio
+import contextlib
+import types
+import unittest
+import unittest.mock
+
+from loguru import logger
+
+from camphorgate.application import Application, cancel_tasks
+from camphorgate.authority.errors import AuthorityLost
+from camphorgate.clock import SystemClock
+from camphorgate.errors import CamphorgateError
+from camphorgate.manifest import ManifestIndex, Pool
+from camphorgate.settings import (
+    KvSettings,
+    PlatformSettings,
+    Settings,
+    TimingSettings,
+)
+from camphorgate_standins.engine import EngineStandin
+from camphorgate_standins.kv import KvStandin
+from camphorgate_standins.platform import PlatformStandin
+from camphorgated.ext import duties, kv
+from camphorgated.ext.duties import service
+from tests.builders import build_manifest, build_upstream
+from tests.serving import serve
+
+TIMING = TimingSettings(
+    lease_seconds=3.0, lease_margin_seconds=1.0, order_drain_seconds=0.6
+)
+QUICK = {
+    "TICK_SECONDS": 0.1,
+    "LOOK_SECONDS": 0.4,
+    "STAND_BY_SECONDS": 0.5,
+    "HANDOVER_SECONDS": 0.1,
+    "MOVE_SECONDS": 0.3,
+    "STOP_ORDERS_SECONDS": 0.5,
+}
+CAPACITY = "capacity/zone-a"
+ENGINES = "engines/models"
+
+
+class JumpingClock(SystemClock):
+    """A clock that a test can move forward."""
+
+    __slots__ = ("offset",)
+
+    def __init__(self):
+        self.offset = 0.0
+
+    def monotonic(self):
+        """Return the shifted time."""
+        return super().monotonic() + self.offset
+
+
+class Peers:
+    """The nodes that can reach each other, and what the platform lists."""
+
+    def __init__(self):
+        self.nodes_by_id = {}
+        self.cut_off = set()
+        self.state_by_id = {}
+
+
+class FakeMembership:
+    """The part of the membership service that duties use."""
+
+    def __init__(self, peers, instance_id, incarnation):
+        self.instance_id = instance_id
+        self.incarnation = incarnation
+        self.leaving = False
+        self.handler = None
+        self._peers = peers
+
+    def handle_epochs(self, handler):
+        """Keep the handler."""
+        self.handler = handler
+
+    def members(self):
+        """Return every node; dead ones are not live."""
+        return [
+            types.SimpleNamespace(
+                instance_id=name,
+                availability_zone="zone-b",
+                live=node.alive and name not in self._peers.cut_off,
+                leaving=node.membership.leaving,
+            )
+            for name, node in self._peers.nodes_by_id.items()
+        ]
+
+    def platform_state(self, instance_id):
+        """Return what the test listed."""
+        return self._peers.state_by_id.get(instance_id)
+
+    def platform_upstreams(self):
+        """Return nothing; the manifest names the engines."""
+        return ()
+
+    def peer(self, instance_id):
+        """Return calls to a node."""
+        return types.SimpleNamespace(
+            acknowledge_epoch=lambda duty, epoch, sender: self._ask(
+                instance_id, duty, epoch
+            )
+        )
+
+    async def _ask(self, instance_id, duty, epoch):
+        node = self._peers.nodes_by_id[instance_id]
+        if not node.alive or self._peers.cut_off & {instance_id, self.instance_id}:
+            raise CamphorgateError("unreachable")
+        orders = await node.membership.handler(duty, epoch)
+        return types.SimpleNamespace(
+            instance=instance_id,
+            incarnation=node.membership.incarnation,
+            acknowledged=True,
+            orders_in_flight=orders,
+        )
+
+
+class Node:
+    """One daemon with the extensions under test."""
+
+    def __init__(self, peers, instance_id, settings, index, incarnation=1):
+        self.alive = True
+        self.clock = JumpingClock()
+        self.app = Application(settings, self.clock)
+        self.membership = FakeMembership(peers, instance_id, incarnation)
+        self.app.provide("membership", self.membership)
+        self.app.provide("configuration", types.SimpleNamespace(index=index))
+        kv.setup(self.app)
+        duties.setup(self.app)
+        self.duties = self.app.service("duties")
+        peers.nodes_by_id[instance_id] = self
+
+    def gate(self, duty):
+        """Hold the node between its check and the sending of an order.
+
+        :returns: an event that is set when it waits there, and one that lets it go.
+        """
+        receiver = self.duties._receivers_by_kind[duty.partition("/")[0]]
+        waiting, go = asyncio.Event(), asyncio.Event()
+        send = receiver.send
+
+        async def gated(sending, order):
+            waiting.set()
+            await go.wait()
+            await send(sending, order)
+
+        receiver.send = gated
+        return waiting, go
+
+    def lapse(self, standin):
+        """Let the node's lease end in the key-value service."""
+        standin.store.revoke(self.duties._lease.id)
+
+    async def kill(self):
+        """Stop at once, without giving anything up."""
+        self.alive = False
+        await cancel_tasks(self.app._tasks)
+
+
+class DutiesCase(unittest.IsolatedAsyncioTestCase):
+    """Starts the stand-ins; a test starts the nodes."""
+
+    fencing = False
+
+    async def asyncSetUp(self):
+        self.enterContext(unittest.mock.patch.multiple(service, **QUICK))
+        logger.disable("camphorgate")
+        self.addCleanup(logger.enable, "camphorgate")
+        self.kv = KvStandin()
+        self.platform = PlatformStandin()
+        self.engine = EngineStandin("engine-1", fencing=self.fencing, role_seconds=0.0)
+        apps = [item.app() for item in (self.kv, self.platform, self.engine)]
+        addresses = [await self.enterAsyncContext(serve(app)) for app in apps]
+        self.kv_address, self.platform_address, engine_address = addresses
+        upstream = build_upstream("engine-1", address=engine_address)
+        pools = (
+            Pool(
+                "models",
+                "engines",
+                honours_fencing=self.fencing,
+                upstreams=(upstream,),
+            ),
+        )
+        manifest = build_manifest(pools=pools, models=(), services=())
+        self.index = ManifestIndex(manifest, 1)
+        self.peers = Peers()
+
+    def settings(self, name):
+        """Return the settings of one node."""
+        address = "127.0.0.1:0"
+        platform = self.platform_address
+        return Settings(
+            instance_id=name,
+            availability_zone="zone-b",
+            region="region-1",
+            caller_address=address,
+            admin_address=address,
+            peer_address=address,
+            kv=KvSettings((self.kv_address,), 500.0, 0.3),
+            platform=PlatformSettings(platform, platform, platform),
+            timing=TIMING,
+        )
+
+    async def start(self, name, incarnation=1):
+        """Start a node."""
+        settings = self.settings(name)
+        node = Node(self.peers, name, settings, self.index, incarnation)
+        await node.app.start()
+        self.addAsyncCleanup(self.end, node)
+        return node
+
+    async def end(self, node):
+        """Stop a node that is still running."""
+        if node.alive:
+            node.alive = False
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(5):
+                    await node.app.stop()
+
+    async def until(self, condition, seconds=8.0):
+        """Wait for a condition."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def holder(self, node, duty):
+        """Wait until a node holds a duty and return its authority."""
+        await self.until(lambda: node.duties.authority(duty))
+        return node.duties.authority(duty)
+
+    async def successor(self, former, duty):
+        """Let the former holder's lease lapse and return a node that took the duty."""
+        node = await self.start("beta")
+        former.lapse(self.kv)
+        await self.holder(node, duty)
+        return node
+
+    def senders(self):
+        """Return who sent each capacity order, in order of arrival."""
+        return [order["sender"] for order in self.platform.orders]
+
+
+async def submit_until_done(node, duty, target, order, error=CamphorgateError):
+    """Submit an order until nothing stands against it."""
+    async with asyncio.timeout(8):
+        while True:
+            try:
+                return await node.duties.submit_order(duty, target, order)
+            except AuthorityLost:
+                raise
+            except error:
+                await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/test_duties/test_failures.py
@@ -0,0 +1,186 @@
+"""Duties and orders when processes pause or die, and when the services fail."""
+
+import asyncio
+
+from camphorgate.authority.errors import AuthorityLost, HandoverPending, OrderUnanswered
+from camphorgate.authority.sharding import duty_names
+from tests.test_duties.harness import (
+    CAPACITY,
+    ENGINES,
+    DutiesCase,
+    submit_until_done,
+)
+
+START = {"kind": "start", "pool": "models", "zone": "zone-a"}
+PREFILL = {"kind": "set_role", "role": "prefill"}
+DECODE = {"kind": "set_role", "role": "decode"}
+
+
+class TakingTests(DutiesCase):
+    async def test_duties_are_shared_and_handed_over_on_stop(self):
+        """Guards against one instance holding all, and a stop that leaves a gap."""
+        names = set(duty_names(self.index.manifest))
+        alpha = await self.start("alpha")
+        await self.until(lambda: set(alpha.duties.held()) == names)
+        beta = await self.start("beta")
+        half = (len(names) + 1) // 2
+        await self.until(lambda: len(beta.duties.held()) >= len(names) - half)
+        self.assertFalse(set(alpha.duties.held()) & set(beta.duties.held()))
+        epochs = {d: alpha.duties.authority(d).epoch for d in alpha.duties.held()}
+        await self.end(alpha)
+        await self.until(lambda: set(beta.duties.held()) == names, seconds=2.0)
+        for duty, epoch in epochs.items():
+            self.assertEqual(beta.duties.authority(duty).epoch, epoch + 1)
+
+    async def test_a_clock_jump_drops_every_duty(self):
+        """Guards against a holder that wakes after a pause and goes on."""
+        alpha = await self.start("alpha")
+        authority = await self.holder(alpha, CAPACITY)
+        alpha.clock.offset += 1.5
+        self.assertFalse(authority.valid())
+        with self.assertRaises(AuthorityLost):
+            await alpha.duties.submit_order(CAPACITY, "models", START)
+        self.assertEqual(self.platform.orders, [])
+        await self.until(lambda: alpha.duties.authority(CAPACITY))
+        self.assertGreater(alpha.duties.authority(CAPACITY).epoch, authority.epoch)
+
+    async def test_kv_is_down_longer_than_every_lease(self):
+        """Guards against acting without a lease, and against never coming back."""
+        alpha = await self.start("alpha")
+        authority = await self.holder(alpha, CAPACITY)
+        self.kv.faults.arm({"fault": "down"})
+        await self.until(lambda: not alpha.duties.held())
+        with self.assertRaises(AuthorityLost):
+            await alpha.duties.submit_order(CAPACITY, "models", START)
+        await asyncio.sleep(1.0)
+        self.kv.faults.arm({"fault": "none"})
+        await self.until(lambda: alpha.duties.authority(CAPACITY), seconds=15.0)
+        self.assertGreater(alpha.duties.authority(CAPACITY).epoch, authority.epoch)
+
+    async def test_lost_answers_of_the_key_value_service(self):
+        """Guards against an order that is sent twice or without a journal entry."""
+        self.kv.faults.arm({"fault": "lose_answers", "count": 4})
+        alpha = await self.start("alpha")
+        await self.holder(alpha, CAPACITY)
+        self.kv.faults.arm({"fault": "lose_answers", "count": 1})
+        order = await alpha.duties.submit_order(CAPACITY, "models", START)
+        self.kv.faults.arm({"fault": "none"})
+        ids = [item["order_id"] for item in self.platform.orders]
+        self.assertEqual(ids, [order.order_id])
+
+
+class IgnoredFencingTests(DutiesCase):
+    async def gated_order(self):
+        """Return a holder that is held between its check and its sending."""
+        alpha = await self.start("alpha")
+        await self.holder(alpha, CAPACITY)
+        waiting, go = alpha.gate(CAPACITY)
+        task = asyncio.create_task(alpha.duties.submit_order(CAPACITY, "models", START))
+        await waiting.wait()
+        return alpha, go, task
+
+    async def test_a_paused_holder_that_wakes_after_its_check(self):
+        """Guards against orders from two processes that both believe they lead."""
+        alpha, go, task = await self.gated_order()
+        self.peers.cut_off.add("alpha")
+        beta = await self.successor(alpha, CAPACITY)
+        for _ in range(10):
+            with self.assertRaises(HandoverPending):
+                await beta.duties.submit_order(CAPACITY, "models", START)
+            await asyncio.sleep(0.1)
+        self.peers.cut_off.clear()
+        await asyncio.sleep(0.3)
+        with self.assertRaises(HandoverPending):
+            await beta.duties.submit_order(CAPACITY, "models", START)
+        go.set()
+        await asyncio.gather(task, return_exceptions=True)
+        await submit_until_done(beta, CAPACITY, "models", START)
+        self.assertEqual(self.senders(), ["alpha.1", "beta.1"])
+
+    async def test_a_holder_killed_between_sent_and_confirmed(self):
+        """Guards against forgetting an order, and against sending it twice."""
+        alpha, go, task = await self.gated_order()
+        held = alpha.duties._held_by_duty[CAPACITY]
+
+        async def never(edit):
+            await asyncio.sleep(3600)
+
+        held.change = never
+        go.set()
+        await self.until(lambda: self.platform.orders)
+        await alpha.kill()
+        task.cancel()
+        beta = await self.successor(alpha, CAPACITY)
+        # The list lags: the instance is still listed as live.
+        self.peers.state_by_id["alpha"] = "live"
+        await asyncio.sleep(1.0)
+        with self.assertRaises(HandoverPending):
+            await beta.duties.submit_order(CAPACITY, "models", START)
+        self.peers.state_by_id["alpha"] = "gone"
+        await submit_until_done(beta, CAPACITY, "models", START)
+        journal = beta.duties._held_by_duty[CAPACITY].journal
+        await self.until(lambda: not beta.duties.status()[CAPACITY]["open_orders"])
+        journal = beta.duties._held_by_duty[CAPACITY].journal
+        outcomes = {order.number: order.outcome for order in journal.closed_orders}
+        self.assertEqual(outcomes, {1: "confirmed", 2: "confirmed"})
+        self.assertEqual(self.senders(), ["alpha.1", "beta.1"])
+
+    async def test_a_holder_killed_between_written_and_sent(self):
+        """Guards against an order that stays open and blocks its successors."""
+        alpha, _, task = await self.gated_order()
+        await alpha.kill()
+        task.cancel()
+        # A newer incarnation answers, which proves that the process is dead.
+        restarted = await self.start("alpha", incarnation=2)
+        alpha.lapse(self.kv)
+        await self.holder(restarted, CAPACITY)
+        await submit_until_done(restarted, CAPACITY, "models", START)
+        await self.until(lambda: not restarted.duties.status()[CAPACITY]["open_orders"])
+        journal = restarted.duties._held_by_duty[CAPACITY].journal
+        outcomes = {order.number: order.outcome for order in journal.closed_orders}
+        self.assertEqual(outcomes, {1: "abandoned", 2: "confirmed"})
+        self.assertEqual(self.senders(), ["alpha.2"])
+
+    async def test_an_order_without_an_answer_is_settled_by_reading(self):
+        """Guards against sending the order again, or leaving it open."""
+        alpha = await self.start("alpha")
+        await self.holder(alpha, CAPACITY)
+        self.platform.faults.arm({"fault": "lose_answers", "count": 1})
+        with self.assertRaises(OrderUnanswered):
+            await alpha.duties.submit_order(CAPACITY, "models", START)
+        await self.until(lambda: not alpha.duties.status()[CAPACITY]["open_orders"])
+        closed = alpha.duties._held_by_duty[CAPACITY].journal.closed_orders
+        self.assertEqual([order.outcome for order in closed], ["confirmed"])
+        self.assertEqual(len(self.platform.orders), 1)
+
+
+class FencingTests(DutiesCase):
+    fencing = True
+
+    async def test_the_successor_finishes_the_order_and_the_late_copy_is_refused(self):
+        """Guards against an engine that gets conflicting orders."""
+        alpha = await self.start("alpha")
+        await self.holder(alpha, ENGINES)
+        waiting, go = alpha.gate(ENGINES)
+        task = asyncio.create_task(
+            alpha.duties.submit_order(ENGINES, "engine-1", PREFILL)
+        )
+        await waiting.wait()
+        self.peers.cut_off.add("alpha")
+        beta = await self.successor(alpha, ENGINES)
+        await submit_until_done(beta, ENGINES, "engine-1", DECODE)
+        go.set()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(self.engine.role, "decode")
+        taken = [
+            (order["role"], order["sender"], order["accepted"])
+            for order in self.engine.orders
+        ]
+        self.assertEqual(
+            taken,
+            [
+                ("prefill", "beta.1", True),
+                ("decode", "beta.1", True),
+                ("prefill", "alpha.1", False),
+            ],
+        )
--- a/tests/test_kernel/test_application.py
+++ b/tests/test_kernel/test_application.py
@@ -1,5 +1,6 @@
 """The kernel: extensions, events, registries."""
 
+import asyncio
 import sys
 import types
 import unittest
@@ -45,6 +46,21 @@
         await self.app.stop()
         self.assertEqual(order, ["second", "first"])
 
+    async def test_stop_ends_a_task_that_lost_its_cancellation(self):
+        """Guards against a stop that hangs, as wait_for can swallow a cancellation."""
+
+        async def stubborn():
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                await asyncio.sleep(3600)
+
+        task = self.app.spawn(stubborn(), "stubborn")
+        await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            await self.app.stop()
+        self.assertTrue(task.done())
+
     def test_a_service_has_one_provider(self):
         """Guards against two extensions that each believe to own a service."""
         self.app.provide("kv", object())
