--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/held.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/held.py
@@ -120,7 +120,7 @@
     async def submit(self, target: str, kind: str, body: dict[str, Any]) -> Order:
         """Write an order, send it once and write its outcome.
 
-        :returns: the confirmed order.
+        :returns: the confirmed order; it is not sent again if its id was confirmed.
         :raises AuthorityLost: if the duty is not held; nothing was sent.
         :raises HandoverPending: if a predecessor may still send; nothing was sent.
         :raises OrderConflict: if an open order contradicts it; nothing was sent.
@@ -134,6 +134,10 @@
             raise HandoverPending(f"{self.duty}: waiting for {', '.join(waiting)}")
         body = dict(body)
         order_id = body.pop("order_id", None) or new_token()
+        # An order whose answer was lost may have been settled meanwhile.
+        confirmed = self.journal.confirmed(order_id)
+        if confirmed is not None:
+            return confirmed
         written: list[Order] = []
 
         def write(journal: Journal) -> Journal:
--- a/packages/camphorgate/src/camphorgate/application.py
+++ b/packages/camphorgate/src/camphorgate/application.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import importlib
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from camphorgate.clock import Clock, SystemClock
@@ -10,18 +10,8 @@
 from camphorgate.events import EventManager
 from camphorgate.log import log_event
 
-# A cancellation can be lost: Python 3.11's wait_for returns a result that arrives at
-# the same moment instead. The task is then cancelled again after this long.
-CANCEL_SECONDS = 0.5
-
-
-async def cancel_tasks(tasks: Iterable[asyncio.Task]) -> None:
-    """Cancel tasks until all of them have ended."""
-    pending = set(tasks)
-    while pending:
-        for task in pending:
-            task.cancel()
-        _, pending = await asyncio.wait(pending, timeout=CANCEL_SECONDS)
+# How long a task may take to end after it was cancelled before it is cancelled again.
+CANCEL_AGAIN_SECONDS = 0.5
 
 
 class Application:
@@ -148,7 +138,13 @@
         """Run the stop hooks in reverse order, then cancel the tasks that are left."""
         for hook in reversed(self._stop_hooks):
             await hook()
-        await cancel_tasks(self._tasks)
+        # A cancellation can get lost: asyncio.wait_for of Python 3.11, which aiosonic
+        # uses, drops one that arrives together with a result, and grpc.aio turns one
+        # into an error of its own. A task that goes on is cancelled again.
+        while self._tasks:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.wait(list(self._tasks), timeout=CANCEL_AGAIN_SECONDS)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of every section, for the operators."""
--- a/packages/camphorgate/src/camphorgate/authority/orders.py
+++ b/packages/camphorgate/src/camphorgate/authority/orders.py
@@ -67,6 +67,13 @@
                 return order
         return None
 
+    def confirmed(self, order_id: str) -> Order | None:
+        """Return an order that was confirmed lately."""
+        for order in self.closed_orders:
+            if order.order_id == order_id and order.outcome == "confirmed":
+                return order
+        return None
+
     def open_epochs(self) -> frozenset[int]:
         """Return the epochs whose holders may still send something."""
         return frozenset(epoch for order in self.open_orders for epoch in order.epochs)
@@ -161,7 +168,13 @@
     order = journal.find(number)
     if order is None:
         return journal
-    closed = msgspec.structs.replace(order, outcome=outcome)
+    # Figures of usage windows are large; a closed order keeps what identifies it.
+    body = {
+        name: value
+        for name, value in order.body.items()
+        if isinstance(value, str | int | float)
+    }
+    closed = msgspec.structs.replace(order, outcome=outcome, body=body)
     return msgspec.structs.replace(
         journal,
         open_orders=tuple(o for o in journal.open_orders if o.number != number),
--- a/packages/camphorgate/src/camphorgate/authority/sharding.py
+++ b/packages/camphorgate/src/camphorgate/authority/sharding.py
@@ -7,7 +7,7 @@
 
 from camphorgate.manifest import Manifest
 
-# Reports of different shards are independent; a workspace belongs to one shard.
+# Must equal the number of shards in which the extension `usage` reports.
 USAGE_SHARDS = 4
 # Instances that look after a duty besides the one that should hold it.
 STAND_BY_RANKS = 2
@@ -28,11 +28,6 @@
     return names + [f"usage/{shard}" for shard in range(USAGE_SHARDS)]
 
 
-def usage_shard(workspace: str) -> int:
-    """Return the shard whose holder reports a workspace's usage."""
-    return xxhash.xxh3_64_intdigest(workspace.encode()) % USAGE_SHARDS
-
-
 def rank(duty: str, candidates: list[Candidate]) -> list[Candidate]:
     """Return the candidates in the order in which they should hold a duty.
 
--- a/packages/camphorgate/src/camphorgate/peers/service.py
+++ b/packages/camphorgate/src/camphorgate/peers/service.py
@@ -14,6 +14,8 @@
     Part,
     PartsAnswer,
     PartsRequest,
+    ReportAnswer,
+    ReportRequest,
     SnapshotAnswer,
     SnapshotRequest,
 )
@@ -43,6 +45,9 @@
     async def acknowledge_epoch(self, notice: EpochNotice) -> EpochAcknowledgement:
         """Acknowledge a duty's newer epoch."""
 
+    def report(self) -> bytes:
+        """Return what this instance adds to the operators' report."""
+
 
 class PeerServicer(PeersServicer):
     """Answers the calls of peers."""
@@ -90,14 +95,20 @@
         """Return the root in force and the members."""
         return self._handler.snapshot(request.above_version)
 
+    async def Report(  # noqa: N802
+        self, request: ReportRequest, context
+    ) -> ReportAnswer:
+        """Return what this instance adds to the operators' report."""
+        return ReportAnswer(payload=self._handler.report())
+
 
-async def start_server(
+def bind_server(
     handler: PeerHandler, address: str, clock: Clock
 ) -> tuple[grpc.aio.Server, str]:
-    """Listen for peers.
+    """Return a server for peers, bound to its address but not started.
 
     :param address: ``host:port``; port 0 takes a free one.
-    :returns: the server and the address that it listens on.
+    :returns: the server and its address.
     :raises PeerError: if the address cannot be used.
     """
     server = grpc.aio.server(options=CHANNEL_OPTIONS)
@@ -106,5 +117,4 @@
         port = server.add_insecure_port(address)
     except RuntimeError as error:
         raise PeerError(f"cannot listen on {address}: {error}") from None
-    await server.start()
     return server, f"{address.rpartition(':')[0]}:{port}"
