--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/call.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/call.py
@@ -57,6 +57,11 @@
         self._body_bytes = 0
         self._protocol.on_lost = self._caller_left
 
+    @property
+    def dispatch_id(self) -> str:
+        """Return the id of the current dispatch, which names the request as well."""
+        return f"{self.record.request_id}.{self.record.attempts}"
+
     @property
     def headers(self) -> list[tuple[bytes, bytes]]:
         """Return the caller's headers, names in lower case."""
@@ -137,6 +142,24 @@
             {"type": "http.response.body", "body": body, "more_body": more}
         )
 
+    def write_now(self, body: bytes) -> bool:
+        """Send a piece of the answer without waiting.
+
+        :returns: whether that was possible; if not, :meth:`write` waits for the
+            caller to take what was sent before.
+        """
+        if self._protocol.flow.write_paused:
+            return False
+        sending = self._send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+        try:
+            # uvicorn waits only while writing is paused, so this runs to its end.
+            sending.send(None)
+        except StopIteration:
+            return True
+        raise RuntimeError("sending waited although writing is not paused")
+
     async def answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
