Measure the queue's drain rate only while requests wait

Cause: the rate of starts was measured in quiet times too, where it is the callers' own rate; a burst of 60 requests after one request a second was refused as unreachable although it could start. Change: the rate is measured within a backlog and forgotten with it. The earlier test of refusals measured the rate without a backlog, so it could not hold any more; it now drains a backlog, and a second test covers bursts.

--- a/packages/camphorgate/src/camphorgate/requests/admission.py
+++ b/packages/camphorgate/src/camphorgate/requests/admission.py
@@ -191,7 +191,7 @@
         self._service = 0.0
         self._waiting_by_id: dict[str, Waiting] = {}
         self._by_age: deque[Waiting] = deque()
-        # Service started per second; unknown until the first period has passed.
+        # Service started per second; 0 if unknown, as in a backlog's first period.
         self._drain = 0.0
         self._drained_at: float | None = None
         self._started = 0.0
@@ -303,14 +303,24 @@
         if not self._lanes_by_key[key].count:
             del self._lanes_by_key[key]
         if not self._waiting_by_id:
-            # Removes the rounding errors that sums of floats collect.
+            # Removes the rounding errors that sums of floats collect, and the rate
+            # of a backlog that is over.
             self._service = 0.0
+            self._drain, self._started, self._drained_at = 0.0, 0.0, None
         while self._by_age and self._by_age[0].gone:
             self._by_age.popleft()
 
     def _note_start(self, service: float, now: float) -> None:
+        """Measure the rate of starts, but only while further requests wait.
+
+        Otherwise the rate is that of the callers, and a burst after a quiet time would
+        be refused although it could start at once.
+        """
+        if not self._waiting_by_id:
+            return
         if self._drained_at is None:
             self._drained_at = now
+            return
         self._started += service
         passed = now - self._drained_at
         if passed < DRAIN_SECONDS / 5:
