--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Sequence
 from functools import lru_cache
+from math import exp2
 from typing import Protocol
 
 import msgspec
@@ -230,21 +231,25 @@
         :param mean: requests of others at an average upstream.
         :param others: requests of others at this one.
         """
+        # Written without min() and max(), whose calls took a third of a choice.
         slots = upstream.slots
         own = upstream.own_requests
+        prefill_rate = upstream.prefill_tokens_per_second
         if not self._mean_prefill:
             return (own + others) / slots * SERVICE_SECONDS * upstream.slowness
-        token_seconds = min(own + mean, slots) / upstream.decode_tokens_per_second
-        prefill_seconds = self._mean_prefill / upstream.prefill_tokens_per_second
-        stream_seconds = self._mean_output * token_seconds
+        streams = own + mean if own + mean < slots else slots
+        prefill_seconds = self._mean_prefill / prefill_rate
+        stream_seconds = self._mean_output * streams / upstream.decode_tokens_per_second
         # Of the requests of others, the part that is expected in prefill.
         in_prefill = prefill_seconds / (prefill_seconds + stream_seconds)
-        wait = upstream.own_prefill_tokens / upstream.prefill_tokens_per_second
+        wait = upstream.own_prefill_tokens / prefill_rate
         if now - upstream.gap_seen_at < BUSY_VALID_SECONDS:
             # Seen in own streams without any lag, so it replaces half of the guess.
-            wait += BUSY_SECONDS * _busy_share(upstream)
+            quiet, gap = upstream.quiet_gap_seconds, upstream.gap_seconds
+            if quiet < gap:
+                wait += BUSY_SECONDS * (1.0 - quiet / gap)
             in_prefill *= 0.5
-        wait += in_prefill * min(mean, slots) * prefill_seconds
+        wait += in_prefill * (mean if mean < slots else slots) * prefill_seconds
         if own + others > slots:
             excess = own + others - slots
             wait += excess * (stream_seconds / slots + prefill_seconds)
@@ -272,7 +277,7 @@
         count = report.running + report.waiting - upstream.own_requests_at_report
         counts.append(count if count > 0 else 0.0)
         age = now - report.observed_at + report.lag_seconds
-        trusts.append(0.5 ** (max(age, 0.0) / REPORT_HALF_LIFE))
+        trusts.append(exp2(-age / REPORT_HALF_LIFE) if age > 0 else 1.0)
     total = sum(trusts)
     if not total:
         return 0.0, counts
@@ -281,22 +286,15 @@
     return mean, [mean + trust * (count - mean) for count, trust in pairs]
 
 
-def _busy_share(upstream: UpstreamView) -> float:
-    """Return the part of its time that an engine spends on prompts."""
-    if not upstream.gap_seconds:
-        return 0.0
-    return max(0.0, 1.0 - upstream.quiet_gap_seconds / upstream.gap_seconds)
-
-
 def _cached_chance(
     upstream: UpstreamView, request: RequestView, owner: str, now: float
 ) -> float:
     """Return the probability that an upstream holds the request's prefix."""
     chance = OWNER_PREFIX_CHANCE if upstream.id == owner else 0.0
     seen_at = upstream.prefix_seen_at_by_digest.get(request.prefix_digest)
-    if seen_at is not None:
-        chance = max(chance, 0.5 ** (max(0.0, now - seen_at) / PREFIX_HALF_LIFE))
-    return chance
+    if seen_at is None:
+        return chance
+    return max(chance, exp2((seen_at - now) / PREFIX_HALF_LIFE))
 
 
 def _estimate(
@@ -310,16 +308,19 @@
 
     :param cached: probability that the prefix is cached.
     """
-    streams = min(upstream.own_requests + others, upstream.slots)
+    slots = upstream.slots
+    slowness = upstream.slowness
+    streams = upstream.own_requests + others
+    if streams > slots:
+        streams = slots
     new_tokens = request.prompt_tokens - cached * request.prefix_tokens
-    prefill = new_tokens / upstream.prefill_tokens_per_second * upstream.slowness
-    tokens_per_second = upstream.decode_tokens_per_second / upstream.slowness
-    token_seconds = (streams + 1) / tokens_per_second
+    prefill = new_tokens / upstream.prefill_tokens_per_second * slowness
+    token_seconds = (streams + 1) / upstream.decode_tokens_per_second * slowness
     first = wait + prefill + token_seconds
     if upstream.zone != request.zone:
         first += OTHER_ZONE_SECONDS
     cost = first + DECODE_WEIGHT * request.output_tokens * token_seconds
-    cost += DISTURBANCE_WEIGHT * prefill * streams / upstream.slots
+    cost += DISTURBANCE_WEIGHT * prefill * streams / slots
     cost += COST_SECONDS * upstream.cost
     if upstream.role != "both":
         cost += ROLE_PENALTY_SECONDS
