--- a/packages/camphorgate-daemon/src/camphorgated/ext/usage/reporting.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/usage/reporting.py
@@ -20,10 +20,11 @@
 from camphorgate.errors import CamphorgateError
 from camphorgate.kv.budget import Priority
 from camphorgate.kv.errors import KvConflict, KvError
-from camphorgate.kv.records import Delete, KvEntry
+from camphorgate.kv.records import Delete, KvEntry, unchanged
 from camphorgate.log import log_event
 from camphorgated.ext.usage.handing import (
     AUTHORS_PREFIX,
+    TOTALS_PREFIX,
     closed_key,
     write_hand_in,
 )
@@ -50,9 +51,15 @@
 
 
 class Known(msgspec.Struct):
-    """All authors at one reading of KV."""
+    """All authors at one reading of KV.
+
+    ``revisions_by_key`` holds those of the roster entries and of the ledgers' states;
+    ``roster_key_by_author`` only names authors that are their instance's newest.
+    """
 
     authors: list[Author] = []
+    revisions_by_key: dict[str, int] = {}
+    roster_key_by_author: dict[str, str] = {}
     superseded: set[str] = set()
     holders_by_author: dict[str, tuple[str, ...]] = {}
     ledgers_by_author: dict[str, Ledger] = {}
@@ -176,7 +183,7 @@
             self.lateness.note(late, self._window_seconds)
             log_event("usage_reported", window=window, shard=shard, late_seconds=late)
             if shard == 0:
-                await self._delete_old(window - self._timing.retained_windows)
+                await self._delete_old(window - self._timing.retained_windows, known)
             window += 1
 
     def _has_ended(self, window: int) -> bool:
@@ -192,8 +199,13 @@
         for entry in await self._kv.get_prefix(AUTHORS_PREFIX, Priority.BACKGROUND):
             ledger = msgspec.json.decode(entry.value, type=Ledger)
             known.ledgers_by_author[ledger.author] = ledger
+            known.revisions_by_key[entry.key] = entry.mod_revision
         for entry in await self._kv.get_prefix(ROSTER_PREFIX, Priority.BACKGROUND):
-            self._add_entry(known, msgspec.json.decode(entry.value, type=_RosterEntry))
+            found = msgspec.json.decode(entry.value, type=_RosterEntry)
+            self._add_entry(known, found)
+            author = author_id(found.instance_id, found.incarnation)
+            known.roster_key_by_author[author] = entry.key
+            known.revisions_by_key[entry.key] = entry.mod_revision
         return known
 
     def _add_entry(self, known: Known, entry: _RosterEntry) -> None:
@@ -274,13 +286,36 @@
                 await write_hand_in(self._kv, author, {}, window, current)
                 log_event("usage_author_ended", level="WARNING", author=author)
 
-    async def _delete_old(self, window: int) -> None:
-        """Delete a window that is past the retention period."""
+    async def _delete_old(self, window: int, known: Known) -> None:
+        """Delete a window, and authors that ended before it."""
         try:
             keys = list(await self._read_window(window))
             for begin in range(0, len(keys), _DELETES_PER_CALL):
                 some = keys[begin : begin + _DELETES_PER_CALL]
                 operations = [Delete(key) for key in some]
                 await self._kv.transact([], operations, Priority.BACKGROUND)
+            for author, ledger in known.ledgers_by_author.items():
+                if ledger.final and ledger.last < window:
+                    await self._delete_author(author, known)
         except KvError as error:
             log_event("usage_not_deleted", level="DEBUG", error=error.code)
+
+    async def _delete_author(self, author: str, known: Known) -> None:
+        """Delete a ledger, with the roster entry if that still names the author.
+
+        Without the entry's removal the author would be awaited anew. An incarnation
+        that a recent one follows stays as long as the entry names it.
+        """
+        state_key = AUTHORS_PREFIX + author
+        keys = [state_key]
+        roster_key = known.roster_key_by_author.get(author)
+        if roster_key is not None:
+            if not self._is_dead(author):
+                return
+            keys.append(roster_key)
+        elif any(item.id == author for item in known.authors):
+            return
+        # The state and the totals are always written together.
+        conditions = [unchanged(key, known.revisions_by_key[key]) for key in keys]
+        operations = [Delete(key) for key in (*keys, TOTALS_PREFIX + author)]
+        await self._kv.transact(conditions, operations, Priority.BACKGROUND)
--- a/tests/test_accounting/cluster.py
+++ b/tests/test_accounting/cluster.py
@@ -14,6 +14,7 @@
 from camphorgated.ext.usage.service import UsageService
 from camphorgated.ext.usage.timing import UsageTiming
 
+RETAINED_WINDOWS = 6
 # The test calls what the loops would do, so the loops run once and then rest.
 TIMING = UsageTiming(
     copy_tick_seconds=1e6,
@@ -21,6 +22,7 @@
     report_seconds=1e6,
     ack_seconds=1e6,
     force_seconds=0.0,
+    retained_windows=RETAINED_WINDOWS,
 )
 WINDOW_SECONDS = 60
 
--- a/tests/test_accounting/test_extension.py
+++ b/tests/test_accounting/test_extension.py
@@ -8,7 +8,7 @@
 from camphorgate.kv.errors import KvError
 from camphorgate_standins.kv import KvStandin
 from tests.serving import serve
-from tests.test_accounting.cluster import run_cluster
+from tests.test_accounting.cluster import RETAINED_WINDOWS, run_cluster
 
 
 class UsageTests(unittest.IsolatedAsyncioTestCase):
@@ -143,3 +143,21 @@
         await self.cluster.kill("a")
         await self.finish_window()
         self.assertEqual(self.cluster.calls_by_workspace(), {"north": 1})
+
+    async def test_what_is_past_its_retention_is_deleted(self):
+        """Guards against a key-value service that fills up, one restart at a time."""
+        await self.a.use("north")
+        await self.a.usage.stop()
+        await self.cluster.kill("a")
+        self.cluster.platform_states["a"] = "gone"
+        for _ in range(RETAINED_WINDOWS + 3):
+            await self.b.use("south")
+            await self.finish_window()
+        keys = [key.decode() for key in self.standin.store.entries_by_key]
+        self.assertEqual([key for key in keys if "/a" in key], [])
+        windows = {key.split("/")[1] for key in keys if key.startswith("usage/")}
+        self.assertLessEqual(len(windows), RETAINED_WINDOWS + 1)
+        # Nobody waits for the deleted author.
+        self.assertEqual(self.c.usage.dump()["waiting_for"], [])
+        calls = self.cluster.calls_by_workspace()
+        self.assertEqual(calls, {"north": 1, "south": RETAINED_WINDOWS + 3})
