--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/access.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/access.py
@@ -82,7 +82,7 @@
             limiter.finish(correction, self._gateway.now())
 
     def _limiter(self, workspace: Workspace) -> WorkspaceLimiter:
-        instances = self._gateway.live_count()
+        instances = self._gateway.instances
         known = self._limiters_by_workspace.get(workspace.name)
         if (
             known is not None
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/core.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/core.py
@@ -41,6 +41,7 @@
         "claims",
         "usage",
         "leaving",
+        "instances",
         "_request_ids",
         "_id_prefix",
     )
@@ -63,6 +64,7 @@
         self.claims: Any = None
         self.usage: Any = None
         self.leaving = False
+        self.instances = 1
         self._request_ids = count(1)
         self._id_prefix = secrets.token_hex(8)
 
@@ -77,6 +79,7 @@
 
     def take_manifest(self, index: ManifestIndex) -> None:
         """Take a manifest, or the platform's list on top of the same one."""
+        self.count_instances()
         membership = self._optional("membership")
         listed = membership.platform_upstreams() if membership else ()
         self.admission.fairness.set_weights(index)
@@ -91,10 +94,11 @@
         poller = Poller(self, self.upstreams, entry, source)
         return self.app.spawn(poller.run(), f"poll load of {entry.view.id}")
 
-    def live_count(self) -> int:
-        """Return how many instances are live, 1 without a membership service."""
+    def count_instances(self) -> int:
+        """Take the number of live instances, 1 without a membership service."""
         membership = self._optional("membership")
-        return membership.live_count() if membership else 1
+        self.instances = max(1, membership.live_count()) if membership else 1
+        return self.instances
 
     def index(self) -> ManifestIndex:
         """Return the manifest in force.
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
@@ -85,7 +85,7 @@
             continue
         listed = list(gateway.app.service("membership").platform_upstreams())
         index = gateway.configuration.index
-        state = (listed, gateway.live_count())
+        state = (listed, gateway.count_instances())
         if index is not None and state != last:
             last = state
             gateway.take_manifest(index)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
@@ -183,7 +183,7 @@
 
     def take_shares(self) -> None:
         """Set the windows to this instance's part of the usable engines."""
-        instances = self._gateway.live_count()
+        instances = self._gateway.instances
         for name, pool in self._pools_by_name.items():
             usable = [
                 view
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -282,7 +282,7 @@
         views_by_pool: dict[str, list[UpstreamView]] = {}
         for entry in self.entries_by_id.values():
             views_by_pool.setdefault(entry.view.pool, []).append(entry.view)
-        if self._gateway.live_count() > SUBSET_ABOVE_INSTANCES:
+        if self._gateway.instances > SUBSET_ABOVE_INSTANCES:
             instance_id = self._gateway.settings.instance_id
             views_by_pool = {
                 pool: subset(views, instance_id, SUBSET_PER_ZONE)
