--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -90,6 +90,15 @@
         """Return the kind of a pool, ``engines`` or ``service``."""
         return self._kinds_by_pool.get(pool, "service")
 
+    def mark_returned(self, upstream_id: str, cause: str = "order") -> None:
+        """Give an upstream work again unless another cause holds.
+
+        :param cause: the cause that has ended.
+        """
+        entry = self.entries_by_id.get(upstream_id)
+        if entry is not None:
+            self._set_leaving(entry, cause, False)
+
     def choose(
         self, request: RequestView, excluded: Iterable[str] = ()
     ) -> Choice | None:
