--- /dev/null
+++ b/benchmarks/fleet_plots.py
@@ -0,0 +1,63 @@
+"""Draws the plots of the fleet replay from ``docs/measurements/fleet.json``.
+
+``python -m benchmarks.fleet_plots`` writes ``docs/plots/fleet_*.svg``.
+"""
+
+import json
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+import matplotlib.pyplot as plt
+
+from benchmarks.fleet_replay import PLANS, RESULTS
+
+PLOTS = Path(__file__).resolve().parent.parent / "docs/plots"
+LABELS = {
+    "goodput": "requests in time, share",
+    "cost_per_goodput": "upstream-hours per 1000 requests in time",
+    "changes": "role changes",
+    "worst_workspace": "worst workspace, part of its fair share",
+}
+WIDTH = 0.2
+
+
+def draw(rows: list[dict], deployment: str) -> None:
+    """Draw every figure by trace and plan, with the range over the seeds."""
+    chosen = [row for row in rows if row["deployment"] == deployment]
+    traces = list(dict.fromkeys(row["trace"] for row in chosen))
+    figure, axes = plt.subplots(2, 2, figsize=(10, 6), layout="constrained")
+    for axis, (field, label) in zip(axes.flat, LABELS.items(), strict=True):
+        for number, plan in enumerate(PLANS):
+            _draw_plan(axis, chosen, traces, plan, field, number)
+        axis.set_xticks(range(len(traces)), traces, fontsize=7)
+        axis.set_title(label, fontsize=9)
+    axes[0][0].legend(fontsize=7, loc="lower left")
+    figure.suptitle(f"{deployment}: mean, lowest and highest seed")
+    figure.savefig(PLOTS / f"fleet_{deployment}.svg", metadata={"Date": None})
+    plt.close(figure)
+
+
+def _draw_plan(axis, rows, traces, plan, field, number) -> None:
+    values = [
+        [row[field] for row in rows if row["trace"] == trace and row["plan"] == plan]
+        for trace in traces
+    ]
+    means = [sum(items) / len(items) for items in values]
+    low = [mean - min(items) for mean, items in zip(means, values, strict=True)]
+    high = [max(items) - mean for mean, items in zip(means, values, strict=True)]
+    places = [index + (number - 1.5) * WIDTH for index in range(len(traces))]
+    axis.bar(places, means, WIDTH, label=plan, yerr=[low, high], error_kw={"lw": 0.7})
+
+
+def main() -> None:
+    """Draw the plots of both deployments."""
+    rows = json.loads(RESULTS.read_text(encoding="utf-8"))
+    for deployment in dict.fromkeys(row["deployment"] for row in rows):
+        draw(rows, deployment)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/traces.py
+++ b/benchmarks/traces.py
@@ -6,7 +6,7 @@
 
 from camphorgate.fleet.replay import Trace
 from camphorgate.fleet.replay_engine import Fault
-from camphorgate.fleet.state import Rates
+from camphorgate.fleet.state import Rates, Split
 from camphorgate.registry import Registry
 
 RATES = Rates()
@@ -213,3 +213,23 @@
 
 def _flat(level: float) -> Curve:
     return lambda at: np.full(len(at), level)
+
+
+def constant_trace(
+    split: Split, load: float, prefill_share: float, seconds: float
+) -> Trace:
+    """Return a steady load on a fixed split, to fit the closed form of service.
+
+    :param load: busy engines as a part of all.
+    """
+    rng = np.random.default_rng(1)
+    engines = split.total
+    requests = _requests(
+        rng, seconds, 1.1 * engines, _flat(load * engines), _flat(prefill_share)
+    )
+    roles = ["prefill"] * split.prefill + ["decode"] * split.decode
+    roles += ["both"] * split.both
+    site = Site(["zone"], engines, 0)
+    trace = _trace("constant", site, 1, seconds, requests)
+    trace.fleet = site.fleet(roles)
+    return trace
