--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from camphorgate.requests.fairness import service_of
 from camphorgated.ext.gateway.call import Call
 from camphorgated.ext.gateway.completions import Plan
 from camphorgated.ext.gateway.dispatch import (
@@ -20,8 +21,12 @@
 from camphorgated.ext.gateway.events import DONE_EVENT, TokenStream
 from camphorgated.ext.gateway.exchange import Exchange
 from camphorgated.ext.gateway.queueing import Slot
+from camphorgated.ext.gateway.relay import relay
+from camphorgated.ext.gateway.watch import NEVER
 
 MAX_PASSED_ON_BYTES = 1_048_576
+# Shorter expectations say more about this process than about an engine.
+MIN_EXPECTED_SECONDS = 0.02
 # How long a resumed stream may wait for a place at another engine.
 RESUME_ADMISSION_SECONDS = 5.0
 # The chunk that ends an answer usually comes with the last event.
@@ -38,6 +43,61 @@
         self.body = body
 
 
+class _Passing:
+    """Passes the events of one connection on; the hot path of the system."""
+
+    __slots__ = (
+        "unsent",
+        "silence",
+        "_streamed",
+        "_slot",
+        "_exchange",
+        "_tokens",
+        "_now",
+        "_write_now",
+        "_note_token",
+        "_last_at",
+    )
+
+    def __init__(
+        self, streamed: "StreamedCall", slot: Slot, exchange: Exchange
+    ) -> None:
+        """Start before the first event of a connection."""
+        self.unsent = b""
+        self.silence = streamed.gateway.limits.silence_seconds
+        self._streamed = streamed
+        self._slot = slot
+        self._exchange = exchange
+        self._tokens = streamed.tokens
+        self._now = streamed.gateway.now
+        self._write_now = streamed.call.write_now
+        self._note_token = slot.entry.view.note_token
+        self._last_at = 0.0
+
+    def take(self, data: bytes) -> bool:
+        """Pass on the whole events among the bytes that arrived.
+
+        :returns: whether more events may follow at once.
+        """
+        tokens = self._tokens
+        before = tokens.tokens
+        events = tokens.feed(data)
+        if not events:
+            return not tokens.done
+        sent = self._write_now(events)
+        if not sent:
+            self.unsent = events
+        now = self._now()
+        self._exchange.deadline = now + self.silence
+        if self._last_at:
+            gap = (now - self._last_at) / max(1, tokens.tokens - before)
+            self._note_token(gap, now)
+        else:
+            self._streamed.note_first(self._slot, now)
+        self._last_at = now
+        return sent and not tokens.done
+
+
 class StreamedCall:
     """One streamed completion, over as many connections as it takes."""
 
@@ -60,7 +120,7 @@
         self.attempts = Attempts(call.gateway, plan.request, call.record)
         self.deadline = 0.0
         # Stable over resumptions, so that an engine can find its stream.
-        self._upstream_request_id = call.gateway.next_request_id()
+        self._upstream_request_id = f"{call.record.request_id}.1"
 
     async def run(self) -> None:
         """Pass the stream on to its end.
@@ -69,13 +129,15 @@
         """
         while not self.tokens.done:
             slot = await self.attempts.admit()
+            before = self.tokens.tokens
             try:
                 await self._run_on(slot)
+                self.attempts.succeed()
             except UpstreamFault as fault:
-                slot.release()
-                self._note_fault(slot, fault)
+                self._release(slot, before)
+                self._note_fault(slot, fault, before)
             finally:
-                slot.release()
+                self._release(slot, before)
 
     async def _run_on(self, slot: Slot) -> None:
         """Stream from one engine, resuming there as long as that makes progress."""
@@ -92,7 +154,6 @@
                     raise
                 self.gateway.upstreams.failed(slot.entry, fault)
                 elsewhere = False
-                self.attempts.failures = 0
                 self.call.record.resumes += 1
 
     async def _stream_once(self, slot: Slot, elsewhere: bool) -> None:
@@ -107,7 +168,6 @@
         try:
             await self._check_answer(exchange)
             await self._pass_on(slot, exchange)
-            self.gateway.upstreams.succeeded(slot.entry)
             await self._finish(exchange)
         finally:
             exchange.close()
@@ -127,6 +187,7 @@
             head,
             body,
             self.deadline,
+            self.attempts,
             fresh=resumed or self.attempts.fresh,
             echoes_id=self.plan.pool.echoes_request_id,
         )
@@ -152,29 +213,34 @@
         raise _PassedOn(answer.status, content_type, body)
 
     async def _pass_on(self, slot: Slot, exchange: Exchange) -> None:
-        """Pass events on until the last one; the hot path of the system."""
-        call, tokens, now = self.call, self.tokens, self.gateway.now
-        silence = self.gateway.limits.silence_seconds
-        if not call.answer_begun:
-            await call.begin_answer(
-                200,
-                [
-                    (b"content-type", b"text/event-stream"),
-                    (b"cache-control", b"no-cache"),
-                ],
-            )
-        while not tokens.done:
-            data = await exchange.read_body(self.deadline)
-            if not data:
+        """Pass events on until the last one."""
+        if not self.call.answer_begun:
+            headers = [
+                (b"content-type", b"text/event-stream"),
+                (b"cache-control", b"no-cache"),
+            ]
+            await self.call.begin_answer(200, headers)
+        exchange.deadline = self.deadline
+        passing = _Passing(self, slot, exchange)
+        while not self.tokens.done:
+            await relay(exchange, passing.take)
+            if passing.unsent:
+                events, passing.unsent = passing.unsent, b""
+                exchange.deadline = NEVER
+                await self.call.write(events)
+                exchange.deadline = self.gateway.now() + passing.silence
+            elif exchange.answer.complete and not self.tokens.done:
                 raise UpstreamFault("the stream ended without its last event")
-            events = tokens.feed(data)
-            if not events:
-                continue
-            if not call.record.first_token_at:
-                call.record.first_token_at = now()
-                slot.first_token()
-            await call.write(events)
-            self.deadline = now() + silence
+        exchange.deadline = NEVER
+
+    def note_first(self, slot: Slot, now: float) -> None:
+        """Take the first event from an engine."""
+        record = self.call.record
+        record.first_token_at = record.first_token_at or now
+        expected = max(slot.choice.first_token_seconds, MIN_EXPECTED_SECONDS)
+        taken = now - slot.dispatch.begun_at
+        self.gateway.upstreams.succeeded(slot.entry, taken / expected)
+        slot.first_token(now)
 
     async def _finish(self, exchange: Exchange) -> None:
         call = self.call
@@ -188,17 +254,28 @@
             # The whole stream has been passed on; only the connection is lost.
             return
 
-    def _note_fault(self, slot: Slot, fault: UpstreamFault) -> None:
-        if not self.tokens.tokens:
-            self.attempts.note_fault(slot, fault)
-            return
-        if not self.tokens.resumable:
+    def _release(self, slot: Slot, before: int) -> None:
+        """Give the place back, with the service that was received there.
+
+        :param before: how many tokens the stream had when it came there.
+        """
+        produced = self.tokens.tokens - before
+        prompt = self.plan.request.prompt_tokens if produced else 0
+        slot.given = service_of(prompt, produced)
+        slot.release()
+
+    def _note_fault(self, slot: Slot, fault: UpstreamFault, before: int) -> None:
+        begun = self.tokens.tokens > 0
+        if begun and not self.tokens.resumable:
             raise GatewayError("stream_broken", "the stream cannot be resumed")
-        self.call.record.resumes += 1
-        limit = self.gateway.now() + RESUME_ADMISSION_SECONDS
-        request = msgspec.structs.replace(self.attempts.request, deadline=limit)
-        self.attempts.request = request
-        self.attempts.note_fault(slot, fault)
+        if begun:
+            self.call.record.resumes += 1
+            limit = self.gateway.now() + RESUME_ADMISSION_SECONDS
+            request = msgspec.structs.replace(self.attempts.request, deadline=limit)
+            self.attempts.request = request
+        if self.tokens.tokens > before:
+            self.attempts.progressed()
+        self.attempts.note_fault(slot, fault, begun=begun)
 
 
 async def stream(call: Call, plan: Plan) -> None:
--- a/packages/camphorgate/src/camphorgate/peers/links.py
+++ b/packages/camphorgate/src/camphorgate/peers/links.py
@@ -16,6 +16,7 @@
     EpochNotice,
     Packet,
     PartsRequest,
+    ReportRequest,
     SnapshotAnswer,
     SnapshotRequest,
 )
@@ -45,9 +46,10 @@
         "_handler",
         "_clock",
         "_random",
-        "_resolve",
+        "resolve",
         "_tasks_by_address",
         "_channels_by_address",
+        "_closed",
     )
 
     def __init__(
@@ -67,13 +69,14 @@
         self._handler = handler
         self._clock = clock
         self._random = random.Random(seed)
-        self._resolve = resolve or (lambda address: address)
+        self.resolve = resolve or (lambda address: address)
         self._tasks_by_address: dict[str, asyncio.Task] = {}
         self._channels_by_address: dict[str, grpc.aio.Channel] = {}
+        self._closed = False
 
     def dial_only(self, addresses: Iterable[str]) -> None:
         """Keep exactly these addresses dialled."""
-        wanted = set(addresses)
+        wanted = set() if self._closed else set(addresses)
         for address in self._tasks_by_address.keys() - wanted:
             self._tasks_by_address.pop(address).cancel()
         for address in wanted - self._tasks_by_address.keys():
@@ -143,11 +146,22 @@
         """
         return await self._call(address, "AcknowledgeEpoch", notice)
 
+    async def report(self, address: str, timeout: float) -> bytes:
+        """Return what an instance adds to the operators' report.
+
+        :raises PeerError: if the instance does not answer.
+        """
+        answer = await self._call(address, "Report", ReportRequest(), timeout)
+        return answer.payload
+
     async def close(self) -> None:
-        """End every link and connection."""
+        """End every link and connection, for good."""
+        self._closed = True
+        tasks = list(self._tasks_by_address.values())
         self.dial_only(())
         for link in list(self.links_by_id.values()):
             link.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
         channels = list(self._channels_by_address.values())
         self._channels_by_address.clear()
         for channel in channels:
@@ -161,7 +175,9 @@
 
     async def _keep_link(self, address: str) -> None:
         delay = FIRST_RETURN_SECONDS
-        while True:
+        # grpc.aio turns the cancellation of a write into an AioRpcError, so the end of
+        # this task does not depend on CancelledError alone.
+        while self._tasks_by_address.get(address) is asyncio.current_task():
             opened_at = self._clock.monotonic()
             with contextlib.suppress(PeerError, grpc.RpcError, TimeoutError):
                 await self._run_link(address)
@@ -172,7 +188,7 @@
 
     async def _run_link(self, address: str) -> None:
         self.connections += 1
-        channel = grpc.aio.insecure_channel(self._resolve(address), _DIAL_OPTIONS)
+        channel = grpc.aio.insecure_channel(self.resolve(address), _DIAL_OPTIONS)
         try:
             call = PeersStub(channel).Exchange()
             async with asyncio.timeout(HELLO_SECONDS):
@@ -183,14 +199,18 @@
         finally:
             await channel.close()
 
-    async def _call(self, address: str, method: str, request):
+    async def _call(
+        self, address: str, method: str, request, timeout: float = CALL_SECONDS
+    ):
+        if not address:
+            raise PeerError(f"{method} failed: the address of the peer is not known")
         channel = self._channels_by_address.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(self._resolve(address), _DIAL_OPTIONS)
+            channel = grpc.aio.insecure_channel(self.resolve(address), _DIAL_OPTIONS)
             self._channels_by_address[address] = channel
         try:
             call = getattr(PeersStub(channel), method)
-            return await call(request, timeout=CALL_SECONDS)
+            return await call(request, timeout=timeout)
         except grpc.RpcError as error:
             # A connection that went silent must not be used for the next call.
             if self._channels_by_address.get(address) is channel:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -3,13 +3,18 @@
 ``python -m tests [PATTERN]`` runs the tests whose dotted name contains the pattern.
 """
 
+import faulthandler
 import sys
 import unittest
 from pathlib import Path
 
+from camphorgate.log import configure_logging
+
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
+# A run that hangs ends with the stacks of all threads instead of CI's own limit.
+RUN_SECONDS = 1200
 
 
 def _known_red() -> set[str]:
@@ -32,7 +37,9 @@
 
 def main() -> int:
     """Run the tests and return the exit code."""
+    faulthandler.dump_traceback_later(RUN_SECONDS, exit=True)
     sys.path.insert(0, str(ROOT))
+    configure_logging("CRITICAL")
     pattern = sys.argv[1] if len(sys.argv) > 1 else ""
     suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=ROOT)
     cases = [case for case in _flatten(suite) if pattern in case.id()]
