Mend the fleet's observation after the gateway's change; answer failed pages

Cause: the fleet read the kind of a pool from the gateway's entries, which no longer carry it; its tasks died, and the report answered 500 without a body. Found by the fault trial over HTTP. Change: the kind comes from the table of upstreams; a failing admin page is logged and answered with an error code.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
@@ -24,6 +24,7 @@
 STATUS_BY_CODE = {
     "manifest_invalid": 400,
     "bad_request": 400,
+    "internal_error": 500,
     "conflict": 409,
     "manifest_too_large": 413,
 }
@@ -44,6 +45,12 @@
     return _encode({"error": body}, STATUS_BY_CODE.get(error.code, 503))
 
 
+async def _failed(request: Request, error: Exception) -> Response:
+    path = request.url.path
+    log_event("admin_failed", level="ERROR", path=path, error=repr(error))
+    return _error(CamphorgateError(f"the page failed: {error!r}"))
+
+
 class AdminError(CamphorgateError):
     """An operator's request cannot be served."""
 
@@ -70,7 +77,8 @@
             Route("/metrics", self.metrics),
         ]
         address = self._app.settings.admin_address
-        self._server = await start_server(Starlette(routes=routes), address)
+        pages = Starlette(routes=routes, exception_handlers={Exception: _failed})
+        self._server = await start_server(pages, address)
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/fleet/observing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/fleet/observing.py
@@ -55,8 +55,13 @@
 
     async def read_states(self) -> None:
         """Read the state of every engine, and tell the gateway roles and drains."""
-        entries = self._app.service("upstreams").entries_by_id
-        engines = [entry for entry in entries.values() if entry.kind == "engines"]
+        upstreams = self._app.service("upstreams")
+        entries = upstreams.entries_by_id
+        engines = [
+            entry
+            for entry in entries.values()
+            if upstreams.kind(entry.view.pool) == "engines"
+        ]
         await asyncio.gather(*(self._read_state(entry) for entry in engines))
         for upstream_id in self._seen_by_id.keys() - entries.keys():
             del self._seen_by_id[upstream_id]
@@ -100,7 +105,7 @@
             if view.pool != pool.name:
                 continue
             seen_at, status = self._seen_by_id.get(view.id, (-1e9, EngineStatus()))
-            fresh = entry.kind != "engines" or now - seen_at < STALE_SECONDS
+            fresh = pool.kind != "engines" or now - seen_at < STALE_SECONDS
             withdrawn = withdrawn_at_by_id.get(view.id)
             found.append(
                 Engine(
