--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/claims/__init__.py
@@ -0,0 +1,13 @@
+"""Provides ``claims``: durable claims on idempotency keys."""
+
+from camphorgate.application import Application
+from camphorgated.ext.claims.service import ClaimsService
+
+
+def setup(app: Application) -> None:
+    """Provide the service."""
+    service = ClaimsService(app)
+    app.provide("claims", service)
+    app.add_dump_section("claims", service.status)
+    app.on_start(service.start)
+    app.on_stop(service.stop)
--- /dev/null
+++ b/tests/test_claims/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency claims on several instances, under failures."""
