--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -90,6 +90,15 @@
         """Return the kind of a pool, ``engines`` or ``service``."""
         return self._kinds_by_pool.get(pool, "service")
 
+    def mark_returned(self, upstream_id: str, cause: str = "order") -> None:
+        """Give an upstream work again unless another cause holds.
+
+        :param cause: the cause that has ended.
+        """
+        entry = self.entries_by_id.get(upstream_id)
+        if entry is not None:
+            self._set_leaving(entry, cause, False)
+
     def choose(
         self, request: RequestView, excluded: Iterable[str] = ()
     ) -> Choice | None:
@@ -282,7 +291,7 @@
         views_by_pool: dict[str, list[UpstreamView]] = {}
         for entry in self.entries_by_id.values():
             views_by_pool.setdefault(entry.view.pool, []).append(entry.view)
-        if self._gateway.live_count() > SUBSET_ABOVE_INSTANCES:
+        if self._gateway.instances > SUBSET_ABOVE_INSTANCES:
             instance_id = self._gateway.settings.instance_id
             views_by_pool = {
                 pool: subset(views, instance_id, SUBSET_PER_ZONE)
