Fix the second attempt of an adopted order and duties of an ended lease

A reading of the code and its tests found three faults in the extension duties.

A second attempt of an adopted order was sent before the first was drained, and was missing from the orders in flight once the first was drained. A newly granted lease extended the duties whose keys hung on an ended one. An adopted order whose outcome could not be written was sent again instead of being closed. A process whose instance runs a newer incarnation now drops its duties.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/held.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/held.py
@@ -69,6 +69,7 @@
         record_revision: int,
         before: DutyState,
         lease: Lease,
+        lease_id: int,
         drain_seconds: float,
         kv: Any,
         clock: Clock,
@@ -78,6 +79,7 @@
         """Start after the transaction that took the duty.
 
         :param record: the record that it wrote, at ``record_revision``.
+        :param lease_id: the key-value lease to which the lease key is attached.
         :param before: the state that it found; the journal is still the same.
         :param spawn: runs a coroutine for the life of the process.
         """
@@ -86,6 +88,7 @@
         self.record_revision = record_revision
         self.journal = before.journal
         self.lease = lease
+        self.lease_id = lease_id
         self.receiver = receiver
         self._spawn = spawn
         self.handover = Handover(
@@ -149,7 +152,7 @@
             return journal
 
         await self.change(write)
-        run = self._start_run(written[0])
+        run = self._new_run(written[0])
         try:
             await self._send(run)
         finally:
@@ -199,10 +202,8 @@
         if not self.valid():
             raise AuthorityLost(f"{self.duty} is not held by this process")
 
-    def _start_run(self, order: Order) -> OrderRun:
-        run = OrderRun(order, self.epoch, self._drain_seconds)
-        self.runs.append(run)
-        return run
+    def _new_run(self, order: Order) -> OrderRun:
+        return OrderRun(order, self.epoch, self._drain_seconds)
 
     async def _send(self, run: OrderRun) -> None:
         """Send an order that is written, and write what came of it."""
@@ -211,6 +212,8 @@
         self._require_authority()
         if not run.send(self._clock.monotonic()):
             raise OrderUnanswered(f"order {run.order.order_id} is in flight")
+        if run not in self.runs:
+            self.runs.append(run)
         sender = f"{self.record.holder}.{self.record.incarnation}"
         sending = Sending(self.duty, self.epoch, sender)
         failure: OrderRefused | OrderUnsent | None = None
@@ -280,14 +283,17 @@
         run: OrderRun | None = None
         while self.valid() and self.journal.find(order.number):
             try:
-                if self.settled():
-                    run = run or OrderRun(order, self.epoch, self._drain_seconds)
-                    if run.may_close(self._clock.monotonic(), True):
+                answered = run is not None and run.state == "answered"
+                if answered or self.settled():
+                    run = run or self._new_run(order)
+                    if run.may_close(self._clock.monotonic(), self.settled()):
                         outcome = await self._read_outcome(order)
                         if outcome:
                             await self._close(run, outcome)
                 elif self.receiver.honours_fencing(self.duty):
-                    run = await self._send_again(order, run)
+                    run = run or await self._adopt(order)
+                    if not run.in_flight(self._clock.monotonic()):
+                        await self._send(run)
             except (OrderUnanswered, OrderUnsent, OrderRefused, KvError) as error:
                 log_event("order_not_resumed", duty=self.duty, error=error.code)
             except AuthorityLost:
@@ -296,11 +302,8 @@
                 await asyncio.sleep(delay)
                 delay = min(LONGEST_SETTLE_SECONDS, delay * 1.5)
 
-    async def _send_again(self, order: Order, run: OrderRun | None) -> OrderRun:
-        if run is None:
-            number, epoch = order.number, self.epoch
-            await self.change(lambda journal: orders.adopt(journal, number, epoch))
-            run = self._start_run(self.journal.find(number))
-        if not run.in_flight(self._clock.monotonic()):
-            await self._send(run)
-        return run
+    async def _adopt(self, order: Order) -> OrderRun:
+        """Note in the journal that this process may send a predecessor's order."""
+        number, epoch = order.number, self.epoch
+        await self.change(lambda journal: orders.adopt(journal, number, epoch))
+        return self._new_run(self.journal.find(number))
--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/leasing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/leasing.py
@@ -5,6 +5,9 @@
 from camphorgate.clock import Clock
 from camphorgate.kv.errors import KvError
 
+# A start takes many duties one after the other; one renewal serves them all.
+RECENT_SECONDS = 1.0
+
 
 class SharedLease:
     """One lease, so that renewing costs one call for any number of duties."""
@@ -21,10 +24,12 @@
         self._ttl_seconds = int(ttl_seconds)
 
     async def ensure(self) -> bool:
-        """Have a lease that has just been granted or renewed.
+        """Have a lease that was granted or renewed a moment ago.
 
         :raises KvError: if the service does not answer.
         """
+        if self.id and self._clock.monotonic() - self.sent_at < RECENT_SECONDS:
+            return True
         if self.id and await self.renew() and self.id:
             return True
         if self.id:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/service.py
@@ -17,7 +17,8 @@
     stands_by,
 )
 from camphorgate.errors import CamphorgateError
-from camphorgate.kv.errors import KvOutcomeUnknown
+from camphorgate.kv.budget import Priority
+from camphorgate.kv.errors import KvOutcomeUnknown, KvRefused
 from camphorgate.log import log_event
 from camphorgated.ext.duties.asking import Asker
 from camphorgated.ext.duties.held import HeldDuty
@@ -225,6 +226,9 @@
         while True:
             now = self._clock.monotonic()
             for duty, held in list(self._held_by_duty.items()):
+                # A newer incarnation proves to others that this process is dead.
+                if self._membership.outranked:
+                    held.lease.lose()
                 if not held.lease.tick(now):
                     self._forget(duty)
             await asyncio.sleep(TICK_SECONDS)
@@ -233,17 +237,20 @@
         """Keep this process's lease while it holds duties."""
         while True:
             pause = self.rules.renew_seconds
-            if self._lease.id and self._held_by_duty:
-                if not await self._lease.renew():
-                    pause = RETRY_RENEWAL_SECONDS
-                self._extend()
+            needed = self._lease.id and self._held_by_duty
+            if needed and not await self._lease.renew():
+                pause = RETRY_RENEWAL_SECONDS
+            self._extend()
             await asyncio.sleep(pause * self._random.uniform(0.9, 1.0))
 
     def _extend(self) -> None:
-        """Apply the newest renewal, or the end of the lease, to all duties."""
+        """Apply the newest renewal to the duties that hang on this lease.
+
+        The others were taken under a lease that has ended since.
+        """
         now = self._clock.monotonic()
         for duty, held in list(self._held_by_duty.items()):
-            if not self._lease.id:
+            if held.lease_id != self._lease.id:
                 held.lease.lose()
             if not held.lease.renewed(self._lease.sent_at, now):
                 self._forget(duty)
@@ -260,7 +267,7 @@
 
     async def _look_once(self) -> None:
         index = self._app.service("configuration").index
-        if index is None or self._stopping:
+        if index is None or self._stopping or self._membership.outranked:
             return
         duties = duty_names(index.manifest)
         candidates = self._candidates()
@@ -311,7 +318,8 @@
             return
         spread = self._random.uniform(0.8, 1.2)
         self._look_at_by_duty[duty] = now + period * spread
-        state = await read_state(self._kv, duty)
+        priority = Priority.BACKGROUND if stand_by else Priority.AUTHORITY
+        state = await read_state(self._kv, duty, priority)
         if not state.free:
             self._found_free.discard(duty)
         elif stand_by and duty not in self._found_free:
@@ -320,7 +328,9 @@
             await self._take(duty, state)
 
     async def _take(self, duty: str, state: DutyState) -> None:
-        if not await self._lease.ensure():
+        ensured = await self._lease.ensure()
+        self._extend()
+        if not ensured:
             return
         lease_id = self._lease.id
         instance = self._membership.instance_id
@@ -329,9 +339,9 @@
             record, revision = await write_taken(
                 self._kv, duty, state, instance, incarnation, lease_id
             )
-        except KvOutcomeUnknown:
-            # The write may arrive later and block the duty for as long as the lease
-            # that it names is renewed.
+        except (KvOutcomeUnknown, KvRefused):
+            # The lease has ended, or the write may arrive later and block the duty for
+            # as long as the lease that it names is renewed.
             self._lease.abandon()
             self._extend()
             raise
@@ -343,6 +353,7 @@
             revision,
             state,
             lease,
+            lease_id,
             self._drain_seconds,
             self._kv,
             self._clock,
--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/taking.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/taking.py
@@ -22,13 +22,13 @@
 CLEAR_SECONDS = 2.0
 
 
-async def read_state(kv: Any, duty: str) -> DutyState:
+async def read_state(kv: Any, duty: str, priority: Priority) -> DutyState:
     """Read the record, the journal and whether the lease runs, in one call.
 
     :raises KvError: if the service does not answer.
     """
     keys = [record_key(duty), journal_key(duty), lease_key(duty)]
-    result = await kv.transact([], [Read(key) for key in keys], Priority.AUTHORITY)
+    result = await kv.transact([], [Read(key) for key in keys], priority)
     record, journal, lease = (result.entries_by_key.get(key) for key in keys)
     return DutyState(
         msgspec.json.decode(record.value, type=DutyRecord) if record else DutyRecord(),
--- a/tests/test_duties/harness.py
+++ b/tests/test_duties/harness.py
@@ -23,7 +23,7 @@
 from camphorgate_standins.kv import KvStandin
 from camphorgate_standins.platform import PlatformStandin
 from camphorgated.ext import duties, kv
-from camphorgated.ext.duties import service
+from camphorgated.ext.duties import held, service
 from tests.builders import build_manifest, build_upstream
 from tests.serving import serve
 
@@ -71,6 +71,7 @@
         self.instance_id = instance_id
         self.incarnation = incarnation
         self.leaving = False
+        self.outranked = False
         self.handler = None
         self._peers = peers
 
@@ -171,6 +172,8 @@
 
     async def asyncSetUp(self):
         self.enterContext(unittest.mock.patch.multiple(service, **QUICK))
+        quick = unittest.mock.patch.object(held, "SETTLE_SECONDS", 0.2)
+        self.enterContext(quick)
         logger.disable("camphorgate")
         self.addCleanup(logger.enable, "camphorgate")
         self.kv = KvStandin()
