--- a/packages/camphorgate/src/camphorgate/requests/pacing.py
+++ b/packages/camphorgate/src/camphorgate/requests/pacing.py
@@ -13,7 +13,7 @@
 # With 0.25 s in both places the queue cost a tenth of the goodput below overload.
 FLOOR_SECONDS = 0.5
 # Part of the slots that all instances together fill in the floor. With all of them, a
-# request of a small workspace waits at the engine for a slot (rounds 8 and 9 of
+# request of a small workspace waits at the engine for a slot (round 9 of
 # docs/measurements/routing.md).
 SLOT_SHARE = 0.9
 # How much the window grows, in floors, once a whole window was answered in time.
