Test usage reports through the real duties

Cause: the duties are merged now; reports were tested against a stand-in of them only. Change: three applications with links, roster, duties and the platform's stand-in report windows of one second.

--- a/tests/test_accounting/test_links.py
+++ b/tests/test_accounting/test_links.py
@@ -1,12 +1,16 @@
 """Usage over the real links and roster of the daemons."""
 
+import asyncio
 import unittest
+import unittest.mock
 from types import SimpleNamespace
 
 import msgspec
 from loguru import logger
 
 from camphorgate.accounting.windows import Part
+from camphorgated.ext.usage import service
+from camphorgated.ext.usage.timing import UsageTiming
 from tests.control_cluster import Cluster
 from tests.faulty_network import eventually
 
@@ -14,7 +18,8 @@
 class _UsageCluster(Cluster):
     def _build(self, instance_id):
         app = super()._build(instance_id)
-        app.setup_extension("camphorgated.ext.usage")
+        for name in ("duties", "usage"):
+            app.setup_extension(f"camphorgated.ext.{name}")
         return app
 
     def usage(self, instance_id):
@@ -37,7 +42,7 @@
         """Return the calls in the parts that KV holds."""
         calls = {}
         for key, entry in self.kv.store.entries_by_key.items():
-            if key.startswith(b"usage/") and b".frozen" not in key:
+            if key.startswith(b"usage/"):
                 # The first line of a stored value is the token of its write.
                 value = entry["value"].split(b"\n", 1)[-1]
                 part = msgspec.json.decode(value, type=Part)
@@ -45,16 +50,30 @@
                 calls[part.author] = calls.get(part.author, 0) + total
         return calls
 
+    def calls_by_report(self):
+        """Return the calls that the platform got first, by window and shard."""
+        calls = {}
+        for window in self.platform.windows:
+            total = sum(row["calls"] for row in window["figures"]["usage"])
+            calls.setdefault(window["window"], total)
+        return calls
+
 
 class LinkTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         logger.disable("camphorgate.log")
         self.addCleanup(logger.enable, "camphorgate.log")
+
+    async def start(self):
         self.cluster = await _UsageCluster(3).start(self)
         await self.cluster.settled(0)
 
     async def test_a_killed_daemon_is_handed_in_by_the_holder_in_another_zone(self):
         """Guards against batches, acknowledgements or incarnations that do not fit."""
+        # A window that does not end during the test.
+        patched = unittest.mock.patch.object(service, "DEFAULT_WINDOW_SECONDS", 10**6)
+        self.enterContext(patched)
+        await self.start()
         cluster = self.cluster
         author = cluster.usage("i-0").book.author
         # The first batch of a link may come before the link is usable.
@@ -71,3 +90,32 @@
         await cluster.start_daemon("i-0")
         await eventually(lambda: cluster.calls_by_author() == {author: 5})
         await eventually(lambda: author not in store.authors())
+
+    async def test_the_holders_of_the_duties_report_every_window(self):
+        """Guards against orders that the duties or the platform do not take."""
+        patched = unittest.mock.patch.multiple(
+            service, DEFAULT_WINDOW_SECONDS=1, UsageTiming=_quick_timing
+        )
+        self.enterContext(patched)
+        await self.start()
+        cluster = self.cluster
+        await cluster.submit("i-0", 0)
+        recorded = 0
+        for calls in range(1, 7):
+            for instance_id in cluster.ids:
+                await cluster.use(instance_id, calls)
+                recorded += calls
+            await asyncio.sleep(0.3)
+        reported = cluster.calls_by_report
+        await eventually(
+            lambda: sum(reported().values()) == recorded, 30.0, "all is reported"
+        )
+        # The platform got the same figures each time that it got a window.
+        for window in cluster.platform.windows:
+            rows = window["figures"]["usage"]
+            calls = sum(row["calls"] for row in rows)
+            self.assertEqual(reported()[window["window"]], calls)
+
+
+def _quick_timing():
+    return UsageTiming(hand_in_seconds=0.2, close_seconds=0.3, report_seconds=0.3)
