Hand long prompts to prefill engines where a pool has both roles

A pool whose engines the planner has split into prefill and decode served whole requests on either kind. Prompts of 512 tokens and more are now read by a prefill engine, whose handle goes to a decode engine; a failure there costs only time. An entry tells the kind of its pool again, and a rebuild of the upstream list keeps the role that the fleet extension observed.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completions.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completions.py
@@ -42,7 +42,11 @@
 
 
 class Plan(msgspec.Struct, eq=False):
-    """One completion, ready for dispatch."""
+    """One completion, ready for dispatch.
+
+    ``handle`` names the KV cache of the prompt where a prefill engine has read it, and
+    ``avoided`` the ids of the prefill engines.
+    """
 
     index: ManifestIndex
     workspace: Workspace
@@ -52,6 +56,8 @@
     body: bytes
     stream: bool
     target: bytes
+    handle: str = ""
+    avoided: frozenset[str] = frozenset()
 
     def head(self, request_id: str, body: bytes) -> RequestHead:
         """Return the head of an upstream request with a body."""
@@ -61,6 +67,8 @@
             (b"accept", accept),
             (b"content-length", b"%d" % len(body)),
         ]
+        if self.handle:
+            headers.append((b"x-kv-handle", self.handle.encode()))
         return RequestHead("POST", self.target, headers, request_id)
 
     def first_byte_seconds(self, silence_seconds: float) -> float:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/dispatch.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/dispatch.py
@@ -1,6 +1,6 @@
 """Attempts of one request: where it may be sent, and whether it may be sent again."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 from camphorgate.requests import retries
@@ -40,11 +40,18 @@
     )
 
     def __init__(
-        self, gateway: Any, request: RequestView, record: RequestRecord
+        self,
+        gateway: Any,
+        request: RequestView,
+        record: RequestRecord,
+        avoided: Iterable[str] = (),
     ) -> None:
-        """Start before the first attempt."""
+        """Start before the first attempt.
+
+        :param avoided: upstreams that get the request only if no other can.
+        """
         self.request = request
-        self.excluded: set[str] = set()
+        self.excluded: set[str] = set(avoided)
         # A request that must not be repeated never goes over a pooled connection,
         # which may be dead without this side knowing.
         self.fresh = not request.idempotent
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/handoff.py
@@ -0,0 +1,87 @@
+"""Prefill on one engine, decode on another, where a pool has both roles.
+
+A prefill engine reads the prompt and answers with a handle of its KV cache, which the
+decode engine takes instead of the prompt. Whatever fails here only costs time: without
+a handle the decode engine reads the prompt itself.
+"""
+
+import msgspec
+
+from camphorgate.requests.fairness import service_of
+from camphorgated.ext.gateway.call import Call
+from camphorgated.ext.gateway.completions import Plan
+from camphorgated.ext.gateway.dispatch import read_whole
+from camphorgated.ext.gateway.errors import GatewayError, UpstreamFault
+from camphorgated.ext.gateway.exchange import RequestHead
+from camphorgated.ext.gateway.queueing import Slot
+
+# Below this length the second request costs more than the prompt does.
+HANDOFF_TOKENS = 512
+MAX_ANSWER_BYTES = 65536
+PREFILL_TARGET = b"/v1/prefill"
+
+
+class _Prefilled(msgspec.Struct):
+    handle: str
+
+
+async def hand_off(call: Call, plan: Plan) -> None:
+    """Prefill a long prompt on a prefill engine and put the handle into the plan."""
+    upstreams = call.gateway.upstreams
+    views = [
+        view
+        for view in upstreams.views(plan.pool.name)
+        if view.health == "healthy" and not view.leaving
+    ]
+    others = {view.id for view in views if view.role != "prefill"}
+    decoders = {view.id for view in views if view.role == "decode"}
+    if (
+        plan.request.prompt_tokens < HANDOFF_TOKENS
+        or not decoders
+        or len(others) == len(views)
+    ):
+        return
+    request = msgspec.structs.replace(plan.request, output_tokens=0, resumable=False)
+    try:
+        slot = await call.gateway.admission.admit(request, others)
+    except GatewayError:
+        return
+    try:
+        plan.handle = await _prefill(call, plan, slot)
+    except UpstreamFault as fault:
+        upstreams.failed(slot.entry, fault)
+        return
+    finally:
+        slot.release()
+    plan.avoided = frozenset(view.id for view in views) - others
+    # The prompt has been read; what is left is the answer.
+    plan.request = msgspec.structs.replace(plan.request, prompt_tokens=1)
+
+
+async def _prefill(call: Call, plan: Plan, slot: Slot) -> str:
+    gateway = call.gateway
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(plan.body)),
+    ]
+    request_id = f"{call.record.request_id}.prefill"
+    head = RequestHead("POST", PREFILL_TARGET, headers, request_id)
+    seconds = plan.first_byte_seconds(gateway.limits.silence_seconds)
+    deadline = gateway.now() + seconds
+    exchange = gateway.open_exchange(head, fresh=False)
+    try:
+        await exchange.send(slot.entry.url, plan.body)
+        answer = await exchange.read_head(deadline)
+        exchange.check_request_id(plan.pool.echoes_request_id)
+        body = await read_whole(exchange, deadline, MAX_ANSWER_BYTES)
+    finally:
+        exchange.close()
+    if answer.status != 200:
+        raise UpstreamFault(f"the prefill engine answered {answer.status}")
+    try:
+        handle = msgspec.json.decode(body, type=_Prefilled).handle
+    except msgspec.DecodeError as error:
+        raise UpstreamFault(f"the prefill engine sent no handle: {error}") from None
+    slot.first_token(gateway.now())
+    slot.given = service_of(plan.request.prompt_tokens, 0)
+    return handle
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/models.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/models.py
@@ -13,6 +13,7 @@
 )
 from camphorgated.ext.gateway.errors import GatewayError, UpstreamFault
 from camphorgated.ext.gateway.exchange import Answer
+from camphorgated.ext.gateway.handoff import hand_off
 from camphorgated.ext.gateway.queueing import Slot
 from camphorgated.ext.gateway.records import service_of
 from camphorgated.ext.gateway.streams import stream
@@ -46,6 +47,7 @@
     plan = build_plan(call, index, workspace, body)
     tokens = plan.request.prompt_tokens + plan.request.output_tokens
     with gateway.workspace_limits.hold(call, workspace, tokens):
+        await hand_off(call, plan)
         if plan.stream:
             await stream(call, plan)
         else:
@@ -54,7 +56,7 @@
 
 async def _complete_plain(call: Call, plan: Plan) -> None:
     gateway = call.gateway
-    attempts = Attempts(gateway, plan.request, call.record)
+    attempts = Attempts(gateway, plan.request, call.record, plan.avoided)
     while True:
         slot = await attempts.admit()
         try:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -117,7 +117,7 @@
         self.plan = plan
         self.gateway = call.gateway
         self.tokens = TokenStream()
-        self.attempts = Attempts(call.gateway, plan.request, call.record)
+        self.attempts = Attempts(call.gateway, plan.request, call.record, plan.avoided)
         self.deadline = 0.0
         # Stable over resumptions, so that an engine can find its stream.
         self._upstream_request_id = f"{call.record.request_id}.1"
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -23,11 +23,24 @@
 class Entry:
     """One upstream with its address and its polling task."""
 
-    __slots__ = ("view", "address", "url", "task", "leaving_causes")
+    __slots__ = (
+        "view",
+        "address",
+        "url",
+        "kind",
+        "task",
+        "leaving_causes",
+        "declared_role",
+    )
 
-    def __init__(self, view: UpstreamView, address: str) -> None:
-        """Start healthy and without a report."""
+    def __init__(self, view: UpstreamView, address: str, kind: str) -> None:
+        """Start healthy and without a report.
+
+        :param kind: of the pool, ``engines`` or ``service``.
+        """
         self.view = view
+        self.kind = kind
+        self.declared_role = ""
         self.address = address
         self.url: ParseResult = parse_address(address)
         self.task: asyncio.Task | None = None
@@ -234,14 +247,16 @@
         if entry is None:
             view = UpstreamView(id=upstream.id, pool=pool.name)
             view.slots = upstream.slots
-            entry = Entry(view, upstream.address)
+            entry = Entry(view, upstream.address, pool.kind)
             self.entries_by_id[upstream.id] = entry
             entry.task = self._gateway.start_polling(entry)
         view = entry.view
         cheap = upstream.kind == "cheap"
         view.zone = upstream.availability_zone
         view.kind = upstream.kind
-        view.role = upstream.role
+        if entry.declared_role != upstream.role:
+            # Between changes of the manifest the role is what the engine says.
+            entry.declared_role = view.role = upstream.role
         capacity = pool.capacity
         view.cost = capacity.cheap_cost if cheap else capacity.ordinary_cost
         view.prefill_tokens_per_second = pool.prefill_tokens_per_second
--- a/tests/test_gateway/test_streams.py
+++ b/tests/test_gateway/test_streams.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from camphorgate_standins.engine import answer_text
 from camphorgated.ext.gateway.errors import UpstreamFault
 from camphorgated.ext.gateway.events import TokenStream
@@ -89,6 +91,52 @@
         self.assertEqual([view.own_requests for view in views], [0, 0])
 
 
+class HandoffTests(GatewayTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        roles = ("prefill", "decode")
+        upstreams = tuple(
+            msgspec.structs.replace(item, role=role)
+            for item, role in zip(
+                self.configuration.manifest.pools[0].upstreams, roles, strict=True
+            )
+        )
+        self.configuration.change_pool("models", upstreams=upstreams)
+
+    async def test_a_long_prompt_is_read_by_a_prefill_engine(self):
+        """Guards against prompts that stop the streams of decode engines."""
+        prompt = "x" * 4000
+        for stream in (False, True):
+            answer = await self.complete(prompt, stream=stream)
+            expected = answer_text("assistant", prompt, 16)
+            text = (
+                stream_text(answer.body)[0]
+                if stream
+                else answer.json["choices"][0]["text"]
+            )
+            self.assertEqual(text, expected)
+        prefill, decode = self.engines
+        handles = [r["headers"].get("x-kv-handle") for r in decode.requests]
+        self.assertEqual(len(handles), 2)
+        self.assertEqual(set(handles), set(prefill._handles))
+
+    async def test_a_failed_prefill_costs_no_answer(self):
+        """Guards against requests that fail with the prefill engine."""
+        self.arm(self.engines[:1], "down")
+        prompt = "x" * 4000
+        answer = await self.complete(prompt, stream=True)
+        expected = answer_text("assistant", prompt, 16)
+        self.assertEqual(stream_text(answer.body)[0], expected)
+
+    async def test_an_observed_role_outlives_a_rebuild(self):
+        """Guards against a change of the upstream list that undoes a role change."""
+        entry = self.app.service("upstreams").entries_by_id["engine-1"]
+        self.assertEqual((entry.kind, entry.view.role), ("engines", "prefill"))
+        entry.view.role = "decode"
+        self.configuration.change()
+        self.assertEqual(entry.view.role, "decode")
+
+
 class TokenStreamTests(unittest.TestCase):
     def test_events_are_passed_on_whole(self):
         """Guards against half an event before a stream continues elsewhere."""
