Bound how long an answer waits for its copy in KV

The claims service retries for seconds while KV is away, and a booking's answer waited for it beyond the service's deadline. It now waits 0.25 s at most; until the answer is stored, a repeat is told that the outcome is not known.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/bookings.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/bookings.py
@@ -1,16 +1,20 @@
 """Calls with an Idempotency-Key: claimed before dispatch, answered once."""
 
+import asyncio
 import hashlib
 
 import msgspec
 
 from camphorgate.errors import CamphorgateError
+from camphorgate.log import log_event
 from camphorgated.ext.gateway.call import Call
 from camphorgated.ext.gateway.errors import GatewayError
 
 # A claim covers the whole request, which is read before it is sent.
 MAX_CLAIMED_BODY_BYTES = 1_048_576
 MAX_KEY_CHARACTERS = 256
+# How long an answer waits for its copy in KV; a commit takes milliseconds.
+STORE_SECONDS = 0.25
 _REPEAT_HEADER = (b"idempotent-replayed", b"true")
 
 
@@ -69,13 +73,20 @@
         self.answer = StoredAnswer(status, pairs, body)
 
     async def finish(self) -> None:
-        """Store the answer; without one a repeat is told that it is not known."""
+        """Store the answer; without one a repeat is told that it is not known.
+
+        The caller waits for it a bounded time only: its call has run, and until the
+        answer is stored a repeat finds the claim without one.
+        """
+        storing = self._call.gateway.app.spawn(self._store(), "store first answer")
+        await asyncio.wait([storing], timeout=STORE_SECONDS)
+
+    async def _store(self) -> None:
         answer = msgspec.json.encode(self.answer) if self.answer else None
         try:
             await self._claims.finish(self._claim, answer)
-        except CamphorgateError:
-            # The call has run. A repeat finds the claim without an answer.
-            return
+        except CamphorgateError as error:
+            log_event("answer_not_stored", level="WARNING", cause=error.code)
 
     async def release(self) -> None:
         """Give the claim up after a call that did not run, so that it may be sent."""
--- a/tests/test_gateway/test_bookings.py
+++ b/tests/test_gateway/test_bookings.py
@@ -24,6 +24,7 @@
     def __init__(self):
         self.claims_by_key = {}
         self.is_down = False
+        self.finish_seconds = 0.0
 
     async def claim(self, workspace, key, digest):
         """Claim a key, or return the finished claim of its first run."""
@@ -41,6 +42,7 @@
 
     async def finish(self, claim, answer):
         """Store the answer of the first run."""
+        await asyncio.sleep(self.finish_seconds)
         self.claims_by_key[claim.key].answer = answer
 
     async def release(self, claim):
@@ -94,6 +96,16 @@
         self.assertEqual((await self._book()).json["booked"], 1)
         self.assertEqual(len(self.bookings()), 1)
 
+    async def test_a_slow_kv_does_not_hold_an_answer_back(self):
+        """Guards against answers later than a service's deadline while KV is slow."""
+        self.claims.finish_seconds = 1.5
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        self.assertEqual((await self._book()).status, 200)
+        self.assertLess(loop.time() - begun, 1.0)
+        self.assertEqual((await self._book()).status, 409)
+        self.assertEqual(len(self.bookings()), 1)
+
     async def test_no_claim_without_kv(self):
         """Guards against a claim that is not durable."""
         self.claims.is_down = True
