--- a/packages/camphorgate/src/camphorgate/authority/orders.py
+++ b/packages/camphorgate/src/camphorgate/authority/orders.py
@@ -67,6 +67,13 @@
                 return order
         return None
 
+    def confirmed(self, order_id: str) -> Order | None:
+        """Return an order that was confirmed lately."""
+        for order in self.closed_orders:
+            if order.order_id == order_id and order.outcome == "confirmed":
+                return order
+        return None
+
     def open_epochs(self) -> frozenset[int]:
         """Return the epochs whose holders may still send something."""
         return frozenset(epoch for order in self.open_orders for epoch in order.epochs)
@@ -88,10 +95,9 @@
 
 @SCOPES.register("capacity")
 def _capacity_scope(kind: str, body: dict[str, Any]) -> frozenset[str]:
-    # Starting and stopping in one pool at a time would cancel each other out, but
-    # several starts at once are what a lost zone needs.
+    # Several starts at once are what a lost zone needs; each has its own order id.
     if kind == "start":
-        return frozenset({f"start/{body.get('pool', '')}/{body.get('order_id', '')}"})
+        return frozenset()
     return frozenset({f"stop/{body.get('upstream_id', '')}"})
 
 
@@ -162,7 +168,13 @@
     order = journal.find(number)
     if order is None:
         return journal
-    closed = msgspec.structs.replace(order, outcome=outcome)
+    # Figures of usage windows are large; a closed order keeps what identifies it.
+    body = {
+        name: value
+        for name, value in order.body.items()
+        if isinstance(value, str | int | float)
+    }
+    closed = msgspec.structs.replace(order, outcome=outcome, body=body)
     return msgspec.structs.replace(
         journal,
         open_orders=tuple(o for o in journal.open_orders if o.number != number),
