--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/bookings.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/bookings.py
@@ -78,7 +78,10 @@
         The caller waits for it a bounded time only: its call has run, and until the
         answer is stored a repeat finds the claim without one.
         """
-        storing = self._call.gateway.app.spawn(self._store(), "store first answer")
+        gateway = self._call.gateway
+        storing = gateway.app.spawn(self._store(), "store first answer")
+        gateway.storing.add(storing)
+        storing.add_done_callback(gateway.storing.discard)
         await asyncio.wait([storing], timeout=STORE_SECONDS)
 
     async def _store(self) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/core.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/core.py
@@ -42,6 +42,7 @@
         "usage",
         "leaving",
         "instances",
+        "storing",
         "_request_ids",
         "_id_prefix",
     )
@@ -65,6 +66,8 @@
         self.usage: Any = None
         self.leaving = False
         self.instances = 1
+        # Answers to claimed calls that are on their way to KV.
+        self.storing: set[asyncio.Task] = set()
         self._request_ids = count(1)
         self._id_prefix = secrets.token_hex(8)
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
@@ -9,6 +9,8 @@
 from camphorgated.ext.gateway.core import Gateway
 
 REFRESH_SECONDS = 0.5
+# How long a leaving daemon waits for first answers on their way to KV.
+STORING_SECONDS = 5.0
 
 
 def setup(app: Application) -> None:
@@ -70,6 +72,8 @@
     log_event("leaving", in_flight=gateway.recorder.in_flight)
     await asyncio.sleep(gateway.settings.platform.list_lag_seconds)
     await listener.stop(gateway.settings.timing.stop_grace_seconds)
+    if gateway.storing:
+        await asyncio.wait(gateway.storing, timeout=STORING_SECONDS)
     await gateway.connector.cleanup()
     log_event("left", in_flight=gateway.recorder.in_flight)
 
