Remove replaced parts, ask the platform for lists by entity tag, record decisions

The platform's lists are asked for with If-None-Match, and beyond 16 instances only those that watch KV read the list of instances; the others learn from records.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/configuration/submitting.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/configuration/submitting.py
@@ -31,7 +31,7 @@
     KvRefused,
     KvUnavailable,
 )
-from camphorgate.kv.records import Put, new_token, unchanged
+from camphorgate.kv.records import Delete, Put, Read, new_token, unchanged
 from camphorgate.log import log_event
 from camphorgate.manifest_check import Problem, parse_manifest
 
@@ -95,7 +95,10 @@
         for content in parts_by_name.values():
             self._service.store.add(digest_of(content), content)
         self._service.root_found(root)
-        return await self._follow(version, deadline)
+        found = await self._follow(version, deadline)
+        if found.in_force_everywhere and current is not None:
+            await self._remove_parts(current, revision, root)
+        return found
 
     async def _read_root(self) -> tuple[Root | None, int]:
         try:
@@ -199,6 +202,27 @@
                 return found
             await self._wait_for_progress(min(left, _CHECK_SECONDS))
 
+    async def _remove_parts(self, replaced: Root, revision: int, root: Root) -> None:
+        """Remove the parts that only a replaced root names; no instance runs it.
+
+        :param revision: the revision of the replaced root. A part with a later one was
+            written again for a submission that may still be under way, and one that is
+            written again from now on fails the condition, so it stays.
+        """
+        stale = set(replaced.digests.values()) - set(root.digests.values())
+        keys = [PART_PREFIX + digest for digest in sorted(stale)[:PARTS_PER_WRITE]]
+        if not keys:
+            return
+        try:
+            kv = self._service.kv
+            read = await kv.transact([], [Read(key) for key in keys])
+            entries = read.entries_by_key.values()
+            old = [item for item in entries if item.mod_revision <= revision]
+            conditions = [unchanged(item.key, item.mod_revision) for item in old]
+            await kv.transact(conditions, [Delete(item.key) for item in old])
+        except KvError as error:
+            log_event("parts_not_removed", level="WARNING", error=error.message)
+
     def _state(self, version: int) -> Submission:
         book = self._service.membership.book
         listed = len(book.roster.listed())
--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/platform.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -13,8 +14,10 @@
 PERIOD_SECONDS = 2.0
 TIMEOUT_SECONDS = 2.0
 
-# A list costs at most this on average; a large list is read less often.
-LIST_BYTES_PER_SECOND = 2000.0
+# A list that the platform sent whole is read again only after so long that it costs at
+# most this on average. An unchanged list costs little where the platform knows entity
+# tags, and is then asked for every period.
+LIST_BYTES_PER_SECOND = 20000.0
 
 
 class PlatformInstance(msgspec.Struct, frozen=True):
@@ -58,6 +61,7 @@
         "_random",
         "_on_instances",
         "_on_upstreams",
+        "_tags_by_path",
     )
 
     def __init__(
@@ -82,46 +86,66 @@
         self._random = generator
         self._on_instances = on_instances
         self._on_upstreams = on_upstreams
+        self._tags_by_path: dict[str, str] = {}
 
-    async def poll_instances(self) -> None:
-        """Read the instances for ever."""
+    async def poll_instances(self, wanted: Callable[[], bool]) -> None:
+        """Read the instances for ever.
+
+        :param wanted: whether this instance reads them now. In a large system a few
+            do, and the others learn from the records in beats.
+        """
         while True:
-            body = await self._read("/instances", _Instances)
-            if body is not None:
-                found, size = body
-                self.instances_by_id = {item.id: item for item in found.instances}
-                self.read_at = self._clock.monotonic()
-                self._on_instances()
-            await self._pause(size if body else 0)
+            size = 0
+            if wanted():
+                found, size = await self._read("/instances", _Instances)
+                if found is not None:
+                    self.instances_by_id = {item.id: item for item in found.instances}
+                if size is not None:
+                    self.read_at = self._clock.monotonic()
+                    self._on_instances()
+            await self._pause(size)
 
     async def poll_upstreams(self) -> None:
         """Read the upstreams for ever."""
         while True:
-            body = await self._read("/upstreams", _Upstreams)
-            if body is not None:
-                found, size = body
-                if found.upstreams != self.upstreams:
-                    self.upstreams = found.upstreams
-                    self._on_upstreams()
-            await self._pause(size if body else 0)
+            found, size = await self._read("/upstreams", _Upstreams)
+            if found is not None and found.upstreams != self.upstreams:
+                self.upstreams = found.upstreams
+                self._on_upstreams()
+            await self._pause(size)
 
     async def close(self) -> None:
         """Close the connections."""
         await self._http.aclose()
 
-    async def _read(self, path: str, kind: type):
+    async def _read(self, path: str, kind: type) -> tuple[Any, int | None]:
+        """Return a list and its size.
+
+        :returns: no list and size 0 if it is unchanged, no size if it cannot be read;
+            the last list then stays in place.
+        """
+        headers = {}
+        if path in self._tags_by_path:
+            headers["if-none-match"] = self._tags_by_path[path]
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
-                response = await self._http.get(f"http://{self._address}{path}")
+                url = f"http://{self._address}{path}"
+                response = await self._http.get(url, headers=headers)
                 content = await response.content()
+            if response.status_code == 304:
+                return None, 0
             if response.status_code != 200:
                 raise ValueError(f"status {response.status_code}")
-            return msgspec.json.decode(content, type=kind), len(content)
+            found = msgspec.json.decode(content, type=kind)
+            tag = response.headers.get("etag")
+            if tag:
+                self._tags_by_path[path] = tag
+            return found, len(content)
         except Exception as error:
-            # Any failure means the same: the last list stays in place.
+            # Any failure of the connection or of the answer means the same.
             log_event("platform_list_unread", level="DEBUG", path=path, error=error)
-            return None
+            return None, None
 
-    async def _pause(self, size: int) -> None:
-        seconds = max(PERIOD_SECONDS, size / LIST_BYTES_PER_SECOND)
+    async def _pause(self, size: int | None) -> None:
+        seconds = max(PERIOD_SECONDS, (size or 0) / LIST_BYTES_PER_SECOND)
         await asyncio.sleep(seconds * self._random.uniform(0.75, 1.25))
--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
@@ -11,7 +11,12 @@
 from camphorgate.kv.errors import KvError
 from camphorgate.log import log_event
 from camphorgate.membership.evidence import EvidenceBook
-from camphorgate.membership.roster import Member, MemberState, Roster
+from camphorgate.membership.roster import (
+    SMALL_SYSTEM,
+    Member,
+    MemberState,
+    Roster,
+)
 from camphorgate.membership.topology import is_watcher
 from camphorgate.peers.errors import PeerError
 from camphorgate.peers.links import PeerLinks
@@ -122,9 +127,19 @@
     # Further interface for usage and duties.
 
     def platform_state(self, instance_id: str) -> str | None:
-        """Return an instance's state in the platform's list, ``None`` if not listed."""
+        """Return an instance's state in the platform's list, ``None`` if not listed.
+
+        Where this instance does not read the list, ``gone`` comes from the records.
+        """
         entry = self.platform.instances_by_id.get(instance_id)
-        return entry.state if entry else None
+        if entry is not None and self._reads_list():
+            return entry.state
+        member = self.roster.member(instance_id)
+        if member is None:
+            return None
+        return (
+            "live" if member.state == MemberState.PRESENT else member.state.name.lower()
+        )
 
     def linked(self) -> list[MemberView]:
         """Return the instances to which a link is open."""
@@ -231,7 +246,7 @@
         spawn(self._beat(), "membership beats")
         spawn(self.registration.keep(), "membership registration")
         spawn(self._read_roster(), "membership roster")
-        spawn(self.platform.poll_instances(), "platform instances")
+        spawn(self.platform.poll_instances(self._reads_list), "platform instances")
         spawn(self.platform.poll_upstreams(), "platform upstreams")
 
     async def stop(self) -> None:
@@ -352,6 +367,10 @@
                         known = max(known, await ask(seed))
         return known
 
+    def _reads_list(self) -> bool:
+        few = len(self.roster.listed()) <= SMALL_SYSTEM
+        return few or self.is_watcher()
+
     def _apply_platform_list(self) -> None:
         self.roster_known = self.roster_known or bool(self.platform.instances_by_id)
         states = {
--- a/packages/camphorgate-standins/src/camphorgate_standins/platform.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/platform.py
@@ -6,10 +6,11 @@
 order and report as it arrived, with the sender that it named.
 """
 
+import hashlib
 import time
 
 from starlette.requests import Request
-from starlette.responses import JSONResponse
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from camphorgate_standins.serving import Faults, build_app, parse_options, run
@@ -70,11 +71,13 @@
 
     async def list_instances(self, request: Request) -> JSONResponse:
         """Return the instances, late."""
-        return JSONResponse({"instances": self._visible(self.instances_by_id)})
+        visible = self._visible(self.instances_by_id)
+        return _list_response(request, {"instances": visible})
 
     async def list_upstreams(self, request: Request) -> JSONResponse:
         """Return the upstreams that the capacity interface started, late."""
-        return JSONResponse({"upstreams": self._visible(self.upstreams_by_id)})
+        visible = self._visible(self.upstreams_by_id)
+        return _list_response(request, {"upstreams": visible})
 
     async def start(self, request: Request) -> JSONResponse:
         """Take an order to start an upstream; the same order id counts once."""
@@ -121,6 +124,16 @@
         return JSONResponse({"orders": self.orders, "windows": self.windows})
 
 
+def _list_response(request: Request, content: dict) -> Response:
+    """Return a list with its entity tag, or 304 if the caller has it."""
+    response = JSONResponse(content)
+    tag = f'"{hashlib.sha256(response.body).hexdigest()[:16]}"'
+    if request.headers.get("if-none-match") == tag:
+        return Response(status_code=304, headers={"etag": tag})
+    response.headers["etag"] = tag
+    return response
+
+
 def main() -> None:
     """Run the stand-in as a program."""
     options = parse_options("Stand-in for the platform's interfaces.")
