--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -73,6 +73,7 @@
             entry = {"id": f"i-{number:02}", "zone": ZONES[number % len(ZONES)]}
             entry |= {"address": self.peers[number], "state": "live"}
             call(self.platform, "/control/instances", json.dumps(entry).encode())
+        self._extensions = extensions
         self.processes = [self._start(n, extensions) for n in range(count)]
         for admin in self.admins:
             wait_for(lambda admin=admin: call(admin, "/admin/status"))
@@ -128,6 +129,11 @@
             moments.append(found)
         return moments
 
+    def restart(self, number: int) -> None:
+        """Start a daemon that has ended once more, under the same settings."""
+        self.processes[number] = self._start(number, self._extensions)
+        wait_for(lambda: call(self.admins[number], "/admin/status"))
+
     def close(self) -> None:
         """Stop what this object started."""
         for process in [*self.processes, *self._standins]:
