Agree on one length of usage windows for the whole system

Cause: the length came from the manifest and was read at start. The first daemons of a new system start without a manifest and took 60 s, a daemon restarted later took the manifest's 10 s; instances that count in different windows wait for one another's parts for ever. Seen in the demo's dump: 60 s where 10 s were declared. Change: the length is a setting; the first instance writes it to KV and all later ones use what is written. Conclusion: without KV at its start an instance still relies on its settings.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/usage/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/usage/service.py
@@ -12,7 +12,7 @@
     window_at,
 )
 from camphorgate.application import Application
-from camphorgate.kv.errors import KvError
+from camphorgate.kv.errors import KvConflict, KvError
 from camphorgate.log import log_event
 from camphorgate.membership.roster import MemberState
 from camphorgated.ext.usage.copying import Copying
@@ -20,7 +20,8 @@
 from camphorgated.ext.usage.reporting import Reporting
 from camphorgated.ext.usage.timing import UsageTiming
 
-DEFAULT_WINDOW_SECONDS = 60
+# The length of a window, written by the first instance that ever starts.
+LENGTH_KEY = "usage-window-seconds"
 STOP_SECONDS = 5.0
 
 
@@ -33,20 +34,16 @@
         self.copying: Copying | None = None
         self.handing: Handing | None = None
         self.reporting: Reporting | None = None
-        self.window_seconds = DEFAULT_WINDOW_SECONDS
+        self.window_seconds = app.settings.timing.usage_window_seconds
         self.timing = timing or UsageTiming()
         self._app = app
         self._membership: Any = None
 
     async def start(self) -> None:
-        """Choose the window length and start the tasks.
-
-        The length is read once: instances that count in different windows at the same
-        time would wait for one another's parts. A new length needs a restart of all.
-        """
+        """Agree on the window length and start the tasks."""
         app = self._app
         self._membership = membership = app.service("membership")
-        self.window_seconds = self._read_window_seconds()
+        self.window_seconds = await self._agree_window_seconds()
         author = author_id(membership.instance_id, membership.incarnation)
         self.book = UsageBook(author, self.window_now())
         self.copying = Copying(
@@ -157,8 +154,30 @@
             for member in self._membership.members()
         )
 
-    def _read_window_seconds(self) -> int:
-        if not self._app.has_service("configuration"):
-            return DEFAULT_WINDOW_SECONDS
-        index = self._app.service("configuration").index
-        return index.manifest.usage_window_seconds if index else DEFAULT_WINDOW_SECONDS
+    async def _agree_window_seconds(self) -> int:
+        """Return the window length of the whole system.
+
+        Instances that count in windows of different lengths would wait for one
+        another's parts, so the first length that is written holds for good. Without
+        KV the settings decide.
+        """
+        own = self.window_seconds
+        kv = self._app.service("kv")
+        try:
+            await kv.create(LENGTH_KEY, str(own).encode())
+        except KvConflict:
+            return await self._read_window_seconds(kv, own)
+        except KvError as error:
+            log_event("usage_window_unconfirmed", level="WARNING", error=error.message)
+        return own
+
+    async def _read_window_seconds(self, kv: Any, own: int) -> int:
+        try:
+            entry = await kv.get(LENGTH_KEY)
+        except KvError as error:
+            log_event("usage_window_unconfirmed", level="WARNING", error=error.message)
+            return own
+        agreed = int(entry.value) if entry else own
+        if agreed != own:
+            log_event("usage_window_differs", level="WARNING", own=own, agreed=agreed)
+        return agreed
--- a/packages/camphorgate/src/camphorgate/manifest.py
+++ b/packages/camphorgate/src/camphorgate/manifest.py
@@ -159,7 +159,6 @@
     models: tuple[Model, ...] = ()
     objective: Objective = Objective()
     weight_store: WeightStore = WeightStore()
-    usage_window_seconds: int = 60
 
 
 class ManifestIndex:
--- a/packages/camphorgate/src/camphorgate/manifest_check.py
+++ b/packages/camphorgate/src/camphorgate/manifest_check.py
@@ -263,8 +263,6 @@
                 yield f"{path}.{name}", "must be a positive number"
     if manifest.weight_store.loads_per_minute <= 0:
         yield "$.weight_store.loads_per_minute", "must be a positive number"
-    if not 1 <= manifest.usage_window_seconds <= 86400:
-        yield "$.usage_window_seconds", "must lie between 1 and 86400 seconds"
 
 
 def _line_in_message(message: str) -> int:
--- a/packages/camphorgate/src/camphorgate/settings.py
+++ b/packages/camphorgate/src/camphorgate/settings.py
@@ -40,7 +40,11 @@
 
 
 class TimingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Periods and bounds of the control protocols, in seconds."""
+    """Periods and bounds of the control protocols, in seconds.
+
+    ``usage_window_seconds`` counts at the very first start of a system only; later
+    instances use the length that was written to KV then.
+    """
 
     beat_seconds: float = 0.5
     freshness_seconds: float = 3.0
@@ -48,6 +52,7 @@
     lease_margin_seconds: float = 2.0
     order_drain_seconds: float = 15.0
     stop_grace_seconds: float = 120.0
+    usage_window_seconds: int = 60
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
