--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/handoff.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/handoff.py
@@ -33,11 +33,11 @@
         for view in upstreams.views(plan.pool.name)
         if view.health == "healthy" and not view.leaving
     ]
+    # Engines of both roles decode too, so a pool may have no engine for decode only.
     others = {view.id for view in views if view.role != "prefill"}
-    decoders = {view.id for view in views if view.role == "decode"}
     if (
         plan.request.prompt_tokens < HANDOFF_TOKENS
-        or not decoders
+        or not others
         or len(others) == len(views)
     ):
         return
