Keep resolving an unknown write of the root until the submission's time is over

A submission whose writes stayed unanswered for 5 s reported an unknown outcome although KV was back a second later. The root carries the submission's token, so it is written again or found in place until the time is over.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/configuration/submitting.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/configuration/submitting.py
@@ -3,12 +3,11 @@
 import asyncio
 import contextlib
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, NoReturn
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from camphorgate.configuration.errors import (
-    ConflictError,
     OutcomeUnknownError,
     PartError,
     SubmissionError,
@@ -88,9 +87,8 @@
         current, revision = await self._read_root()
         await self._check_base(current, base_version)
         await self._write_parts(current, parts_by_name.values())
-        token = new_token()
-        root = next_root(current, parts_by_name, token)
-        version = await self._write_root(root, revision, token, base_version)
+        root = next_root(current, parts_by_name, new_token())
+        version = await self._write_root(root, revision, base_version, deadline)
         log_event("configuration_written", version=version, base=base_version)
         for content in parts_by_name.values():
             self._service.store.add(digest_of(content), content)
@@ -159,39 +157,51 @@
         return SubmissionError(f"cannot write the configuration: {error.message}")
 
     async def _write_root(
-        self, root: Root, revision: int, token: str, base_version: int
+        self, root: Root, revision: int, base_version: int, deadline: float
     ) -> int:
-        """Write the root if it is still unchanged, and return its version."""
-        try:
-            await self._service.kv.write_once(
-                [unchanged(ROOT_KEY, revision)], [Put(ROOT_KEY, encode_root(root))]
-            )
-        except (KvUnavailable, KvRefused) as error:
-            raise self._not_written(error) from None
-        except KvConflict:
-            return await self._resolve_conflict(token, base_version)
-        except KvOutcomeUnknown:
-            await self._raise_unknown(root.version)
-        return root.version
-
-    async def _resolve_conflict(self, token: str, base_version: int) -> int:
-        """Find out whether the own root was written and then followed by another."""
+        """Write the root if it is still unchanged, and return its version.
+
+        The root carries the submission's token, so writing it again cannot make it take
+        effect twice, and a reader can tell who wrote it.
+        """
+        uncertain = False
+        while True:
+            try:
+                await self._service.kv.write_once(
+                    [unchanged(ROOT_KEY, revision)], [Put(ROOT_KEY, encode_root(root))]
+                )
+                return root.version
+            except KvConflict:
+                version = await self._resolve_conflict(root.tokens[0], base_version)
+                if version is not None:
+                    return version
+                uncertain = True
+            except KvOutcomeUnknown:
+                uncertain = True
+            except (KvUnavailable, KvRefused) as error:
+                if not uncertain:
+                    raise self._not_written(error) from None
+            if self._service.clock.monotonic() >= deadline:
+                raise OutcomeUnknownError(
+                    f"KV failed while version {root.version} was written; read the "
+                    "status before submitting again"
+                )
+            await asyncio.sleep(self._service.random.uniform(0.1, 0.3))
+
+    async def _resolve_conflict(self, token: str, base_version: int) -> int | None:
+        """Find out whether the own root was written and then followed by another.
+
+        :returns: the version that was written, ``None`` if the root cannot be read.
+        :raises ConflictError: if another submission took effect instead.
+        """
         try:
             current, _ = await self._read_root()
-        except SubmissionError as error:
-            raise OutcomeUnknownError(error.message) from None
+        except SubmissionError:
+            return None
         version = current.wrote(token) if current else None
-        if version is not None:
-            return version
-        await self._check_base(current, base_version)
-        # The root is at the base version after all: KV lost a write, which it must not.
-        raise ConflictError(base_version, base_version, [])
-
-    async def _raise_unknown(self, version: int) -> NoReturn:
-        raise OutcomeUnknownError(
-            f"KV failed while version {version} was written; read the status before "
-            "submitting again"
-        )
+        if version is None:
+            await self._check_base(current, base_version)
+        return version
 
     async def _follow(self, version: int, deadline: float) -> Submission:
         """Wait until a version is in force everywhere, or the time is over."""
