--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
@@ -9,6 +9,8 @@
 from camphorgated.ext.gateway.core import Gateway
 
 REFRESH_SECONDS = 0.5
+# How long a leaving daemon waits for first answers on their way to KV.
+STORING_SECONDS = 5.0
 
 
 def setup(app: Application) -> None:
@@ -19,7 +21,8 @@
         app.add_event(event)
     app.connect("manifest-changed", gateway.take_manifest)
     app.provide("upstreams", gateway.upstreams)
-    app.provide("fairness", gateway.admission.ledger)
+    app.provide("fairness", gateway.admission.fairness)
+    app.provide("demand", gateway.demand)
     app.provide("gateway", GatewayService(gateway, listener))
     app.add_dump_section("gateway", lambda: _dump(gateway))
 
@@ -69,6 +72,8 @@
     log_event("leaving", in_flight=gateway.recorder.in_flight)
     await asyncio.sleep(gateway.settings.platform.list_lag_seconds)
     await listener.stop(gateway.settings.timing.stop_grace_seconds)
+    if gateway.storing:
+        await asyncio.wait(gateway.storing, timeout=STORING_SECONDS)
     await gateway.connector.cleanup()
     log_event("left", in_flight=gateway.recorder.in_flight)
 
@@ -79,11 +84,12 @@
     while True:
         await asyncio.sleep(REFRESH_SECONDS)
         gateway.connector.pool.close_idle()
+        gateway.admission.take_shares()
         if not gateway.app.has_service("membership"):
             continue
         listed = list(gateway.app.service("membership").platform_upstreams())
         index = gateway.configuration.index
-        state = (listed, gateway.live_count())
+        state = (listed, gateway.count_instances())
         if index is not None and state != last:
             last = state
             gateway.take_manifest(index)
@@ -95,5 +101,8 @@
         "requests": gateway.recorder.dump(),
         "queues": gateway.admission.dump(),
         "upstreams": gateway.upstreams.dump(),
-        "retries_refused": gateway.retries.refused,
+        "fairness": {
+            kind: order.snapshot()
+            for kind, order in gateway.admission.fairness.by_kind.items()
+        },
     }
--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Sequence
 from functools import lru_cache
+from math import exp2
 from typing import Protocol
 
 import msgspec
@@ -15,10 +16,11 @@
 from camphorgate.registry import Registry
 from camphorgate.requests.views import RequestView, UpstreamView
 
-# Half-lives in seconds: of the trust in a load report, and in a cached prefix. A
-# report is outdated by the queue's own turnover (a prompt takes 50 to 400 ms); longer
-# trust makes all instances run to the same upstream (docs/measurements/routing.md).
-REPORT_HALF_LIFE = 0.25
+# Half-lives in seconds: of the trust in a load report, and in a cached prefix. Streams
+# last for seconds, so a report still tells which upstreams have no free slot; prompts
+# take 50 to 400 ms, so of the prompts of others only the average over all upstreams is
+# used (docs/measurements/routing.md).
+REPORT_HALF_LIFE = 2.0
 PREFIX_HALF_LIFE = 30.0
 # Chance that the upstream that rendezvous hashing names for a prefix holds it although
 # this process has not sent it there: other instances prefer the same upstream.
@@ -167,15 +169,16 @@
 class ExpectedLatency:
     """The upstream with the lowest expected delay to the request and its neighbours."""
 
-    __slots__ = ("_turn", "_mean_prefill", "_mean_output")
+    __slots__ = ("_turn", "_seen", "_mean_prefill", "_mean_output")
 
     def __init__(self, instance_id: str = "") -> None:
         """Start without knowledge of the traffic.
 
         :param instance_id: makes each instance begin at another upstream.
         """
-        # Also counts the requests; equal upstreams are taken in turn.
-        self._turn = xxhash.xxh3_64_intdigest(instance_id.encode()) % 1024 * 1024
+        # Equal upstreams are taken in turn.
+        self._turn = xxhash.xxh3_64_intdigest(instance_id.encode())
+        self._seen = 0
         self._mean_prefill = 0.0
         self._mean_output = 0.0
 
@@ -190,11 +193,12 @@
         if not candidates:
             return None
         self._note(request)
+        # Equal upstreams are taken in turn.
         first = self._turn % len(candidates)
         candidates = candidates[first:] + candidates[:first]
-        others = _work_of_others(candidates, now)
+        mean, others = _work_of_others(candidates, now)
         waits = [
-            self._wait_seconds(upstream, count, now)
+            self._wait_seconds(upstream, mean, count, now)
             for upstream, count in zip(candidates, others, strict=True)
         ]
         bound = AFFINITY_LOAD_BOUND * sum(waits) / len(waits) + AFFINITY_SLACK_SECONDS
@@ -203,76 +207,83 @@
             ids = tuple(sorted([item.id for item in candidates]))
             owner = _owner_of(request.prefix_digest, ids)
         best = None
-        for upstream, count, wait in zip(candidates, others, waits, strict=True):
+        for upstream, wait in zip(candidates, waits, strict=True):
             cached = 0.0
             if owner and wait <= bound:
                 cached = _cached_chance(upstream, request, owner, now)
-            estimate = _estimate(upstream, request, count, wait, cached)
+            estimate = _estimate(upstream, request, mean, wait, cached)
             if best is None or estimate[0] < best[0]:
                 best = (*estimate, upstream)
         return Choice(best[3], best[1], best[2])
 
     def _note(self, request: RequestView) -> None:
         self._turn += 1
-        weight = max(AVERAGE_WEIGHT, 1 / (self._turn % 1024))
+        self._seen += 1
+        weight = max(AVERAGE_WEIGHT, 1 / self._seen)
         self._mean_prefill += weight * (request.prompt_tokens - self._mean_prefill)
         self._mean_output += weight * (request.output_tokens - self._mean_output)
 
-    def _wait_seconds(self, upstream: UpstreamView, others: float, now: float) -> float:
-        """Return the time until an upstream has finished the prompts that it has."""
+    def _wait_seconds(
+        self, upstream: UpstreamView, mean: float, others: float, now: float
+    ) -> float:
+        """Return the time until an upstream has finished the prompts that it has.
+
+        :param mean: requests of others at an average upstream.
+        :param others: requests of others at this one.
+        """
+        # Written without min() and max(), whose calls took a third of a choice.
         slots = upstream.slots
-        outstanding = upstream.own_requests + others
+        own = upstream.own_requests
+        prefill_rate = upstream.prefill_tokens_per_second
         if not self._mean_prefill:
-            return outstanding / slots * SERVICE_SECONDS * upstream.slowness
-        token_seconds = min(outstanding, slots) / upstream.decode_tokens_per_second
-        prefill_seconds = self._mean_prefill / upstream.prefill_tokens_per_second
-        stream_seconds = self._mean_output * token_seconds
-        excess = max(0.0, outstanding - slots)
-        # Of the running requests of others, the part that is expected in prefill.
-        in_prefill = prefill_seconds / (prefill_seconds + stream_seconds + 1e-9)
-        wait = upstream.own_prefill_tokens / upstream.prefill_tokens_per_second
+            return (own + others) / slots * SERVICE_SECONDS * upstream.slowness
+        streams = own + mean if own + mean < slots else slots
+        prefill_seconds = self._mean_prefill / prefill_rate
+        stream_seconds = self._mean_output * streams / upstream.decode_tokens_per_second
+        # Of the requests of others, the part that is expected in prefill.
+        in_prefill = prefill_seconds / (prefill_seconds + stream_seconds)
+        wait = upstream.own_prefill_tokens / prefill_rate
         if now - upstream.gap_seen_at < BUSY_VALID_SECONDS:
             # Seen in own streams without any lag, so it replaces half of the guess.
-            wait += BUSY_SECONDS * _busy_share(upstream)
+            quiet, gap = upstream.quiet_gap_seconds, upstream.gap_seconds
+            if quiet < gap:
+                wait += BUSY_SECONDS * (1.0 - quiet / gap)
             in_prefill *= 0.5
-        wait += in_prefill * min(others, slots) * prefill_seconds
-        wait += excess * (stream_seconds / slots + prefill_seconds)
+        wait += in_prefill * (mean if mean < slots else slots) * prefill_seconds
+        if own + others > slots:
+            excess = own + others - slots
+            wait += excess * (stream_seconds / slots + prefill_seconds)
         return wait * upstream.slowness
 
 
-def _work_of_others(candidates: list[UpstreamView], now: float) -> list[float]:
-    """Return the requests that other instances have in flight at each upstream.
+def _work_of_others(
+    candidates: list[UpstreamView], now: float
+) -> tuple[float, list[float]]:
+    """Return the requests that other instances have in flight.
 
     An old report says less about one upstream than about all of them, so each value is
     drawn towards the average as its report ages.
+
+    :returns: the average over all upstreams, and the value of each.
     """
-    reported = []
+    counts = []
     trusts = []
     for upstream in candidates:
         report = upstream.report
         if report is None:
-            reported.append(0.0)
+            counts.append(0.0)
             trusts.append(0.0)
             continue
         count = report.running + report.waiting - upstream.own_requests_at_report
-        reported.append(max(0.0, count))
-        trusts.append(0.5 ** (upstream.report_age(now) / REPORT_HALF_LIFE))
+        counts.append(count if count > 0 else 0.0)
+        age = now - report.observed_at + report.lag_seconds
+        trusts.append(exp2(-age / REPORT_HALF_LIFE) if age > 0 else 1.0)
     total = sum(trusts)
     if not total:
-        return reported
-    weighted = zip(reported, trusts, strict=True)
-    mean = sum(count * trust for count, trust in weighted) / total
-    return [
-        mean + trust * (count - mean)
-        for count, trust in zip(reported, trusts, strict=True)
-    ]
-
-
-def _busy_share(upstream: UpstreamView) -> float:
-    """Return the part of its time that an engine spends on prompts."""
-    if not upstream.gap_seconds:
-        return 0.0
-    return max(0.0, 1.0 - upstream.quiet_gap_seconds / upstream.gap_seconds)
+        return 0.0, counts
+    pairs = list(zip(counts, trusts, strict=True))
+    mean = sum([count * trust for count, trust in pairs]) / total
+    return mean, [mean + trust * (count - mean) for count, trust in pairs]
 
 
 def _cached_chance(
@@ -281,9 +292,9 @@
     """Return the probability that an upstream holds the request's prefix."""
     chance = OWNER_PREFIX_CHANCE if upstream.id == owner else 0.0
     seen_at = upstream.prefix_seen_at_by_digest.get(request.prefix_digest)
-    if seen_at is not None:
-        chance = max(chance, 0.5 ** (max(0.0, now - seen_at) / PREFIX_HALF_LIFE))
-    return chance
+    if seen_at is None:
+        return chance
+    return max(chance, exp2((seen_at - now) / PREFIX_HALF_LIFE))
 
 
 def _estimate(
@@ -297,16 +308,19 @@
 
     :param cached: probability that the prefix is cached.
     """
-    streams = min(upstream.own_requests + others, upstream.slots)
+    slots = upstream.slots
+    slowness = upstream.slowness
+    streams = upstream.own_requests + others
+    if streams > slots:
+        streams = slots
     new_tokens = request.prompt_tokens - cached * request.prefix_tokens
-    prefill = new_tokens / upstream.prefill_tokens_per_second * upstream.slowness
-    tokens_per_second = upstream.decode_tokens_per_second / upstream.slowness
-    token_seconds = (streams + 1) / tokens_per_second
+    prefill = new_tokens / upstream.prefill_tokens_per_second * slowness
+    token_seconds = (streams + 1) / upstream.decode_tokens_per_second * slowness
     first = wait + prefill + token_seconds
     if upstream.zone != request.zone:
         first += OTHER_ZONE_SECONDS
     cost = first + DECODE_WEIGHT * request.output_tokens * token_seconds
-    cost += DISTURBANCE_WEIGHT * prefill * streams / upstream.slots
+    cost += DISTURBANCE_WEIGHT * prefill * streams / slots
     cost += COST_SECONDS * upstream.cost
     if upstream.role != "both":
         cost += ROLE_PENALTY_SECONDS
