--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
@@ -99,9 +99,19 @@
 class _Pool:
     """One pool's queue, its window and who waits."""
 
-    __slots__ = ("queue", "window", "waiters_by_id", "unserved_since", "engines")
+    __slots__ = (
+        "name",
+        "queue",
+        "window",
+        "waiters_by_id",
+        "unserved_since",
+        "engines",
+    )
 
-    def __init__(self, bounds: QueueBounds, fair: FairOrder, engines: bool) -> None:
+    def __init__(
+        self, name: str, bounds: QueueBounds, fair: FairOrder, engines: bool
+    ) -> None:
+        self.name = name
         self.queue = PoolQueue(bounds, fair)
         self.window = DispatchWindow()
         self.waiters_by_id: dict[str, _Waiter] = {}
@@ -216,7 +226,7 @@
             bounds = QueueBounds(limits.queued_requests, limits.queue_seconds)
             kind = self.upstreams.kind(name)
             fair = self.fairness.by_kind[kind]
-            pool = _Pool(bounds, fair, kind == "engines")
+            pool = _Pool(name, bounds, fair, kind == "engines")
             self._pools_by_name[name] = pool
             self.take_shares()
         return pool
@@ -226,12 +236,15 @@
 
         def startable(request: RequestView) -> bool:
             waiter = pool.waiters_by_id[str(id(request))]
-            choice = self._choose(pool, request, waiter.excluded)
+            choice = self.upstreams.choose(request, waiter.excluded)
             if choice is not None:
                 choices.append(choice)
             return choice is not None
 
-        while waiting := pool.queue.take(self._gateway.now(), startable):
+        while len(pool.queue) and self._window_is_open(pool):
+            waiting = pool.queue.take(self._gateway.now(), startable)
+            if waiting is None:
+                return
             waiter = pool.waiters_by_id.pop(waiting.request_id)
             choice = choices.pop()
             dispatch = self.upstreams.begin(choice.upstream, waiter.request)
@@ -242,16 +255,14 @@
             else:
                 waiter.future.set_result(slot)
 
-    def _choose(
-        self, pool: _Pool, request: RequestView, excluded: set[str]
-    ) -> Choice | None:
-        if pool.engines:
-            views = self.upstreams.views(request.pool)
-            prefill = sum([view.own_prefill_tokens for view in views])
-            requests = sum([view.own_requests for view in views])
-            if not pool.window.allows(prefill, requests):
-                return None
-        return self.upstreams.choose(request, excluded)
+    def _window_is_open(self, pool: _Pool) -> bool:
+        """Tell whether the engines of a pool may get more work from this instance."""
+        if not pool.engines:
+            return True
+        views = self.upstreams.views(pool.name)
+        prefill = sum([view.own_prefill_tokens for view in views])
+        requests = sum([view.own_requests for view in views])
+        return pool.window.allows(prefill, requests)
 
     def _withdraw(self, pool: _Pool, number: str, future: asyncio.Future) -> None:
         pool.waiters_by_id.pop(number, None)
--- a/tests/test_gateway/test_streams.py
+++ b/tests/test_gateway/test_streams.py
@@ -18,6 +18,8 @@
 
 
 class BrokenStreamTests(GatewayTestCase):
+    LIMITS = {"silence_seconds": 0.25, "queue_seconds": 1.0}
+
     FAULTS = [
         ("die_after", {"value": 5, "count": 1}),
         ("die_after", {"value": 0, "count": 1}),
