--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -60,7 +60,7 @@
         self.kv, self.platform = f"127.0.0.1:{kv}", f"127.0.0.1:{platform}"
         self.admins = [f"127.0.0.1:{port}" for port in ports[:count]]
         self.peers = [f"127.0.0.1:{port}" for port in ports[count : 2 * count]]
-        self._callers = ports[2 * count : 3 * count]
+        self.callers = [f"127.0.0.1:{port}" for port in ports[2 * count : 3 * count]]
         self._standins = [
             self._run("kv", "camphorgate_standins.kv", "--address", self.kv),
             self._run(
@@ -73,6 +73,7 @@
             entry = {"id": f"i-{number:02}", "zone": ZONES[number % len(ZONES)]}
             entry |= {"address": self.peers[number], "state": "live"}
             call(self.platform, "/control/instances", json.dumps(entry).encode())
+        self._extensions = extensions
         self.processes = [self._start(n, extensions) for n in range(count)]
         for admin in self.admins:
             wait_for(lambda admin=admin: call(admin, "/admin/status"))
@@ -128,6 +129,11 @@
             moments.append(found)
         return moments
 
+    def restart(self, number: int) -> None:
+        """Start a daemon that has ended once more, under the same settings."""
+        self.processes[number] = self._start(number, self._extensions)
+        wait_for(lambda: call(self.admins[number], "/admin/status"))
+
     def close(self) -> None:
         """Stop what this object started."""
         for process in [*self.processes, *self._standins]:
@@ -145,7 +151,7 @@
             "instance_id": name,
             "availability_zone": ZONES[number % len(ZONES)],
             "region": "region-1",
-            "caller_address": f"127.0.0.1:{self._callers[number]}",
+            "caller_address": self.callers[number],
             "admin_address": self.admins[number],
             "peer_address": self.peers[number],
             "kv": {"addresses": [self.kv]},
