Take the usage window of the benchmarks from one place

Cause: short windows for the usage measurement would have raised the KV calls of the cost measurement. Change: 60 s unless a measurement asks for less.

--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -50,6 +50,8 @@
 class Daemons:
     """A number of daemons, the KV stand-in and the platform stand-in."""
 
+    usage_window_seconds = 60
+
     def __init__(self, count: int, extensions: tuple[str, ...]) -> None:
         """Start everything and wait until every daemon listens.
 
@@ -162,8 +164,7 @@
                 ("list_address", "capacity_address", "usage_address"), self.platform
             ),
             "peers": self.peers[:2],
-            # Short windows, so that a measurement sees several reports.
-            "timing": {"usage_window_seconds": 10},
+            "timing": {"usage_window_seconds": self.usage_window_seconds},
             "extensions": extensions,
             "seed": number,
         }
--- a/benchmarks/usage_kills.py
+++ b/benchmarks/usage_kills.py
@@ -108,6 +108,8 @@
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     service, address = start_service()
+    # Short windows, so that the measurement sees several reports.
+    Daemons.usage_window_seconds = 10
     daemons = Daemons(DAEMONS, ())
     stopped = threading.Event()
     clients = [
