--- /dev/null
+++ b/tests/test_random_faults/__init__.py
@@ -0,0 +1,1 @@
+"""Duties under a random sequence of faults."""
