--- a/benchmarks/fleet_plots.py
+++ b/benchmarks/fleet_plots.py
@@ -1,9 +1,9 @@
-"""Draws the plots of the fleet replay from ``docs/measurements/fleet.json``.
+"""Draws the plots of the fleet replay from ``docs/measurements/fleet.csv``.
 
 ``python -m benchmarks.fleet_plots`` writes ``docs/plots/fleet_*.svg``.
 """
 
-import json
+import csv
 from pathlib import Path
 
 import matplotlib
@@ -22,6 +22,9 @@
     "worst_workspace": "worst workspace, part of its fair share",
 }
 WIDTH = 0.2
+# Text as text and stable ids keep the files small and equal from run to run.
+plt.rcParams["svg.fonttype"] = "none"
+plt.rcParams["svg.hashsalt"] = "fleet"
 
 
 def draw(rows: list[dict], deployment: str) -> None:
@@ -42,7 +45,11 @@
 
 def _draw_plan(axis, rows, traces, plan, field, number) -> None:
     values = [
-        [row[field] for row in rows if row["trace"] == trace and row["plan"] == plan]
+        [
+            float(row[field])
+            for row in rows
+            if row["trace"] == trace and row["plan"] == plan
+        ]
         for trace in traces
     ]
     means = [sum(items) / len(items) for items in values]
@@ -54,7 +61,8 @@
 
 def main() -> None:
     """Draw the plots of both deployments."""
-    rows = json.loads(RESULTS.read_text(encoding="utf-8"))
+    with RESULTS.open(encoding="utf-8", newline="") as file:
+        rows = list(csv.DictReader(file))
     for deployment in dict.fromkeys(row["deployment"] for row in rows):
         draw(rows, deployment)
 
--- a/benchmarks/fleet_replay.py
+++ b/benchmarks/fleet_replay.py
@@ -1,10 +1,10 @@
 """Compares the fleet planners with baselines and a clairvoyant plan.
 
 ``python -m benchmarks.fleet_replay [--seeds 20] [--trace NAME] [--workers 4]`` prints a
-table per deployment and writes ``docs/measurements/fleet.json`` with ``--write``.
+table per deployment and writes ``docs/measurements/fleet.csv`` with ``--write``.
 """
 
-import json
+import csv
 import statistics
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -21,11 +21,25 @@
 from camphorgate.fleet.replay_result import Result, result_of
 from camphorgate.manifest import Capacity, Objective, Pool
 
-RESULTS = Path(__file__).resolve().parent.parent / "docs/measurements/fleet.json"
+RESULTS = Path(__file__).resolve().parent.parent / "docs/measurements/fleet.csv"
 PLANS = ("static", "greedy_threshold", "forecast", "clairvoyant")
 # Traces on which the number of engines is fixed, so that only roles vary.
 FIXED_FLEET = ("mix_shift", "crash_in_change")
 PROVISIONING_SECONDS = 180.0
+KEPT_FIELDS = (
+    "deployment",
+    "trace",
+    "plan",
+    "seed",
+    "goodput",
+    "changes",
+    "worst_workspace",
+    "cheap_share",
+    "cost_per_goodput",
+    "refused",
+    "unknown",
+    "harm",
+)
 
 
 class Deployment(msgspec.Struct, frozen=True):
@@ -109,15 +123,16 @@
     return run_one(*arguments)
 
 
-def _encode(rows: list[dict]) -> str:
-    """Return the figures in short form, one run a line."""
-    lines = [
-        json.dumps(
-            {k: round(v, 4) if isinstance(v, float) else v for k, v in r.items()}
-        )
-        for r in rows
-    ]
-    return "[\n" + ",\n".join(lines) + "\n]\n"
+def write_results(rows: list[dict]) -> None:
+    """Keep the figures, one run a line."""
+    with RESULTS.open("w", encoding="utf-8", newline="") as file:
+        writer = csv.writer(file, lineterminator="\n")
+        writer.writerow(KEPT_FIELDS)
+        for row in rows:
+            values = [row[name] for name in KEPT_FIELDS]
+            writer.writerow(
+                [round(v, 4) if isinstance(v, float) else v for v in values]
+            )
 
 
 def _cell(rows: list[dict], field: str) -> str:
@@ -195,7 +210,7 @@
                 print(flush=True)
                 rows += found
                 if write:
-                    RESULTS.write_text(_encode(rows), encoding="utf-8")
+                    write_results(rows)
 
 
 if __name__ == "__main__":
