--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -85,6 +85,12 @@
     return int(fields[11]) / ticks, int(fields[12]) / ticks
 
 
+def _waited_seconds(process: subprocess.Popen) -> float:
+    """Return how long a process was ready to run while others had the processors."""
+    fields = Path(f"/proc/{process.pid}/schedstat").read_text().split()
+    return int(fields[1]) / 1e9
+
+
 def _since(process: subprocess.Popen, before: tuple[float, float], count: int):
     """Return own, kernel and whole processor time per item, in seconds."""
     now = _processor_seconds(process)
@@ -168,14 +174,19 @@
     _, kernel, per_request = _since(daemon, before, count)
     half = min(rate, 1 / per_request) / 2
     direct, through = [], []
+    waited = 0.0
     for _ in range(2):
         direct += await open_loop(desks, request, half, seconds / 2)
+        before = _waited_seconds(daemon)
         through += await open_loop([address], request, half, seconds / 2)
+        waited += _waited_seconds(daemon) - before
     print(f"{'requests/s, saturated':<42}{rate:>10.0f}")
     print(f"{'requests/s per core':<42}{1 / per_request:>10.0f}")
     print(f"{'processor time per request, us':<42}{per_request * 1e6:>10.1f}")
     print(f"{'  of it in the kernel, us':<42}{kernel * 1e6:>10.1f}")
     print(f"{'half load, requests/s':<42}{half:>10.0f}")
+    # Above a few percent the latencies say more about the machine than the daemon.
+    print(f"{'part of it waiting for a processor':<42}{waited / seconds:>10.2f}")
     print(f"\n{'':<42}{'direct ms':>10}{'daemon ms':>10}{'added ms':>10}")
     _print_latencies("request", direct, through)
 
