Take the link of a restarted peer at once

A peer with a higher incarnation replaces the link of its earlier run, which may be open for seconds after a partition. Records are not sent twice when a link opens.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/beats.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/beats.py
@@ -126,6 +126,7 @@
     def link_opened(self, link: Link) -> None:
         """Take in a link and what its hello says."""
         link.memory = _PeerMemory()
+        link.memory.evidence.resent_at = self._clock.monotonic()
         self._service.record_received(member_of_hello(link.hello))
         self._service.links.adopt(link)
 
--- a/packages/camphorgate/src/camphorgate/peers/links.py
+++ b/packages/camphorgate/src/camphorgate/peers/links.py
@@ -168,6 +168,8 @@
             await channel.close()
 
     def _replaces(self, link: Link, other: Link) -> bool:
+        if link.hello.incarnation > other.hello.incarnation:
+            return True
         if link.dialled == other.dialled:
             return True
         own_id = self._handler.hello().instance
