--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/receivers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/receivers.py
@@ -182,6 +182,9 @@
     async def send(self, sending: Sending, order: Order) -> None:
         """Post the order; the interface counts an order id once."""
         body = {**order.body, "order_id": order.order_id}
+        # In an order, ``kind`` is the kind of the order.
+        if "upstream_kind" in body:
+            body["kind"] = body.pop("upstream_kind")
         url = f"http://{self._address}/capacity/{order.kind}"
         await self._order("POST", url, body, sending.sender)
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/fleet/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/fleet/service.py
@@ -72,7 +72,8 @@
         self._observer = Observer(self._app)
         self._zones = ZoneRecords(self._app.service("kv"))
         self._app.spawn(self._observe(), "fleet observation")
-        self._app.spawn(self._plan(), "fleet planning")
+        if self._app.has_service("duties"):
+            self._app.spawn(self._plan(), "fleet planning")
 
     async def stop(self) -> None:
         """Close the connections."""
