Notice a higher own incarnation in KV

A process that started with KV down and its clock behind never looked at its own roster entry afterwards, so that nobody noticed that an earlier run had a higher number. It is now shown as outranked, and duties already refrain then.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
@@ -346,7 +346,7 @@
         self.roster_known = True
         for found in entries:
             entry = decode_entry(found.value)
-            if entry is not None and entry.instance_id != self.instance_id:
+            if entry is not None:
                 self.record_received(member_of_entry(entry))
 
     async def _ask_incarnation(self) -> int:
--- a/tests/test_membership/test_extension.py
+++ b/tests/test_membership/test_extension.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from camphorgate.peers.peers_pb2 import UsageAck, UsageBatch
+from camphorgated.ext.membership.records import ROSTER_PREFIX, decode_entry
 from tests.control_cluster import Cluster
 from tests.faulty_network import eventually
 
@@ -59,6 +60,18 @@
             await cluster.settled(0)
         self.assertFalse(any(m.outranked for m in self._memberships(cluster)))
 
+    async def test_a_higher_incarnation_in_kv_is_noticed(self):
+        """Guards against duties of a process whose number a later one does not beat."""
+        cluster = await self._cluster(1)
+        membership = cluster.daemons_by_id["i-0"].membership
+        key = ROSTER_PREFIX + "i-0"
+        entry = decode_entry((await membership.registration._kv.get(key)).value)
+        later = msgspec.structs.replace(entry, incarnation=entry.incarnation + 1)
+        await membership.registration._kv.put(key, msgspec.json.encode(later))
+        await membership._read_roster()
+        self.assertTrue(membership.outranked)
+        self.assertEqual(membership.incarnation, entry.incarnation)
+
     async def test_an_epoch_is_acknowledged_only_by_its_handler(self):
         """Guards against orders in flight that a successor does not hear of (I5)."""
         cluster = await self._cluster()
