Route by the loaded models, and read only the engine states that are used

Change: a pure rule tells which names each engine serves (current version, else an older one, else any; an engine that names nothing may always be asked); instances read the engines that they send to, the holder of the pool's duty reads all.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/fleet/observing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/fleet/observing.py
@@ -10,8 +10,9 @@
 from camphorgate.connections import build_http_client
 from camphorgate.errors import CamphorgateError
 from camphorgate.fleet.demand import DemandSample
+from camphorgate.fleet.placement import artefacts_of, names_served
 from camphorgate.fleet.state import Engine, Phase
-from camphorgate.manifest import Pool
+from camphorgate.manifest import Manifest, Pool
 
 STATE_SECONDS = 1.0
 # A state or a load report older than this says nothing about the present.
@@ -55,21 +56,61 @@
         await self._http.aclose()
 
     async def read_states(self) -> None:
-        """Read the state of every engine, and tell the gateway roles and drains."""
-        entries = self._app.service("upstreams").entries_by_id
+        """Read engine states, and tell the gateway roles, drains and models."""
+        upstreams = self._app.service("upstreams")
+        entries = upstreams.entries_by_id
         index = self._app.service("configuration").index
-        pools = index.pools_by_name if index else {}
-        engines = [
-            entry
-            for entry in entries.values()
-            if entry.view.pool in pools and pools[entry.view.pool].kind == "engines"
+        pools = index.manifest.pools if index else ()
+        used = [
+            entries[upstream_id]
+            for pool in pools
+            if pool.kind == "engines"
+            for upstream_id in self._observed_ids(pool.name)
+            if upstream_id in entries
         ]
-        await asyncio.gather(*(self._read_state(entry) for entry in engines))
+        await asyncio.gather(*(self._read_state(entry) for entry in used))
+        for pool in pools:
+            if pool.kind == "engines":
+                self._set_models(index.manifest, pool.name)
         for upstream_id in self._seen_by_id.keys() - entries.keys():
             del self._seen_by_id[upstream_id]
         for upstream_id in self._down_since_by_id.keys() - entries.keys():
             del self._down_since_by_id[upstream_id]
 
+    def _observed_ids(self, pool: str) -> list[str]:
+        """Return the engines whose state is read here.
+
+        The holder of the pool's duty plans for all of them; the other instances need
+        those that they send requests to.
+        """
+        upstreams = self._app.service("upstreams")
+        if f"engines/{pool}" in self._held_duties():
+            entries = upstreams.entries_by_id.values()
+            return [entry.view.id for entry in entries if entry.view.pool == pool]
+        return [view.id for view in upstreams.views(pool)]
+
+    def _held_duties(self) -> list[str]:
+        if not self._app.has_service("duties"):
+            return []
+        return self._app.service("duties").held()
+
+    def _set_models(self, manifest: Manifest, pool: str) -> None:
+        """Tell routing which names each engine serves, as far as states are recent."""
+        now = self._app.clock.monotonic()
+        entries = self._app.service("upstreams").entries_by_id
+        loaded_by_id = {
+            upstream_id: status.models
+            for upstream_id, (seen_at, status) in self._seen_by_id.items()
+            if upstream_id in entries
+            and entries[upstream_id].view.pool == pool
+            and now - seen_at < STALE_SECONDS
+        }
+        models = (model for model in manifest.models if model.pool == pool)
+        for upstream_id, names in names_served(
+            artefacts_of(models), loaded_by_id
+        ).items():
+            entries[upstream_id].view.models = names
+
     async def _read_state(self, entry: Any) -> None:
         url = f"http://{entry.address}/control/state"
         try:
--- a/packages/camphorgate/src/camphorgate/fleet/placement.py
+++ b/packages/camphorgate/src/camphorgate/fleet/placement.py
@@ -4,7 +4,7 @@
 the pools take turns (:mod:`camphorgate.fleet.slots`), one load a turn.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -44,6 +44,34 @@
     return wanted
 
 
+def names_served(
+    wanted: Iterable[str], loaded_by_engine: Mapping[str, Sequence[str]]
+) -> dict[str, frozenset[str]]:
+    """Return the names of models and adapters that each engine should be asked for.
+
+    Engines with the current version of an artefact serve its name. Without any, those
+    with an older version do; if it is loaded nowhere, every engine may be asked, which
+    loads it or refuses. An engine that names nothing as loaded may always be asked, as
+    it may serve models that it was started with.
+
+    :param wanted: the current artefacts, see :func:`artefacts_of`.
+    :param loaded_by_engine: the loaded artefacts of each engine of the pool.
+    """
+    served: dict[str, set[str]] = {engine: set() for engine in loaded_by_engine}
+    for artefact in wanted:
+        name = artefact.partition("@")[0]
+        current = {e for e, loaded in loaded_by_engine.items() if artefact in loaded}
+        older = {
+            engine
+            for engine, loaded in loaded_by_engine.items()
+            if any(item.partition("@")[0] == name for item in loaded)
+        }
+        unnamed = {engine for engine, loaded in loaded_by_engine.items() if not loaded}
+        for engine in (current or older or set(loaded_by_engine)) | unnamed:
+            served[engine].add(name)
+    return {engine: frozenset(names) for engine, names in served.items()}
+
+
 def plan_placement(
     manifest: Manifest,
     pool: str,
--- a/tests/test_fleet/test_extension.py
+++ b/tests/test_fleet/test_extension.py
@@ -101,6 +101,10 @@
         self.entries_by_id[upstream] = entry
         return entry
 
+    def views(self, pool):
+        entries = self.entries_by_id.values()
+        return [entry.view for entry in entries if entry.view.pool == pool]
+
     def mark_leaving(self, upstream_id, cause="order"):
         if upstream_id in self.entries_by_id:
             self.entries_by_id[upstream_id].leaving_causes.add(cause)
--- a/tests/test_fleet/test_placement.py
+++ b/tests/test_fleet/test_placement.py
@@ -7,7 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from camphorgate.fleet.placement import PlacementMemory, plan_placement
+from camphorgate.fleet.placement import (
+    PlacementMemory,
+    names_served,
+    plan_placement,
+)
 from camphorgate.fleet.state import Engine
 from camphorgate.manifest import Adapter, Model, Pool, WeightStore
 from tests.builders import build_manifest
@@ -107,3 +111,18 @@
                 _manifest(), "models", engines, PlacementMemory(), float(second)
             )
             self.assertEqual(plan, [])
+
+
+class NamesServedTests(unittest.TestCase):
+    def test_requests_go_to_engines_that_have_the_artefact(self):
+        """Guards against requests sent to an engine without the model or adapter."""
+        wanted = ["m@2", "a@1"]
+        cases = (
+            ({"x": ["m@2"], "y": ["m@1"]}, {"x": {"m", "a"}, "y": {"a"}}),
+            ({"x": ["m@1"], "y": ["a@1"]}, {"x": {"m"}, "y": {"a"}}),
+            ({"x": ["m@2", "a@1"], "y": []}, {"x": {"m", "a"}, "y": {"m", "a"}}),
+            ({"x": [], "y": []}, {"x": {"m", "a"}, "y": {"m", "a"}}),
+        )
+        for loaded, expected in cases:
+            with self.subTest(loaded=loaded):
+                self.assertEqual(names_served(wanted, loaded), expected)
