Shorten a choice of expected latency without changing it

Cause: a choice among 10 upstreams took 53 to 57 microseconds in a loop. Change: upstreams whose wait alone reaches the best cost are skipped, the ids are not sorted for the prefix owner, and the averages are summed in one pass.

--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -193,21 +193,22 @@
         if not candidates:
             return None
         self._note(request)
+        owner = ""
+        if request.prefix_digest:
+            ids = tuple([item.id for item in candidates])
+            owner = _owner_of(request.prefix_digest, ids)
         # Equal upstreams are taken in turn.
         first = self._turn % len(candidates)
         candidates = candidates[first:] + candidates[:first]
         mean, others = _work_of_others(candidates, now)
-        waits = [
-            self._wait_seconds(upstream, mean, count, now)
-            for upstream, count in zip(candidates, others, strict=True)
-        ]
+        waits = self._wait_seconds(candidates, mean, others, now)
         bound = AFFINITY_LOAD_BOUND * sum(waits) / len(waits) + AFFINITY_SLACK_SECONDS
-        owner = ""
-        if request.prefix_digest:
-            ids = tuple(sorted([item.id for item in candidates]))
-            owner = _owner_of(request.prefix_digest, ids)
+        # No cost is below the wait, unless a prefix is longer than its prompt.
+        bounded = request.prefix_tokens <= request.prompt_tokens
         best = None
         for upstream, wait in zip(candidates, waits, strict=True):
+            if bounded and best is not None and wait >= best[0]:
+                continue
             cached = 0.0
             if owner and wait <= bound:
                 cached = _cached_chance(upstream, request, owner, now)
@@ -224,36 +225,69 @@
         self._mean_output += weight * (request.output_tokens - self._mean_output)
 
     def _wait_seconds(
-        self, upstream: UpstreamView, mean: float, others: float, now: float
-    ) -> float:
-        """Return the time until an upstream has finished the prompts that it has.
+        self,
+        candidates: list[UpstreamView],
+        mean: float,
+        others: list[float],
+        now: float,
+    ) -> list[float]:
+        """Return the times until upstreams have finished the prompts that they have.
 
         :param mean: requests of others at an average upstream.
-        :param others: requests of others at this one.
+        :param others: requests of others at each one.
         """
-        # Written without min() and max(), whose calls took a third of a choice.
-        slots = upstream.slots
-        own = upstream.own_requests
-        prefill_rate = upstream.prefill_tokens_per_second
-        if not self._mean_prefill:
-            return (own + others) / slots * SERVICE_SECONDS * upstream.slowness
-        streams = own + mean if own + mean < slots else slots
-        prefill_seconds = self._mean_prefill / prefill_rate
-        stream_seconds = self._mean_output * streams / upstream.decode_tokens_per_second
-        # Of the requests of others, the part that is expected in prefill.
-        in_prefill = prefill_seconds / (prefill_seconds + stream_seconds)
-        wait = upstream.own_prefill_tokens / prefill_rate
-        if now - upstream.gap_seen_at < BUSY_VALID_SECONDS:
-            # Seen in own streams without any lag, so it replaces half of the guess.
-            quiet, gap = upstream.quiet_gap_seconds, upstream.gap_seconds
-            if quiet < gap:
-                wait += BUSY_SECONDS * (1.0 - quiet / gap)
-            in_prefill *= 0.5
-        wait += in_prefill * (mean if mean < slots else slots) * prefill_seconds
-        if own + others > slots:
-            excess = own + others - slots
-            wait += excess * (stream_seconds / slots + prefill_seconds)
-        return wait * upstream.slowness
+        mean_prefill, mean_output = self._mean_prefill, self._mean_output
+        pairs = zip(candidates, others, strict=True)
+        if not mean_prefill:
+            return [
+                (item.own_requests + count)
+                / item.slots
+                * SERVICE_SECONDS
+                * item.slowness
+                for item, count in pairs
+            ]
+        return [
+            _prompt_wait(item, mean_prefill, mean_output, mean, count, now)
+            for item, count in pairs
+        ]
+
+
+def _prompt_wait(
+    upstream: UpstreamView,
+    mean_prefill: float,
+    mean_output: float,
+    mean: float,
+    others: float,
+    now: float,
+) -> float:
+    """Return the time until an engine has finished the prompts that it has.
+
+    :param mean_prefill: prompt tokens of an average request.
+    :param mean_output: output tokens of an average request.
+    :param mean: requests of others at an average upstream.
+    :param others: requests of others at this one.
+    """
+    # Written without min() and max(), whose calls took a third of a choice.
+    slots = upstream.slots
+    own = upstream.own_requests
+    prefill_rate = upstream.prefill_tokens_per_second
+    streams = own + mean if own + mean < slots else slots
+    prefill_seconds = mean_prefill / prefill_rate
+    stream_seconds = mean_output * streams / upstream.decode_tokens_per_second
+    # Of the requests of others, the part that is expected in prefill.
+    in_prefill = prefill_seconds / (prefill_seconds + stream_seconds)
+    wait = upstream.own_prefill_tokens / prefill_rate
+    if now - upstream.gap_seen_at < BUSY_VALID_SECONDS:
+        # Seen in own streams without any lag, so it replaces half of the guess.
+        quiet, gap = upstream.quiet_gap_seconds, upstream.gap_seconds
+        if quiet < gap:
+            wait += BUSY_SECONDS * (1.0 - quiet / gap)
+        in_prefill *= 0.5
+    wait += in_prefill * (mean if mean < slots else slots) * prefill_seconds
+    if own + others > slots:
+        excess = own + others - slots
+        wait += excess * (stream_seconds / slots + prefill_seconds)
+    return wait * upstream.slowness
 
 
 def _work_of_others(
@@ -268,6 +302,7 @@
     """
     counts = []
     trusts = []
+    total = weighted = 0.0
     for upstream in candidates:
         report = upstream.report
         if report is None:
@@ -275,14 +310,18 @@
             trusts.append(0.0)
             continue
         count = report.running + report.waiting - upstream.own_requests_at_report
-        counts.append(count if count > 0 else 0.0)
+        if count < 0:
+            count = 0.0
         age = now - report.observed_at + report.lag_seconds
-        trusts.append(exp2(-age / REPORT_HALF_LIFE) if age > 0 else 1.0)
-    total = sum(trusts)
+        trust = exp2(-age / REPORT_HALF_LIFE) if age > 0 else 1.0
+        counts.append(count)
+        trusts.append(trust)
+        total += trust
+        weighted += count * trust
     if not total:
         return 0.0, counts
-    pairs = list(zip(counts, trusts, strict=True))
-    mean = sum([count * trust for count, trust in pairs]) / total
+    mean = weighted / total
+    pairs = zip(counts, trusts, strict=True)
     return mean, [mean + trust * (count - mean) for count, trust in pairs]
 
 
