Tell engines the priority of a request by its workspace's service

Cause: engines took prompts in the order of arrival, so under a flood the small workspaces' prompts waited behind those of the flood inside the engines. Change: requests.priority gives 0 to 5 by the service that a workspace is owed; the gateway sends it as X-Priority with completions and prefills, the stand-in engine and the engines of the replay order waiting requests by it.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -1,13 +1,15 @@
 """Replay of requests against engines in memory, with a passed-in clock.
 
-An engine has one queue, a bounded number of slots, a prefix cache and steps: each step
-takes a chunk of the waiting prompts and one token of every stream. Gateways route
-independently on load reports that arrive late. There is no network and no daemon.
+An engine has one queue in the order of priority, a bounded number of slots, a prefix
+cache and steps: each step takes a chunk of the waiting prompts and one token of every
+stream. Gateways route independently on load reports that arrive late. There is no
+network and no daemon.
 """
 
 import heapq
 import random
-from collections import OrderedDict, deque
+from bisect import insort
+from collections import OrderedDict
 from collections.abc import Callable
 
 import msgspec
@@ -36,6 +38,7 @@
     request: RequestView
     view: UpstreamView | None = None
     dispatch: Dispatch | None = None
+    priority: int = 0
     prefill_left: float = 0.0
     tokens: int = 0
     first_at: float = 0.0
@@ -50,6 +53,10 @@
         return gaps < 1 or (self.done_at - self.first_at) / gaps <= TOKEN_SECONDS
 
 
+def _rank(job: Job) -> int:
+    return -job.priority
+
+
 class Engine:
     """One engine: a queue, slots, a prefix cache, prefill and decode rates."""
 
@@ -63,17 +70,23 @@
         """
         self.view = view
         self.cache_size = cache_size
-        self.queue: deque[Job] = deque()
-        self.prefilling: deque[Job] = deque()
+        self.queue: list[Job] = []
+        self.prefilling: list[Job] = []
         self.streams: list[Job] = []
         self.busy = False
 
+    def enqueue(self, job: Job) -> None:
+        """Put a job behind those of its priority."""
+        insort(self.queue, job, key=_rank)
+
     def step(self, cache: OrderedDict[str, None]) -> tuple[float, list[Job]]:
         """Take a chunk of prompts; return the duration and the prompts finished."""
+        # A prompt that is partly read is finished before any other.
+        begun = min(len(self.prefilling), 1)
         while self.queue and self.running() < self.view.slots:
-            job = self.queue.popleft()
+            job = self.queue.pop(0)
             job.prefill_left = self._uncached(job.request, cache)
-            self.prefilling.append(job)
+            insort(self.prefilling, job, lo=begun, key=_rank)
         budget = CHUNK_TOKENS
         finished = []
         while self.prefilling and budget > 0:
@@ -83,7 +96,7 @@
             budget -= taken
             if job.prefill_left > 0:
                 break
-            finished.append(self.prefilling.popleft())
+            finished.append(self.prefilling.pop(0))
         seconds = (CHUNK_TOKENS - budget) / self.view.prefill_tokens_per_second
         if not self.streams:
             return max(seconds, IDLE_STEP_SECONDS), finished
@@ -159,7 +172,7 @@
         job.view = view
         job.dispatch = view.begin(job.request, self.now)
         engine = self.engines_by_id[view.id]
-        engine.queue.append(job)
+        engine.enqueue(job)
         if not engine.busy:
             engine.busy = True
             self._start_step(engine)
--- a/benchmarks/replay_gateways.py
+++ b/benchmarks/replay_gateways.py
@@ -6,6 +6,7 @@
 from camphorgate.requests.admission import PoolQueue, QueueBounds
 from camphorgate.requests.fairness import FairOrder, service_of
 from camphorgate.requests.pacing import DispatchWindow
+from camphorgate.requests.priority import priority_of
 from camphorgate.requests.routing import POLICIES
 from camphorgate.requests.views import RequestView, UpstreamView
 
@@ -64,6 +65,8 @@
 class QueueGateway(Gateway):
     """Queues requests in fair order and sends them when an engine has room."""
 
+    sends_priority = False
+
     def __init__(self, number: int, policy: str, engines: list[Engine]) -> None:
         """Start with an empty queue."""
         super().__init__(number, policy, engines)
@@ -121,4 +124,12 @@
 
         while waiting := self.queue.take(replay.now, startable):
             job = self._jobs_by_id.pop(waiting.request_id)
+            if self.sends_priority:
+                job.priority = priority_of(self.fair.owed(job.request.workspace))
             replay.dispatch(job, self.choose(job.request, replay.now).upstream)
+
+
+class PriorityGateway(QueueGateway):
+    """Queues requests and tells the engines their priority."""
+
+    sends_priority = True
--- a/benchmarks/routing_replay.py
+++ b/benchmarks/routing_replay.py
@@ -2,7 +2,9 @@
 
 Run ``python -m benchmarks.routing_replay --seeds 20``. It prints the part of requests
 that met both latency goals during the shift, over that of round robin on the same seed,
-and the service of the worst-served workspace over its fair share under a flood.
+and under a flood the service of the worst-served workspace over its fair share, the
+part of the small workspaces' requests that met both goals, and all such requests per
+second.
 """
 
 import argparse
@@ -11,11 +13,14 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 
+import msgspec
+
 from benchmarks.replay import Engine, Job, Replay
 from benchmarks.replay_gateways import (
     DECODE_RATE,
     PREFILL_RATE,
     Gateway,
+    PriorityGateway,
     QueueGateway,
 )
 from camphorgate.requests.fairness import service_of
@@ -42,6 +47,7 @@
     "three-above-their-share": (0.3, 0.3, 0.3, 0.04, 0.04, 0.04, 0.04, 1.5),
     "only-the-flood-above": (0.15, 0.15, 0.15, 0.05, 0.05, 0.05, 0.05, 1.5),
 }
+SMALL_WORKSPACES = frozenset(WORKSPACES[3:7])
 FLOOD_WINDOW = (10.0, 110.0)
 FLOOD_SECONDS = 120.0
 # Policy and gateway; the first one is the reference.
@@ -50,6 +56,7 @@
     "least_outstanding": ("least_outstanding", Gateway),
     "expected_latency": ("expected_latency", Gateway),
     "expected_latency+queue": ("expected_latency", QueueGateway),
+    "expected_latency+queue+priority": ("expected_latency", PriorityGateway),
 }
 
 
@@ -188,10 +195,25 @@
     return run_once(policy, seed, load, spread, gateway_class)
 
 
-def _flood_task(arguments: tuple) -> float:
+class FloodFigures(msgspec.Struct):
+    """Results of one flood: shares of 1, and good requests per second of all."""
+
+    worst_share: float
+    small_good_share: float
+    goodput: float
+
+
+def _flood_task(arguments: tuple) -> FloodFigures:
     variant, seed, demands, spread = arguments
     policy, gateway_class = VARIANTS[variant]
-    return worst_share(run_flood(policy, seed, demands, spread, gateway_class))
+    jobs = run_flood(policy, seed, demands, spread, gateway_class)
+    arrived = [job for job in jobs if _in_window(job.arrival)]
+    small = [job for job in arrived if job.request.workspace in SMALL_WORKSPACES]
+    return FloodFigures(
+        worst_share(jobs),
+        sum(job.good() for job in small) / len(small),
+        sum(job.good() for job in arrived) / (FLOOD_WINDOW[1] - FLOOD_WINDOW[0]),
+    )
 
 
 def _spread_of(values: list[float]) -> str:
@@ -226,8 +248,12 @@
                 (variant, seed, demands, options.spread)
                 for seed in range(options.seeds)
             ]
-            worst = list(pool.map(_flood_task, tasks))
-            print(f"flood demands={name} variant={variant} worst {_spread_of(worst)}")
+            runs = list(pool.map(_flood_task, tasks))
+            for figure in FloodFigures.__struct_fields__:
+                values = [getattr(run, figure) for run in runs]
+                print(
+                    f"flood demands={name} {variant=!s} {figure} {_spread_of(values)}"
+                )
             sys.stdout.flush()
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completions.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completions.py
@@ -59,13 +59,14 @@
     handle: str = ""
     avoided: frozenset[str] = frozenset()
 
-    def head(self, request_id: str, body: bytes) -> RequestHead:
+    def head(self, request_id: str, body: bytes, priority: int) -> RequestHead:
         """Return the head of an upstream request with a body."""
         accept = b"text/event-stream" if self.stream else b"application/json"
         headers = [
             _JSON,
             (b"accept", accept),
             (b"content-length", b"%d" % len(body)),
+            (b"x-priority", b"%d" % priority),
         ]
         if self.handle:
             headers.append((b"x-kv-handle", self.handle.encode()))
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/handoff.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/handoff.py
@@ -63,6 +63,7 @@
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", b"%d" % len(plan.body)),
+        (b"x-priority", b"%d" % slot.priority),
     ]
     request_id = f"{call.record.request_id}.prefill"
     head = RequestHead("POST", PREFILL_TARGET, headers, request_id)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/models.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/models.py
@@ -84,7 +84,7 @@
     exchange = await open_answer(
         gateway,
         slot,
-        plan.head(call.dispatch_id, plan.body),
+        plan.head(call.dispatch_id, plan.body, slot.priority),
         plan.body,
         deadline,
         attempts,
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/queueing.py
@@ -9,6 +9,7 @@
 from camphorgate.requests.admission import PoolQueue, QueueBounds, Refusal
 from camphorgate.requests.fairness import FairOrder, service_of
 from camphorgate.requests.pacing import DispatchWindow
+from camphorgate.requests.priority import priority_of
 from camphorgate.requests.routing import Choice
 from camphorgate.requests.views import Dispatch, RequestView
 from camphorgated.ext.gateway.errors import GatewayError
@@ -28,7 +29,15 @@
 class Slot:
     """A place at an upstream; must be released."""
 
-    __slots__ = ("entry", "dispatch", "choice", "request", "given", "_admission")
+    __slots__ = (
+        "entry",
+        "dispatch",
+        "choice",
+        "request",
+        "given",
+        "priority",
+        "_admission",
+    )
 
     def __init__(
         self,
@@ -44,6 +53,8 @@
         self.request = request
         # Service that the request received here, from service_of.
         self.given = 0.0
+        # Where the request stands among those that wait inside the engine.
+        self.priority = 0
         self._admission = admission
 
     def first_token(self, now: float) -> None:
@@ -249,6 +260,7 @@
             choice = choices.pop()
             dispatch = self.upstreams.begin(choice.upstream, waiter.request)
             slot = Slot(self, choice, dispatch, waiter.request)
+            slot.priority = priority_of(pool.queue.fair.owed(waiter.request.workspace))
             pool.unserved_since = None
             if waiter.future.done():
                 slot.release()
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/streams.py
@@ -177,7 +177,7 @@
         resumed = self.tokens.tokens > 0
         if resumed:
             body = self._continuation() if elsewhere else body
-        head = self.plan.head(self._upstream_request_id, body)
+        head = self.plan.head(self._upstream_request_id, body, slot.priority)
         if resumed:
             last = b"%d" % self.tokens.last_id
             head.headers.append((b"last-event-id", last))
--- a/packages/camphorgate-standins/src/camphorgate_standins/engine.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/engine.py
@@ -24,6 +24,7 @@
     parse_options,
     run,
 )
+from camphorgate_standins.slots import PrioritySlots
 
 DEFAULT_MAX_TOKENS = 16
 KEPT_STREAMS = 1000
@@ -67,7 +68,7 @@
         "cancelled",
         "_cache",
         "_cache_events",
-        "_semaphore",
+        "_free_slots",
         "_unavailable_until",
         "_handles",
     )
@@ -101,7 +102,7 @@
         self.cancelled = 0
         self._cache: OrderedDict[str, int] = OrderedDict()
         self._cache_events: list[dict] = []
-        self._semaphore = asyncio.Semaphore(slots)
+        self._free_slots = PrioritySlots(slots)
         self._unavailable_until = 0.0
         self._handles: dict[str, str] = {}
 
@@ -155,7 +156,7 @@
     async def _plain(
         self, request: Request, model: str, prompt: str, count: int
     ) -> Response:
-        await self._admit(prompt)
+        await self._admit(request, prompt)
         try:
             await asyncio.sleep(self.token_seconds * count)
         finally:
@@ -177,7 +178,7 @@
     async def _stream(
         self, request: Request, model: str, prompt: str, first: int, count: int
     ):
-        await self._admit(prompt)
+        await self._admit(request, prompt)
         chat = request.url.path.endswith("chat/completions")
         finished = False
         try:
@@ -202,10 +203,11 @@
             self.faults.take("silent_after")
             await asyncio.sleep(3600)
 
-    async def _admit(self, prompt: str) -> None:
+    async def _admit(self, request: Request, prompt: str) -> None:
+        priority = int(request.headers.get("x-priority", 0))
         self.waiting += 1
         try:
-            await self._semaphore.acquire()
+            await self._free_slots.acquire(priority)
         finally:
             self.waiting -= 1
         self.running += 1
@@ -222,7 +224,7 @@
 
     def _release(self) -> None:
         self.running -= 1
-        self._semaphore.release()
+        self._free_slots.release()
 
     def _cache_prefix(self, prefix: str) -> None:
         if prefix not in self._cache:
@@ -273,7 +275,7 @@
     async def prefill(self, request: Request) -> JSONResponse:
         """Prefill a prompt and return a handle of its KV cache."""
         prompt = prompt_of(await request.json())
-        await self._admit(prompt)
+        await self._admit(request, prompt)
         self._release()
         handle = hashlib.sha256(prompt.encode()).hexdigest()[:24]
         self._handles[handle] = prompt[:PREFIX_CHARACTERS]
--- a/packages/camphorgate/src/camphorgate/requests/fairness.py
+++ b/packages/camphorgate/src/camphorgate/requests/fairness.py
@@ -119,6 +119,14 @@
         """
         return sorted(workspaces, key=lambda name: (self._share(name).virtual, name))
 
+    def owed(self, workspace: str) -> float:
+        """Return the service that a workspace lacks to reach the one chosen last.
+
+        :returns: weighted tokens, negative for a workspace that received more.
+        """
+        share = self._share(workspace)
+        return (self._floor - share.virtual) * share.weight
+
     def weight_of(self, workspace: str) -> float:
         """Return the weight of a workspace, 1 if the manifest names none."""
         return self._weight_of(workspace)
--- a/tests/test_gateway/test_thin.py
+++ b/tests/test_gateway/test_thin.py
@@ -1,6 +1,7 @@
 """The plain path: every route, the key check, and errors with codes."""
 
 from camphorgate_standins.engine import answer_text
+from tests.builders import KEYS_BY_WORKSPACE
 from tests.test_gateway.harness import (
     BEARER,
     GatewayTestCase,
@@ -23,6 +24,27 @@
         chat = await self.call("POST", "/v1/chat/completions", body=body)
         self.assertEqual(stream_text(chat.body)[0], expected)
 
+    async def test_engines_learn_the_priority_that_the_service_gives(self):
+        """Guards against a flood that goes first in engines, or callers that choose."""
+        fair = self.app.service("fairness").by_kind["engines"]
+        # A workspace that has never been served starts without a credit.
+        for workspace, service in (("north", 1), ("south", 6000), ("south", 6000)):
+            fair.enter(workspace)
+            fair.start(workspace, service, self.app.clock.monotonic())
+        cases = (("north", "0", "4"), ("south", "9", "0"))
+        for stream in (False, True):
+            for workspace, chosen, expected in cases:
+                headers = {
+                    "authorization": f"Bearer {KEYS_BY_WORKSPACE[workspace]}",
+                    "x-priority": chosen,
+                }
+                body = completion(stream=stream)
+                await self.call("POST", "/v1/completions", headers, body)
+                with self.subTest(workspace=workspace, stream=stream):
+                    sent = [e.requests.pop() for e in self.engines if e.requests]
+                    found = [request["headers"]["x-priority"] for request in sent]
+                    self.assertEqual(found, [expected])
+
     async def test_errors_carry_their_codes(self):
         """Guards against callers that cannot tell whether a request ran."""
         key, body = BEARER, completion()
