Poll only the upstreams in use, and not those that just answered

Cause: every instance polled the load of every upstream once a second; 4,400 workers would cost a node several cores. An answer brings the load report anyway. Change: upstreams outside the instance's subset are not polled; a report that came with an answer in the last 0.5 s stands for a poll.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
@@ -15,6 +15,8 @@
 POLL_JITTER = 0.25
 # Suspected upstreams are looked at more often, as their next probe may be due.
 SUSPECTED_POLL_SECONDS = 0.25
+# A report that came with an answer within this time stands for a poll.
+ANSWERED_SECONDS = 0.5
 TIMEOUT_SECONDS = 1.0
 MAX_REPORT_BYTES = 65536
 
@@ -42,7 +44,8 @@
         """Poll and probe."""
         await asyncio.sleep(self._random.uniform(0, POLL_SECONDS / 2))
         while True:
-            await self._read_load()
+            if self._needs_report():
+                await self._read_load()
             if self._table.due_probe(self._entry):
                 self._table.note_probe(self._entry, await self._probe())
             healthy = self._entry.view.health == "healthy"
@@ -50,6 +53,13 @@
             jitter = self._random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
             await asyncio.sleep(seconds * jitter)
 
+    def _needs_report(self) -> bool:
+        """Tell whether no answer has brought a load report lately."""
+        view = self._entry.view
+        return view.health != "healthy" or (
+            view.report_age(self._gateway.now()) >= ANSWERED_SECONDS
+        )
+
     async def _read_load(self) -> None:
         try:
             status, body = await self._ask("GET", b"/control/load")
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -249,7 +249,6 @@
             view.slots = upstream.slots
             entry = Entry(view, upstream.address, pool.kind)
             self.entries_by_id[upstream.id] = entry
-            entry.task = self._gateway.start_polling(entry)
         view = entry.view
         cheap = upstream.kind == "cheap"
         view.zone = upstream.availability_zone
@@ -313,6 +312,17 @@
                 for pool, views in views_by_pool.items()
             }
         self._views_by_pool = views_by_pool
+        self._poll_selected()
+
+    def _poll_selected(self) -> None:
+        """Poll the upstreams in use only; at the target size there are thousands."""
+        selected = {view.id for views in self._views_by_pool.values() for view in views}
+        for upstream_id, entry in self.entries_by_id.items():
+            if upstream_id in selected and entry.task is None:
+                entry.task = self._gateway.start_polling(entry)
+            elif upstream_id not in selected and entry.task is not None:
+                entry.task.cancel()
+                entry.task = None
 
     def _forget(self, upstream_id: str) -> None:
         entry = self.entries_by_id.pop(upstream_id)
