Read the engines' cache events

Cause: routing knew a prefix only from its own dispatches; the events that engines publish were not read, and their digests matched nothing. Engines are asked every 2 s only where there is evidence. Conclusion: evidence of other instances' dispatches is used now.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from camphorgate.requests.cache_events import CacheEvent, CacheEventLog
 from camphorgated.ext.gateway.errors import UpstreamFault
 from camphorgated.ext.gateway.exchange import RequestHead
 from camphorgated.ext.gateway.load import parse_load_body
@@ -19,14 +20,29 @@
 ANSWERED_SECONDS = 0.5
 TIMEOUT_SECONDS = 1.0
 MAX_REPORT_BYTES = 65536
+CACHE_EVENTS_SECONDS = 2.0
 
 Headers = list[tuple[bytes, bytes]]
 
 
+class _CacheEvents(msgspec.Struct):
+    """The answer of GET /control/cache-events; ``last`` is 0 if it is not told."""
+
+    events: list[CacheEvent] = []
+    last: int = 0
+
+
 class Poller:
     """Polls one upstream until it is cancelled."""
 
-    __slots__ = ("_gateway", "_table", "_entry", "_random")
+    __slots__ = (
+        "_gateway",
+        "_table",
+        "_entry",
+        "_random",
+        "_cache_log",
+        "_cache_read_at",
+    )
 
     def __init__(
         self, gateway: Any, table: UpstreamTable, entry: Entry, source: random.Random
@@ -39,6 +55,8 @@
         self._table = table
         self._entry = entry
         self._random = source
+        self._cache_log = CacheEventLog()
+        self._cache_read_at = gateway.now()
 
     async def run(self) -> None:
         """Poll and probe."""
@@ -46,6 +64,8 @@
         while True:
             if self._needs_report():
                 await self._read_load()
+            if self._needs_cache_events():
+                await self._read_cache_events()
             if self._table.due_probe(self._entry):
                 self._table.note_probe(self._entry, await self._probe())
             healthy = self._entry.view.health == "healthy"
@@ -71,6 +91,32 @@
             self._table.take_load(self._entry, report)
             self._table.on_room(self._entry.view.pool)
 
+    def _needs_cache_events(self) -> bool:
+        """Tell whether this process has evidence that events may correct."""
+        view = self._entry.view
+        passed = self._gateway.now() - self._cache_read_at
+        return (
+            passed >= CACHE_EVENTS_SECONDS
+            and view.health == "healthy"
+            and bool(view.prefix_seen_at_by_digest)
+        )
+
+    async def _read_cache_events(self) -> None:
+        """Take the cache events since the last time; a failure leaves a gap."""
+        self._cache_read_at = self._gateway.now()
+        target = b"/control/cache-events?after=%d" % self._cache_log.after
+        try:
+            status, body = await self._ask("GET", target)
+            answer = msgspec.json.decode(body, type=_CacheEvents)
+        except (UpstreamFault, msgspec.DecodeError):
+            return
+        if status != 200:
+            return
+        view = self._entry.view
+        if answer.last < self._cache_log.after:
+            self._cache_log.restart(view)
+        self._cache_log.take(view, answer.events, self._gateway.now())
+
     async def _probe(self) -> bool:
         """Send a small request of the system's own, so that no caller's is at risk."""
         model = self._table.probe_model(self._entry)
--- a/packages/camphorgate-standins/src/camphorgate_standins/engine.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/engine.py
@@ -13,6 +13,7 @@
 import time
 from collections import OrderedDict
 
+import xxhash
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
@@ -29,7 +30,8 @@
 DEFAULT_MAX_TOKENS = 16
 KEPT_STREAMS = 1000
 CACHED_PREFIXES = 64
-PREFIX_CHARACTERS = 64
+# The part of a prompt whose KV cache is kept, as cache events name it.
+PREFIX_CHARACTERS = 1024
 CHARACTERS_PER_TOKEN = 4
 
 
@@ -156,7 +158,7 @@
     async def _plain(
         self, request: Request, model: str, prompt: str, count: int
     ) -> Response:
-        await self._admit(request, prompt)
+        await self._admit(request, model, prompt)
         try:
             await asyncio.sleep(self.token_seconds * count)
         finally:
@@ -178,7 +180,7 @@
     async def _stream(
         self, request: Request, model: str, prompt: str, first: int, count: int
     ):
-        await self._admit(request, prompt)
+        await self._admit(request, model, prompt)
         chat = request.url.path.endswith("chat/completions")
         finished = False
         try:
@@ -203,7 +205,7 @@
             self.faults.take("silent_after")
             await asyncio.sleep(3600)
 
-    async def _admit(self, request: Request, prompt: str) -> None:
+    async def _admit(self, request: Request, model: str, prompt: str) -> None:
         priority = int(request.headers.get("x-priority", 0))
         self.waiting += 1
         try:
@@ -211,7 +213,7 @@
         finally:
             self.waiting -= 1
         self.running += 1
-        prefix = prompt[:PREFIX_CHARACTERS]
+        prefix = prefix_key(model, prompt)
         tokens = tokens_of(prompt)
         if prefix in self._cache:
             tokens = max(1, tokens // 10)
@@ -235,7 +237,7 @@
             self._add_cache_event("removed", self._cache.popitem(last=False)[0])
 
     def _add_cache_event(self, kind: str, prefix: str) -> None:
-        digest = hashlib.sha256(prefix.encode()).hexdigest()[:16]
+        digest = xxhash.xxh3_64_hexdigest(prefix.encode("utf-8", "replace"))
         sequence = len(self._cache_events) + 1
         self._cache_events.append({"seq": sequence, "kind": kind, "prefix": digest})
 
@@ -274,11 +276,12 @@
 
     async def prefill(self, request: Request) -> JSONResponse:
         """Prefill a prompt and return a handle of its KV cache."""
-        prompt = prompt_of(await request.json())
-        await self._admit(request, prompt)
+        body = await request.json()
+        model, prompt = body.get("model", ""), prompt_of(body)
+        await self._admit(request, model, prompt)
         self._release()
         handle = hashlib.sha256(prompt.encode()).hexdigest()[:24]
-        self._handles[handle] = prompt[:PREFIX_CHARACTERS]
+        self._handles[handle] = prefix_key(model, prompt)
         return JSONResponse({"handle": handle}, headers=self._headers(request))
 
     async def kv_export(self, request: Request) -> JSONResponse:
@@ -316,9 +319,10 @@
         )
 
     async def cache_events(self, request: Request) -> JSONResponse:
-        """Return cache events after a sequence number."""
+        """Return cache events after a sequence number, and the number of the last."""
         after = int(request.query_params.get("after", 0))
-        return JSONResponse({"events": self._cache_events[after : after + 500]})
+        events = self._cache_events[after : after + 500]
+        return JSONResponse({"events": events, "last": len(self._cache_events)})
 
     async def order(self, request: Request) -> JSONResponse:
         """Take an order; refuse old fencing numbers where that is honoured."""
@@ -366,6 +370,11 @@
         return JSONResponse({"leaving": seconds})
 
 
+def prefix_key(model: str, prompt: str) -> str:
+    """Return what the KV cache of a prompt's beginning is kept under."""
+    return f"{model}\0{prompt[:PREFIX_CHARACTERS]}"
+
+
 def prompt_of(body: dict) -> str:
     """Return the prompt of a chat or completion request as one text."""
     if "messages" in body:
--- a/tests/test_gateway/test_thin.py
+++ b/tests/test_gateway/test_thin.py
@@ -1,5 +1,9 @@
 """The plain path: every route, the key check, and errors with codes."""
 
+import json
+
+from starlette.requests import Request
+
 from camphorgate_standins.engine import answer_text
 from tests.builders import KEYS_BY_WORKSPACE
 from tests.test_gateway.harness import (
@@ -45,6 +49,19 @@
                     found = [request["headers"]["x-priority"] for request in sent]
                     self.assertEqual(found, [expected])
 
+    async def test_cache_events_name_prefixes_as_routing_does(self):
+        """Guards against events whose digests match nothing that routing knows."""
+        await self.complete()
+        views = self.app.service("upstreams").views("models")
+        noted = {d for view in views for d in view.prefix_seen_at_by_digest}
+        answers = [
+            await engine.cache_events(Request({"type": "http", "query_string": b""}))
+            for engine in self.engines
+        ]
+        events = [e for a in answers for e in json.loads(a.body)["events"]]
+        self.assertEqual({event["prefix"] for event in events}, noted)
+        self.assertEqual(len(noted), 1)
+
     async def test_errors_carry_their_codes(self):
         """Guards against callers that cannot tell whether a request ran."""
         key, body = BEARER, completion()
