--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -69,16 +69,12 @@
                 "platform", "camphorgate_standins.platform", "--address", self.platform
             ),
         ]
-        wait_for(lambda: self.calls() is not None)
-        wait_for(lambda: call(self.platform, "/instances"))
-        for number in range(count):
-            entry = {"id": f"i-{number:02}", "zone": ZONES[number % len(ZONES)]}
-            entry |= {"address": self.peers[number], "state": "live"}
-            call(self.platform, "/control/instances", json.dumps(entry).encode())
-        self._extensions = extensions
-        self.processes = [self._start(n, extensions) for n in range(count)]
-        for number in range(count):
-            self._wait_for(number)
+        self.processes: list[subprocess.Popen] = []
+        try:
+            self._start_all(count, extensions)
+        except BaseException:
+            self.close()
+            raise
 
     @property
     def pids(self) -> list[int]:
@@ -150,6 +146,18 @@
     def _wait_for(self, number: int) -> None:
         wait_for(lambda: call(self.admins[number], "/admin/status"))
 
+    def _start_all(self, count: int, extensions: tuple[str, ...]) -> None:
+        wait_for(lambda: self.calls() is not None)
+        wait_for(lambda: call(self.platform, "/instances"))
+        for number in range(count):
+            entry = {"id": f"i-{number:02}", "zone": ZONES[number % len(ZONES)]}
+            entry |= {"address": self.peers[number], "state": "live"}
+            call(self.platform, "/control/instances", json.dumps(entry).encode())
+        for number in range(count):
+            self.processes.append(self._start(number, extensions))
+        for admin in self.admins:
+            wait_for(lambda admin=admin: call(admin, "/admin/status"))
+
     def _start(self, number: int, extensions: tuple[str, ...]) -> subprocess.Popen:
         name = f"i-{number:02}"
         settings = {
