--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -203,7 +203,8 @@
         mean, others = _work_of_others(candidates, now)
         waits = self._wait_seconds(candidates, mean, others, now)
         bound = AFFINITY_LOAD_BOUND * sum(waits) / len(waits) + AFFINITY_SLACK_SECONDS
-        # No cost is below the wait, unless a prefix is longer than its prompt.
+        # No cost is below the wait unless a prefix is longer than its prompt, as the
+        # declared costs of upstreams are not negative.
         bounded = request.prefix_tokens <= request.prompt_tokens
         best = None
         for upstream, wait in zip(candidates, waits, strict=True):
