Bound the polls of an instance and favour its own zone

Cause: with 19 pools in 17 zones the subset of 8 per zone and pool is over half of 4,400 workers, each polled once a second. Change: beyond 16 instances an instance uses 8 upstreams of its own zone and one of each other zone per pool, and makes at most 20 polls a second whatever their number; today's sizes keep one poll a second each. The manifest's costs must not be negative, on which routing relies. The engine stand-in's texts are a module. After: at 17 zones of 14 workers a subset has 24 instead of 136 upstreams (test).

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
@@ -14,6 +14,9 @@
 
 POLL_SECONDS = 1.0
 POLL_JITTER = 0.25
+# Bound on the polls of a process: 20 a second cost it about half a percent of a core.
+# Answers bring the reports of the upstreams that are busy.
+MAX_POLLS_PER_SECOND = 20.0
 # Suspected upstreams are looked at more often, as their next probe may be due.
 SUSPECTED_POLL_SECONDS = 0.25
 # A report that came with an answer within this time stands for a poll.
@@ -69,10 +72,13 @@
             if self._table.due_probe(self._entry):
                 self._table.note_probe(self._entry, await self._probe())
             healthy = self._entry.view.health == "healthy"
-            seconds = POLL_SECONDS if healthy else SUSPECTED_POLL_SECONDS
+            seconds = self._poll_seconds() if healthy else SUSPECTED_POLL_SECONDS
             jitter = self._random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
             await asyncio.sleep(seconds * jitter)
 
+    def _poll_seconds(self) -> float:
+        return max(POLL_SECONDS, self._table.polled / MAX_POLLS_PER_SECOND)
+
     def _needs_report(self) -> bool:
         """Tell whether no answer has brought a load report lately."""
         view = self._entry.view
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/upstreams.py
@@ -17,7 +17,9 @@
 
 # Above this many instances each one uses a subset of the upstreams.
 SUBSET_ABOVE_INSTANCES = 16
-SUBSET_PER_ZONE = 8
+SUBSET_OWN_ZONE = 8
+# Enough to find room elsewhere; two failures at once leave the other zones.
+SUBSET_OTHER_ZONE = 1
 
 
 class Entry:
@@ -60,6 +62,7 @@
         "_boards_by_pool",
         "_probe_models_by_pool",
         "_random",
+        "polled",
     )
 
     def __init__(self, gateway: Any) -> None:
@@ -76,6 +79,8 @@
         self._boards_by_pool: dict[str, HealthBoard] = {}
         self._probe_models_by_pool: dict[str, str] = {}
         self._random = random.Random(gateway.settings.seed or None)
+        # How many upstreams are polled; sets how often each one is.
+        self.polled = 0
 
     def views(self, pool: str) -> list[UpstreamView]:
         """Return the upstreams of a pool that this process uses."""
@@ -306,9 +311,15 @@
         for entry in self.entries_by_id.values():
             views_by_pool.setdefault(entry.view.pool, []).append(entry.view)
         if self._gateway.instances > SUBSET_ABOVE_INSTANCES:
-            instance_id = self._gateway.settings.instance_id
+            settings = self._gateway.settings
             views_by_pool = {
-                pool: subset(views, instance_id, SUBSET_PER_ZONE)
+                pool: subset(
+                    views,
+                    settings.instance_id,
+                    SUBSET_OWN_ZONE,
+                    settings.availability_zone,
+                    SUBSET_OTHER_ZONE,
+                )
                 for pool, views in views_by_pool.items()
             }
         self._views_by_pool = views_by_pool
@@ -317,6 +328,7 @@
     def _poll_selected(self) -> None:
         """Poll the upstreams in use only; at the target size there are thousands."""
         selected = {view.id for views in self._views_by_pool.values() for view in views}
+        self.polled = len(selected)
         for upstream_id, entry in self.entries_by_id.items():
             if upstream_id in selected and entry.task is None:
                 entry.task = self._gateway.start_polling(entry)
--- a/packages/camphorgate/src/camphorgate/manifest_check.py
+++ b/packages/camphorgate/src/camphorgate/manifest_check.py
@@ -258,6 +258,9 @@
             yield f"{path}.capacity.cheap_share", "must lie between 0 and 1"
         if not 0 <= capacity.minimum <= capacity.maximum:
             yield f"{path}.capacity.minimum", "must lie between 0 and the maximum"
+        for name in ("ordinary_cost", "cheap_cost", "provisioning_seconds"):
+            if not 0 <= getattr(capacity, name) < float("inf"):
+                yield f"{path}.capacity.{name}", "must not be negative"
         for name in ("prefill_tokens_per_second", "decode_tokens_per_second"):
             if not 0 < getattr(pool, name) < float("inf"):
                 yield f"{path}.{name}", "must be a positive number"
--- a/packages/camphorgate/src/camphorgate/requests/routing.py
+++ b/packages/camphorgate/src/camphorgate/requests/routing.py
@@ -99,15 +99,22 @@
 
 
 def subset(
-    upstreams: Sequence[UpstreamView], instance_id: str, per_zone: int
+    upstreams: Sequence[UpstreamView],
+    instance_id: str,
+    per_zone: int,
+    zone: str = "",
+    per_other_zone: int | None = None,
 ) -> list[UpstreamView]:
     """Return the upstreams that an instance uses when there are many.
 
     Each zone contributes those with the highest rendezvous weight, so that a change
     of one upstream changes the subsets of few instances.
 
-    :param per_zone: how many of each zone.
+    :param per_zone: how many of the instance's own zone.
+    :param zone: the instance's own zone.
+    :param per_other_zone: how many of each other zone, ``per_zone`` by default.
     """
+    others = per_zone if per_other_zone is None else per_other_zone
     ranked = sorted(
         upstreams, key=lambda item: -_rendezvous_weight(instance_id, item.id)
     )
@@ -115,7 +122,7 @@
     chosen = []
     for upstream in ranked:
         taken = count_by_zone.get(upstream.zone, 0)
-        if taken < per_zone:
+        if taken < (per_zone if upstream.zone == zone else others):
             count_by_zone[upstream.zone] = taken + 1
             chosen.append(upstream)
     return chosen
--- a/tests/test_gateway/test_invariants.py
+++ b/tests/test_gateway/test_invariants.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from camphorgate_standins.engine import answer_text
+from camphorgate_standins.tokens import answer_text
 from tests.test_gateway.harness import BEARER, Caller, GatewayTestCase, stream_text
 
 SECONDS = 2.0
--- a/tests/test_gateway/test_streams.py
+++ b/tests/test_gateway/test_streams.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from camphorgate_standins.engine import answer_text
+from camphorgate_standins.tokens import answer_text
 from camphorgated.ext.gateway.errors import UpstreamFault
 from camphorgated.ext.gateway.events import TokenStream
 from tests.test_gateway.harness import (
--- a/tests/test_gateway/test_thin.py
+++ b/tests/test_gateway/test_thin.py
@@ -4,7 +4,7 @@
 
 from starlette.requests import Request
 
-from camphorgate_standins.engine import answer_text
+from camphorgate_standins.tokens import answer_text
 from tests.builders import KEYS_BY_WORKSPACE
 from tests.test_gateway.harness import (
     BEARER,
--- a/tests/test_kernel/test_manifest.py
+++ b/tests/test_kernel/test_manifest.py
@@ -60,6 +60,13 @@
         ).decode()
         self.assertIn("$.workspaces.1.key_digests.0", _problems(text))
 
+    def test_a_negative_cost_is_refused(self):
+        """Guards against routing that prefers an upstream for a cost below zero."""
+        text = msgspec.json.encode(build_manifest()).decode()
+        broken = text.replace('"cheap_cost":0.35', '"cheap_cost":-1', 1)
+        self.assertNotEqual(broken, text)
+        self.assertEqual(set(_problems(broken)), {"$.pools.0.capacity.cheap_cost"})
+
     def test_text_that_is_not_json_names_its_line(self):
         """Guards against a parser error without a place."""
         self.assertEqual(_problems("{\n  a: [1,\n"), {"$": 3})
--- a/tests/test_requests/test_decisions.py
+++ b/tests/test_requests/test_decisions.py
@@ -90,6 +90,17 @@
             used |= {item.id for item in chosen}
         self.assertEqual(len(used), 80)
 
+    def test_a_subset_favours_the_own_zone(self):
+        """Guards against thousands of polls from each instance of a large system."""
+        views = [
+            UpstreamView(id=f"u{number}", pool="p", zone=f"zone-{number % 17}")
+            for number in range(17 * 14)
+        ]
+        chosen = subset(views, "gateway-1", 8, "zone-3", 1)
+        own = [item for item in chosen if item.zone == "zone-3"]
+        self.assertEqual((len(own), len(chosen)), (8, 24))
+        self.assertEqual(len({item.zone for item in chosen}), 17)
+
     def test_equal_upstreams_share_the_work_for_a_long_time(self):
         """Guards against a counter that wraps and against a favoured upstream."""
         views = build_views()
