--- a/tests/test_gateway/test_golden.py
+++ b/tests/test_gateway/test_golden.py
@@ -1,15 +1,17 @@
-"""Whole sessions, compared with the files under tests/golden/gateway.
+"""Whole sessions, compared with the approved files under tests/golden/gateway.
 
-``UPDATE_GOLDEN=1 python -m tests test_golden`` writes the files anew; read the
-difference before committing it.
+A difference leaves a ``.received.txt`` beside the approved file; read it before
+renaming it to ``.approved.txt``.
 """
 
 import asyncio
-import os
 import re
 from pathlib import Path
 
 import msgspec
+from approvaltests import Options, verify
+from approvaltests.namer.cli_namer import CliNamer
+from approvaltests.reporters.python_native_reporter import PythonNativeReporter
 
 from tests.test_gateway.harness import BEARER, Caller, GatewayTestCase, completion
 
@@ -92,11 +94,9 @@
             connection.close()
 
     def _compare(self, name):
-        path = FOLDER / f"{name}.txt"
-        text = self.transcript.text()
-        if os.environ.get("UPDATE_GOLDEN"):
-            path.write_text(text, encoding="utf-8")
-        self.assertEqual(path.read_text(encoding="utf-8"), text)
+        options = Options().with_namer(CliNamer(str(FOLDER / name)))
+        options = options.with_reporter(PythonNativeReporter())
+        verify(self.transcript.text(), options=options)
 
     async def test_streamed_answer(self):
         """Guards against any unintended change of a streamed answer."""
