--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -155,8 +155,8 @@
             call(self.platform, "/control/instances", json.dumps(entry).encode())
         for number in range(count):
             self.processes.append(self._start(number, extensions))
-        for admin in self.admins:
-            wait_for(lambda admin=admin: call(admin, "/admin/status"))
+        for number in range(count):
+            self._wait_for(number)
 
     def _start(self, number: int, extensions: tuple[str, ...]) -> subprocess.Popen:
         name = f"i-{number:02}"
