--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -4,6 +4,8 @@
 """
 
 import faulthandler
+import logging
+import os
 import sys
 import unittest
 from pathlib import Path
@@ -35,6 +37,17 @@
     return cases
 
 
+def _quieten() -> None:
+    """Keep the output to the results.
+
+    Tests run asyncio in debug mode, which warns of each slow step of a busy machine,
+    and gRPC tells of connections that a test breaks on purpose.
+    """
+    configure_logging("CRITICAL")
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
+
+
 def _failed_tests(result: unittest.TestResult) -> set[str]:
     """Return the tests that failed; several subtests of one count once."""
     cases = [case for case, _ in result.failures + result.errors]
@@ -46,7 +59,7 @@
     """Run the tests and return the exit code."""
     faulthandler.dump_traceback_later(RUN_SECONDS, exit=True)
     sys.path.insert(0, str(ROOT))
-    configure_logging("CRITICAL")
+    _quieten()
     pattern = sys.argv[1] if len(sys.argv) > 1 else ""
     suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=ROOT)
     cases = [case for case in _flatten(suite) if pattern in case.id()]
