Show the backlog in the status and usage in the report, as the pages say

Cause: the read-through found that status and report asked services for methods that most did not have, and left these sections out in silence: no backlog in camphorgate status, no usage or duties in camphorgate report, although the pages and the command's help promise them. The daemon's default list also skipped extensions that do not exist, a left-over of building the parts one by one. Change: each section names the method that tells; a service without it is an error instead of a gap; a missing extension is an error. An instance without duties is shown as such.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
@@ -98,10 +98,11 @@
             status["version"] = configuration.version
             status["fresh"] = configuration.fresh()
             status["instances"] = self._instances()
-        for name in ("duties", "gateway", "kv", "usage", "fleet", "claims"):
-            service = app.service(name) if app.has_service(name) else None
-            if hasattr(service, "status"):
-                status[name] = service.status()
+        if app.has_service("gateway"):
+            status["backlog"] = app.service("gateway").counters()["queues"]
+        for name in ("duties", "claims"):
+            if app.has_service(name):
+                status[name] = app.service(name).status()
         return status
 
     def _instances(self) -> list[dict[str, Any]]:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/report.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/report.py
@@ -26,8 +26,8 @@
 HOUR_SECONDS = 3600.0
 COLLECT_SECONDS = 3.0
 
-# Services whose status is shown per instance in the report.
-_SECTIONS = ("usage", "fleet", "duties")
+# Services that are shown per instance in the report, with the method that tells.
+_METHODS_BY_SERVICE = {"usage": "dump", "fleet": "report", "duties": "status"}
 
 
 class InstancePart(msgspec.Struct):
@@ -122,10 +122,9 @@
 
     def _sections(self) -> dict[str, Any]:
         sections = {}
-        for name in _SECTIONS:
-            service = self._app.service(name) if self._app.has_service(name) else None
-            if hasattr(service, "report"):
-                sections[name] = service.report()
+        for name, method in _METHODS_BY_SERVICE.items():
+            if self._app.has_service(name):
+                sections[name] = getattr(self._app.service(name), method)()
         return sections
 
 
@@ -140,8 +139,7 @@
     sections: dict[str, dict[str, Any]] = {}
     for part in parts:
         for name, section in part.sections.items():
-            if section:
-                sections.setdefault(name, {})[part.instance] = section
+            sections.setdefault(name, {})[part.instance] = section
     return {
         "instances": {part.instance: part.version for part in parts},
         "instances_without_answer": missing,
--- a/packages/camphorgate-daemon/src/camphorgated/main.py
+++ b/packages/camphorgate-daemon/src/camphorgated/main.py
@@ -45,7 +45,7 @@
     :raises ExtensionError: if the settings name one that does not exist.
     """
     if not settings.extensions:
-        return [f"{_PACKAGE}.{name}" for name in _EXTENSIONS if _exists(name)]
+        return [f"{_PACKAGE}.{name}" for name in _EXTENSIONS]
     missing = [name for name in settings.extensions if not _exists(name)]
     if missing:
         raise ExtensionError(f"no such extension: {', '.join(missing)}")
--- a/tests/test_system/test_processes.py
+++ b/tests/test_system/test_processes.py
@@ -152,6 +152,18 @@
         self.assertEqual(set(report["instances"]), set(ZONES_BY_DAEMON))
         self.assertEqual(report["instances_without_answer"], [])
         self.assertGreaterEqual(report["last_hour"]["requests"], 2)
+        for section in ("usage", "fleet", "duties"):
+            self.assertEqual(set(report[section]), set(ZONES_BY_DAEMON), section)
+
+    def test_the_status_shows_the_backlog_and_the_duties(self):
+        """Guards against a queue that grows unseen."""
+        self._ask(self._connect(0), "demo-key-north")
+        status = self._command("status")[1]
+        self.assertLessEqual(
+            {"depth", "oldest_age_seconds", "growing_for_seconds"},
+            set(status["backlog"]["ordering"]),
+        )
+        self.assertIn("duties", status)
 
 
 class DemoTests(unittest.TestCase):
