--- a/packages/camphorgate-daemon/src/camphorgated/main.py
+++ b/packages/camphorgate-daemon/src/camphorgated/main.py
@@ -12,7 +12,8 @@
 from camphorgate.application import Application
 from camphorgate.errors import CamphorgateError, ExtensionError
 from camphorgate.log import configure_logging, log_event
-from camphorgate.settings import Settings, read_settings
+from camphorgate.serving.settings import HostedSettings, check_hosted_settings
+from camphorgate.settings import Settings, check_settings, read_settings_data
 
 _EXTENSIONS = (
     "kv",
@@ -82,6 +83,29 @@
     log_event("stopped", instance=settings.instance_id)
 
 
+def load_settings(path: str) -> Settings | HostedSettings:
+    """Read and check settings; those that name an adapter are of a hosted daemon.
+
+    :raises SettingsError: if they cannot be read or are wrong.
+    """
+    data = read_settings_data(path)
+    if isinstance(data, dict) and "adapter" in data:
+        return check_hosted_settings(data, path)
+    return check_settings(data, path)
+
+
+def run_hosted(settings: HostedSettings, path: str) -> None:
+    """Run a daemon that a platform hosts."""
+    # Imported here, as a daemon of the other kind needs none of it.
+    from camphorgated.serving import daemon
+
+    async def run() -> None:
+        tune_garbage_collection()
+        await daemon.run(settings, lambda: load_settings(path))
+
+    uvloop.run(run())
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the program.
 
@@ -98,11 +122,16 @@
     )
     options = parser.parse_args(arguments)
     try:
-        settings = read_settings(options.settings)
-        extension_names(settings)
+        settings = load_settings(options.settings)
+        hosted = isinstance(settings, HostedSettings)
+        if not hosted:
+            extension_names(settings)
         if options.check_settings:
             print(f"{options.settings}: the settings are valid")
             return EXIT_OK
+        if hosted:
+            run_hosted(settings, options.settings)
+            return EXIT_OK
         configure_logging(settings.log_level)
         uvloop.run(run_daemon(settings))
     except (CamphorgateError, OSError) as error:
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -0,0 +1,161 @@
+"""Requests to plain services: whole bodies, least predicted wait, careful repeats.
+
+Provides ``calls``.
+"""
+
+from camphorgate.application import Application
+from camphorgate.serving.catalog import Kind, Stage, Upstream
+from camphorgate.serving.tries import Tries
+from camphorgated.serving.errors import ExchangeError
+from camphorgated.serving.front import Job
+from camphorgated.serving.statistics import job_fields, log_try
+
+# A repeatable request is given to another upstream after this many times its target.
+PATIENCE_TARGETS = 3.0
+LEAST_PATIENCE_SECONDS = 0.3
+# Sends that end before anything left are repeated at most this often.
+MOST_CONNECTS = 4
+# Callers are told to return after this part of the target of their route.
+RETURN_TARGETS = 1.0
+
+
+class Calls:
+    """Leads requests of plain services to their answers."""
+
+    __slots__ = ("_app", "_dialect", "_upstreams", "_gossip")
+
+    def __init__(self, app: Application) -> None:
+        """Use the shared state of the upstreams."""
+        self._app = app
+        self._dialect = app.service("dialect")
+        self._upstreams = app.service("upstreams")
+        self._gossip = app.service("gossip")
+
+    async def run(self, job: Job) -> None:
+        """Answer a request."""
+        clock = self._app.clock
+        upstreams = self._upstreams
+        tries = Tries(job.route.repeatable(), job.route.attempts)
+        upstreams.budget(job.service).note_request(clock.monotonic())
+        tried: set[str] = set()
+        unsent = 0
+        counted = False
+        while True:
+            now = clock.monotonic()
+            reason = self._why_not(job, tries, unsent, now)
+            if reason is None:
+                found = upstreams.candidates(job.service, tried)
+                choice = upstreams.placement.for_call(found, now)
+                if choice is None:
+                    reason = "no_upstream"
+            if reason is not None:
+                self._give_up(job, tries, reason)
+                return
+            if job.caller.left:
+                return
+            upstream = choice.upstream
+            tried.add(upstream.id)
+            try:
+                done = await self._try(job, tries, upstream)
+            except ExchangeError as error:
+                tries.failed(error.stage)
+                unsent += error.stage is Stage.NOT_SENT
+                upstreams.health.of(upstream.boot).failed(clock.monotonic())
+                log_try(job, upstream, error.cause, error.stage)
+                ran = error.stage is Stage.SENT and error.cause != "stale"
+            else:
+                ran = tries.may_have_run
+                if done:
+                    self._count(job, counted)
+                    return
+            if ran:
+                self._count(job, counted)
+                counted = True
+
+    def _count(self, job: Job, counted: bool) -> None:
+        if job.workspace is not None and not counted:
+            self._gossip.usage.count(job.workspace.name, self._gossip.true_now())
+
+    def _why_not(self, job: Job, tries: Tries, unsent: int, now: float) -> str | None:
+        """Return why the request is not sent (again)."""
+        if job.left(now) <= 0:
+            return "deadline"
+        if not tries.may_send():
+            return "attempts"
+        if unsent >= MOST_CONNECTS:
+            return "no_connection"
+        if not tries.granted and not self._upstreams.take_repeat(job.service):
+            return "budget"
+        tries.granted = True
+        return None
+
+    async def _try(self, job: Job, tries: Tries, upstream: Upstream) -> bool:
+        """Send the request once.
+
+        :returns: whether the caller has its answer.
+        """
+        clock = self._app.clock
+        upstreams = self._upstreams
+        sure = not job.route.repeatable()
+        most = upstreams.most_connections(job.service)
+        upstreams.loads.begin(upstream.id, 0, False)
+        try:
+            async with upstreams.exchange(upstream) as exchange:
+                await exchange.open(most, sure)
+                now = clock.monotonic()
+                headers = self._dialect.upstream_headers(
+                    job.request, upstream.id, job.workspace_name, job.left(now)
+                )
+                tries.sending()
+                request = job.request
+                exchange.send(request.method, request.target, headers, request.body)
+                seconds = self._patience(job, tries, now)
+                facts = await exchange.read_head(job.facts.attempt, seconds)
+                body = await exchange.read_body(max(0.01, job.left(clock.monotonic())))
+        finally:
+            upstreams.loads.end(upstream.id)
+        health = upstreams.health.of(upstream.boot)
+        if facts.stage is Stage.REFUSED:
+            tries.failed(Stage.REFUSED)
+            if facts.wrong_upstream:
+                health.failed(clock.monotonic())
+            else:
+                health.answered_badly()
+            log_try(job, upstream, f"refused_{facts.status}", Stage.REFUSED)
+            return False
+        if not facts.stamped and facts.status < 500:
+            raise ExchangeError("the answer has no stamp", Stage.SENT, "unstamped")
+        tries.ran()
+        if facts.status >= 500:
+            health.answered_badly()
+            log_try(job, upstream, f"failed_{facts.status}", Stage.SENT)
+            if self._why_not(job, tries, 0, clock.monotonic()) is None:
+                return False
+        else:
+            health.succeeded()
+        headers = self._dialect.caller_headers(exchange.headers)
+        job.caller.whole(facts.status, headers, body)
+        return True
+
+    def _patience(self, job: Job, tries: Tries, now: float) -> float:
+        """Return how long to wait for an answer."""
+        left = max(0.01, job.left(now))
+        if job.route.kind is not Kind.IDEMPOTENT or not tries.may_send():
+            return left
+        patience = job.route.target_seconds * PATIENCE_TARGETS
+        return min(left, max(LEAST_PATIENCE_SECONDS, patience))
+
+    def _give_up(self, job: Job, tries: Tries, reason: str) -> None:
+        caller = job.caller
+        if caller.begun:
+            return
+        if tries.may_have_run:
+            caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
+        else:
+            caller.refuse(503, reason, job.route.target_seconds * RETURN_TARGETS)
+        self._app.service("statistics").refused(job, reason, **job_fields(job))
+
+
+def setup(app: Application) -> None:
+    """Provide the calls."""
+    app.provide("calls", Calls(app))
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -0,0 +1,261 @@
+"""Follows the platform's configuration and list of upstreams.
+
+Provides ``directory``. Both are also taken from peers, for instances that the store
+turns away.
+"""
+
+import asyncio
+import random
+
+from camphorgate.application import Application
+from camphorgate.kv.errors import KvError
+from camphorgate.kv.records import WatchBatch
+from camphorgate.log import log_event
+from camphorgate.serving.catalog import Catalog, Upstream
+from camphorgate.serving.errors import CatalogError
+from camphorgate.serving.upstream_table import UpstreamTable
+
+# Pause before a broken watch is opened again; doubles up to the longest.
+FIRST_RETURN_SECONDS = 0.1
+LONGEST_RETURN_SECONDS = 1.0
+SETTLE_SECONDS = 0.25
+# A peer may be ahead by the spread of one change before the own watch is in doubt.
+BEHIND_SECONDS = 0.5
+
+
+class Directory:
+    """The configuration in force and the upstreams, as this instance knows them."""
+
+    __slots__ = (
+        "catalog",
+        "table",
+        "own_entries_by_key",
+        "store_sound_since",
+        "own_prefix",
+        "_app",
+        "_dialect",
+        "_store",
+        "_failing",
+        "_watch_tasks",
+        "_random",
+        "_behind_since",
+    )
+
+    def __init__(self, app: Application, own_prefix: str) -> None:
+        """Start without knowledge.
+
+        :param own_prefix: of the keys that the instances themselves write.
+        """
+        self.catalog: Catalog | None = None
+        self.table = UpstreamTable()
+        self.own_entries_by_key: dict = {}
+        self.store_sound_since: float | None = None
+        self.own_prefix = own_prefix
+        self._app = app
+        self._dialect = app.service("dialect")
+        self._store = app.service("store")
+        self._failing: set[str] = {"start"}
+        self._watch_tasks: dict[str, asyncio.Task] = {}
+        self._random = random.Random()
+        self._behind_since: float | None = None
+
+    @property
+    def sound(self) -> bool:
+        """Tell whether the store answers this instance's watches."""
+        return self.store_sound_since is not None
+
+    async def start(self) -> None:
+        """Start the watches."""
+        self._failing = set(self._handlers())
+        for prefix in self._handlers():
+            self._start_watch(prefix)
+        self._app.spawn(self._settle(), "directory settle")
+
+    def _handlers(self) -> dict:
+        return {
+            self._dialect.configuration_prefix: self._take_configuration,
+            self._dialect.upstream_prefix: self._take_upstreams,
+            self.own_prefix: self._take_own,
+        }
+
+    def _start_watch(self, prefix: str) -> None:
+        task = self._app.spawn(self._follow(prefix), f"watch {prefix}")
+        self._watch_tasks[prefix] = task
+
+    def restart_watches(self, reason: str) -> None:
+        """Open every watch anew, as its connection may have gone silent."""
+        log_event("watches_reopened", level="WARNING", reason=reason)
+        for prefix, task in list(self._watch_tasks.items()):
+            task.cancel()
+            self._start_watch(prefix)
+
+    def service_upstreams(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that take new requests."""
+        return self.table.usable(service)
+
+    def take_catalog(self, raw: bytes, source: str) -> None:
+        """Take a configuration if it is newer than the one in force.
+
+        :param source: where it comes from, for the log.
+        """
+        try:
+            catalog = self._dialect.decode_catalog(raw)
+        except CatalogError as error:
+            log_event("configuration_unreadable", level="ERROR", error=error.message)
+            return
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return
+        self.catalog = catalog
+        log_event("configuration_in_force", version=catalog.version, source=source)
+        self._app.emit("catalog-changed", catalog)
+
+    def take_peer_upstreams(
+        self, upstreams: list[Upstream], revision: int, peer: str
+    ) -> None:
+        """Take the list of a peer that the store serves."""
+        before = self.table.digest()
+        self.table.replace(upstreams, revision, self._app.clock.monotonic(), True)
+        if self.table.digest() != before:
+            log_event("upstreams_from_peer", peer=peer, revision=revision)
+            self._app.emit("upstreams-changed")
+
+    def peer_ahead(self, ahead: bool) -> None:
+        """Note whether a peer knows a newer configuration than this instance."""
+        now = self._app.clock.monotonic()
+        if not ahead:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since > BEHIND_SECONDS and self.sound:
+            self._behind_since = now
+            self.restart_watches("a peer knows a newer version")
+
+    async def _follow(self, prefix: str) -> None:
+        handler = self._handlers()[prefix]
+        delay = FIRST_RETURN_SECONDS
+        while True:
+            try:
+                async for batch in self._store.watch(prefix):
+                    self._watch_works(prefix)
+                    delay = FIRST_RETURN_SECONDS
+                    handler(batch)
+            except KvError as error:
+                self._watch_fails(prefix, error.message)
+            await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
+            delay = min(LONGEST_RETURN_SECONDS, delay * 2)
+
+    def _watch_works(self, prefix: str) -> None:
+        self._failing.discard(prefix)
+        if not self._failing and self.store_sound_since is None:
+            self.store_sound_since = self._app.clock.monotonic()
+            log_event("store_regained")
+
+    def _watch_fails(self, prefix: str, message: str) -> None:
+        self._failing.add(prefix)
+        if self.store_sound_since is not None:
+            self.store_sound_since = None
+            log_event("store_lost", level="WARNING", watch=prefix, error=message)
+
+    def _take_configuration(self, batch: WatchBatch) -> None:
+        for entry in batch.entries:
+            if entry.key == self._dialect.configuration_key:
+                self.take_catalog(entry.value, "store")
+
+    def _take_upstreams(self, batch: WatchBatch) -> None:
+        now = self._app.clock.monotonic()
+        # After an outage, the first complete list lacks entries that come back.
+        sound = self.sound and now - self.store_sound_since > SETTLE_SECONDS
+        found = []
+        for entry in batch.entries:
+            try:
+                found.append(self._dialect.decode_upstream(entry))
+            except CatalogError as error:
+                log_event("upstream_entry_skipped", error=error.message)
+                upstream_id = self._dialect.upstream_id(entry.key)
+                if not batch.complete:
+                    self.table.remove(upstream_id, entry.mod_revision, now, sound)
+        if batch.complete:
+            self.table.replace(found, batch.revision, now, sound)
+        else:
+            self._apply(found, batch, now, sound)
+        self.table.revision = max(self.table.revision, batch.revision)
+        if batch.entries or batch.deleted or batch.complete:
+            self._app.emit("upstreams-changed")
+
+    def _apply(
+        self, found: list[Upstream], batch: WatchBatch, now: float, sound: bool
+    ) -> None:
+        for upstream in found:
+            known = self.table.by_id.get(upstream.id)
+            if self.table.put(upstream) and (
+                known is None
+                or known.leaving != upstream.leaving
+                or known.phase != upstream.phase
+            ):
+                log_event(
+                    "upstream_listed",
+                    upstream=upstream.id,
+                    service=upstream.service,
+                    address=upstream.address,
+                    zone=upstream.zone,
+                    leaving=upstream.leaving,
+                    phase=upstream.phase.value if upstream.phase else None,
+                    cheap=upstream.cheap,
+                    revision=upstream.revision,
+                )
+        for key, revision in batch.deleted:
+            upstream_id = self._dialect.upstream_id(key)
+            log_event("upstream_unlisted", upstream=upstream_id, sound=sound)
+            self.table.remove(upstream_id, revision, now, sound)
+
+    def _take_own(self, batch: WatchBatch) -> None:
+        if batch.complete:
+            self.own_entries_by_key.clear()
+        for entry in batch.entries:
+            self.own_entries_by_key[entry.key] = entry
+        for key, _ in batch.deleted:
+            self.own_entries_by_key.pop(key, None)
+        self._app.emit("own-entries-changed")
+
+    async def _settle(self) -> None:
+        while True:
+            await asyncio.sleep(SETTLE_SECONDS)
+            now = self._app.clock.monotonic()
+            dropped = self.table.settle(now, self.store_sound_since)
+            if dropped:
+                log_event("upstreams_gone_after_outage", upstreams=",".join(dropped))
+                self._app.emit("upstreams-changed")
+
+    def dump(self) -> dict:
+        """Return the state for the operators."""
+        return {
+            "version": self.catalog.version if self.catalog else None,
+            "store_sound": self.sound,
+            "revision": self.table.revision,
+            "upstreams": {
+                item.id: {
+                    "service": item.service,
+                    "address": item.address,
+                    "zone": item.zone,
+                    "leaving": item.leaving,
+                    "phase": item.phase.value if item.phase else None,
+                    "cheap": item.cheap,
+                }
+                for item in self.table.by_id.values()
+            },
+        }
+
+
+# Prefix of the keys that the instances themselves write.
+OWN_PREFIX = "camphorgate/"
+
+
+def setup(app: Application) -> None:
+    """Provide the directory and start its watches."""
+    app.add_event("catalog-changed")
+    app.add_event("upstreams-changed")
+    app.add_event("own-entries-changed")
+    directory = Directory(app, OWN_PREFIX)
+    app.provide("directory", directory)
+    app.add_dump_section("directory", directory.dump)
+    app.on_start(directory.start)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -0,0 +1,186 @@
+"""Orders upstreams and phases while this instance holds the duty."""
+
+import asyncio
+
+from camphorgate.application import Application
+from camphorgate.log import log_event
+from camphorgate.serving.catalog import Service
+from camphorgate.serving.fleet_plan import (
+    AGAIN_SECONDS,
+    CapacityOrder,
+    PhaseOrder,
+    plan_capacity,
+    plan_phases,
+)
+from camphorgated.serving.errors import CallFailed
+
+TICK_SECONDS = 0.5
+# An order that was given is not given again before its effect can show.
+PHASE_AGAIN_SECONDS = 6.0
+# Engines that change their phase at the same time, at most this part of the service.
+CHANGING_PART = 0.5
+
+
+class FleetDuty:
+    """Compares the fleet with its plan and orders the difference."""
+
+    __slots__ = (
+        "_app",
+        "_dialect",
+        "_members",
+        "_directory",
+        "_ordered_by_subject",
+        "_again_by_subject",
+        "_changing_by_boot",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Start with nothing ordered."""
+        self._app = app
+        self._dialect = app.service("dialect")
+        self._members = app.service("members")
+        self._directory = app.service("directory")
+        self._ordered_by_subject: dict[tuple, CapacityOrder] = {}
+        self._again_by_subject: dict[tuple, float] = {}
+        self._changing_by_boot: dict[tuple, float] = {}
+
+    def forget(self) -> None:
+        """Order anew after the duty was taken, as a predecessor's orders are unknown."""
+        self._ordered_by_subject.clear()
+        self._again_by_subject.clear()
+        self._changing_by_boot.clear()
+
+    async def run(self) -> None:
+        """Give orders for as long as the process runs."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            catalog = self._directory.catalog
+            if catalog is None:
+                continue
+            for service in catalog.services_by_name.values():
+                if not self._members.holds_duty():
+                    break
+                await self._order_capacity(service)
+                await self._order_phases(service)
+
+    async def _order_capacity(self, service: Service) -> None:
+        table = self._directory.table.by_id.values()
+        upstreams = [item for item in table if item.service == service.name]
+        now = self._app.clock.monotonic()
+        for order in plan_capacity(service, upstreams):
+            subject = (order.service, order.zone, order.cheap)
+            if self._ordered_by_subject.get(subject) == order and not self._missing(
+                order, upstreams, subject, now
+            ):
+                continue
+            if now < self._again_by_subject.get(subject, 0.0):
+                continue
+            await self._give_capacity(order, subject)
+
+    def _missing(self, order: CapacityOrder, upstreams, subject, now: float) -> bool:
+        """Tell whether upstreams of an accepted order are gone or never came."""
+        if now < self._again_by_subject.get(subject, 0.0):
+            return False
+        present = sum(
+            1
+            for item in upstreams
+            if item.zone == order.zone and item.cheap == order.cheap and not item.leaving
+        )
+        return present < order.count
+
+    async def _give_capacity(self, order: CapacityOrder, subject: tuple) -> None:
+        fencing = self._members.fencing
+        if not self._members.holds_duty():
+            return
+        startup = AGAIN_SECONDS
+        service = self._directory.catalog.services_by_name.get(order.service)
+        if service is not None and service.scaling is not None:
+            startup += service.scaling.startup_seconds
+        now = self._app.clock.monotonic()
+        try:
+            verdict = await self._dialect.order_upstreams(
+                self._members.own.instance,
+                fencing,
+                order.service,
+                order.zone,
+                order.count,
+                order.cheap,
+            )
+        except CallFailed as error:
+            log_event("capacity_not_ordered", level="WARNING", error=error.message)
+            self._again_by_subject[subject] = now + AGAIN_SECONDS
+            return
+        log_event(
+            "capacity_ordered",
+            service=order.service,
+            zone=order.zone,
+            count=order.count,
+            cheap=order.cheap,
+            fencing=fencing,
+            status=verdict.status,
+        )
+        if verdict.accepted:
+            self._ordered_by_subject[subject] = order
+            self._again_by_subject[subject] = now + startup
+        elif verdict.fenced:
+            self._members.refused(fencing)
+        else:
+            self._again_by_subject[subject] = now + AGAIN_SECONDS
+
+    async def _order_phases(self, service: Service) -> None:
+        if service.engine is None:
+            return
+        engines = self._directory.service_upstreams(service.name)
+        now = self._app.clock.monotonic()
+        for boot, since in list(self._changing_by_boot.items()):
+            if now - since > PHASE_AGAIN_SECONDS:
+                del self._changing_by_boot[boot]
+        most = max(1, int(len(engines) * CHANGING_PART))
+        for order in plan_phases(engines):
+            if len(self._changing_by_boot) >= most:
+                break
+            if order.upstream.boot in self._changing_by_boot:
+                continue
+            if not self._members.holds_duty():
+                break
+            self._changing_by_boot[order.upstream.boot] = now
+            await self._give_phase(order)
+
+    async def _give_phase(self, order: PhaseOrder) -> None:
+        fencing = self._members.fencing
+        holder = self._members.own.instance
+        upstream = order.upstream
+        try:
+            verdict = await self._dialect.order_phase(
+                holder, fencing, upstream, order.phase
+            )
+        except CallFailed as error:
+            log_event(
+                "phase_not_ordered",
+                level="WARNING",
+                upstream=upstream.id,
+                error=error.message,
+            )
+            return
+        log_event(
+            "phase_ordered",
+            upstream=upstream.id,
+            phase=order.phase.value,
+            fencing=fencing,
+            status=verdict.status,
+        )
+        if verdict.fenced:
+            self._members.refused(fencing)
+
+
+def setup(app: Application) -> None:
+    """Start ordering if the platform has this duty here."""
+    if "fleet" not in app.settings.duties:
+        return
+    duty = FleetDuty(app)
+    app.connect("duty-taken", duty.forget)
+
+    async def start() -> None:
+        app.spawn(duty.run(), "fleet duty")
+
+    app.on_start(start)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -0,0 +1,317 @@
+"""Accepts callers' connections and leads each request to its answer.
+
+Provides ``front``. One task per connection; a request's work runs in a task of its own,
+which is cancelled as soon as the caller leaves.
+"""
+
+import asyncio
+import itertools
+
+from camphorgate.application import Application
+from camphorgate.log import log_event
+from camphorgate.serving.catalog import Catalog, Kind, Limits, Route, Workspace
+from camphorgate.settings import split_address
+from camphorgated.errors import ListenError
+from camphorgated.serving.caller import Caller
+from camphorgated.serving.errors import BadRequest
+from camphorgated.serving.http1 import Request, ServerConnection
+from camphorgated.serving.wire import RequestFacts
+
+# Before there is a configuration, callers are told to come back after this time.
+UNCONFIGURED_RETRY_SECONDS = 0.5
+# Time that a request may take where neither caller nor route says.
+DEFAULT_SECONDS = 30.0
+# The final answer is sent this long before the caller or the route gives up, so that
+# it still arrives.
+ANSWER_SECONDS = 0.01
+# A drained instance stays for callers that the platform still sends.
+LINGER_SECONDS = 3.0
+# Margin before the platform ends a stopping process.
+GRACE_MARGIN_SECONDS = 0.6
+BACKLOG = 512
+
+
+class Job:
+    """One request on its way: what is known of it, and until when it counts."""
+
+    __slots__ = (
+        "number",
+        "caller",
+        "request",
+        "facts",
+        "route",
+        "service",
+        "workspace",
+        "rank",
+        "deadline",
+        "promised",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        caller: Caller,
+        facts: RequestFacts,
+        route: Route,
+        service: str,
+        workspace: Workspace | None,
+        rank: int,
+    ) -> None:
+        """Work out until when an answer counts.
+
+        :param rank: 0 is the most urgent.
+        """
+        self.number = number
+        self.caller = caller
+        self.request = caller.request
+        self.facts = facts
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.rank = rank
+        seconds = facts.seconds if facts.seconds is not None else DEFAULT_SECONDS
+        read_at = self.request.read_at
+        self.promised = read_at + seconds
+        self.deadline = read_at + min(seconds, route.timeout_seconds) - ANSWER_SECONDS
+
+    def left(self, now: float) -> float:
+        """Return the seconds until the last moment for an answer."""
+        return self.deadline - now
+
+    def caller_left(self, now: float) -> float:
+        """Return the seconds that the caller still waits; upstreams are given these."""
+        return self.promised - now
+
+    @property
+    def workspace_name(self) -> str | None:
+        """Return the name of the workspace whose key came with the request."""
+        return self.workspace.name if self.workspace else None
+
+
+class Front:
+    """The listening sockets, the connections, and readiness."""
+
+    __slots__ = (
+        "stopping",
+        "_app",
+        "_dialect",
+        "_directory",
+        "_connections",
+        "_active",
+        "_servers",
+        "_numbers",
+        "_statistics",
+        "_spread",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Start without sockets."""
+        self.stopping = False
+        self._app = app
+        self._dialect = app.service("dialect")
+        self._directory = app.service("directory")
+        self._connections: set[ServerConnection] = set()
+        self._active = 0
+        self._servers: list[asyncio.Server] = []
+        self._numbers = itertools.count(1)
+        self._statistics = app.service("statistics")
+        self._spread = itertools.count()
+
+    async def start(self) -> None:
+        """Listen for callers and for the platform's readiness checks.
+
+        :raises ListenError: if an address cannot be used.
+        """
+        settings = self._app.settings
+        await self._listen(settings.caller_address, self._serve_caller)
+        await self._listen(settings.ready_address, self._serve_readiness)
+
+    async def _listen(self, address: str, serve) -> None:
+        def made(connection: ServerConnection) -> None:
+            self._app.spawn(serve(connection), "connection")
+
+        def build() -> ServerConnection:
+            limits = self._limits()
+            return ServerConnection(
+                made, self._app.clock, limits.header_bytes, limits.body_bytes
+            )
+
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            server = await loop.create_server(build, host, port, backlog=BACKLOG)
+        except OSError as error:
+            raise ListenError(f"cannot listen on {address}: {error}") from None
+        self._servers.append(server)
+
+    def _limits(self) -> Limits:
+        catalog = self._directory.catalog
+        return catalog.limits if catalog else Limits()
+
+    def ready(self) -> bool:
+        """Tell whether new callers should be sent here."""
+        return not self.stopping and self._directory.catalog is not None
+
+    async def _serve_readiness(self, connection: ServerConnection) -> None:
+        try:
+            while True:
+                request = await connection.next_request(60.0)
+                if request is None:
+                    break
+                caller = Caller(connection, request, False)
+                path = request.target.partition(b"?")[0]
+                if path != self._dialect.ready_path:
+                    caller.refuse(404, "route_unknown")
+                elif self.ready():
+                    caller.whole(200, [], b"{}")
+                else:
+                    caller.refuse(503, "not_ready")
+                if caller.closing:
+                    break
+        except BadRequest:
+            pass
+        finally:
+            connection.close()
+
+    async def _serve_caller(self, connection: ServerConnection) -> None:
+        self._connections.add(connection)
+        try:
+            while await self._serve_one(connection):
+                pass
+        finally:
+            self._connections.discard(connection)
+            connection.close()
+
+    async def _serve_one(self, connection: ServerConnection) -> bool:
+        limits = self._limits()
+        try:
+            request = await connection.next_request(limits.idle_seconds)
+        except BadRequest as error:
+            empty = Request("GET", b"/", [], b"", False)
+            Caller(connection, empty, True).refuse(error.status, error.code)
+            log_event("request_malformed", status=error.status, error=error.message)
+            return False
+        if request is None:
+            return False
+        self._active += 1
+        caller = Caller(connection, request, self.stopping)
+        work = asyncio.ensure_future(self._answer(caller))
+        try:
+            await asyncio.wait(
+                {work, connection.left}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                work.cancel()
+                await asyncio.wait({work})
+                self._statistics.caller_left()
+                return False
+            if not work.cancelled() and work.exception() is not None:
+                self._failed(caller, work.exception())
+        except asyncio.CancelledError:
+            work.cancel()
+            raise
+        finally:
+            self._active -= 1
+        return not caller.closing and caller.ended
+
+    def _failed(self, caller: Caller, error: BaseException) -> None:
+        log_event("request_failed", level="ERROR", error=repr(error))
+        if caller.begun:
+            caller.break_off()
+        else:
+            caller.refuse(502, "internal_error")
+
+    async def _answer(self, caller: Caller) -> None:
+        job = self._admit(caller)
+        if job is None:
+            return
+        if job.route.generates and job.route.kind is Kind.STREAM:
+            worker = self._app.service("generations")
+        else:
+            worker = self._app.service("calls")
+        started = self._app.clock.monotonic()
+        await worker.run(job)
+        self._statistics.finished(job, self._app.clock.monotonic() - started)
+
+    def _admit(self, caller: Caller) -> Job | None:
+        """Find route and workspace, or answer why there is none."""
+        catalog: Catalog | None = self._directory.catalog
+        if catalog is None:
+            caller.refuse(503, "configuration_unknown", UNCONFIGURED_RETRY_SECONDS)
+            return None
+        facts = self._dialect.read_request(caller.request)
+        path = caller.request.target.partition(b"?")[0].decode("latin-1")
+        route = catalog.match(facts.host, path)
+        if route is None:
+            caller.refuse(404, "route_unknown")
+            log_event(
+                "request_refused",
+                attempt=facts.attempt,
+                reason="route_unknown",
+                version=catalog.version,
+            )
+            return None
+        workspace = None
+        if catalog.keyed and not route.public:
+            workspace = catalog.workspaces_by_key.get(facts.key or "")
+            if workspace is None:
+                caller.refuse(401, "key_unknown")
+                log_event(
+                    "request_refused",
+                    attempt=facts.attempt,
+                    reason="key_unknown",
+                    version=catalog.version,
+                )
+                return None
+        service = self._pick_backend(route)
+        rank = catalog.rank(route, workspace)
+        number = next(self._numbers)
+        return Job(number, caller, facts, route, service, workspace, rank)
+
+    def _pick_backend(self, route: Route) -> str:
+        """Return a service by its weight, spread evenly over the requests."""
+        if len(route.backends) == 1:
+            return route.backends[0][0]
+        total = sum(weight for _, weight in route.backends)
+        # Steps of the golden ratio cover the interval evenly in any span.
+        point = (next(self._spread) * 0.6180339887) % 1.0 * total
+        for service, weight in route.backends:
+            point -= weight
+            if point < 0:
+                return service
+        return route.backends[-1][0] if route.backends else ""
+
+    async def drain(self) -> None:
+        """Let the requests end; callers are told to connect elsewhere."""
+        self.stopping = True
+        clock = self._app.clock
+        began = clock.monotonic()
+        last = began + self._app.settings.times.grace_seconds - GRACE_MARGIN_SECONDS
+        log_event("draining", active=self._active, connections=len(self._connections))
+        while clock.monotonic() < last:
+            lingered = clock.monotonic() - began > LINGER_SECONDS
+            if lingered and not self._active:
+                break
+            await asyncio.sleep(0.05)
+        for server in self._servers:
+            server.close()
+        if self._active:
+            log_event("cut_at_stop", level="WARNING", active=self._active)
+        for connection in list(self._connections):
+            connection.close()
+
+    def dump(self) -> dict:
+        """Return the state for the operators."""
+        return {
+            "stopping": self.stopping,
+            "active": self._active,
+            "connections": len(self._connections),
+        }
+
+
+def setup(app: Application) -> None:
+    """Provide the front and start it after everything else."""
+    front = Front(app)
+    app.provide("front", front)
+    app.add_dump_section("front", front.dump)
+    app.on_start(front.start)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -0,0 +1,393 @@
+"""Requests to language models: read the prompt on one engine, answer on another.
+
+Provides ``generations``.
+"""
+
+from camphorgate.application import Application
+from camphorgate.log import log_event
+from camphorgate.serving.catalog import EngineSpec, Phase, Stage, Upstream
+from camphorgate.serving.placement import Choice, Prompt
+from camphorgate.serving.tries import Tries
+from camphorgate.settings import split_address
+from camphorgated.serving.errors import CallFailed, ExchangeError
+from camphorgated.serving.events import EventStream
+from camphorgated.serving.exchange import Exchange
+from camphorgated.serving.front import Job
+from camphorgated.serving.http1 import CallClient
+from camphorgated.serving.statistics import job_fields, log_try
+
+# Answering engines read a prompt themselves where that is predicted to be sooner than
+# a reading engine by more than the second call and the move cost, ms.
+DIRECT_MS = 10.0
+# A reading engine that takes this many times the predicted time, and this much more,
+# is taken for stuck.
+READ_PATIENCE = 4.0
+READ_PATIENCE_SECONDS = 0.6
+# A resumable stream that is silent this long goes on elsewhere.
+SILENT_SECONDS = 1.2
+# Urgency steps of the engines per rank of the routes; 0 to 9, 0 first.
+URGENCY_PER_RANK = 3
+LEAST_URGENCY = 9
+MOST_CONNECTS = 4
+# Bounds of the time after which a refused caller returns, in seconds.
+LEAST_RETURN_SECONDS = 0.1
+MOST_RETURN_SECONDS = 2.0
+RELEASE_SECONDS = 1.0
+
+
+class Handle:
+    """A prompt that an engine has read and keeps."""
+
+    __slots__ = ("engine", "name")
+
+    def __init__(self, engine: Upstream, name: str) -> None:
+        """Keep where it lies."""
+        self.engine = engine
+        self.name = name
+
+    @property
+    def source(self) -> str:
+        """Return the form in which another engine takes it."""
+        return f"{self.engine.address}/{self.name}"
+
+
+class Generation:
+    """One generation on its way: its tries, its stream and its handle."""
+
+    __slots__ = (
+        "job",
+        "prompt",
+        "tries",
+        "tried",
+        "handle",
+        "stream",
+        "counted",
+        "reads",
+        "unsent",
+        "urgency",
+    )
+
+    def __init__(self, job: Job) -> None:
+        """Start unsent."""
+        self.job = job
+        facts = job.facts
+        self.prompt = Prompt(facts.prompt_tokens, facts.parts, job.rank == 0)
+        self.tries = Tries(job.route.repeatable(), job.route.attempts)
+        self.tried: set[str] = set()
+        self.handle: Handle | None = None
+        self.stream = EventStream()
+        self.counted = False
+        self.reads = 0
+        self.unsent = 0
+        self.urgency = min(LEAST_URGENCY, job.rank * URGENCY_PER_RANK)
+
+    @property
+    def resume_from(self) -> int | None:
+        """Return the last event that the caller has."""
+        if self.stream.last_id is not None:
+            return self.stream.last_id
+        return self.job.facts.last_event
+
+
+class Generations:
+    """Leads generations to their answers."""
+
+    __slots__ = ("_app", "_dialect", "_upstreams", "_gossip", "_statistics")
+
+    def __init__(self, app: Application) -> None:
+        """Use the shared state of the upstreams."""
+        self._app = app
+        self._dialect = app.service("dialect")
+        self._upstreams = app.service("upstreams")
+        self._gossip = app.service("gossip")
+        self._statistics = app.service("statistics")
+
+    async def run(self, job: Job) -> None:
+        """Answer a request."""
+        clock = self._app.clock
+        self._upstreams.budget(job.service).note_request(clock.monotonic())
+        service = self._upstreams.service(job.service)
+        if service is None or service.engine is None:
+            self._give_up(Generation(job), "no_upstream")
+            return
+        generation = Generation(job)
+        try:
+            await self._run(generation, service.engine)
+        finally:
+            if generation.handle is not None:
+                self._release(generation.handle)
+
+    async def _run(self, generation: Generation, spec: EngineSpec) -> None:
+        job = generation.job
+        clock = self._app.clock
+        while True:
+            now = clock.monotonic()
+            reason = self._why_not(generation, now)
+            if reason is not None:
+                self._give_up(generation, reason)
+                return
+            if job.caller.left:
+                return
+            reader, answerer = self._choose(generation, spec, now)
+            if reader is None and answerer is None:
+                self._give_up(generation, "no_upstream")
+                return
+            first = reader or answerer
+            if first.wait_ms / 1000 > job.left(now) and not generation.tries.sends:
+                self._give_up(generation, "deadline_unreachable", first.wait_ms / 1000)
+                return
+            try:
+                if reader is not None:
+                    await self._read(generation, reader)
+                    continue
+                if await self._answer(generation, answerer):
+                    return
+            except ExchangeError as error:
+                self._note_failure(generation, error, answerer)
+
+    def _why_not(self, generation: Generation, now: float) -> str | None:
+        """Return why the request is not sent (again)."""
+        job, tries = generation.job, generation.tries
+        if job.left(now) <= 0:
+            return "deadline"
+        if not tries.may_send():
+            return "attempts"
+        if generation.unsent >= MOST_CONNECTS:
+            return "no_connection"
+        if not tries.granted and not self._upstreams.take_repeat(job.service):
+            return "budget"
+        tries.granted = True
+        return None
+
+    def _choose(
+        self, generation: Generation, spec: EngineSpec, now: float
+    ) -> tuple[Choice | None, Choice | None]:
+        """Return the engine that reads next, or else the one that answers next."""
+        placement = self._upstreams.placement
+        service = generation.job.service
+        engines = self._upstreams.candidates(service, generation.tried)
+        readers = [item for item in engines if item.phase is Phase.PREFILL]
+        answerers = [item for item in engines if item.phase is not Phase.PREFILL]
+        if not answerers:
+            known = self._upstreams.candidates(service, set())
+            answerers = [item for item in known if item.phase is not Phase.PREFILL]
+        prompt = generation.prompt
+        if generation.handle is not None:
+            engine = generation.handle.engine
+            return None, placement.for_answering(answerers, prompt, engine, spec, now)
+        direct = placement.for_answering(answerers, prompt, None, spec, now)
+        if generation.reads or generation.resume_from is not None or not answerers:
+            return None, direct
+        reader = placement.for_reading(readers, prompt, now)
+        if reader is None or direct.wait_ms <= reader.wait_ms + DIRECT_MS:
+            return None, direct
+        return reader, None
+
+    async def _read(self, generation: Generation, choice: Choice) -> None:
+        """Have an engine read the prompt; without success, none holds it."""
+        job, engine = generation.job, choice.upstream
+        clock = self._app.clock
+        loads = self._upstreams.loads
+        generation.reads += 1
+        generation.tried.add(engine.id)
+        urgent = generation.prompt.urgent
+        patience = choice.wait_ms / 1000 * READ_PATIENCE + READ_PATIENCE_SECONDS
+        loads.begin(engine.id, choice.uncached, urgent)
+        try:
+            async with self._upstreams.exchange(engine) as exchange:
+                await exchange.open(self._most(job), False)
+                self._send(generation, exchange, phase=Phase.PREFILL)
+                seconds = min(patience, max(0.01, job.left(clock.monotonic())))
+                facts = await exchange.read_head(None, seconds)
+                body = await exchange.read_body(seconds)
+        except ExchangeError as error:
+            self._upstreams.health.of(engine.boot).failed(clock.monotonic())
+            log_try(job, engine, f"read_{error.cause}", error.stage)
+            return
+        finally:
+            loads.prefilled(engine.id, choice.uncached, urgent)
+            loads.end(engine.id)
+        result = self._dialect.read_prefill(body) if facts.status == 200 else None
+        health = self._upstreams.health.of(engine.boot)
+        if result is None:
+            health.answered_badly()
+            log_try(job, engine, f"read_refused_{facts.status}", Stage.REFUSED)
+            return
+        health.succeeded()
+        loads.read_parts(engine.id, generation.prompt.parts, clock.monotonic())
+        generation.handle = Handle(engine, result.handle)
+
+    async def _answer(self, generation: Generation, choice: Choice) -> bool:
+        """Have an engine generate, and pass its events on.
+
+        :returns: whether the request is answered; otherwise it may be sent again.
+        :raises ExchangeError: if the try failed.
+        """
+        job, engine = generation.job, choice.upstream
+        clock = self._app.clock
+        loads = self._upstreams.loads
+        generation.tried.add(engine.id)
+        handle = generation.handle
+        reading = 0 if handle is not None else choice.uncached
+        urgent = generation.prompt.urgent
+        loads.begin(engine.id, reading, urgent)
+        try:
+            async with self._upstreams.exchange(engine) as exchange:
+                await exchange.open(self._most(job), not job.route.repeatable())
+                if job.caller.left:
+                    return True
+                generation.tries.sending()
+                self._send(generation, exchange, handle=handle)
+                generation.handle = None
+                facts = await exchange.read_head(job.facts.attempt, self._wait(job))
+                if facts.stage is Stage.REFUSED:
+                    return self._refused(generation, engine, facts.status)
+                generation.tries.ran()
+                if facts.status != 200 or not facts.stamped:
+                    return await self._failed(generation, engine, exchange)
+                loads.read_parts(engine.id, generation.prompt.parts, clock.monotonic())
+                await self._pass_on(generation, exchange)
+                self._upstreams.health.of(engine.boot).succeeded()
+                return True
+        finally:
+            loads.prefilled(engine.id, reading, urgent)
+            loads.end(engine.id)
+
+    def _wait(self, job: Job) -> float:
+        return max(0.01, job.left(self._app.clock.monotonic()))
+
+    def _most(self, job: Job) -> int:
+        return self._upstreams.most_connections(job.service)
+
+    def _send(
+        self,
+        generation: Generation,
+        exchange: Exchange,
+        phase: Phase | None = None,
+        handle: Handle | None = None,
+    ) -> None:
+        job = generation.job
+        request = job.request
+        headers = self._dialect.upstream_headers(
+            request,
+            exchange.upstream.id,
+            job.workspace_name,
+            job.left(self._app.clock.monotonic()),
+            urgency=generation.urgency,
+            phase=phase,
+            cache_source=handle.source if handle else None,
+            last_event=None if phase else generation.resume_from,
+        )
+        exchange.send(request.method, request.target, headers, request.body)
+
+    def _refused(self, generation: Generation, engine: Upstream, status: int) -> bool:
+        generation.tries.failed(Stage.REFUSED)
+        health = self._upstreams.health.of(engine.boot)
+        if status == 421:
+            health.failed(self._app.clock.monotonic())
+        else:
+            health.answered_badly()
+        log_try(generation.job, engine, f"refused_{status}", Stage.REFUSED)
+        return False
+
+    async def _failed(
+        self, generation: Generation, engine: Upstream, exchange: Exchange
+    ) -> bool:
+        """Pass an engine's own failure on, unless the request may be sent again."""
+        job, facts = generation.job, exchange.facts
+        health = self._upstreams.health.of(engine.boot)
+        health.answered_badly()
+        body = await exchange.read_body(self._wait(job))
+        self._count(generation)
+        log_try(job, engine, f"failed_{facts.status}", Stage.SENT)
+        if not facts.stamped:
+            raise ExchangeError("the answer has no stamp", Stage.SENT, "unstamped")
+        now = self._app.clock.monotonic()
+        if facts.status >= 500 and self._why_not(generation, now) is None:
+            return False
+        if job.caller.begun:
+            job.caller.break_off()
+            return True
+        headers = self._dialect.caller_headers(exchange.headers)
+        job.caller.whole(facts.status, headers, body)
+        return True
+
+    async def _pass_on(self, generation: Generation, exchange: Exchange) -> None:
+        """Pass the events on as they arrive."""
+        job, caller = generation.job, generation.job.caller
+        events = EventStream(generation.stream.last_id)
+        generation.stream = events
+        while True:
+            seconds = self._wait(job)
+            if job.route.repeatable() and generation.tries.may_send():
+                seconds = min(seconds, SILENT_SECONDS)
+            piece = await exchange.read_piece(seconds)
+            if not piece:
+                break
+            self._count(generation)
+            whole = events.feed(piece)
+            if whole:
+                self._begin(generation, exchange)
+                caller.stream(whole)
+                await caller.drain()
+        self._begin(generation, exchange)
+        if events.rest:
+            caller.stream(events.rest)
+        caller.end_stream()
+
+    def _begin(self, generation: Generation, exchange: Exchange) -> None:
+        caller = generation.job.caller
+        if not caller.begun:
+            headers = self._dialect.caller_headers(exchange.headers)
+            caller.begin_stream(exchange.facts.status, headers)
+
+    def _count(self, generation: Generation) -> None:
+        """Count the start of the run, once a request."""
+        workspace = generation.job.workspace
+        if workspace is not None and not generation.counted:
+            generation.counted = True
+            self._gossip.usage.count(workspace.name, self._gossip.true_now())
+
+    def _note_failure(
+        self, generation: Generation, error: ExchangeError, choice: Choice
+    ) -> None:
+        generation.tries.failed(error.stage)
+        generation.unsent += error.stage is Stage.NOT_SENT
+        engine = choice.upstream
+        self._upstreams.health.of(engine.boot).failed(self._app.clock.monotonic())
+        log_try(generation.job, engine, error.cause, error.stage)
+
+    def _give_up(
+        self, generation: Generation, reason: str, wait_seconds: float = 0.0
+    ) -> None:
+        job = generation.job
+        caller = job.caller
+        if caller.begun:
+            caller.break_off()
+        elif generation.tries.may_have_run:
+            caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
+        else:
+            seconds = wait_seconds - job.route.target_seconds
+            seconds = min(MOST_RETURN_SECONDS, max(LEAST_RETURN_SECONDS, seconds))
+            caller.refuse(503, reason, seconds)
+        self._statistics.refused(
+            job, reason, wait=wait_seconds, sends=generation.tries.sends, **job_fields(job)
+        )
+
+    def _release(self, handle: Handle) -> None:
+        """Free a prompt that nobody will take any more."""
+        self._app.spawn(self._delete(handle), "release handle")
+
+    async def _delete(self, handle: Handle) -> None:
+        client = CallClient(split_address(handle.engine.address), RELEASE_SECONDS)
+        try:
+            await client.call("DELETE", self._dialect.release_target(handle.name))
+        except CallFailed as error:
+            log_event("handle_not_released", error=error.message)
+        finally:
+            client.close()
+
+
+def setup(app: Application) -> None:
+    """Provide the generations."""
+    app.provide("generations", Generations(app))
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -0,0 +1,260 @@
+"""Keeps this instance listed and decides who holds the duty, by one lease.
+
+Provides ``members``. The duty key hangs on the same lease as the instance's own entry,
+so a holder that is cut off loses both. The revision at which the duty key was written
+is the fencing number: it only rises, and one number belongs to one write.
+"""
+
+import asyncio
+import secrets
+
+import msgspec
+import xxhash
+
+from camphorgate.application import Application
+from camphorgate.authority.leases import Lease, LeaseRules
+from camphorgate.kv.errors import KvError, KvRefused
+from camphorgate.kv.records import KvEntry, Put, absent
+from camphorgate.log import log_event
+from camphorgated.serving.directory import OWN_PREFIX
+
+MEMBER_PREFIX = OWN_PREFIX + "members/"
+DUTY_KEY = OWN_PREFIX + "duty"
+# Renewals per life of the lease.
+RENEWALS_PER_LEASE = 3
+# The holder stops this long before the store can let the lease lapse.
+MARGIN_SECONDS = 0.4
+TICK_SECONDS = 0.1
+# Instances try for a free duty one after the other, this far apart.
+TURN_SECONDS = 0.05
+# A former holder waits this long beyond a lease before it tries again, so that two
+# instances do not take turns.
+REST_SECONDS = 1.0
+
+
+class Member(msgspec.Struct, frozen=True):
+    """An instance's entry."""
+
+    instance: str
+    boot: str
+    zone: str
+    peer_address: str
+
+
+class DutyEntry(msgspec.Struct, frozen=True):
+    """Who holds the duty; ``boot`` names one run of the instance."""
+
+    instance: str
+    boot: str
+
+
+class Members:
+    """The own lease, the other instances' entries, and the duty."""
+
+    __slots__ = (
+        "own",
+        "leaving",
+        "fencing",
+        "_app",
+        "_store",
+        "_directory",
+        "_lease_id",
+        "_lease",
+        "_lease_sent_at",
+        "_rested_at",
+        "_refused",
+        "_free_since",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Start unlisted."""
+        settings = app.settings
+        self.own = Member(
+            settings.instance_id,
+            f"{settings.instance_id}/{secrets.token_hex(4)}",
+            settings.availability_zone,
+            settings.peer_address,
+        )
+        self.leaving = False
+        self.fencing = 0
+        self._app = app
+        self._store = app.service("store")
+        self._directory = app.service("directory")
+        self._lease_id = 0
+        ttl = settings.times.lease_seconds
+        renew = ttl / RENEWALS_PER_LEASE
+        self._lease = Lease(LeaseRules(ttl, renew, MARGIN_SECONDS))
+        self._lease_sent_at = 0.0
+        self._rested_at = 0.0
+        self._refused: set[int] = set()
+        self._free_since: float | None = None
+
+    async def start(self) -> None:
+        """Start renewing and watching the duty."""
+        self._app.spawn(self._keep_listed(), "member lease")
+        self._app.spawn(self._tick(), "duty")
+
+    def by_instance(self) -> dict[str, Member]:
+        """Return the listed instances."""
+        members = {}
+        for key, entry in self._directory.own_entries_by_key.items():
+            if key.startswith(MEMBER_PREFIX):
+                member = _decode(entry, Member)
+                if member is not None:
+                    members[member.instance] = member
+        return members
+
+    def holds_duty(self) -> bool:
+        """Tell whether this instance may give orders at this moment."""
+        return bool(self.fencing) and self._lease.valid(self._app.clock.monotonic())
+
+    def refused(self, fencing: int) -> None:
+        """Drop the duty after a receiver has seen a newer holder's number."""
+        self._refused.add(fencing)
+        if self.fencing == fencing:
+            self._lose("refused by a receiver")
+
+    async def leave(self) -> None:
+        """Give the duty and the entry up, so that others take over at once."""
+        self.leaving = True
+        self._lose("leaving")
+        lease, self._lease_id = self._lease_id, 0
+        if lease:
+            try:
+                await self._store.revoke(lease)
+            except KvError as error:
+                log_event("lease_not_ended", level="WARNING", error=error.message)
+
+    async def _keep_listed(self) -> None:
+        period = self._app.settings.times.lease_seconds / RENEWALS_PER_LEASE
+        while not self.leaving:
+            try:
+                if self._lease_id:
+                    await self._renew()
+                else:
+                    await self._enlist()
+            except KvError as error:
+                log_event("lease_renewal_failed", level="WARNING", error=error.message)
+                await asyncio.sleep(period / 3)
+                continue
+            await asyncio.sleep(period if self._lease_id else period / 3)
+
+    async def _enlist(self) -> None:
+        sent_at = self._app.clock.monotonic()
+        ttl = self._app.settings.times.lease_seconds
+        lease = await self._store.grant(ttl)
+        key = MEMBER_PREFIX + self.own.instance
+        put = Put(key, msgspec.json.encode(self.own), lease)
+        await self._store.transact([], [put])
+        if not self.leaving:
+            self._lease_id = lease
+            self._lease_sent_at = sent_at
+            log_event("member_listed", lease=lease)
+
+    async def _renew(self) -> None:
+        lease = self._lease_id
+        sent_at = self._app.clock.monotonic()
+        ttl = await self._store.renew(lease)
+        if ttl is None:
+            log_event("lease_ended", level="WARNING", lease=lease)
+            self._lease_id = 0
+            self._lose("the lease has ended")
+            return
+        self._lease_sent_at = sent_at
+        if self.fencing:
+            self._lease.renewed(sent_at, self._app.clock.monotonic())
+
+    async def _tick(self) -> None:
+        while not self.leaving:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._app.clock.monotonic()
+            if self.fencing and not self._lease.tick(now):
+                self._lose("not renewed in time")
+            entry = self._directory.own_entries_by_key.get(DUTY_KEY)
+            if entry is not None:
+                self._free_since = None
+                self._adopt(entry)
+            elif self._directory.sound and self._lease_id:
+                await self._try_to_take(now)
+
+    def _adopt(self, entry: KvEntry) -> None:
+        """Hold the duty if the entry is this boot's own, under the present lease."""
+        duty = _decode(entry, DutyEntry)
+        ours = duty is not None and duty.boot == self.own.boot
+        if not ours or entry.lease != self._lease_id or self.fencing:
+            return
+        if entry.mod_revision in self._refused:
+            return
+        now = self._app.clock.monotonic()
+        self._lease.resign()
+        if self._lease.taken(entry.mod_revision, self._lease_sent_at, now):
+            self.fencing = entry.mod_revision
+            log_event("duty_taken", fencing=self.fencing, lease=self._lease_id)
+            self._app.emit("duty-taken")
+
+    async def _try_to_take(self, now: float) -> None:
+        if self._free_since is None:
+            self._free_since = now
+        instances = sorted(
+            {*self.by_instance(), self.own.instance},
+            key=lambda name: xxhash.xxh3_64_intdigest(f"duty/{name}".encode()),
+        )
+        turn = instances.index(self.own.instance) * TURN_SECONDS
+        if now < max(self._free_since + turn, self._rested_at):
+            return
+        duty = DutyEntry(self.own.instance, self.own.boot)
+        put = Put(DUTY_KEY, msgspec.json.encode(duty), self._lease_id)
+        lease = self._lease_id
+        try:
+            done = await self._store.transact([absent(DUTY_KEY)], [put])
+        except KvRefused:
+            self._lease_id = 0
+            return
+        except KvError as error:
+            # The watch shows whether it took effect, now or later.
+            log_event("duty_attempt_failed", level="WARNING", error=error.message)
+            return
+        finally:
+            self._free_since = self._app.clock.monotonic() + TURN_SECONDS
+        if done.succeeded:
+            value = msgspec.json.encode(duty)
+            self._adopt(
+                KvEntry(DUTY_KEY, value, "", done.revision, done.revision, lease)
+            )
+
+    def _lose(self, reason: str) -> None:
+        if not self.fencing:
+            return
+        log_event("duty_lost", fencing=self.fencing, reason=reason)
+        self._refused.add(self.fencing)
+        self.fencing = 0
+        self._lease.lose()
+        rest = self._app.settings.times.lease_seconds + REST_SECONDS
+        self._rested_at = self._app.clock.monotonic() + rest
+
+    def dump(self) -> dict:
+        """Return the state for the operators."""
+        return {
+            "boot": self.own.boot,
+            "lease": self._lease_id,
+            "fencing": self.fencing,
+            "holds_duty": self.holds_duty(),
+            "members": sorted(self.by_instance()),
+        }
+
+
+def _decode(entry: KvEntry, kind: type):
+    try:
+        return msgspec.json.decode(entry.value, type=kind)
+    except msgspec.DecodeError as error:
+        log_event("own_entry_unreadable", key=entry.key, error=str(error))
+        return None
+
+
+def setup(app: Application) -> None:
+    """Provide the members and start the lease."""
+    app.add_event("duty-taken")
+    members = Members(app)
+    app.provide("members", members)
+    app.add_dump_section("members", members.dump)
+    app.on_start(members.start)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -0,0 +1,144 @@
+"""Connections to upstreams: kept, bounded, and never reused after a fault."""
+
+import asyncio
+from collections import deque
+
+from camphorgate.clock import Clock
+from camphorgate.serving.catalog import Stage, Upstream
+from camphorgate.settings import split_address
+from camphorgated.serving.errors import ExchangeError
+from camphorgated.serving.http1 import ClientConnection, connect
+
+CONNECT_SECONDS = 0.4
+# An idle connection is used again for less than this part of the time that its server
+# keeps it.
+KEPT_PART = 0.7
+# Where the server does not say how long it keeps an idle connection.
+DEFAULT_KEEP_SECONDS = 4.0
+# What may not be repeated goes only on a connection that was used this recently.
+SURE_SECONDS = 0.8
+SWEEP_SECONDS = 1.0
+# The part of an upstream's connections that the instances together may use.
+USED_PART = 0.8
+
+
+class Lease:
+    """One connection that is in use for one exchange."""
+
+    __slots__ = ("connection", "upstream", "reused")
+
+    def __init__(
+        self, connection: ClientConnection, upstream: Upstream, reused: bool
+    ) -> None:
+        """Keep the connection and whether it carried requests before."""
+        self.connection = connection
+        self.upstream = upstream
+        self.reused = reused
+
+
+class Pool:
+    """Connections by start of an upstream."""
+
+    __slots__ = ("opened", "_clock", "_idle_by_boot", "_used_by_boot", "_keep_by_boot")
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without connections."""
+        self.opened = 0
+        self._clock = clock
+        self._idle_by_boot: dict[tuple, deque[ClientConnection]] = {}
+        self._used_by_boot: dict[tuple, int] = {}
+        self._keep_by_boot: dict[tuple, float] = {}
+
+    async def take(self, upstream: Upstream, most: int, sure: bool) -> Lease:
+        """Return a connection for one exchange.
+
+        :param most: bound on this instance's connections to the upstream.
+        :param sure: it must be known to be open.
+        :raises ExchangeError: if none can be had; nothing was sent.
+        """
+        boot = upstream.boot
+        now = self._clock.monotonic()
+        idle = self._idle_by_boot.get(boot)
+        keep = self._keep_by_boot.get(boot, DEFAULT_KEEP_SECONDS) * KEPT_PART
+        limit = min(keep, SURE_SECONDS) if sure else keep
+        while idle:
+            connection = idle[-1]
+            if connection.usable and now - connection.idle_since < limit:
+                idle.pop()
+                self._used_by_boot[boot] = self._used_by_boot.get(boot, 0) + 1
+                return Lease(connection, upstream, True)
+            if connection.usable and now - connection.idle_since < keep:
+                # Still good for others.
+                break
+            idle.pop()
+            connection.close()
+        used = self._used_by_boot.get(boot, 0)
+        if used >= most:
+            raise ExchangeError(
+                f"{used} connections to {upstream.id} are in use",
+                Stage.NOT_SENT,
+                "connections",
+            )
+        if idle and used + len(idle) >= most:
+            idle.popleft().close()
+        self._used_by_boot[boot] = used + 1
+        host, port = split_address(upstream.address)
+        try:
+            connection = await connect(host, port, CONNECT_SECONDS)
+        except (OSError, TimeoutError) as error:
+            self._release(boot)
+            raise ExchangeError(
+                f"cannot connect to {upstream.id}: {error!r}", Stage.NOT_SENT, "connect"
+            ) from None
+        except BaseException:
+            self._release(boot)
+            raise
+        self.opened += 1
+        return Lease(connection, upstream, False)
+
+    def give_back(self, lease: Lease, keep_seconds: float | None) -> None:
+        """Keep a connection whose exchange ended well, else close it.
+
+        :param keep_seconds: how long the server says that it keeps it.
+        """
+        boot = lease.upstream.boot
+        self._release(boot)
+        connection = lease.connection
+        if not connection.finish():
+            connection.close()
+            return
+        if keep_seconds is not None:
+            self._keep_by_boot[boot] = keep_seconds
+        connection.idle_since = self._clock.monotonic()
+        self._idle_by_boot.setdefault(boot, deque()).append(connection)
+
+    def discard(self, lease: Lease) -> None:
+        """Close a connection whose exchange did not end well."""
+        self._release(lease.upstream.boot)
+        lease.connection.close()
+
+    def keep_only(self, boots: set[tuple]) -> None:
+        """Close the idle connections to upstreams that take no more requests."""
+        for boot in self._idle_by_boot.keys() - boots:
+            for connection in self._idle_by_boot.pop(boot):
+                connection.close()
+            self._keep_by_boot.pop(boot, None)
+
+    async def sweep(self) -> None:
+        """Close connections that have been idle for too long, for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = self._clock.monotonic()
+            for boot, idle in self._idle_by_boot.items():
+                keep = self._keep_by_boot.get(boot, DEFAULT_KEEP_SECONDS) * KEPT_PART
+                while idle and (
+                    not idle[0].usable or now - idle[0].idle_since >= keep
+                ):
+                    idle.popleft().close()
+
+    def _release(self, boot: tuple) -> None:
+        used = self._used_by_boot.get(boot, 1) - 1
+        if used:
+            self._used_by_boot[boot] = used
+        else:
+            self._used_by_boot.pop(boot, None)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -0,0 +1,123 @@
+"""Counters, latency histograms and the log lines of requests.
+
+Provides ``statistics``. Metrics are served on the operators' address.
+"""
+
+from collections import Counter
+
+from aioprometheus import Counter as PrometheusCounter
+from aioprometheus import Histogram, Registry, render
+
+from camphorgate.application import Application
+from camphorgate.log import log_event
+from camphorgate.serving.catalog import Stage, Upstream
+
+# Lines about single requests per second; more are counted, not written.
+MOST_LINES_PER_SECOND = 50.0
+LATENCY_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 8.0)
+
+
+class LineBudget:
+    """Bounds the lines about single requests."""
+
+    __slots__ = ("_level", "_filled_at", "suppressed")
+
+    def __init__(self) -> None:
+        """Start with one second's lines."""
+        self._level = MOST_LINES_PER_SECOND
+        self._filled_at = 0.0
+        self.suppressed = 0
+
+    def take(self, now: float) -> bool:
+        """Take one line if the budget has one."""
+        passed = max(0.0, now - self._filled_at) * MOST_LINES_PER_SECOND
+        self._level = min(MOST_LINES_PER_SECOND, self._level + passed)
+        self._filled_at = now
+        if self._level < 1.0:
+            self.suppressed += 1
+            return False
+        self._level -= 1.0
+        return True
+
+
+class Statistics:
+    """What happened to requests since the start."""
+
+    __slots__ = ("_app", "_counts", "_lines", "_answers", "_latency", "_registry")
+
+    def __init__(self, app: Application) -> None:
+        """Start with nothing counted."""
+        self._app = app
+        self._counts: Counter[str] = Counter()
+        self._lines = LineBudget()
+        self._registry = Registry()
+        self._answers = PrometheusCounter(
+            "camphorgate_answers", "Answers by status.", registry=self._registry
+        )
+        self._latency = Histogram(
+            "camphorgate_answer_seconds",
+            "Time to the end of an answer.",
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+
+    def finished(self, job, seconds: float) -> None:
+        """Note the end of a request."""
+        status = str(job.caller.status or 0)
+        outcome = status if job.caller.ended else f"{status}_open"
+        self._counts[outcome] += 1
+        self._answers.inc({"status": outcome, "route": job.route.name})
+        self._latency.observe({"route": job.route.name}, seconds)
+        if self._lines.take(self._app.clock.monotonic()):
+            log_event(
+                "answered", status=outcome, seconds=seconds, **job_fields(job)
+            )
+
+    def refused(self, job, reason: str, **fields) -> None:
+        """Note an answer of the system's own."""
+        self._counts[f"refused_{reason}"] += 1
+        if self._lines.take(self._app.clock.monotonic()):
+            log_event(
+                "request_refused", reason=reason, status=job.caller.status, **fields
+            )
+
+    def caller_left(self) -> None:
+        """Note a caller that closed its connection before its answer."""
+        self._counts["caller_left"] += 1
+
+    def render(self) -> tuple[str, bytes]:
+        """Return the content type and the text of the metrics."""
+        body, headers = render(self._registry, [])
+        return headers.get("Content-Type", "text/plain"), body
+
+    def dump(self) -> dict:
+        """Return the state for the operators."""
+        return {**self._counts, "suppressed_lines": self._lines.suppressed}
+
+
+def job_fields(job) -> dict:
+    """Return what identifies a request in the logs."""
+    return {
+        "attempt": job.facts.attempt,
+        "route": job.route.name,
+        "service": job.service,
+        "workspace": job.workspace_name,
+    }
+
+
+def log_try(job, upstream: Upstream, cause: str, stage: Stage) -> None:
+    """Write why a try at an upstream did not end well."""
+    log_event(
+        "try_failed",
+        upstream=upstream.id,
+        cause=cause,
+        stage=stage.value,
+        **job_fields(job),
+    )
+
+
+def setup(app: Application) -> None:
+    """Provide the statistics."""
+    statistics = Statistics(app)
+    app.provide("statistics", statistics)
+    app.add_dump_section("requests", statistics.dump)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -0,0 +1,118 @@
+"""What the requests of this instance share about upstreams.
+
+Provides ``upstreams``: the connections, the health, the placement and the budget of
+repeated requests.
+"""
+
+import msgspec
+
+from camphorgate.application import Application
+from camphorgate.serving.budget import ShareOfBudget
+from camphorgate.serving.catalog import Service, Upstream
+from camphorgate.serving.health import HealthBook
+from camphorgate.serving.placement import Placement
+from camphorgated.serving.exchange import Exchange
+from camphorgated.serving.pool import USED_PART, Pool
+
+# At least this many connections to an upstream, however many instances there are.
+LEAST_CONNECTIONS = 4
+
+
+class Upstreams:
+    """Connections, health, placement and budgets of this instance."""
+
+    __slots__ = (
+        "pool",
+        "health",
+        "loads",
+        "placement",
+        "_app",
+        "_directory",
+        "_gossip",
+        "_dialect",
+        "_budgets_by_service",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Start without connections."""
+        self._app = app
+        self._directory = app.service("directory")
+        self._gossip = app.service("gossip")
+        self._dialect = app.service("dialect")
+        self.pool = Pool(app.clock)
+        self.health = HealthBook()
+        self.loads = self._gossip.loads
+        zone = app.settings.availability_zone
+        self.placement = Placement(self.loads, self.health, zone)
+        self._budgets_by_service: dict[str, ShareOfBudget] = {}
+
+    async def start(self) -> None:
+        """Start sweeping idle connections."""
+        self._app.spawn(self.pool.sweep(), "upstream connections")
+
+    def exchange(self, upstream: Upstream) -> Exchange:
+        """Return a new exchange with an upstream."""
+        return Exchange(self.pool, self._dialect, upstream)
+
+    def service(self, name: str) -> Service | None:
+        """Return a service of the configuration in force."""
+        catalog = self._directory.catalog
+        return catalog.services_by_name.get(name) if catalog else None
+
+    def candidates(self, service: str, without: set[str]) -> list[Upstream]:
+        """Return the upstreams of a service that take requests.
+
+        :param without: ids to leave out, unless nothing else is there.
+        """
+        usable = self._directory.service_upstreams(service)
+        return [item for item in usable if item.id not in without] or usable
+
+    def most_connections(self, service: str) -> int:
+        """Return this instance's part of the connections to an upstream."""
+        declared = self.service(service)
+        total = declared.connections if declared else 0
+        part = int(total * USED_PART / self._gossip.instance_count())
+        return max(LEAST_CONNECTIONS, part)
+
+    def budget(self, service: str) -> ShareOfBudget:
+        """Return this instance's budget of repeats for a service."""
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            settings = self._app.settings.budget
+            budget = ShareOfBudget(
+                settings.ratio, settings.slack, settings.window_seconds
+            )
+            self._budgets_by_service[service] = budget
+        return budget
+
+    def take_repeat(self, service: str) -> bool:
+        """Take one repeat from the budget of a service."""
+        now = self._app.clock.monotonic()
+        return self.budget(service).take(now, self._gossip.instance_count())
+
+    def upstreams_changed(self) -> None:
+        """Forget what is known of upstreams that are gone or leave."""
+        table = self._directory.table.by_id
+        boots = {item.boot for item in table.values() if not item.leaving}
+        self.pool.keep_only(boots)
+        self.health.keep_only({item.boot for item in table.values()})
+        self.loads.keep_only(set(table))
+
+    def dump(self) -> dict:
+        """Return the state for the operators."""
+        return {
+            "connections_opened": self.pool.opened,
+            "own_loads": {
+                upstream_id: msgspec.structs.asdict(load)
+                for upstream_id, load in self.loads.own_by_id.items()
+            },
+        }
+
+
+def setup(app: Application) -> None:
+    """Provide the upstreams' state."""
+    upstreams = Upstreams(app)
+    app.provide("upstreams", upstreams)
+    app.add_dump_section("upstreams", upstreams.dump)
+    app.connect("upstreams-changed", upstreams.upstreams_changed)
+    app.on_start(upstreams.start)
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -0,0 +1,159 @@
+"""Reports each usage window once, with figures that never change.
+
+The holder of the duty writes a window's figures to the store before it sends them.
+Whoever holds the duty later sends exactly these.
+"""
+
+import asyncio
+
+import msgspec
+
+from camphorgate.application import Application
+from camphorgate.kv.errors import KvError
+from camphorgate.kv.records import Delete, KvEntry, Put, absent
+from camphorgate.log import log_event
+from camphorgated.serving.directory import OWN_PREFIX
+from camphorgated.serving.errors import CallFailed
+
+WINDOW_PREFIX = OWN_PREFIX + "usage/"
+TICK_SECONDS = 0.25
+# Every instance has told its counters this long after a window's end, if it can.
+SETTLE_SECONDS = 0.6
+# Before the report is due, a window is closed without the instances that are silent.
+EARLY_SECONDS = 3.0
+# Windows are reported for at most this long after they were due.
+OVERDUE_SECONDS = 10.0
+# Frozen windows are removed after this many further ones.
+KEPT_WINDOWS = 8
+
+
+class UsageDuty:
+    """Freezes and reports windows while this instance holds the duty."""
+
+    __slots__ = (
+        "reported",
+        "_app",
+        "_store",
+        "_dialect",
+        "_members",
+        "_gossip",
+        "_directory",
+        "_first_window",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Start with nothing reported."""
+        self._app = app
+        self._store = app.service("store")
+        self._dialect = app.service("dialect")
+        self._members = app.service("members")
+        self._gossip = app.service("gossip")
+        self._directory = app.service("directory")
+        self.reported: set[int] = set()
+        usage = self._gossip.usage
+        self._first_window = usage.window_at(self._gossip.true_now())
+
+    async def run(self) -> None:
+        """Report windows for as long as the process runs."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            if not self._members.holds_duty() or not self._directory.sound:
+                continue
+            for window in self._due_windows():
+                if not self._members.holds_duty():
+                    break
+                await self._report(window)
+
+    def _due_windows(self) -> list[int]:
+        usage = self._gossip.usage
+        now = self._gossip.true_now()
+        late = self._app.settings.times.usage_late_seconds
+        newest = usage.window_at(now - SETTLE_SECONDS) - 1
+        oldest = usage.window_at(now - late - OVERDUE_SECONDS)
+        known = self._frozen()
+        first = min([self._first_window, *known])
+        due = []
+        for window in range(max(oldest, first), newest + 1):
+            if window in self.reported:
+                continue
+            waited = now - usage.window_end(window)
+            complete = usage.complete(window, self._gossip.live_boots())
+            if window in known or complete or waited > late - EARLY_SECONDS:
+                due.append(window)
+        return due
+
+    def _frozen(self) -> dict[int, KvEntry]:
+        entries = self._directory.own_entries_by_key
+        return {
+            int(key.removeprefix(WINDOW_PREFIX)): entry
+            for key, entry in entries.items()
+            if key.startswith(WINDOW_PREFIX)
+        }
+
+    async def _report(self, window: int) -> None:
+        try:
+            counts = await self._freeze(window)
+        except KvError as error:
+            log_event(
+                "usage_not_frozen", level="WARNING", window=window, error=error.message
+            )
+            return
+        fencing = self._members.fencing
+        if not self._members.holds_duty():
+            return
+        holder = self._members.own.instance
+        try:
+            verdict = await self._dialect.report_usage(holder, fencing, window, counts)
+        except CallFailed as error:
+            log_event(
+                "usage_not_reported", level="WARNING", window=window, error=error.message
+            )
+            return
+        log_event(
+            "usage_reported",
+            window=window,
+            status=verdict.status,
+            fencing=fencing,
+            total=sum(counts.values()),
+            late=self._gossip.true_now() - self._gossip.usage.window_end(window),
+        )
+        if verdict.accepted:
+            self.reported.add(window)
+        elif verdict.fenced:
+            self._members.refused(fencing)
+
+    async def _freeze(self, window: int) -> dict[str, int]:
+        """Return the figures of a window that the store keeps, or write them.
+
+        :raises KvError: if neither is possible now.
+        """
+        key = f"{WINDOW_PREFIX}{window}"
+        entry = self._directory.own_entries_by_key.get(key)
+        if entry is None:
+            counts = self._gossip.usage.totals(window)
+            operations = [Put(key, msgspec.json.encode(counts))]
+            operations += [
+                Delete(f"{WINDOW_PREFIX}{old}")
+                for old in self._frozen()
+                if old < window - KEPT_WINDOWS
+            ]
+            done = await self._store.transact([absent(key)], operations[:30])
+            if done.succeeded:
+                return counts
+            entry = done.entries_by_key.get(key) or await self._store.get(key)
+            if entry is None:
+                raise KvError(f"the window {window} vanished")
+        return msgspec.json.decode(entry.value, type=dict[str, int])
+
+
+def setup(app: Application) -> None:
+    """Start reporting if the platform has this duty here."""
+    if "usage" not in app.settings.duties:
+        return
+    duty = UsageDuty(app)
+    app.add_dump_section("usage", lambda: {"reported": sorted(duty.reported)[-10:]})
+
+    async def start() -> None:
+        app.spawn(duty.run(), "usage duty")
+
+    app.on_start(start)
--- a/packages/camphorgate/src/camphorgate/log.py
+++ b/packages/camphorgate/src/camphorgate/log.py
@@ -1,5 +1,6 @@
 """Logging: one line of key=value pairs for each event."""
 
+import os
 import sys
 from typing import Any
 
@@ -41,6 +42,49 @@
     )
 
 
+class NonBlockingSink:
+    """Writes lines to a descriptor and drops those that it does not take at once."""
+
+    __slots__ = ("dropped", "_descriptor", "_rest")
+
+    def __init__(self, descriptor: int) -> None:
+        """Make the descriptor non-blocking."""
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rest = b""
+        self.dropped = 0
+
+    def write(self, line: str) -> None:
+        """Write a line; called by loguru."""
+        data = self._rest + line.encode()
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            self.dropped += 1
+            return
+        except OSError:
+            # Nobody reads the output any more.
+            self.dropped += 1
+            self._rest = b""
+            return
+        # The rest of a cut line goes first, so that lines stay whole.
+        self._rest = data[written:]
+
+
+def configure_standard_output(level: str = "INFO") -> None:
+    """Send events to the standard output without ever waiting for its reader.
+
+    :param level: lowest level that is written, such as ``"INFO"``.
+    """
+    logger.remove()
+    logger.add(
+        NonBlockingSink(sys.stdout.fileno()),
+        level=level.upper(),
+        format=_format_line,
+        colorize=False,
+    )
+
+
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
     """Write one event.
 
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions of an installation whose platform keeps configuration and lists."""
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/health.py
@@ -0,0 +1,63 @@
+"""Which upstreams to avoid, from what requests to them met."""
+
+# How long an upstream is avoided after its first failure in a row; doubles with each
+# further one. A crashed upstream leaves the platform's list after three reports.
+FIRST_SECONDS = 0.5
+LONGEST_SECONDS = 4.0
+# Weight of the newest outcome in the moving share of failures.
+NEWEST_WEIGHT = 0.15
+
+
+class Health:
+    """What is known of one start of an upstream."""
+
+    __slots__ = ("failures", "avoid_until", "failing_share")
+
+    def __init__(self) -> None:
+        """Start without doubts."""
+        self.failures = 0
+        self.avoid_until = 0.0
+        self.failing_share = 0.0
+
+    def succeeded(self) -> None:
+        """Note a request that was answered."""
+        self.failures = 0
+        self.avoid_until = 0.0
+        self.failing_share *= 1.0 - NEWEST_WEIGHT
+
+    def failed(self, now: float) -> None:
+        """Note a request that got no usable answer; the upstream is avoided."""
+        self.failures += 1
+        seconds = FIRST_SECONDS * 2 ** min(self.failures - 1, 5)
+        self.avoid_until = now + min(LONGEST_SECONDS, seconds)
+        self.answered_badly()
+
+    def answered_badly(self) -> None:
+        """Note an error that the upstream itself answered."""
+        self.failing_share += (1.0 - self.failing_share) * NEWEST_WEIGHT
+
+    def avoided(self, now: float) -> bool:
+        """Tell whether other upstreams go first."""
+        return now < self.avoid_until
+
+
+class HealthBook:
+    """The health of every upstream by its start."""
+
+    __slots__ = ("_by_boot",)
+
+    def __init__(self) -> None:
+        """Start without doubts."""
+        self._by_boot: dict[tuple[str, int], Health] = {}
+
+    def of(self, boot: tuple[str, int]) -> Health:
+        """Return the health of one start of an upstream."""
+        health = self._by_boot.get(boot)
+        if health is None:
+            health = self._by_boot[boot] = Health()
+        return health
+
+    def keep_only(self, boots: set[tuple[str, int]]) -> None:
+        """Forget all other starts."""
+        for boot in self._by_boot.keys() - boots:
+            del self._by_boot[boot]
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -0,0 +1,117 @@
+"""How busy each upstream is, as far as this instance and its peers know."""
+
+import msgspec
+
+# A peer's figures count this long after they were made.
+PEER_SECONDS = 2.0
+# Prompt parts are taken for cached this long after their last use.
+PART_SECONDS = 20.0
+# Parts remembered for one engine; the oldest are forgotten first.
+MOST_PARTS = 2000
+
+
+class Load(msgspec.Struct):
+    """What one instance has under way at an upstream.
+
+    ``prefill_tokens`` are the prompt tokens that were sent and not answered yet.
+    """
+
+    requests: int = 0
+    prefill_tokens: int = 0
+    urgent_tokens: int = 0
+
+
+class LoadBook:
+    """Adds up the loads of all instances, and remembers where prompt parts are."""
+
+    __slots__ = ("own_by_id", "_peers", "_parts_by_id", "_news")
+
+    def __init__(self) -> None:
+        """Start without load."""
+        self.own_by_id: dict[str, Load] = {}
+        self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
+        self._parts_by_id: dict[str, dict[str, float]] = {}
+        self._news: list[tuple[str, str]] = []
+
+    def begin(self, upstream_id: str, prefill_tokens: int, urgent: bool) -> None:
+        """Note a request that is sent."""
+        load = self.own_by_id.setdefault(upstream_id, Load())
+        load.requests += 1
+        load.prefill_tokens += prefill_tokens
+        if urgent:
+            load.urgent_tokens += prefill_tokens
+
+    def prefilled(self, upstream_id: str, prefill_tokens: int, urgent: bool) -> None:
+        """Note that the prompt of a request was read."""
+        load = self.own_by_id.setdefault(upstream_id, Load())
+        load.prefill_tokens -= prefill_tokens
+        if urgent:
+            load.urgent_tokens -= prefill_tokens
+
+    def end(self, upstream_id: str) -> None:
+        """Note the end of a request."""
+        load = self.own_by_id[upstream_id]
+        load.requests -= 1
+        if not load.requests and not load.prefill_tokens:
+            del self.own_by_id[upstream_id]
+
+    def hear(self, instance: str, loads_by_id: dict[str, Load], now: float) -> None:
+        """Take the loads of a peer."""
+        self._peers[instance] = (now, loads_by_id)
+
+    def total(self, upstream_id: str, now: float) -> Load:
+        """Return the load of all instances together."""
+        own = self.own_by_id.get(upstream_id)
+        total = Load()
+        if own is not None:
+            total = Load(own.requests, own.prefill_tokens, own.urgent_tokens)
+        for heard_at, loads_by_id in self._peers.values():
+            load = loads_by_id.get(upstream_id)
+            if load is not None and now - heard_at < PEER_SECONDS:
+                total.requests += load.requests
+                total.prefill_tokens += load.prefill_tokens
+                total.urgent_tokens += load.urgent_tokens
+        return total
+
+    def read_parts(self, upstream_id: str, parts: tuple, now: float) -> None:
+        """Note that an engine holds the shared parts of a prompt.
+
+        :param parts: pairs of id and tokens; the last is not shared.
+        """
+        for name, _ in parts[:-1]:
+            self._remember(upstream_id, name, now)
+            self._news.append((upstream_id, name))
+
+    def hear_parts(self, news: list[tuple[str, str]], now: float) -> None:
+        """Take what a peer's requests left at the engines."""
+        for upstream_id, name in news:
+            self._remember(upstream_id, name, now)
+
+    def take_news(self) -> list[tuple[str, str]]:
+        """Return the parts read since the last call, as pairs of engine and part."""
+        news, self._news = self._news, []
+        return news
+
+    def cached_tokens(self, upstream_id: str, parts: tuple, now: float) -> int:
+        """Return how many tokens of a prompt an engine probably holds."""
+        known = self._parts_by_id.get(upstream_id)
+        tokens = 0
+        if known is None:
+            return 0
+        for name, size in parts[:-1]:
+            if now - known.get(name, -PART_SECONDS) >= PART_SECONDS:
+                break
+            tokens += size
+        return tokens
+
+    def keep_only(self, upstream_ids: set[str]) -> None:
+        """Forget what was cached at upstreams that are gone."""
+        for upstream_id in self._parts_by_id.keys() - upstream_ids:
+            del self._parts_by_id[upstream_id]
+
+    def _remember(self, upstream_id: str, name: str, now: float) -> None:
+        parts = self._parts_by_id.setdefault(upstream_id, {})
+        parts.pop(name, None)
+        parts[name] = now
+        if len(parts) > MOST_PARTS:
+            del parts[next(iter(parts))]
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -0,0 +1,137 @@
+"""Which upstream takes a request.
+
+Answers the load of long prompts that share parts, beside short ones with tight
+targets: the predicted time until the prompt is read decides, so a cached part draws a
+request only as far as the queue in front of it is not longer than reading it again.
+"""
+
+import msgspec
+
+from camphorgate.serving.catalog import EngineSpec, Phase, Upstream
+from camphorgate.serving.health import HealthBook
+from camphorgate.serving.loads import LoadBook
+
+# Reading speed of an engine that only prefills (users' sheet); a decoding engine reads
+# at half of it.
+PREFILL_TOKENS_PER_MS = 55.0
+DECODE_PREFILL_PART = 0.5
+# Fixed time of a prompt's reading beyond its tokens, ms.
+PREFILL_FIXED_MS = 15.0
+# What a running answer adds to the time of another on the same engine, ms.
+RUNNING_MS = 4.0
+# Bytes between zones are priced; this is the time that avoiding them is worth, ms.
+OTHER_ZONE_MS = 8.0
+# A cache that moves between zones takes twice as long and is priced up to three times.
+OTHER_ZONE_MOVE_MS = 40.0
+# An upstream that fails requests is chosen only if the others are this much slower.
+FAILING_MS = 400.0
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """What placement needs to know of a generation."""
+
+    tokens: int
+    parts: tuple[tuple[str, int], ...]
+    urgent: bool = False
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """An upstream, and what is predicted of the request there.
+
+    ``wait_ms`` is the time until its first token or start; ``uncached`` the prompt
+    tokens that must be read.
+    """
+
+    upstream: Upstream
+    wait_ms: float
+    uncached: int = 0
+
+
+class Placement:
+    """Chooses upstreams by predicted time; holds no state of its own."""
+
+    __slots__ = ("_loads", "_health", "_zone")
+
+    def __init__(self, loads: LoadBook, health: HealthBook, zone: str) -> None:
+        """Use the books of this instance.
+
+        :param zone: availability zone of this instance.
+        """
+        self._loads = loads
+        self._health = health
+        self._zone = zone
+
+    def for_reading(
+        self, engines: list[Upstream], prompt: Prompt, now: float
+    ) -> Choice | None:
+        """Choose the engine that reads a prompt.
+
+        :param engines: those that may, of any phase.
+        """
+        return self._best(engines, now, lambda item: self._reading(item, prompt, now))
+
+    def for_answering(
+        self,
+        engines: list[Upstream],
+        prompt: Prompt,
+        reader: Upstream | None,
+        spec: EngineSpec,
+        now: float,
+    ) -> Choice | None:
+        """Choose the engine that generates the answer.
+
+        :param reader: the engine that holds the prompt's cache, ``None`` if the
+            answering engine reads the prompt itself.
+        """
+        if reader is None:
+            return self.for_reading(engines, prompt, now)
+
+        def predict(item: Upstream) -> Choice:
+            load = self._loads.total(item.id, now)
+            cached = self._loads.cached_tokens(item.id, prompt.parts, now)
+            moved = max(0, prompt.tokens - cached)
+            bits = moved * spec.bytes_per_token * 8
+            wait = bits / (spec.link_mbps * 1000) + load.requests * RUNNING_MS
+            wait += load.prefill_tokens / PREFILL_TOKENS_PER_MS / DECODE_PREFILL_PART
+            if item.zone != reader.zone:
+                wait += OTHER_ZONE_MOVE_MS
+            if load.requests >= item.slots:
+                wait += FAILING_MS
+            return Choice(item, wait)
+
+        return self._best(engines, now, predict)
+
+    def for_call(self, upstreams: list[Upstream], now: float) -> Choice | None:
+        """Choose the upstream of a plain service with the least predicted wait."""
+
+        def predict(item: Upstream) -> Choice:
+            load = self._loads.total(item.id, now)
+            wait = load.requests / max(1, item.slots) * FAILING_MS
+            return Choice(item, wait)
+
+        return self._best(upstreams, now, predict)
+
+    def _reading(self, item: Upstream, prompt: Prompt, now: float) -> Choice:
+        load = self._loads.total(item.id, now)
+        cached = self._loads.cached_tokens(item.id, prompt.parts, now)
+        uncached = max(1, prompt.tokens - cached)
+        queued = load.urgent_tokens if prompt.urgent else load.prefill_tokens
+        speed = PREFILL_TOKENS_PER_MS
+        if item.phase is not Phase.PREFILL:
+            speed *= DECODE_PREFILL_PART
+        return Choice(item, (queued + uncached) / speed + PREFILL_FIXED_MS, uncached)
+
+    def _best(self, upstreams: list[Upstream], now: float, predict) -> Choice | None:
+        best = None
+        best_cost = 0.0
+        for item in upstreams:
+            choice = predict(item)
+            health = self._health.of(item.boot)
+            cost = choice.wait_ms + health.failing_share * FAILING_MS
+            if item.zone != self._zone:
+                cost += OTHER_ZONE_MS
+            if health.avoided(now):
+                cost += 1e6
+            if best is None or cost < best_cost:
+                best, best_cost = choice, cost
+        return best
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -0,0 +1,66 @@
+"""Settings of a daemon that a platform hosts: JSON with comments, checked whole."""
+
+import msgspec
+
+from camphorgate.errors import SettingsError
+from camphorgate.settings import split_address
+
+
+class BudgetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The fleet's bound on repeated requests of a service in a sliding window."""
+
+    ratio: float = 0.2
+    slack: float = 50.0
+    window_seconds: float = 10.0
+
+
+class TimeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of the platform's rules, in seconds."""
+
+    lease_seconds: float = 3.0
+    grace_seconds: float = 8.0
+    usage_window_seconds: float = 5.0
+    usage_late_seconds: float = 10.0
+
+
+class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one hosted daemon; addresses are ``host:port``."""
+
+    instance_id: str
+    availability_zone: str
+    adapter: str
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    store_address: str
+    operations_address: str = ""
+    operator_address: str = ""
+    seeds: tuple[str, ...] = ()
+    budget: BudgetSettings = BudgetSettings()
+    times: TimeSettings = TimeSettings()
+    duties: tuple[str, ...] = ()
+    log_level: str = "INFO"
+
+
+_ADDRESS_FIELDS = ("caller_address", "ready_address", "peer_address", "store_address")
+_OPTIONAL_FIELDS = ("operations_address", "operator_address")
+
+
+def check_hosted_settings(data: object, path: str) -> HostedSettings:
+    """Check decoded settings.
+
+    :param path: name of the file, for messages.
+    :raises SettingsError: on the first unknown or wrong field.
+    """
+    try:
+        settings = msgspec.convert(data, HostedSettings, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"settings {path}: {error}") from None
+    names = [*_ADDRESS_FIELDS]
+    names += [name for name in _OPTIONAL_FIELDS if getattr(settings, name)]
+    for name in names:
+        try:
+            split_address(getattr(settings, name))
+        except ValueError as error:
+            raise SettingsError(f"settings {path}: {error} - at `$.{name}`") from None
+    return settings
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/usage.py
@@ -0,0 +1,89 @@
+"""How many requests of each workspace began in each window of true time."""
+
+from collections import Counter
+
+# Windows are kept this long after their end, in windows.
+KEPT_WINDOWS = 12
+
+
+class UsageCounts:
+    """Counts of all boots, merged from the instances' own counters.
+
+    Counters of one boot only rise, so a merge keeps the larger value and may be
+    repeated or reordered.
+    """
+
+    __slots__ = ("window_seconds", "own_boot", "_counts_by_boot", "_heard_by_boot")
+
+    def __init__(self, window_seconds: float, own_boot: str) -> None:
+        """Start without counts.
+
+        :param own_boot: unique name of this run of the instance.
+        """
+        self.window_seconds = window_seconds
+        self.own_boot = own_boot
+        self._counts_by_boot: dict[str, dict[int, Counter[str]]] = {own_boot: {}}
+        self._heard_by_boot: dict[str, float] = {}
+
+    def window_at(self, true_now: float) -> int:
+        """Return the number of the window that contains a moment."""
+        return int(true_now // self.window_seconds)
+
+    def window_end(self, window: int) -> float:
+        """Return the end of a window, seconds since 1970."""
+        return (window + 1) * self.window_seconds
+
+    def count(self, workspace: str, true_now: float) -> None:
+        """Count a request that began to run at this instance's upstream."""
+        windows = self._counts_by_boot[self.own_boot]
+        window = self.window_at(true_now)
+        windows.setdefault(window, Counter())[workspace] += 1
+
+    def own_recent(self, true_now: float) -> dict[int, dict[str, int]]:
+        """Return the own counters of the windows that may still be open anywhere."""
+        oldest = self.window_at(true_now) - 3
+        windows = self._counts_by_boot[self.own_boot]
+        return {
+            window: dict(counts)
+            for window, counts in windows.items()
+            if window >= oldest
+        }
+
+    def merge(
+        self, boot: str, counts_by_window: dict[int, dict[str, int]], told_at: float
+    ) -> None:
+        """Take a peer's counters.
+
+        :param told_at: the true time at which the peer made the message.
+        """
+        known = self._counts_by_boot.setdefault(boot, {})
+        for window, counts in counts_by_window.items():
+            merged = known.setdefault(window, Counter())
+            for workspace, count in counts.items():
+                merged[workspace] = max(merged[workspace], count)
+        self._heard_by_boot[boot] = max(self._heard_by_boot.get(boot, 0.0), told_at)
+
+    def complete(self, window: int, live_boots: set[str]) -> bool:
+        """Tell whether every live boot has told its counters after a window's end."""
+        end = self.window_end(window)
+        return all(
+            self._heard_by_boot.get(boot, 0.0) > end
+            for boot in live_boots - {self.own_boot}
+        )
+
+    def totals(self, window: int) -> dict[str, int]:
+        """Return the sum over all boots."""
+        total: Counter[str] = Counter()
+        for windows in self._counts_by_boot.values():
+            total.update(windows.get(window, {}))
+        return dict(total)
+
+    def forget_before(self, true_now: float) -> None:
+        """Drop windows that nobody will ask for any more."""
+        oldest = self.window_at(true_now) - KEPT_WINDOWS
+        for boot, windows in list(self._counts_by_boot.items()):
+            for window in [item for item in windows if item < oldest]:
+                del windows[window]
+            if not windows and boot != self.own_boot:
+                del self._counts_by_boot[boot]
+                self._heard_by_boot.pop(boot, None)
--- a/packages/camphorgate/src/camphorgate/settings.py
+++ b/packages/camphorgate/src/camphorgate/settings.py
@@ -84,15 +84,22 @@
     :raises SettingsError: if the file cannot be read or a field is unknown or wrong;
         the message names the path of the field.
     """
+    return check_settings(read_settings_data(path), path)
+
+
+def read_settings_data(path: str) -> object:
+    """Read a settings file without checking its fields.
+
+    :raises SettingsError: if it cannot be read or is not JSON with comments.
+    """
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f"cannot read settings {path}: {error}") from None
     try:
-        data = json5.loads(text)
+        return json5.loads(text)
     except (ValueError, RecursionError) as error:
         raise SettingsError(f"settings {path} are not JSON: {error}") from None
-    return check_settings(data, path)
 
 
 def check_settings(data: object, path: str = "settings") -> Settings:
