Order phases with the engine's own count of orders

Cause: the list's field of that name counts the engine's reports, so every order's precondition failed. Change: the engine's report is read before an order.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -151,8 +151,13 @@
         holder = self._members.own.instance
         upstream = order.upstream
         try:
+            report = await self._dialect.read_engine(upstream)
+            if report is None or report.busy or report.phase is order.phase:
+                return
+            if not self._members.holds_duty():
+                return
             verdict = await self._dialect.order_phase(
-                holder, fencing, upstream, order.phase
+                holder, fencing, upstream, order.phase, report.orders_accepted
             )
         except CallFailed as error:
             log_event(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
@@ -50,6 +50,16 @@
     tokens: int
 
 
+class EngineReport(msgspec.Struct, frozen=True):
+    """What an engine says of itself; ``busy`` while it carries an order out."""
+
+    phase: Phase
+    busy: bool
+    orders_accepted: int
+    running: int
+    waiting: int
+
+
 class Dialect(Protocol):
     """The names of one platform: what the serving extensions need translated."""
 
@@ -101,8 +111,16 @@
     ) -> "Verdict":
         """Order the number of upstreams of a service in a zone."""
 
+    async def read_engine(self, upstream: Upstream) -> EngineReport | None:
+        """Return what an engine says of itself, ``None`` if it is another one."""
+
     async def order_phase(
-        self, holder: str, fencing: int, upstream: Upstream, phase: Phase
+        self,
+        holder: str,
+        fencing: int,
+        upstream: Upstream,
+        phase: Phase,
+        orders_accepted: int,
     ) -> "Verdict":
         """Order an engine to change its phase."""
 
--- a/packages/camphorgate/src/camphorgate/serving/catalog.py
+++ b/packages/camphorgate/src/camphorgate/serving/catalog.py
@@ -132,7 +132,6 @@
     phase: Phase | None = None
     cheap: bool = False
     started_at: int = 0
-    orders_accepted: int = 0
     leaves_seconds: float | None = None
 
     @property
