Let cheap engines read and ordinary ones answer, and announce phase changes

Cause: an engine that changes its phase refuses for 3 s while it is still listed in the old one; 208 of 209 refusals of a 4 s window met two such engines and used up the budget of repeats. Change: one ordinary engine a zone answers, cheap ones up to the bound read; the holder tells peers 0.45 s before it orders a change; two refusals in a row leave an upstream alone for 0.4 s; a drain closes idle connections after 2.7 s instead of cutting late requests.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
@@ -25,7 +25,7 @@
 class Caller:
     """The answer to one request; exactly one is begun, and at most one ended."""
 
-    __slots__ = ("request", "begun", "ended", "closing", "status", "_connection")
+    __slots__ = ("request", "begun", "ended", "closing", "status", "sent_once", "_connection")
 
     def __init__(
         self, connection: ServerConnection, request: Request, closing: bool
@@ -39,6 +39,9 @@
         self.ended = False
         self.closing = closing or not request.keep_alive
         self.status = 0
+        # Set once a request that must not be repeated is at an upstream: it runs on
+        # even if the caller leaves, as breaking it off may leave it half done.
+        self.sent_once = False
         self._connection = connection
 
     def refuse(self, status: int, reason: str, retry_after: float | None = None) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -108,6 +108,7 @@
                 )
                 tries.sending()
                 request = job.request
+                job.caller.sent_once = job.route.kind is Kind.NON_IDEMPOTENT
                 exchange.send(request.method, request.target, headers, request.body)
                 seconds = self._patience(job, tries, now)
                 facts = await exchange.read_head(job.facts.attempt, seconds)
@@ -120,7 +121,7 @@
             if facts.wrong_upstream:
                 health.failed(clock.monotonic())
             else:
-                health.answered_badly()
+                health.refused(clock.monotonic())
             log_try(job, upstream, f"refused_{facts.status}", Stage.REFUSED)
             return False
         if not facts.stamped and facts.status < 500:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -14,9 +14,11 @@
 )
 from camphorgated.serving.errors import CallFailed
 
-TICK_SECONDS = 0.5
+TICK_SECONDS = 0.25
 # An order that was given is not given again before its effect can show.
 PHASE_AGAIN_SECONDS = 6.0
+# Peers hear of a change this long before it is ordered, and stop sending.
+ANNOUNCED_SECONDS = 0.45
 # Engines that change their phase at the same time, at most this part of the service.
 CHANGING_PART = 0.5
 
@@ -32,6 +34,9 @@
         "_ordered_by_subject",
         "_again_by_subject",
         "_changing_by_boot",
+        "_known_since",
+        "_ordered_boots",
+        "_gossip",
     )
 
     def __init__(self, app: Application) -> None:
@@ -43,12 +48,16 @@
         self._ordered_by_subject: dict[tuple, CapacityOrder] = {}
         self._again_by_subject: dict[tuple, float] = {}
         self._changing_by_boot: dict[tuple, float] = {}
+        self._known_since: dict[str, float] = {}
+        self._ordered_boots: set[tuple] = set()
+        self._gossip = app.service("gossip")
 
     def forget(self) -> None:
         """Order anew after the duty was taken, as a predecessor's orders are unknown."""
         self._ordered_by_subject.clear()
         self._again_by_subject.clear()
         self._changing_by_boot.clear()
+        self._ordered_boots.clear()
 
     async def run(self) -> None:
         """Give orders for as long as the process runs."""
@@ -59,6 +68,7 @@
                 continue
             for service in catalog.services_by_name.values():
                 if not self._members.holds_duty():
+                    self._gossip.changing = set()
                     break
                 await self._order_capacity(service)
                 await self._order_phases(service)
@@ -67,7 +77,8 @@
         table = self._directory.table.by_id.values()
         upstreams = [item for item in table if item.service == service.name]
         now = self._app.clock.monotonic()
-        for order in plan_capacity(service, upstreams):
+        settled = self._settled(service, now)
+        for order in plan_capacity(service, upstreams, settled):
             subject = (order.service, order.zone, order.cheap)
             if self._ordered_by_subject.get(subject) == order and not self._missing(
                 order, upstreams, subject, now
@@ -77,6 +88,12 @@
                 continue
             await self._give_capacity(order, subject)
 
+    def _settled(self, service: Service, now: float) -> bool:
+        """Tell whether the service has been known for longer than a start takes."""
+        since = self._known_since.setdefault(service.name, now)
+        startup = service.scaling.startup_seconds if service.scaling else 0.0
+        return now - since > 2 * startup + AGAIN_SECONDS
+
     def _missing(self, order: CapacityOrder, upstreams, subject, now: float) -> bool:
         """Tell whether upstreams of an accepted order are gone or never came."""
         if now < self._again_by_subject.get(subject, 0.0):
@@ -132,19 +149,25 @@
             return
         engines = self._directory.service_upstreams(service.name)
         now = self._app.clock.monotonic()
+        orders = plan_phases(engines)
+        wanted = {order.upstream.boot for order in orders}
         for boot, since in list(self._changing_by_boot.items()):
-            if now - since > PHASE_AGAIN_SECONDS:
+            done = boot not in wanted and now - since > ANNOUNCED_SECONDS
+            if done or now - since > PHASE_AGAIN_SECONDS:
                 del self._changing_by_boot[boot]
+                self._ordered_boots.discard(boot)
         most = max(1, int(len(engines) * CHANGING_PART))
-        for order in plan_phases(engines):
-            if len(self._changing_by_boot) >= most:
-                break
-            if order.upstream.boot in self._changing_by_boot:
+        for order in orders:
+            boot = order.upstream.boot
+            since = self._changing_by_boot.get(boot)
+            if since is None and len(self._changing_by_boot) < most:
+                self._changing_by_boot[boot] = now
+            elif since is None or boot in self._ordered_boots:
                 continue
-            if not self._members.holds_duty():
-                break
-            self._changing_by_boot[order.upstream.boot] = now
-            await self._give_phase(order)
+            elif now - since >= ANNOUNCED_SECONDS and self._members.holds_duty():
+                self._ordered_boots.add(boot)
+                await self._give_phase(order)
+        self._gossip.changing = {boot[0] for boot in self._changing_by_boot}
 
     async def _give_phase(self, order: PhaseOrder) -> None:
         fencing = self._members.fencing
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -24,8 +24,9 @@
 # The final answer is sent this long before the caller or the route gives up, so that
 # it still arrives.
 ANSWER_SECONDS = 0.01
-# A drained instance stays for callers that the platform still sends.
-LINGER_SECONDS = 3.0
+# The platform sends new callers for up to this long after the instance is not ready.
+# Later requests may not end before the platform ends the process.
+LINGER_SECONDS = 2.7
 # Margin before the platform ends a stopping process.
 GRACE_MARGIN_SECONDS = 0.6
 BACKLOG = 512
@@ -93,10 +94,12 @@
 
     __slots__ = (
         "stopping",
+        "closed",
         "_app",
         "_dialect",
         "_directory",
         "_connections",
+        "_busy",
         "_active",
         "_servers",
         "_numbers",
@@ -107,10 +110,12 @@
     def __init__(self, app: Application) -> None:
         """Start without sockets."""
         self.stopping = False
+        self.closed = False
         self._app = app
         self._dialect = app.service("dialect")
         self._directory = app.service("directory")
         self._connections: set[ServerConnection] = set()
+        self._busy: set[ServerConnection] = set()
         self._active = 0
         self._servers: list[asyncio.Server] = []
         self._numbers = itertools.count(1)
@@ -193,18 +198,22 @@
             return False
         if request is None:
             return False
+        if self.closed:
+            return False
         self._active += 1
+        self._busy.add(connection)
         caller = Caller(connection, request, self.stopping)
         work = asyncio.ensure_future(self._answer(caller))
         try:
             await asyncio.wait(
                 {work, connection.left}, return_when=asyncio.FIRST_COMPLETED
             )
-            if not work.done():
+            if not work.done() and not self._must_finish(caller):
                 work.cancel()
                 await asyncio.wait({work})
                 self._statistics.caller_left()
                 return False
+            await asyncio.wait({work})
             if not work.cancelled() and work.exception() is not None:
                 self._failed(caller, work.exception())
         except asyncio.CancelledError:
@@ -212,8 +221,13 @@
             raise
         finally:
             self._active -= 1
+            self._busy.discard(connection)
         return not caller.closing and caller.ended
 
+    def _must_finish(self, caller: Caller) -> bool:
+        """Tell whether the work goes on although the caller left."""
+        return caller.sent_once
+
     def _failed(self, caller: Caller, error: BaseException) -> None:
         log_event("request_failed", level="ERROR", error=repr(error))
         if caller.begun:
@@ -288,13 +302,15 @@
         began = clock.monotonic()
         last = began + self._app.settings.times.grace_seconds - GRACE_MARGIN_SECONDS
         log_event("draining", active=self._active, connections=len(self._connections))
-        while clock.monotonic() < last:
-            lingered = clock.monotonic() - began > LINGER_SECONDS
-            if lingered and not self._active:
-                break
-            await asyncio.sleep(0.05)
+        await asyncio.sleep(LINGER_SECONDS)
+        # A caller whose request crosses the close sees that it was not read.
+        self.closed = True
         for server in self._servers:
             server.close()
+        for connection in list(self._connections - self._busy):
+            connection.close()
+        while self._active and clock.monotonic() < last:
+            await asyncio.sleep(0.02)
         if self._active:
             log_event("cut_at_stop", level="WARNING", active=self._active)
         for connection in list(self._connections):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -210,7 +210,7 @@
         result = self._dialect.read_prefill(body) if facts.status == 200 else None
         health = self._upstreams.health.of(engine.boot)
         if result is None:
-            health.answered_badly()
+            health.refused(clock.monotonic())
             log_try(job, engine, f"read_refused_{facts.status}", Stage.REFUSED)
             return
         health.succeeded()
@@ -286,7 +286,7 @@
         if status == 421:
             health.failed(self._app.clock.monotonic())
         else:
-            health.answered_badly()
+            health.refused(self._app.clock.monotonic())
         log_try(generation.job, engine, f"refused_{status}", Stage.REFUSED)
         return False
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -36,7 +36,8 @@
     """What an instance tells a peer.
 
     ``wall`` is the raw time of day and ``true_now`` the estimate of the true time,
-    both in seconds since 1970.
+    both in seconds since 1970. ``changing`` are the engines that the sender, as the
+    holder of the duty, is about to order to another phase or has just ordered.
     """
 
     instance: str
@@ -52,6 +53,7 @@
     usage: dict[int, dict[str, int]] = {}
     loads: dict[str, Load] = {}
     parts: list[tuple[str, str]] = []
+    changing: list[str] = []
 
 
 class Answer(msgspec.Struct, omit_defaults=True):
@@ -74,6 +76,8 @@
         "true_time",
         "usage",
         "heard_by_boot",
+        "changing",
+        "_changing_by_instance",
         "_app",
         "_members",
         "_directory",
@@ -94,6 +98,8 @@
             app.settings.times.usage_window_seconds, self._members.own.boot
         )
         self.heard_by_boot: dict[str, float] = {}
+        self.changing: set[str] = set()
+        self._changing_by_instance: dict[str, tuple[float, list[str]]] = {}
         self._server: grpc.aio.Server | None = None
         self._tasks_by_address: dict[str, asyncio.Task] = {}
         self._known_addresses: dict[str, float] = {}
@@ -117,6 +123,15 @@
         }
         return boots | heard | {self._members.own.boot}
 
+    def changing_engines(self) -> set[str]:
+        """Return the engines that take no requests while they change their phase."""
+        now = self._app.clock.monotonic()
+        engines = set(self.changing)
+        for heard_at, changing in self._changing_by_instance.values():
+            if now - heard_at < LIVE_SECONDS:
+                engines.update(changing)
+        return engines
+
     def instance_count(self) -> int:
         """Return how many instances there seem to be, this one included."""
         return max(len(self.live_boots()), len(self._app.settings.seeds), 1)
@@ -202,6 +217,7 @@
             usage=self.usage.own_recent(self.true_now()),
             loads=self.loads.own_by_id,
             parts=parts,
+            changing=list(self.changing),
         )
 
     async def _talk(self, address: str) -> None:
@@ -263,6 +279,7 @@
         self.usage.merge(state.boot, state.usage, state.true_now)
         self.loads.hear(state.instance, state.loads, now)
         self.loads.hear_parts(state.parts, now)
+        self._changing_by_instance[state.instance] = (now, state.changing)
         directory = self._directory
         catalog = directory.catalog
         answer = Answer(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -64,7 +64,9 @@
 
         :param without: ids to leave out, unless nothing else is there.
         """
-        usable = self._directory.service_upstreams(service)
+        listed = self._directory.service_upstreams(service)
+        changing = self._gossip.changing_engines()
+        usable = [item for item in listed if item.id not in changing] or listed
         return [item for item in usable if item.id not in without] or usable
 
     def most_connections(self, service: str) -> int:
--- a/packages/camphorgate/src/camphorgate/serving/health.py
+++ b/packages/camphorgate/src/camphorgate/serving/health.py
@@ -4,6 +4,9 @@
 # further one. A crashed upstream leaves the platform's list after three reports.
 FIRST_SECONDS = 0.5
 LONGEST_SECONDS = 4.0
+# After this many refusals in a row, an upstream is left alone for a short while.
+REFUSALS = 2
+REFUSED_SECONDS = 0.4
 # Weight of the newest outcome in the moving share of failures.
 NEWEST_WEIGHT = 0.15
 
@@ -11,17 +14,19 @@
 class Health:
     """What is known of one start of an upstream."""
 
-    __slots__ = ("failures", "avoid_until", "failing_share")
+    __slots__ = ("failures", "refusals", "avoid_until", "failing_share")
 
     def __init__(self) -> None:
         """Start without doubts."""
         self.failures = 0
+        self.refusals = 0
         self.avoid_until = 0.0
         self.failing_share = 0.0
 
     def succeeded(self) -> None:
         """Note a request that was answered."""
         self.failures = 0
+        self.refusals = 0
         self.avoid_until = 0.0
         self.failing_share *= 1.0 - NEWEST_WEIGHT
 
@@ -32,6 +37,13 @@
         self.avoid_until = now + min(LONGEST_SECONDS, seconds)
         self.answered_badly()
 
+    def refused(self, now: float) -> None:
+        """Note a refusal without running the request, as of a full upstream."""
+        self.refusals += 1
+        if self.refusals >= REFUSALS:
+            self.avoid_until = now + REFUSED_SECONDS
+        self.answered_badly()
+
     def answered_badly(self) -> None:
         """Note an error that the upstream itself answered."""
         self.failing_share += (1.0 - self.failing_share) * NEWEST_WEIGHT
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -23,6 +23,8 @@
 OTHER_ZONE_MS = 8.0
 # A cache that moves between zones takes twice as long and is priced up to three times.
 OTHER_ZONE_MOVE_MS = 40.0
+# Streams prefer engines that cannot be reclaimed; the time that is worth, ms.
+CHEAP_ANSWER_MS = 30.0
 # An upstream that fails requests is chosen only if the others are this much slower.
 FAILING_MS = 400.0
 
@@ -95,6 +97,8 @@
             wait += load.prefill_tokens / PREFILL_TOKENS_PER_MS / DECODE_PREFILL_PART
             if item.zone != reader.zone:
                 wait += OTHER_ZONE_MOVE_MS
+            if item.cheap:
+                wait += CHEAP_ANSWER_MS
             if load.requests >= item.slots:
                 wait += FAILING_MS
             return Choice(item, wait)
