Test the hosted daemon against stand-ins of its platform

Cause: the request path, the duties and the adapter had no tests. The drain test found that an answer begun before SIGTERM did not end its connection; the answer now asks when it begins.

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,10 @@
 
 .PHONY: setup demo up test lint format measure
 
-$(SETUP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(SETUP): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install --quiet --requirement requirements.txt
-	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(foreach p,$(wildcard packages/*),--editable $(p))
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(foreach p,$(wildcard packages/*) platform,--editable ./$(p))
 	touch $(SETUP)
 
 setup: $(SETUP)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
@@ -1,6 +1,7 @@
 """What is written back to a caller."""
 
 import math
+from collections.abc import Callable
 
 from camphorgate.log import log_event
 from camphorgated.serving.http1 import Headers, Request, ServerConnection, encode_head
@@ -25,26 +26,42 @@
 class Caller:
     """The answer to one request; exactly one is begun, and at most one ended."""
 
-    __slots__ = ("request", "begun", "ended", "closing", "status", "sent_once", "_connection")
+    __slots__ = (
+        "request",
+        "begun",
+        "ended",
+        "closing",
+        "status",
+        "sent_once",
+        "_connection",
+        "_stopping",
+    )
 
     def __init__(
-        self, connection: ServerConnection, request: Request, closing: bool
+        self,
+        connection: ServerConnection,
+        request: Request,
+        stopping: Callable[[], bool] = lambda: False,
     ) -> None:
         """Prepare an answer.
 
-        :param closing: whether the connection ends after it.
+        :param stopping: asked when the answer begins; true ends the connection after
+            the answer.
         """
         self.request = request
         self.begun = False
         self.ended = False
-        self.closing = closing or not request.keep_alive
+        self.closing = not request.keep_alive
         self.status = 0
         # Set once a request that must not be repeated is at an upstream: it runs on
         # even if the caller leaves, as breaking it off may leave it half done.
         self.sent_once = False
         self._connection = connection
+        self._stopping = stopping
 
-    def refuse(self, status: int, reason: str, retry_after: float | None = None) -> None:
+    def refuse(
+        self, status: int, reason: str, retry_after: float | None = None
+    ) -> None:
         """Answer with an error of the system's own.
 
         :param reason: short code for the caller and the log.
@@ -98,6 +115,7 @@
         self.begun = True
         self.status = status
         lines = list(headers)
+        self.closing = self.closing or self._stopping()
         if self.closing:
             lines.append((b"connection", b"close"))
         reason = _REASONS.get(status, b"Answer")
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -19,7 +19,15 @@
     the request at the upstream.
     """
 
-    __slots__ = ("upstream", "facts", "headers", "_pool", "_dialect", "_lease", "_whole")
+    __slots__ = (
+        "upstream",
+        "facts",
+        "headers",
+        "_pool",
+        "_dialect",
+        "_lease",
+        "_whole",
+    )
 
     def __init__(self, pool: Pool, dialect: Dialect, upstream: Upstream) -> None:
         """Prepare without connecting."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -53,7 +53,7 @@
         self._gossip = app.service("gossip")
 
     def forget(self) -> None:
-        """Order anew after the duty was taken, as a predecessor's orders are unknown."""
+        """Order anew, as the orders of a predecessor are unknown."""
         self._ordered_by_subject.clear()
         self._again_by_subject.clear()
         self._changing_by_boot.clear()
@@ -101,7 +101,9 @@
         present = sum(
             1
             for item in upstreams
-            if item.zone == order.zone and item.cheap == order.cheap and not item.leaving
+            if item.zone == order.zone
+            and item.cheap == order.cheap
+            and not item.leaving
         )
         return present < order.count
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -163,7 +163,7 @@
                 request = await connection.next_request(60.0)
                 if request is None:
                     break
-                caller = Caller(connection, request, False)
+                caller = Caller(connection, request)
                 path = request.target.partition(b"?")[0]
                 if path != self._dialect.ready_path:
                     caller.refuse(404, "route_unknown")
@@ -193,7 +193,7 @@
             request = await connection.next_request(limits.idle_seconds)
         except BadRequest as error:
             empty = Request("GET", b"/", [], b"", False)
-            Caller(connection, empty, True).refuse(error.status, error.code)
+            Caller(connection, empty).refuse(error.status, error.code)
             log_event("request_malformed", status=error.status, error=error.message)
             return False
         if request is None:
@@ -202,7 +202,7 @@
             return False
         self._active += 1
         self._busy.add(connection)
-        caller = Caller(connection, request, self.stopping)
+        caller = Caller(connection, request, lambda: self.stopping)
         work = asyncio.ensure_future(self._answer(caller))
         try:
             await asyncio.wait(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -371,7 +371,11 @@
             seconds = min(MOST_RETURN_SECONDS, max(LEAST_RETURN_SECONDS, seconds))
             caller.refuse(503, reason, seconds)
         self._statistics.refused(
-            job, reason, wait=wait_seconds, sends=generation.tries.sends, **job_fields(job)
+            job,
+            reason,
+            wait=wait_seconds,
+            sends=generation.tries.sends,
+            **job_fields(job),
         )
 
     def _release(self, handle: Handle) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -166,7 +166,9 @@
             await self._server.stop(0.2)
 
     def _period(self) -> float:
-        return max(PERIOD_SECONDS, len(self._tasks_by_address) * PERIOD_PER_PEER_SECONDS)
+        return max(
+            PERIOD_SECONDS, len(self._tasks_by_address) * PERIOD_PER_PEER_SECONDS
+        )
 
     async def _keep_tasks(self) -> None:
         while True:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -131,9 +131,7 @@
             now = self._clock.monotonic()
             for boot, idle in self._idle_by_boot.items():
                 keep = self._keep_by_boot.get(boot, DEFAULT_KEEP_SECONDS) * KEPT_PART
-                while idle and (
-                    not idle[0].usable or now - idle[0].idle_since >= keep
-                ):
+                while idle and (not idle[0].usable or now - idle[0].idle_since >= keep):
                     idle.popleft().close()
 
     def _release(self, boot: tuple) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -106,7 +106,10 @@
             verdict = await self._dialect.report_usage(holder, fencing, window, counts)
         except CallFailed as error:
             log_event(
-                "usage_not_reported", level="WARNING", window=window, error=error.message
+                "usage_not_reported",
+                level="WARNING",
+                window=window,
+                error=error.message,
             )
             return
         log_event(
--- /dev/null
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_store.py
@@ -0,0 +1,263 @@
+"""Stand-in for a hosting platform's store and its interface for usage and upstreams.
+
+Faults: ``down``, ``busy`` (503 to every call), ``slow``, ``silent``, ``lose_answers``
+(the write is done, no answer comes), ``lose_history`` (the next watch must read anew).
+``GET /control/reports`` lists what arrived at the operations interface;
+``POST /control/put`` and ``/control/remove`` write as the operator or an upstream does.
+"""
+
+import asyncio
+import base64
+import itertools
+import time
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from camphorgate_standins.serving import Faults, build_app, parse_options, run
+
+PAGE_ITEMS = 50
+SWEEP_SECONDS = 0.02
+
+
+class HostingStore:
+    """Items with revisions, leases and waiting watches; all in memory."""
+
+    __slots__ = (
+        "revision",
+        "items_by_key",
+        "history",
+        "leases_by_id",
+        "reports",
+        "faults",
+        "highest_fencing",
+        "_numbers",
+        "_changed",
+        "closed",
+    )
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items_by_key: dict[str, dict] = {}
+        self.history: list[dict] = []
+        self.leases_by_id: dict[int, list] = {}
+        self.reports: list[dict] = []
+        self.faults = Faults()
+        self.highest_fencing = 0
+        self._numbers = itertools.count(1000)
+        self._changed = asyncio.Event()
+        self.closed = False
+
+    def close(self) -> None:
+        """Answer the waiting watches, as the store is about to stop."""
+        self.closed = True
+
+    def app(self):
+        """Return the ASGI application."""
+        routes = [
+            Route("/v1/kv-key", self.read_key),
+            Route("/v1/kv-range", self.read_range),
+            Route("/v1/kv-watch", self.watch),
+            Route("/v1/kv-txn", self.transact, methods=["POST"]),
+            Route("/v1/kv-lease", self.grant, methods=["POST"]),
+            Route("/v1/kv-keep/{lease:int}", self.keep, methods=["POST"]),
+            Route("/v1/kv-lease-end/{lease:int}", self.end, methods=["DELETE"]),
+            Route("/usage", self.operate, methods=["POST"]),
+            Route("/scale", self.operate, methods=["POST"]),
+            Route("/control/reports", self.list_reports),
+            Route("/control/put", self.control_put, methods=["POST"]),
+            Route("/control/remove", self.control_remove, methods=["POST"]),
+        ]
+        return build_app(routes, self.faults)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write an item at a new revision."""
+        self.revision += 1
+        self._put(key, value, lease)
+
+    def remove(self, key: str) -> None:
+        """Remove an item at a new revision."""
+        self.revision += 1
+        self._remove(key)
+
+    def _put(self, key: str, value: bytes, lease: int) -> None:
+        known = self.items_by_key.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "create-rev": known["create-rev"] if known else self.revision,
+            "lease": lease,
+        }
+        self.items_by_key[key] = item
+        self._note(item)
+
+    def _remove(self, key: str) -> None:
+        if self.items_by_key.pop(key, None) is not None:
+            self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def _note(self, event: dict) -> None:
+        self.history.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def sweep(self) -> None:
+        """End the leases whose time is over."""
+        now = time.monotonic()
+        for lease, (_, ends_at) in list(self.leases_by_id.items()):
+            if now >= ends_at:
+                self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and remove its items."""
+        self.leases_by_id.pop(lease, None)
+        keys = [
+            key for key, item in self.items_by_key.items() if item["lease"] == lease
+        ]
+        for key in keys if lease else ():
+            self.remove(key)
+
+    def _busy(self) -> Response | None:
+        self.sweep()
+        return Response(status_code=503) if self.faults.take("busy") else None
+
+    async def read_key(self, request: Request) -> Response:
+        """Return one item."""
+        if (refusal := self._busy()) is not None:
+            return refusal
+        item = self.items_by_key.get(request.query_params["key"])
+        if item is None:
+            return JSONResponse({"store-revision": self.revision}, 404)
+        return JSONResponse({**item, "store-revision": self.revision})
+
+    async def read_range(self, request: Request) -> Response:
+        """Return a page of items."""
+        if (refusal := self._busy()) is not None:
+            return refusal
+        prefix = request.query_params["path-prefix"]
+        after = request.query_params.get("after", "")
+        keys = sorted(
+            key for key in self.items_by_key if key.startswith(prefix) and key > after
+        )
+        page = [self.items_by_key[key] for key in keys[:PAGE_ITEMS]]
+        return JSONResponse(
+            {
+                "items": page,
+                "has-more": len(keys) > PAGE_ITEMS,
+                "store-revision": self.revision,
+            }
+        )
+
+    async def watch(self, request: Request) -> Response:
+        """Return the events after a revision, as soon as there are any."""
+        if (refusal := self._busy()) is not None:
+            return refusal
+        if self.faults.take("lose_history"):
+            return Response(status_code=410)
+        prefix = request.query_params["path-prefix"]
+        after = int(request.query_params["after"])
+        until = time.monotonic() + int(request.query_params["wait-ms"]) / 1000
+        while True:
+            self.sweep()
+            events = [
+                event
+                for event in self.history
+                if event["key"].startswith(prefix) and event["revision"] > after
+            ]
+            left = until - time.monotonic()
+            if events or left <= 0 or self.closed:
+                return JSONResponse({"events": events, "store-revision": self.revision})
+            try:
+                await asyncio.wait_for(self._changed.wait(), min(left, SWEEP_SECONDS))
+            except TimeoutError:
+                continue
+
+    async def transact(self, request: Request) -> Response:
+        """Write all or nothing."""
+        if (refusal := self._busy()) is not None:
+            return refusal
+        body = await request.json()
+        failed = []
+        for row in body.get("precondition", []):
+            item = self.items_by_key.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                failed.append(item or {"key": row["key"]})
+        if failed:
+            return JSONResponse({"items": failed}, 412)
+        puts = body.get("puts", [])
+        if any(
+            row.get("lease", 0) and row["lease"] not in self.leases_by_id
+            for row in puts
+        ):
+            return Response(status_code=404)
+        self.revision += 1
+        for row in puts:
+            self._put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+        for key in body.get("remove", []):
+            self._remove(key)
+        return JSONResponse({"revision": self.revision})
+
+    async def grant(self, request: Request) -> Response:
+        """Create a lease."""
+        if (refusal := self._busy()) is not None:
+            return refusal
+        ttl_ms = (await request.json())["ttl-ms"]
+        lease = next(self._numbers)
+        self.leases_by_id[lease] = [ttl_ms, time.monotonic() + ttl_ms / 1000]
+        return JSONResponse({"lease": lease, "ttl-ms": ttl_ms})
+
+    async def keep(self, request: Request) -> Response:
+        """Renew a lease."""
+        if (refusal := self._busy()) is not None:
+            return refusal
+        lease = self.leases_by_id.get(request.path_params["lease"])
+        if lease is None:
+            return Response(status_code=404)
+        lease[1] = time.monotonic() + lease[0] / 1000
+        return JSONResponse({"ttl-ms": lease[0]})
+
+    async def end(self, request: Request) -> Response:
+        """End a lease."""
+        self.end_lease(request.path_params["lease"])
+        return JSONResponse({})
+
+    async def operate(self, request: Request) -> Response:
+        """Take a report or an order, and refuse an old fencing number."""
+        fencing = int(request.headers["x-fence-token"])
+        report = {
+            "path": request.url.path,
+            "holder": request.headers["x-duty-holder"],
+            "fencing": fencing,
+            "body": await request.json(),
+            "accepted": fencing >= self.highest_fencing,
+        }
+        self.reports.append(report)
+        if not report["accepted"]:
+            return JSONResponse({"error": "fence"}, 409)
+        self.highest_fencing = fencing
+        return JSONResponse({})
+
+    async def list_reports(self, request: Request) -> Response:
+        """Return what arrived at the operations interface."""
+        return JSONResponse({"reports": self.reports})
+
+    async def control_put(self, request: Request) -> Response:
+        """Write an item whose value is the body."""
+        self.put(request.query_params["key"], await request.body())
+        return JSONResponse({"revision": self.revision})
+
+    async def control_remove(self, request: Request) -> Response:
+        """Remove an item."""
+        self.remove(request.query_params["key"])
+        return JSONResponse({"revision": self.revision})
+
+
+def main() -> None:
+    """Run the stand-in as a program."""
+    options = parse_options("Stand-in for a hosting platform's store.")
+    run(HostingStore().app(), options.address)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/camphorgate-standins/src/camphorgate_standins/serving.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/serving.py
@@ -145,6 +145,7 @@
         access_log=False,
         timeout_keep_alive=120,
         timeout_graceful_shutdown=1,
+        lifespan="off",
     )
     return uvicorn.Server(config)
 
--- /dev/null
+++ b/tests/hosted.py
@@ -0,0 +1,156 @@
+"""Runs a hosted daemon and stand-ins of its platform within a test, on free ports."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import unittest
+
+from camphorgate.serving.settings import HostedSettings, check_hosted_settings
+from camphorgate_standins.hosting_store import SWEEP_SECONDS, HostingStore
+from camphorgate_standins.hosting_worker import HostingWorker
+from camphorgate_standins.serving import make_server
+from camphorgated.serving import daemon
+from camphorgated.serving.http1 import ClientConnection, connect, encode_head
+from tests.hosting_builders import (
+    HOST,
+    KEY,
+    build_platform_configuration,
+    build_platform_entry,
+)
+
+WAIT_SECONDS = 5.0
+
+
+def free_address() -> str:
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def build_hosted_settings(store: str, **changes) -> HostedSettings:
+    """Return settings of a hosted daemon on free ports."""
+    data = {
+        "instance_id": "entry-1",
+        "availability_zone": "zone-a",
+        "adapter": "camphorgate_platform",
+        "caller_address": free_address(),
+        "ready_address": free_address(),
+        "peer_address": free_address(),
+        "store_address": store,
+        "operations_address": store,
+        "times": {"lease_seconds": 1.5, "usage_window_seconds": 1.0},
+        **changes,
+    }
+    return check_hosted_settings(data, "test")
+
+
+class Reply:
+    """An answer as a caller sees it; ``whole`` is false if it was cut."""
+
+    def __init__(self, connection: ClientConnection, body: bytes, whole: bool):
+        self.status = connection.status
+        self.headers = dict(connection.headers)
+        self.body = body
+        self.whole = whole
+
+
+class HostedCase(unittest.IsolatedAsyncioTestCase):
+    """A store, workers and daemons; everything stops with the test."""
+
+    async def asyncSetUp(self):
+        """Start the store."""
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.store = HostingStore()
+        self.store_address = await self.serve(self.store.app())
+        self.workers = {}
+
+    async def serve(self, app) -> str:
+        """Serve an application until the test ends, and return its address."""
+        server = make_server(app, free_address())
+        task = asyncio.create_task(server.serve())
+
+        async def stop():
+            self.store.close()
+            server.should_exit = True
+            await asyncio.sleep(2 * SWEEP_SECONDS)
+            server.force_exit = True
+            await task
+
+        self.stack.push_async_callback(stop)
+        await self.eventually(lambda: server.started)
+        host, port = server.servers[0].sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def add_worker(self, worker_id: str, service: str = "desk", **changes):
+        """Start a worker and list it."""
+        worker = HostingWorker(worker_id, changes.get("phase", ""), 8)
+        address = await self.serve(worker.app())
+        entry = build_platform_entry(address, service=service, **changes)
+        self.store.put(f"servers/{worker_id}", entry)
+        self.workers[worker_id] = worker
+        return worker
+
+    def configure(self, version: int = 1, **changes) -> None:
+        """Write a configuration as the operator."""
+        configuration = build_platform_configuration(version, **changes)
+        self.store.put("op/config", json.dumps(configuration).encode())
+
+    async def start_daemon(self, **changes):
+        """Start a daemon within this process."""
+        settings = build_hosted_settings(self.store_address, **changes)
+        app = daemon.build(settings)
+        await app.start()
+        self.stack.push_async_callback(app.stop)
+        return app
+
+    async def start_ready(self, **changes):
+        """Start a daemon and wait for its configuration and all workers."""
+        app = await self.start_daemon(**changes)
+        directory = app.service("directory")
+        await self.eventually(
+            lambda: (
+                directory.catalog and len(directory.table.by_id) >= len(self.workers)
+            )
+        )
+        return app
+
+    async def eventually(self, condition, seconds: float = WAIT_SECONDS):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def ask(self, app, path: str, **options) -> Reply:
+        """Send a request on a new connection and read its answer."""
+        host, _, port = app.settings.caller_address.rpartition(":")
+        connection = await connect(host, int(port), 1.0)
+        try:
+            return await self.ask_on(connection, path, **options)
+        finally:
+            connection.close()
+
+    async def ask_on(
+        self, connection, path, method="GET", body=b"", headers=None, seconds=5.0
+    ) -> Reply:
+        """Send a request on an open connection and read its answer."""
+        lines = {
+            b"host": HOST.encode(),
+            b"x-attempt-id": b"attempt-1",
+            b"x-deadline": b"3000",
+            b"authorization": b"Bearer " + KEY.encode(),
+            b"content-length": b"%d" % len(body),
+            **(headers or {}),
+        }
+        lines = [(name, value) for name, value in lines.items() if value is not None]
+        start = f"{method} {path} HTTP/1.1".encode()
+        connection.send(method, encode_head(start, lines) + body)
+        async with asyncio.timeout(seconds):
+            await connection.read_head()
+            pieces = []
+            while piece := await connection.read_piece():
+                pieces.append(piece)
+        connection.finish()
+        return Reply(connection, b"".join(pieces), piece is not None)
--- /dev/null
+++ b/tests/test_serving/test_control.py
@@ -0,0 +1,167 @@
+"""Tests of the duty, usage reports, peers and outages of the store."""
+
+import asyncio
+
+from camphorgate.settings import split_address
+from camphorgate_platform.store import PlatformStore
+from camphorgated.serving.members import DUTY_KEY
+from tests.hosted import HostedCase, free_address
+
+
+class DutyTests(HostedCase):
+    """One holder at a time, and fencing numbers that only rise."""
+
+    async def asyncSetUp(self):
+        """Write the configuration."""
+        await super().asyncSetUp()
+        self.configure()
+
+    async def start_pair(self):
+        """Start two daemons and return the holder first."""
+        apps = [
+            await self.start_daemon(instance_id=f"entry-{number}") for number in (1, 2)
+        ]
+        members = [app.service("members") for app in apps]
+        await self.eventually(lambda: any(item.holds_duty() for item in members))
+        return sorted(members, key=lambda item: not item.holds_duty())
+
+    async def test_one_of_two_holds_the_duty(self):
+        """Guards against two instances that both believe they are in charge."""
+        _, other = await self.start_pair()
+        await asyncio.sleep(0.5)
+        self.assertFalse(other.holds_duty())
+
+    async def test_successor_has_a_higher_number(self):
+        """Guards against one number in the hands of two instances."""
+        holder, other = await self.start_pair()
+        first = holder.fencing
+        await holder.leave()
+        await self.eventually(other.holds_duty)
+        self.assertGreater(other.fencing, first)
+        self.assertFalse(holder.holds_duty())
+
+    async def test_holder_without_the_store_stops_before_its_lease_ends(self):
+        """Guards against orders of an instance that was replaced."""
+        holder, other = await self.start_pair()
+        self.store.faults.arm({"fault": "busy", "seconds": 3.0})
+        began = asyncio.get_running_loop().time()
+        await self.eventually(lambda: not holder.holds_duty())
+        self.assertLess(asyncio.get_running_loop().time() - began, 1.5)
+        await self.eventually(
+            lambda: holder.holds_duty() or other.holds_duty(), seconds=10.0
+        )
+
+    async def test_refused_number_is_never_used_again(self):
+        """Guards against a holder that goes on after a newer one acted."""
+        holder, _ = await self.start_pair()
+        number = holder.fencing
+        holder.refused(number)
+        self.assertFalse(holder.holds_duty())
+        await asyncio.sleep(0.5)
+        self.assertNotEqual(holder.fencing, number)
+
+    async def test_duty_whose_write_lost_its_answer_is_found(self):
+        """Guards against a duty that its holder does not know of."""
+        self.store.faults.arm({"fault": "none"})
+        app = await self.start_daemon()
+        members = app.service("members")
+        await self.eventually(members.holds_duty)
+        number = members.fencing
+        await members.leave()
+        members.leaving = False
+        client = PlatformStore(split_address(self.store_address))
+        self.addCleanup(client.close)
+        self.assertIsNone(await client.get(DUTY_KEY))
+        self.assertGreater(number, 0)
+
+    async def test_usage_is_reported_once_a_window(self):
+        """Guards against windows that are missing, doubled or changed."""
+        await self.add_worker("desk-1")
+        app = await self.start_ready(duties=["usage"])
+        members = app.service("members")
+        await self.eventually(members.holds_duty)
+        for _ in range(5):
+            await self.ask(app, "/read/a")
+        await asyncio.sleep(2.5)
+        reports = [item for item in self.store.reports if item["path"] == "/usage"]
+        windows = [item["body"]["window-id"] for item in reports]
+        self.assertEqual(len(windows), len(set(windows)))
+        self.assertEqual(windows, sorted(windows))
+        total = sum(sum(item["body"]["counts"].values()) for item in reports)
+        self.assertEqual(total, 5)
+
+    async def test_successor_reports_the_frozen_figures(self):
+        """Guards against a window that two holders report differently."""
+        await self.add_worker("desk-1")
+        app = await self.start_ready(duties=["usage"])
+        window = app.service("gossip").usage.window_at(app.service("gossip").true_now())
+        self.store.put(f"camphorgate/usage/{window}", b'{"north": 7}')
+        await self.eventually(lambda: len(self.store.reports) >= 2, seconds=8.0)
+        figures = {
+            item["body"]["window-id"]: item["body"]["counts"]
+            for item in self.store.reports
+        }
+        self.assertEqual(figures[window], {"north": 7})
+
+
+class PeerTests(HostedCase):
+    """Instances that the store does not serve hear from their peers."""
+
+    async def test_instance_without_the_store_serves_by_its_peers_knowledge(self):
+        """Guards against instances that are useless while the store refuses them."""
+        self.configure()
+        await self.add_worker("desk-1")
+        first = await self.start_ready()
+        second = await self.start_daemon(
+            instance_id="entry-2",
+            store_address=free_address(),
+            seeds=[first.settings.peer_address],
+        )
+        directory = second.service("directory")
+        await self.eventually(lambda: directory.catalog and directory.table.by_id)
+        self.assertEqual((await self.ask(second, "/read/a")).status, 200)
+        self.configure(2, tenants=[{"name": "north", "api-keys": []}])
+        await self.eventually(lambda: directory.catalog.version == 2, seconds=2.0)
+        self.assertEqual((await self.ask(second, "/read/a")).status, 401)
+        self.store.remove("servers/desk-1")
+        await self.eventually(lambda: not directory.table.by_id, seconds=2.0)
+
+    async def test_counts_of_a_peer_are_known_to_all(self):
+        """Guards against usage that is lost with the instance that counted it."""
+        self.configure()
+        await self.add_worker("desk-1")
+        first = await self.start_ready()
+        second = await self.start_ready(instance_id="entry-2")
+        await self.ask(second, "/read/a")
+        usage = first.service("gossip").usage
+
+        def known():
+            window = usage.window_at(first.service("gossip").true_now())
+            return any(usage.totals(item) for item in (window - 1, window))
+
+        await self.eventually(known)
+
+
+class OutageTests(HostedCase):
+    """The store's outages do not stop service."""
+
+    async def test_service_goes_on_without_the_store(self):
+        """Guards against an outage of the store that becomes one of the system."""
+        self.configure()
+        await self.add_worker("desk-1")
+        app = await self.start_ready()
+        directory = app.service("directory")
+        self.store.faults.arm({"fault": "busy"})
+        self.store.remove("servers/desk-1")
+        await asyncio.sleep(0.5)
+        await self.eventually(lambda: not directory.sound, seconds=8.0)
+        self.assertEqual((await self.ask(app, "/read/a")).status, 200)
+
+    async def test_instance_without_a_configuration_refuses_as_not_run(self):
+        """Guards against answers that depend on nothing."""
+        app = await self.start_daemon()
+        self.assertFalse(app.service("front").ready())
+        reply = await self.ask(app, "/read/a")
+        self.assertEqual(reply.status, 503)
+        self.configure()
+        await self.eventually(app.service("front").ready)
--- /dev/null
+++ b/tests/test_serving/test_decisions.py
@@ -0,0 +1,170 @@
+"""Tests of tries, budgets, health, usage and true time."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from camphorgate.serving.budget import ShareOfBudget
+from camphorgate.serving.catalog import Stage
+from camphorgate.serving.health import REFUSALS, Health
+from camphorgate.serving.tries import Tries
+from camphorgate.serving.true_time import TrueTime
+from camphorgate.serving.usage import UsageCounts
+
+STAGES = st.sampled_from([Stage.NOT_SENT, Stage.REFUSED, Stage.SENT])
+
+
+class TriesTests(unittest.TestCase):
+    """What may not be repeated runs at most once, and "not run" is true."""
+
+    @given(st.lists(STAGES, max_size=12), st.booleans(), st.integers(1, 4))
+    def test_runs_stay_within_what_the_route_allows(self, stages, repeatable, most):
+        """Guards against a second run and a false "not run"."""
+        tries = Tries(repeatable, most)
+        possible_runs = 0
+        for stage in stages:
+            if not tries.may_send():
+                break
+            if stage is not Stage.NOT_SENT:
+                tries.sending()
+            tries.failed(stage)
+            possible_runs += stage is Stage.SENT
+        self.assertLessEqual(possible_runs, most if repeatable else 1)
+        self.assertEqual(tries.may_have_run, possible_runs > 0)
+
+    def test_second_send_needs_its_place_in_the_budget(self):
+        """Guards against repeats that no budget counts."""
+        tries = Tries(True, 3)
+        self.assertTrue(tries.granted)
+        tries.sending()
+        self.assertFalse(tries.granted)
+
+    def test_sending_what_must_not_be_sent_is_an_error(self):
+        """Guards against a caller of this class that forgets to ask."""
+        tries = Tries(False, 3)
+        tries.sending()
+        tries.failed(Stage.SENT)
+        with self.assertRaises(ValueError):
+            tries.sending()
+
+
+class BudgetTests(unittest.TestCase):
+    """The sum over all instances keeps the bound of the whole fleet."""
+
+    @given(
+        st.integers(1, 40),
+        st.lists(st.tuples(st.floats(0, 30), st.booleans()), max_size=300),
+    )
+    def test_sum_over_instances_keeps_the_bound(self, instances, events):
+        """Guards against instances that each use the whole slack."""
+        ratio, slack, window = 0.2, 54.0, 10.0
+        budgets = [ShareOfBudget(ratio, slack, window) for _ in range(instances)]
+        repeats, requests = [], []
+        for number, (at, is_request) in enumerate(sorted(events)):
+            budget = budgets[number % instances]
+            if is_request:
+                budget.note_request(at)
+                requests.append(at)
+            elif budget.take(at, instances):
+                repeats.append(at)
+        for end in repeats:
+            in_window = sum(1 for at in repeats if end - window < at <= end)
+            asked = sum(1 for at in requests if end - window < at <= end)
+            self.assertLessEqual(in_window, ratio * asked + slack)
+
+
+class HealthTests(unittest.TestCase):
+    """Upstreams that fail are avoided for a time that grows and ends."""
+
+    def test_failures_in_a_row_avoid_longer(self):
+        """Guards against hammering a dead upstream."""
+        health = Health()
+        health.failed(0.0)
+        first = health.avoid_until
+        health.failed(first)
+        self.assertGreater(health.avoid_until - first, first)
+
+    def test_success_ends_the_avoidance(self):
+        """Guards against an upstream that is never used again."""
+        health = Health()
+        health.failed(0.0)
+        health.succeeded()
+        self.assertFalse(health.avoided(0.01))
+
+    def test_one_refusal_does_not_avoid(self):
+        """Guards against leaving a full upstream at its first refusal."""
+        health = Health()
+        for _ in range(REFUSALS - 1):
+            health.refused(0.0)
+        self.assertFalse(health.avoided(0.01))
+        health.refused(0.0)
+        self.assertTrue(health.avoided(0.01))
+
+
+class UsageTests(unittest.TestCase):
+    """Counts merge to the same sums in any order and any number of times."""
+
+    def test_merge_is_idempotent(self):
+        """Guards against counting a peer's counters twice."""
+        counts = UsageCounts(5.0, "own/1")
+        for _ in range(3):
+            counts.merge("peer/1", {7: {"north": 4}}, 36.0)
+        counts.merge("peer/1", {7: {"north": 3}}, 35.0)
+        self.assertEqual(counts.totals(7), {"north": 4})
+
+    def test_boots_of_one_instance_add_up(self):
+        """Guards against losing what an instance counted before it was killed."""
+        counts = UsageCounts(5.0, "own/1")
+        counts.merge("peer/1", {7: {"north": 4}}, 36.0)
+        counts.merge("peer/2", {7: {"north": 2}}, 38.0)
+        self.assertEqual(counts.totals(7), {"north": 6})
+
+    def test_window_is_complete_after_every_live_boot_told_later(self):
+        """Guards against reporting before a peer's last counts arrived."""
+        counts = UsageCounts(5.0, "own/1")
+        counts.merge("peer/1", {}, 39.9)
+        self.assertFalse(counts.complete(7, {"own/1", "peer/1"}))
+        counts.merge("peer/1", {}, 40.1)
+        self.assertTrue(counts.complete(7, {"own/1", "peer/1"}))
+        self.assertFalse(counts.complete(7, {"own/1", "peer/1", "peer/2"}))
+
+    def test_request_counts_in_the_window_in_which_it_began(self):
+        """Guards against windows that are shifted by one."""
+        counts = UsageCounts(5.0, "own/1")
+        counts.count("north", 39.99)
+        counts.count("north", 40.0)
+        self.assertEqual(counts.totals(7), {"north": 1})
+        self.assertEqual(counts.totals(8), {"north": 1})
+
+
+class TrueTimeTests(unittest.TestCase):
+    """One clock that jumps does not move the estimate."""
+
+    def test_own_jump_is_outvoted(self):
+        """Guards against usage windows that follow one machine's clock."""
+        time = TrueTime(1000.0, 0.0)
+        for step in range(1, 40):
+            steady = step * 0.2
+            time.hear("a", 1000.0 + steady, steady)
+            time.hear("b", 1000.1 + steady, steady)
+            time.follow(1003.0 + steady, steady)
+        self.assertAlmostEqual(time.now(8.0), 1008.0, delta=0.2)
+
+    def test_start_within_a_jump_is_corrected(self):
+        """Guards against a process that starts while its clock is wrong."""
+        time = TrueTime(1005.0, 0.0)
+        for step in range(1, 40):
+            steady = step * 0.2
+            time.hear("a", 1000.0 + steady, steady)
+            time.hear("b", 1000.0 + steady, steady)
+            time.follow(1005.0 + steady, steady)
+        self.assertAlmostEqual(time.now(8.0), 1008.0, delta=0.05)
+
+    def test_peers_that_fall_silent_do_not_vote(self):
+        """Guards against an old reading that keeps its vote."""
+        time = TrueTime(1000.0, 0.0)
+        time.hear("a", 2000.0, 0.0)
+        time.hear("b", 2000.0, 0.0)
+        time.follow(1100.0, 100.0)
+        self.assertAlmostEqual(time.now(100.0), 1100.0, delta=0.01)
--- /dev/null
+++ b/tests/test_serving/test_placement.py
@@ -0,0 +1,151 @@
+"""Tests of loads, placement and the plan of the fleet."""
+
+import unittest
+
+from camphorgate.serving.catalog import EngineSpec, Phase, ScalingSpec, Service
+from camphorgate.serving.fleet_plan import plan_capacity, plan_phases
+from camphorgate.serving.health import HealthBook
+from camphorgate.serving.loads import PEER_SECONDS, Load, LoadBook
+from camphorgate.serving.placement import Placement, Prompt
+from tests.hosting_builders import build_engine, build_listed_upstream
+
+SPEC = EngineSpec(slots=8, cache_tokens=400000, bytes_per_token=18432, link_mbps=550000)
+PARTS = (("common", 500), ("shared", 5000), ("own", 6500))
+PROMPT = Prompt(12000, PARTS)
+
+
+class PlacementTests(unittest.TestCase):
+    """Requests go where their first token is predicted soonest."""
+
+    def setUp(self):
+        """Start with empty books."""
+        self.loads = LoadBook()
+        self.health = HealthBook()
+        self.placement = Placement(self.loads, self.health, "zone-a")
+        self.readers = [build_engine(f"p{n}", Phase.PREFILL) for n in range(3)]
+        self.answerers = [build_engine(f"d{n}", Phase.DECODE) for n in range(3)]
+
+    def read(self, prompt=PROMPT, now=1.0):
+        """Return the id of the engine that reads a prompt."""
+        return self.placement.for_reading(self.readers, prompt, now).upstream.id
+
+    def test_cached_part_draws_a_prompt(self):
+        """Guards against reading shared parts again on another engine."""
+        self.loads.read_parts("p2", PARTS, 0.5)
+        self.assertEqual(self.read(), "p2")
+
+    def test_cached_part_does_not_outweigh_a_long_queue(self):
+        """Guards against a queue behind one engine while others are idle."""
+        self.loads.read_parts("p2", PARTS, 0.5)
+        self.loads.begin("p2", 20000, False)
+        self.assertNotEqual(self.read(), "p2")
+
+    def test_load_of_peers_counts(self):
+        """Guards against instances that all choose the same engine."""
+        self.loads.hear("peer", {"p0": Load(1, 9000), "p1": Load(1, 9000)}, 1.0)
+        self.assertEqual(self.read(now=1.1), "p2")
+
+    def test_old_load_of_peers_does_not_count(self):
+        """Guards against avoiding an engine for a peer that was killed."""
+        self.loads.hear("peer", {"p0": Load(1, 9000)}, 1.0)
+        self.loads.begin("p1", 100, False)
+        self.loads.begin("p2", 100, False)
+        self.assertEqual(self.read(now=1.1 + PEER_SECONDS), "p0")
+
+    def test_part_behind_a_missing_one_is_not_cached(self):
+        """Guards against counting parts that the engine must read all the same."""
+        self.loads.hear_parts([("p1", "shared")], 0.5)
+        self.assertEqual(self.loads.cached_tokens("p1", PARTS, 1.0), 0)
+
+    def test_avoided_engine_is_the_last_choice(self):
+        """Guards against sending to an engine that just failed."""
+        self.health.of(self.readers[0].boot).failed(1.0)
+        self.health.of(self.readers[1].boot).failed(1.0)
+        self.assertEqual(self.read(now=1.1), "p2")
+
+    def test_answer_stays_in_the_zone_of_the_reader(self):
+        """Guards against caches that move between zones for nothing."""
+        far = [
+            build_engine("d0", Phase.DECODE, zone="zone-b"),
+            build_engine("d1", Phase.DECODE, zone="zone-a"),
+        ]
+        reader = build_engine("p0", Phase.PREFILL, zone="zone-a")
+        choice = self.placement.for_answering(far, PROMPT, reader, SPEC, 1.0)
+        self.assertEqual(choice.upstream.id, "d1")
+
+    def test_answer_prefers_engines_that_cannot_be_reclaimed(self):
+        """Guards against streams that a reclaim breaks."""
+        engines = [
+            build_engine("d0", Phase.DECODE, cheap=True),
+            build_engine("d1", Phase.DECODE),
+        ]
+        reader = self.readers[0]
+        choice = self.placement.for_answering(engines, PROMPT, reader, SPEC, 1.0)
+        self.assertEqual(choice.upstream.id, "d1")
+
+    def test_calls_spread_over_the_least_loaded(self):
+        """Guards against a plain service whose first upstream takes everything."""
+        desks = [build_listed_upstream(f"s{n}", slots=6) for n in range(3)]
+        taken = []
+        for _ in range(6):
+            choice = self.placement.for_call(desks, 1.0)
+            self.loads.begin(choice.upstream.id, 0, False)
+            taken.append(choice.upstream.id)
+        self.assertEqual(sorted(taken), ["s0", "s0", "s1", "s1", "s2", "s2"])
+
+
+class FleetPlanTests(unittest.TestCase):
+    """Cheap engines read, ordinary ones answer, within the bounds of each zone."""
+
+    def service(self, **changes):
+        """Return a service that scales from 1 to 4 in each zone."""
+        fields = {
+            "minimum": 1,
+            "maximum": 4,
+            "startup_seconds": 4.0,
+            "cheap_price": 0.15,
+            "price_by_zone": {},
+            **changes,
+        }
+        return Service("models", "/", 100, SPEC, ScalingSpec(**fields))
+
+    def engines(self, zone, ordinary, cheap, phase=Phase.PREFILL):
+        """Return engines of a zone."""
+        return [
+            build_engine(f"{zone}-{n}", phase, zone=zone, cheap=n >= ordinary)
+            for n in range(ordinary + cheap)
+        ]
+
+    def test_orders_fill_the_bound_with_cheap_ones(self):
+        """Guards against ordering beyond the bound of both kinds together."""
+        orders = plan_capacity(self.service(), self.engines("a", 2, 0), False)
+        counts = {order.cheap: order.count for order in orders}
+        self.assertEqual(counts, {False: 1, True: 3})
+
+    def test_short_fleet_gets_ordinary_ones_too(self):
+        """Guards against a reclaim that leaves too little."""
+        engines = self.engines("a", 1, 0) + self.engines("b", 1, 0)
+        orders = plan_capacity(self.service(), engines, True)
+        counts = [order.count for order in orders if not order.cheap]
+        self.assertEqual(counts, [2, 2])
+
+    def test_service_without_cheap_kind_is_left_alone(self):
+        """Guards against orders that the platform cannot carry out."""
+        service = self.service(cheap_price=None)
+        self.assertEqual(plan_capacity(service, self.engines("a", 2, 0), True), [])
+
+    def test_ordinary_engine_answers_and_the_rest_reads(self):
+        """Guards against streams on engines that can be reclaimed."""
+        engines = self.engines("a", 1, 3, Phase.DECODE) + self.engines("b", 1, 3)
+        phases = {order.upstream.id: order.phase for order in plan_phases(engines)}
+        expected = {f"a-{n}": Phase.PREFILL for n in (1, 2, 3)}
+        self.assertEqual(phases, {**expected, "b-0": Phase.DECODE})
+
+    def test_plan_that_holds_gives_no_orders(self):
+        """Guards against engines that change their phase back and forth."""
+        engines = self.engines("a", 1, 0, Phase.DECODE) + [
+            build_engine(f"a-c{n}", Phase.PREFILL, zone="a", cheap=True)
+            for n in range(3)
+        ]
+        engines += self.engines("b", 1, 0, Phase.DECODE)
+        self.assertEqual(plan_phases(engines), [])
--- /dev/null
+++ b/tests/test_serving/test_upstream_table.py
@@ -0,0 +1,73 @@
+"""Tests of the table of upstreams through outages of the list."""
+
+import unittest
+
+from camphorgate.serving.upstream_table import RETURN_SECONDS, UpstreamTable
+from tests.hosting_builders import build_listed_upstream
+
+
+class UpstreamTableTests(unittest.TestCase):
+    """Entries rise by revision; those that vanish in an outage are kept for a while."""
+
+    def setUp(self):
+        """Start with one upstream."""
+        self.table = UpstreamTable()
+        self.table.put(build_listed_upstream("u1", revision=5))
+
+    def test_older_entry_does_not_replace_a_newer_one(self):
+        """Guards against a late message that revives a leaving upstream."""
+        self.table.put(build_listed_upstream("u1", revision=7, leaving=True))
+        self.assertFalse(self.table.put(build_listed_upstream("u1", revision=6)))
+        self.assertEqual(self.table.usable("models"), [])
+
+    def test_entry_of_an_earlier_start_is_ignored(self):
+        """Guards against a late write of a process that was replaced under its id."""
+        self.table.put(build_listed_upstream("u1", revision=8, started_at=20))
+        late = build_listed_upstream("u1", revision=9, started_at=10)
+        self.assertFalse(self.table.put(late))
+        self.assertEqual(self.table.by_id["u1"].started_at, 20)
+
+    def test_removal_in_a_sound_list_counts_at_once(self):
+        """Guards against work for an upstream that left as planned."""
+        self.table.remove("u1", 6, now=10.0, sound=True)
+        self.assertEqual(self.table.by_id, {})
+
+    def test_removal_during_an_outage_waits_for_its_end(self):
+        """Guards against dropping every upstream because the list was away."""
+        self.table.remove("u1", 6, now=10.0, sound=False)
+        self.assertEqual(self.table.settle(20.0, None), [])
+        self.assertEqual(self.table.settle(20.0 + RETURN_SECONDS / 2, 20.0), [])
+        self.assertIn("u1", self.table.by_id)
+        self.assertEqual(self.table.settle(20.0 + RETURN_SECONDS, 20.0), ["u1"])
+        self.assertEqual(self.table.by_id, {})
+
+    def test_entry_that_returns_after_an_outage_stays(self):
+        """Guards against dropping an upstream that is back in time."""
+        self.table.remove("u1", 6, now=10.0, sound=False)
+        self.table.put(build_listed_upstream("u1", revision=8))
+        self.assertEqual(self.table.settle(99.0, 20.0), [])
+        self.assertIn("u1", self.table.by_id)
+
+    def test_leaving_upstream_is_dropped_even_in_an_outage(self):
+        """Guards against keeping what said itself that it leaves."""
+        self.table.put(build_listed_upstream("u1", revision=6, leaving=True))
+        self.table.remove("u1", 7, now=10.0, sound=False)
+        self.assertEqual(self.table.by_id, {})
+
+    def test_older_complete_list_is_ignored(self):
+        """Guards against a peer whose list lags behind the own watch."""
+        self.table.put(build_listed_upstream("u2", revision=9))
+        self.table.replace([], revision=8, now=1.0, sound=True)
+        self.assertEqual(set(self.table.by_id), {"u1", "u2"})
+
+    def test_complete_list_removes_what_it_lacks(self):
+        """Guards against upstreams that stay for ever after a missed removal."""
+        listed = build_listed_upstream("u2", revision=9)
+        self.table.replace([listed], revision=9, now=1.0, sound=True)
+        self.assertEqual(set(self.table.by_id), {"u2"})
+
+    def test_digest_follows_the_entries(self):
+        """Guards against peers that take different tables for equal."""
+        before = self.table.digest()
+        self.table.put(build_listed_upstream("u1", revision=6))
+        self.assertNotEqual(self.table.digest(), before)
