Change phases only where the fleet is calm; log what placed a request

Change: while the list changes, only a zone without an answering engine gets orders; a refusal leaves an upstream alone at once; the line of an answer has the engines, the prediction and the times.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -4,9 +4,10 @@
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
-from camphorgate.serving.catalog import Service
+from camphorgate.serving.catalog import Service, Upstream
 from camphorgate.serving.fleet_plan import (
     AGAIN_SECONDS,
+    CALM_SECONDS,
     CapacityOrder,
     PhaseOrder,
     plan_capacity,
@@ -36,6 +37,7 @@
         "_changing_by_boot",
         "_known_since",
         "_ordered_boots",
+        "_engines_by_service",
         "_gossip",
     )
 
@@ -50,6 +52,7 @@
         self._changing_by_boot: dict[tuple, float] = {}
         self._known_since: dict[str, float] = {}
         self._ordered_boots: set[tuple] = set()
+        self._engines_by_service: dict[str, tuple[set, float]] = {}
         self._gossip = app.service("gossip")
 
     def forget(self) -> None:
@@ -151,7 +154,7 @@
             return
         engines = self._directory.service_upstreams(service.name)
         now = self._app.clock.monotonic()
-        orders = plan_phases(engines)
+        orders = plan_phases(engines, self._calm(service, engines, now))
         wanted = {order.upstream.boot for order in orders}
         for boot, since in list(self._changing_by_boot.items()):
             done = boot not in wanted and now - since > ANNOUNCED_SECONDS
@@ -171,6 +174,17 @@
                 await self._give_phase(order)
         self._gossip.changing = {boot[0] for boot in self._changing_by_boot}
 
+    def _calm(self, service: Service, engines: list[Upstream], now: float) -> bool:
+        """Tell whether the engines of a service have been the same for some time."""
+        boots = {engine.boot for engine in engines}
+        known, since = self._engines_by_service.get(service.name, (set(), now))
+        if boots != known:
+            since = now
+            self._engines_by_service[service.name] = (boots, now)
+        if self._app.service("front").idle():
+            return True
+        return now - since > CALM_SECONDS
+
     async def _give_phase(self, order: PhaseOrder) -> None:
         fencing = self._members.fencing
         holder = self._members.own.instance
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -36,7 +36,6 @@
     """One request on its way: what is known of it, and until when it counts."""
 
     __slots__ = (
-        "number",
         "caller",
         "request",
         "facts",
@@ -46,11 +45,11 @@
         "rank",
         "deadline",
         "promised",
+        "decisions",
     )
 
     def __init__(
         self,
-        number: int,
         caller: Caller,
         facts: RequestFacts,
         route: Route,
@@ -62,7 +61,6 @@
 
         :param rank: 0 is the most urgent.
         """
-        self.number = number
         self.caller = caller
         self.request = caller.request
         self.facts = facts
@@ -70,6 +68,8 @@
         self.service = service
         self.workspace = workspace
         self.rank = rank
+        # What was decided and measured on the way, for the log line of the answer.
+        self.decisions: dict[str, object] = {}
         seconds = facts.seconds if facts.seconds is not None else DEFAULT_SECONDS
         read_at = self.request.read_at
         self.promised = read_at + seconds
@@ -102,7 +102,7 @@
         "_busy",
         "_active",
         "_servers",
-        "_numbers",
+        "_admitted",
         "_statistics",
         "_spread",
     )
@@ -118,7 +118,7 @@
         self._busy: set[ServerConnection] = set()
         self._active = 0
         self._servers: list[asyncio.Server] = []
-        self._numbers = itertools.count(1)
+        self._admitted = 0
         self._statistics = app.service("statistics")
         self._spread = itertools.count()
 
@@ -153,6 +153,10 @@
         catalog = self._directory.catalog
         return catalog.limits if catalog else Limits()
 
+    def idle(self) -> bool:
+        """Tell whether no request has come yet since the start."""
+        return not self._admitted
+
     def ready(self) -> bool:
         """Tell whether new callers should be sent here."""
         return not self.stopping and self._directory.catalog is not None
@@ -279,8 +283,8 @@
                 return None
         service = self._pick_backend(route)
         rank = catalog.rank(route, workspace)
-        number = next(self._numbers)
-        return Job(number, caller, facts, route, service, workspace, rank)
+        self._admitted += 1
+        return Job(caller, facts, route, service, workspace, rank)
 
     def _pick_backend(self, route: Route) -> str:
         """Return a service by its weight, spread evenly over the requests."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -189,6 +189,7 @@
         clock = self._app.clock
         loads = self._upstreams.loads
         generation.reads += 1
+        sent_at = clock.monotonic()
         generation.tried.add(engine.id)
         urgent = generation.prompt.urgent
         patience = choice.wait_ms / 1000 * READ_PATIENCE + READ_PATIENCE_SECONDS
@@ -196,6 +197,7 @@
         try:
             async with self._upstreams.exchange(engine) as exchange:
                 await exchange.open(self._most(job), False)
+                sent_at = clock.monotonic()
                 self._send(generation, exchange, phase=Phase.PREFILL)
                 seconds = min(patience, max(0.01, job.left(clock.monotonic())))
                 facts = await exchange.read_head(None, seconds)
@@ -208,6 +210,12 @@
             loads.prefilled(engine.id, choice.uncached, urgent)
             loads.end(engine.id)
         result = self._dialect.read_prefill(body) if facts.status == 200 else None
+        job.decisions.update(
+            reader=engine.id,
+            predicted_ms=choice.wait_ms,
+            uncached=choice.uncached,
+            read_ms=(clock.monotonic() - sent_at) * 1000,
+        )
         health = self._upstreams.health.of(engine.boot)
         if result is None:
             health.refused(clock.monotonic())
@@ -239,6 +247,11 @@
                 generation.tries.sending()
                 self._send(generation, exchange, handle=handle)
                 generation.handle = None
+                job.decisions.update(
+                    answerer=engine.id,
+                    direct=handle is None,
+                    answer_wait=choice.wait_ms,
+                )
                 facts = await exchange.read_head(job.facts.attempt, self._wait(job))
                 if facts.stage is Stage.REFUSED:
                     return self._refused(generation, engine, facts.status)
@@ -338,6 +351,10 @@
     def _begin(self, generation: Generation, exchange: Exchange) -> None:
         caller = generation.job.caller
         if not caller.begun:
+            now = self._app.clock.monotonic()
+            generation.job.decisions["first_ms"] = (
+                now - generation.job.request.read_at
+            ) * 1000
             headers = self._dialect.caller_headers(exchange.headers)
             caller.begin_stream(exchange.facts.status, headers)
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -69,7 +69,13 @@
         self._answers.inc({"status": outcome, "route": job.route.name})
         self._latency.observe({"route": job.route.name}, seconds)
         if self._lines.take(self._app.clock.monotonic()):
-            log_event("answered", status=outcome, seconds=seconds, **job_fields(job))
+            log_event(
+                "answered",
+                status=outcome,
+                seconds=seconds,
+                **job_fields(job),
+                **job.decisions,
+            )
 
     def refused(self, job, reason: str, **fields) -> None:
         """Note an answer of the system's own."""
--- a/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
@@ -14,6 +14,10 @@
 
 # The part of a zone's engines that answers; the others read prompts.
 ANSWERING_PART = 0.25
+# Engines that answer beyond that, and are left alone while the fleet changes.
+SPARE = 1
+# The list counts as calm after this time without a change of a service's engines.
+CALM_SECONDS = 3.0
 # Ordinary engines that each zone keeps, so that a reclaim of every cheap one leaves
 # engines that answer.
 ORDINARY_PER_ZONE = 1
@@ -64,13 +68,15 @@
     return orders
 
 
-def plan_phases(upstreams: list[Upstream]) -> list[PhaseOrder]:
+def plan_phases(upstreams: list[Upstream], calm: bool) -> list[PhaseOrder]:
     """Return the phase changes that a service's engines need.
 
     Ordinary engines answer before cheap ones do. Every zone keeps both phases if it has
-    two engines, so that caches move within it.
+    two engines, so that caches move within it. An engine that answers takes seconds to
+    change, as its streams end first, so one too many is left alone unless it is calm.
 
     :param upstreams: the engines of a service that take requests.
+    :param calm: whether the list has not changed for some time.
     """
     orders = []
     by_zone: dict[str, list[Upstream]] = {}
@@ -79,18 +85,30 @@
             by_zone.setdefault(upstream.zone, []).append(upstream)
     for zone in sorted(by_zone):
         engines = by_zone[zone]
-        if len(engines) < 2:
-            continue
-        wanted = max(1, round(len(engines) * ANSWERING_PART))
-        if len(by_zone) == 1 and len(engines) > 2:
-            wanted = max(2, wanted)
+        wanted = _wanted_answerers(len(engines), len(by_zone))
         engines.sort(
             key=lambda item: (item.cheap, item.phase is not Phase.DECODE, item.id)
         )
+        answering = sum(1 for item in engines if item.phase is Phase.DECODE)
         for number, engine in enumerate(engines):
             phase = Phase.DECODE if number < wanted else Phase.PREFILL
-            if engine.phase is not phase:
-                orders.append(PhaseOrder(engine, phase))
+            if engine.phase is phase:
+                continue
+            if phase is Phase.DECODE and not calm and answering >= wanted:
+                continue
+            if phase is Phase.PREFILL and not calm and answering <= wanted + SPARE:
+                continue
+            orders.append(PhaseOrder(engine, phase))
     # Engines that start to answer go first, as a zone without one is worse off.
     orders.sort(key=lambda order: order.phase is not Phase.DECODE)
     return orders
+
+
+def _wanted_answerers(engines: int, zones: int) -> int:
+    """Return how many of a zone's engines answer."""
+    if engines < 2:
+        return engines
+    wanted = max(1, round(engines * ANSWERING_PART))
+    if zones == 1 and engines > 2:
+        wanted = max(2, wanted)
+    return wanted
--- a/packages/camphorgate/src/camphorgate/serving/health.py
+++ b/packages/camphorgate/src/camphorgate/serving/health.py
@@ -4,9 +4,9 @@
 # further one. A crashed upstream leaves the platform's list after three reports.
 FIRST_SECONDS = 0.5
 LONGEST_SECONDS = 4.0
-# After this many refusals in a row, an upstream is left alone for a short while.
-REFUSALS = 2
-REFUSED_SECONDS = 0.4
+# How long an upstream is left alone after its first refusal in a row; doubles too.
+REFUSED_SECONDS = 0.3
+LONGEST_REFUSED_SECONDS = 1.2
 # Weight of the newest outcome in the moving share of failures.
 NEWEST_WEIGHT = 0.15
 
@@ -40,9 +40,8 @@
     def refused(self, now: float) -> None:
         """Note a refusal without running the request, as of a full upstream."""
         self.refusals += 1
-        if self.refusals >= REFUSALS:
-            self.avoid_until = now + REFUSED_SECONDS
-        self.answered_badly()
+        seconds = REFUSED_SECONDS * 2 ** min(self.refusals - 1, 5)
+        self.avoid_until = now + min(LONGEST_REFUSED_SECONDS, seconds)
 
     def answered_badly(self) -> None:
         """Note an error that the upstream itself answered."""
