--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -179,7 +179,10 @@
         if generation.reads or generation.resume_from is not None or not answerers:
             return None, direct
         reader = placement.for_reading(readers, prompt, now)
-        if reader is None or direct.wait_ms <= reader.wait_ms + DIRECT_MS:
+        if reader is None:
+            return None, direct
+        sooner = direct.wait_ms <= reader.wait_ms + DIRECT_MS
+        if sooner and placement.direct_allowed(direct, now):
             return None, direct
         return reader, None
 
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -19,6 +19,9 @@
 PREFILL_FIXED_MS = 15.0
 # What a running answer adds to the time of another on the same engine, ms.
 RUNNING_MS = 4.0
+# Prompt tokens that an answering engine may read at a time. It reads about 1,000 between
+# two tokens of its streams, so that more would hold up every event of them.
+MOST_DIRECT_TOKENS = 1500
 # Bytes between zones are priced; this is the time that avoiding them is worth, ms.
 OTHER_ZONE_MS = 8.0
 # A cache that moves between zones takes twice as long and is priced up to three times.
@@ -105,6 +108,11 @@
 
         return self._best(engines, now, predict)
 
+    def direct_allowed(self, choice: Choice, now: float) -> bool:
+        """Tell whether an answering engine can read a prompt without harm to others."""
+        reading = self._loads.total(choice.upstream.id, now).prefill_tokens
+        return reading + choice.uncached <= MOST_DIRECT_TOKENS
+
     def for_call(self, upstreams: list[Upstream], now: float) -> Choice | None:
         """Choose the upstream of a plain service with the least predicted wait."""
 
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -83,6 +83,16 @@
         choice = self.placement.for_answering(engines, PROMPT, reader, SPEC, 1.0)
         self.assertEqual(choice.upstream.id, "d1")
 
+    def test_long_prompt_is_not_read_by_an_answering_engine(self):
+        """Guards against streams that pause while their engine reads a prompt."""
+        short = Prompt(900, (("own", 900),))
+        for prompt, allowed in ((PROMPT, False), (short, True)):
+            choice = self.placement.for_reading(self.answerers, prompt, 1.0)
+            self.assertIs(self.placement.direct_allowed(choice, 1.0), allowed)
+        self.loads.begin("d0", 900, False)
+        choice = self.placement.for_reading(self.answerers[:1], short, 1.0)
+        self.assertFalse(self.placement.direct_allowed(choice, 1.0))
+
     def test_calls_spread_over_the_least_loaded(self):
         """Guards against a plain service whose first upstream takes everything."""
         desks = [build_listed_upstream(f"s{n}", slots=6) for n in range(3)]
