--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -1,10 +1,13 @@
-"""Exchanges loads, usage and news with the other instances over gRPC.
+"""Tells the other instances loads and usage, and fetches from them what is missing.
 
-Provides ``gossip``. One task per peer sends this instance's state at a steady period;
-the answer brings what the sender lacks, if the store does not serve it.
+Provides ``gossip``. Short datagrams go to every peer at a steady period: they are
+small, lose nothing that the next one does not repeat, and have no connection that
+could go silent. What must arrive whole, the configuration and the list of upstreams,
+is fetched over gRPC, and only by instances that the store does not serve.
 """
 
 import asyncio
+import random
 
 import grpc
 import msgspec
@@ -16,75 +19,118 @@
 from camphorgate.serving.loads import Load, LoadBook
 from camphorgate.serving.true_time import TrueTime
 from camphorgate.serving.usage import UsageCounts
+from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
 
-SERVICE = "camphorgate.serving.Gossip"
-METHOD = f"/{SERVICE}/Exchange"
-# Period to each peer with few peers; grows with their number, which bounds the
-# messages per second of an instance.
-PERIOD_SECONDS = 0.2
-PERIOD_PER_PEER_SECONDS = 0.02
-CALL_SECONDS = 0.5
-LONGEST_RETURN_SECONDS = 2.0
+SERVICE = "camphorgate.serving.Knowledge"
+METHOD = f"/{SERVICE}/Fetch"
+TICK_SECONDS = 0.2
+# Datagrams of one tick; with more peers, each of them hears at every second tick, or
+# third. This bounds what an instance sends and receives, however many there are.
+MOST_PER_TICK = 16
+# Counters in one datagram, which keeps it below the size that links pass whole.
+MOST_COUNTERS = 50
+FETCH_SECONDS = 0.6
+FETCH_PERIOD_SECONDS = 0.25
 # A peer counts as live this long after it was heard.
 LIVE_SECONDS = 3.0
+# Addresses of peers that were not heard are kept this long.
+KNOWN_SECONDS = 30.0
 # A new connection for every dial, as a shared one may be the silent one.
 _DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
 
 
-class State(msgspec.Struct, omit_defaults=True):
+class State(msgspec.Struct, omit_defaults=True, tag="s"):
     """What an instance tells a peer.
 
-    ``wall`` is the raw time of day and ``true_now`` the estimate of the true time,
-    both in seconds since 1970. ``changing`` are the engines that the sender, as the
-    holder of the duty, is about to order to another phase or has just ordered.
+    ``vote`` is its vote for the time of day and ``true_now`` its estimate of the true
+    time, both in seconds since 1970. ``totals`` are its counted requests by window.
+    ``changing`` are the engines that the sender, as the holder of the duty, is about to
+    order to another phase or has just ordered.
     """
 
     instance: str
     boot: str
     address: str
-    wall: float
+    gossip_address: str
+    vote: float
     true_now: float
-    leaving: bool = False
     store_sound: bool = False
     version: int = 0
-    revision: int = 0
-    digest: str = ""
-    usage: dict[int, dict[str, int]] = {}
+    totals: dict[int, int] = {}
     loads: dict[str, Load] = {}
     parts: list[tuple[str, str]] = []
     changing: list[str] = []
 
 
-class Answer(msgspec.Struct, omit_defaults=True):
+class Counters(msgspec.Struct, tag="c"):
+    """A part of an instance's counters of one window."""
+
+    boot: str
+    window: int
+    counts: dict[str, int]
+
+
+class Question(msgspec.Struct):
+    """What the sender knows already."""
+
+    version: int
+    digest: str
+
+
+class Knowledge(msgspec.Struct, omit_defaults=True):
     """What the receiver has that the sender lacks."""
 
     instance: str
-    boot: str
-    version: int = 0
+    gossip_addresses: list[str] = []
     addresses: list[str] = []
     catalog: bytes = b""
     revision: int = 0
     upstreams: list[Upstream] | None = None
 
 
+class _Datagrams(asyncio.DatagramProtocol):
+    """Hands datagrams to the gossip."""
+
+    __slots__ = ("_take",)
+
+    def __init__(self, take) -> None:
+        self._take = take
+
+    def datagram_received(self, data: bytes, address) -> None:
+        self._take(data)
+
+
+class Peer:
+    """What is known of another instance."""
+
+    __slots__ = ("state", "heard_at")
+
+    def __init__(self, state: State, heard_at: float) -> None:
+        """Keep its newest state."""
+        self.state = state
+        self.heard_at = heard_at
+
+
 class Gossip:
-    """Keeps what peers said, and the tasks that talk to them."""
+    """Keeps what peers said, and tells them what this instance does."""
 
     __slots__ = (
         "loads",
         "true_time",
         "usage",
-        "heard_by_boot",
         "changing",
-        "_changing_by_instance",
         "_app",
         "_members",
         "_directory",
         "_server",
-        "_tasks_by_address",
+        "_transport",
+        "_decoder",
+        "_peers_by_instance",
         "_known_addresses",
-        "_news_by_address",
+        "_fetch_addresses",
+        "_turn",
+        "_random",
     )
 
     def __init__(self, app: Application) -> None:
@@ -97,13 +143,15 @@
         self.usage = UsageCounts(
             app.settings.times.usage_window_seconds, self._members.own.boot
         )
-        self.heard_by_boot: dict[str, float] = {}
         self.changing: set[str] = set()
-        self._changing_by_instance: dict[str, tuple[float, list[str]]] = {}
         self._server: grpc.aio.Server | None = None
-        self._tasks_by_address: dict[str, asyncio.Task] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._decoder = msgspec.msgpack.Decoder(State | Counters)
+        self._peers_by_instance: dict[str, Peer] = {}
         self._known_addresses: dict[str, float] = {}
-        self._news_by_address: dict[str, list[tuple[str, str]]] = {}
+        self._fetch_addresses: dict[str, float] = {}
+        self._turn = 0
+        self._random = random.Random()
 
     def _wall(self) -> float:
         return self._app.clock.now().timestamp()
@@ -112,24 +160,23 @@
         """Return the estimate of the true time, seconds since 1970."""
         return self.true_time.now(self._app.clock.monotonic())
 
+    def _live(self) -> list[Peer]:
+        now = self._app.clock.monotonic()
+        peers = self._peers_by_instance.values()
+        return [peer for peer in peers if now - peer.heard_at < LIVE_SECONDS]
+
     def live_boots(self) -> set[str]:
         """Return the boots that are listed, or were heard of lately."""
-        now = self._app.clock.monotonic()
         boots = {member.boot for member in self._members.by_instance().values()}
-        heard = {
-            boot
-            for boot, heard_at in self.heard_by_boot.items()
-            if now - heard_at < LIVE_SECONDS
-        }
-        return boots | heard | {self._members.own.boot}
+        boots.update(peer.state.boot for peer in self._live())
+        boots.add(self._members.own.boot)
+        return boots
 
     def changing_engines(self) -> set[str]:
         """Return the engines that take no requests while they change their phase."""
-        now = self._app.clock.monotonic()
         engines = set(self.changing)
-        for heard_at, changing in self._changing_by_instance.values():
-            if now - heard_at < LIVE_SECONDS:
-                engines.update(changing)
+        for peer in self._live():
+            engines.update(peer.state.changing)
         return engines
 
     def instance_count(self) -> int:
@@ -139,174 +186,206 @@
     async def start(self) -> None:
         """Listen for peers and start talking to them.
 
-        :raises ListenError: if the address cannot be used.
+        :raises ListenError: if an address cannot be used.
         """
+        settings = self._app.settings
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
         handler = grpc.unary_unary_rpc_method_handler(
             self._answer,
-            request_deserializer=msgspec.msgpack.Decoder(State).decode,
+            request_deserializer=msgspec.msgpack.Decoder(Question).decode,
             response_serializer=msgspec.msgpack.encode,
         )
         self._server.add_generic_rpc_handlers(
-            (grpc.method_handlers_generic_handler(SERVICE, {"Exchange": handler}),)
+            (grpc.method_handlers_generic_handler(SERVICE, {"Fetch": handler}),)
         )
-        address = self._app.settings.peer_address
         try:
-            self._server.add_insecure_port(address)
-        except RuntimeError as error:
-            raise ListenError(f"cannot listen on {address}: {error}") from None
+            self._server.add_insecure_port(settings.peer_address)
+            loop = asyncio.get_running_loop()
+            self._transport, _ = await loop.create_datagram_endpoint(
+                lambda: _Datagrams(self._take),
+                local_addr=split_address(settings.gossip_address),
+            )
+        except (RuntimeError, OSError) as error:
+            raise ListenError(f"cannot listen for peers: {error}") from None
         await self._server.start()
-        self._app.spawn(self._keep_tasks(), "gossip peers")
+        self._app.spawn(self._tell(), "gossip")
+        self._app.spawn(self._fetch(), "knowledge of peers")
 
     async def stop(self) -> None:
         """Stop answering."""
-        for task in self._tasks_by_address.values():
-            task.cancel()
+        if self._transport is not None:
+            self._transport.close()
         if self._server is not None:
             await self._server.stop(0.2)
 
-    def _period(self) -> float:
-        return max(
-            PERIOD_SECONDS, len(self._tasks_by_address) * PERIOD_PER_PEER_SECONDS
-        )
-
-    async def _keep_tasks(self) -> None:
+    async def _tell(self) -> None:
         while True:
             now = self._app.clock.monotonic()
             self.true_time.follow(self._wall(), now)
             self.usage.forget_before(self.true_now())
-            self._share_news()
-            wanted = set(self._app.settings.seeds)
-            for member in self._members.by_instance().values():
-                wanted.add(member.peer_address)
-            for address, heard_at in list(self._known_addresses.items()):
-                if now - heard_at > 10 * LIVE_SECONDS:
-                    del self._known_addresses[address]
-            wanted |= self._known_addresses.keys()
-            wanted.discard(self._app.settings.peer_address)
-            for address in self._tasks_by_address.keys() - wanted:
-                self._tasks_by_address.pop(address).cancel()
-                self._news_by_address.pop(address, None)
-            for address in wanted - self._tasks_by_address.keys():
-                self._news_by_address[address] = []
-                self._tasks_by_address[address] = self._app.spawn(
-                    self._talk(address), f"gossip {address}"
-                )
-            await asyncio.sleep(PERIOD_SECONDS)
-
-    def _share_news(self) -> None:
-        news = self.loads.take_news()
-        for queue in self._news_by_address.values():
-            queue += news
-            del queue[:-200]
-
-    def _state(self, address: str) -> State:
-        now = self._app.clock.monotonic()
-        queue = self._news_by_address.get(address, [])
-        parts, queue[:] = list(queue), []
+            self._note_ahead()
+            addresses = self._addresses(now)
+            if addresses:
+                datagrams = self._datagrams(now)
+                first = self._turn * MOST_PER_TICK % len(addresses)
+                self._turn += 1
+                for address in (addresses + addresses)[first : first + MOST_PER_TICK][
+                    : len(addresses)
+                ]:
+                    for datagram in datagrams:
+                        self._transport.sendto(datagram, split_address(address))
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _addresses(self, now: float) -> list[str]:
+        """Return the peers' addresses in a fixed order."""
+        for address, known_at in list(self._known_addresses.items()):
+            if now - known_at > KNOWN_SECONDS:
+                del self._known_addresses[address]
+        addresses = {
+            member.gossip_address for member in self._members.by_instance().values()
+        }
+        addresses |= self._known_addresses.keys()
+        addresses.discard(self._members.own.gossip_address)
+        return sorted(addresses)
+
+    def _datagrams(self, now: float) -> list[bytes]:
+        true_now = self.true_time.now(now)
+        own = self._members.own
         catalog = self._directory.catalog
-        return State(
-            instance=self._members.own.instance,
-            boot=self._members.own.boot,
-            address=self._members.own.peer_address,
-            wall=self._wall(),
-            true_now=self.true_time.now(now),
-            leaving=self._members.leaving,
+        state = State(
+            instance=own.instance,
+            boot=own.boot,
+            address=own.peer_address,
+            gossip_address=own.gossip_address,
+            vote=self.true_time.vote(now),
+            true_now=true_now,
             store_sound=self._directory.sound,
             version=catalog.version if catalog else 0,
-            revision=self._directory.table.revision,
-            digest=self._directory.table.digest(),
-            usage=self.usage.own_recent(self.true_now()),
+            totals=self.usage.own_totals(true_now),
             loads=self.loads.own_by_id,
-            parts=parts,
+            parts=self.loads.news(now),
             changing=list(self.changing),
         )
-
-    async def _talk(self, address: str) -> None:
-        channel = None
-        delay = self._period()
-        failing = False
+        messages: list[State | Counters] = [state]
+        for window, counts in self.usage.own_recent(true_now).items():
+            rows = list(counts.items())
+            for start in range(0, len(rows), MOST_COUNTERS):
+                part = dict(rows[start : start + MOST_COUNTERS])
+                messages.append(Counters(own.boot, window, part))
+        return [msgspec.msgpack.encode(message) for message in messages]
+
+    def _take(self, data: bytes) -> None:
         try:
-            while True:
-                if channel is None:
-                    channel = grpc.aio.insecure_channel(address, _DIAL_OPTIONS)
-                    call = channel.unary_unary(
-                        METHOD,
-                        request_serializer=msgspec.msgpack.encode,
-                        response_deserializer=msgspec.msgpack.Decoder(Answer).decode,
-                    )
-                try:
-                    answer = await call(self._state(address), timeout=CALL_SECONDS)
-                except grpc.RpcError as error:
-                    if not failing:
-                        log_event(
-                            "peer_lost", peer=address, error=error.code().name.lower()
-                        )
-                    failing = True
-                    await channel.close()
-                    channel = None
-                    delay = min(LONGEST_RETURN_SECONDS, delay * 2)
-                else:
-                    if failing:
-                        log_event("peer_regained", peer=address)
-                    failing = False
-                    delay = self._period()
-                    self._take_answer(answer, address)
-                await asyncio.sleep(delay)
-        finally:
-            if channel is not None:
-                await channel.close()
-
-    def _take_answer(self, answer: Answer, address: str) -> None:
+            message = self._decoder.decode(data)
+        except msgspec.DecodeError as error:
+            log_event("datagram_unreadable", level="WARNING", error=str(error))
+            return
+        if isinstance(message, Counters):
+            self.usage.merge(message.boot, message.window, message.counts)
+            return
         now = self._app.clock.monotonic()
-        self._known_addresses[address] = now
-        for known in answer.addresses:
-            self._known_addresses.setdefault(known, now)
+        known = self._peers_by_instance.get(message.instance)
+        if known is None or now - known.heard_at > LIVE_SECONDS:
+            log_event("peer_heard", peer=message.instance, boot=message.boot)
+        self._peers_by_instance[message.instance] = Peer(message, now)
+        self._known_addresses[message.gossip_address] = now
+        self.true_time.hear(message.instance, message.vote, now)
+        self.usage.hear(message.boot, message.true_now, message.totals)
+        self.loads.hear(message.instance, message.loads, now)
+        self.loads.hear_parts(message.parts, now)
+
+    def _note_ahead(self) -> None:
         catalog = self._directory.catalog
         version = catalog.version if catalog else 0
-        if answer.catalog:
-            self._directory.take_catalog(answer.catalog, answer.instance)
-        else:
-            self._directory.peer_ahead(answer.version > version)
-        if answer.upstreams is not None and not self._directory.sound:
-            self._directory.take_peer_upstreams(
-                answer.upstreams, answer.revision, answer.instance
+        newest = max((peer.state.version for peer in self._live()), default=0)
+        self._directory.peer_ahead(newest > version)
+
+    async def _fetch(self) -> None:
+        """Fetch what this instance lacks while the store does not serve it."""
+        failed = False
+        while True:
+            await asyncio.sleep(FETCH_PERIOD_SECONDS)
+            if self._directory.sound:
+                continue
+            address = self._fetch_address()
+            if address is None:
+                continue
+            try:
+                self._learn(await self._ask(address))
+                failed = False
+            except grpc.RpcError as error:
+                self._fetch_addresses.pop(address, None)
+                if not failed:
+                    code = error.code().name.lower()
+                    log_event("peer_not_answering", peer=address, error=code)
+                failed = True
+
+    def _fetch_address(self) -> str | None:
+        """Return a peer that the store serves, or else any that may answer."""
+        live = self._live()
+        sound = [peer.state.address for peer in live if peer.state.store_sound]
+        known = {*self._app.settings.seeds, *self._fetch_addresses}
+        known.update(peer.state.address for peer in live)
+        known.discard(self._members.own.peer_address)
+        candidates = sound or sorted(known)
+        return self._random.choice(candidates) if candidates else None
+
+    async def _ask(self, address: str) -> Knowledge:
+        catalog = self._directory.catalog
+        question = Question(
+            catalog.version if catalog else 0, self._directory.table.digest()
+        )
+        async with grpc.aio.insecure_channel(address, _DIAL_OPTIONS) as channel:
+            call = channel.unary_unary(
+                METHOD,
+                request_serializer=msgspec.msgpack.encode,
+                response_deserializer=msgspec.msgpack.Decoder(Knowledge).decode,
             )
+            return await call(question, timeout=FETCH_SECONDS)
 
-    async def _answer(self, state: State, context) -> Answer:
+    def _learn(self, knowledge: Knowledge) -> None:
         now = self._app.clock.monotonic()
-        self.heard_by_boot[state.boot] = now
-        self._known_addresses[state.address] = now
-        self.true_time.hear(state.instance, state.wall, now)
-        self.usage.merge(state.boot, state.usage, state.true_now)
-        self.loads.hear(state.instance, state.loads, now)
-        self.loads.hear_parts(state.parts, now)
-        self._changing_by_instance[state.instance] = (now, state.changing)
+        for address in knowledge.gossip_addresses:
+            self._known_addresses.setdefault(address, now)
+        for address in knowledge.addresses:
+            self._fetch_addresses.setdefault(address, now)
+        if knowledge.catalog:
+            self._directory.take_catalog(knowledge.catalog, knowledge.instance)
+        if knowledge.upstreams is not None and not self._directory.sound:
+            self._directory.take_peer_upstreams(
+                knowledge.upstreams, knowledge.revision, knowledge.instance
+            )
+
+    async def _answer(self, question: Question, context) -> Knowledge:
         directory = self._directory
         catalog = directory.catalog
-        answer = Answer(
+        members = self._members.by_instance().values()
+        live = [peer.state for peer in self._live()]
+        knowledge = Knowledge(
             instance=self._members.own.instance,
-            boot=self._members.own.boot,
-            version=catalog.version if catalog else 0,
+            gossip_addresses=sorted(
+                {item.gossip_address for item in (*members, *live, self._members.own)}
+            ),
+            addresses=sorted(
+                {item.peer_address for item in members}
+                | {item.address for item in live}
+            ),
         )
-        if state.store_sound:
-            return answer
-        answer.addresses = list(self._known_addresses)
-        if catalog is not None and catalog.version > state.version:
-            answer.catalog = catalog.raw
-        if directory.sound and directory.table.digest() != state.digest:
-            answer.upstreams = list(directory.table.by_id.values())
-            answer.revision = directory.table.revision
-        return answer
+        if catalog is not None and catalog.version > question.version:
+            knowledge.catalog = catalog.raw
+        if directory.sound and directory.table.digest() != question.digest:
+            knowledge.upstreams = list(directory.table.by_id.values())
+            knowledge.revision = directory.table.revision
+        return knowledge
 
     def dump(self) -> dict:
         """Return the state for the operators."""
         now = self._app.clock.monotonic()
         return {
             "true_time": self.true_now(),
-            "peers": sorted(self._tasks_by_address),
             "heard_seconds_ago": {
-                boot: now - heard_at for boot, heard_at in self.heard_by_boot.items()
+                instance: now - peer.heard_at
+                for instance, peer in self._peers_by_instance.items()
             },
         }
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -39,6 +39,7 @@
     boot: str
     zone: str
     peer_address: str
+    gossip_address: str
 
 
 class DutyEntry(msgspec.Struct, frozen=True):
@@ -74,6 +75,7 @@
             f"{settings.instance_id}/{secrets.token_hex(4)}",
             settings.availability_zone,
             settings.peer_address,
+            settings.gossip_address,
         )
         self.leaving = False
         self.fencing = 0
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -1,11 +1,16 @@
 """How busy each upstream is, as far as this instance and its peers know."""
 
+from collections import deque
+
 import msgspec
 
 # A peer's figures count this long after they were made.
 PEER_SECONDS = 2.0
 # Prompt parts are taken for cached this long after their last use.
 PART_SECONDS = 20.0
+# Parts read are told to peers for this long, so that a lost message loses none.
+NEWS_SECONDS = 0.5
+MOST_NEWS = 20
 # Parts remembered for one engine; the oldest are forgotten first.
 MOST_PARTS = 2000
 
@@ -31,7 +36,7 @@
         self.own_by_id: dict[str, Load] = {}
         self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
         self._parts_by_id: dict[str, dict[str, float]] = {}
-        self._news: list[tuple[str, str]] = []
+        self._news: deque[tuple[float, str, str]] = deque(maxlen=MOST_NEWS)
 
     def begin(self, upstream_id: str, prefill_tokens: int, urgent: bool) -> None:
         """Note a request that is sent."""
@@ -80,17 +85,18 @@
         """
         for name, _ in parts[:-1]:
             self._remember(upstream_id, name, now)
-            self._news.append((upstream_id, name))
+            self._news.append((now, upstream_id, name))
 
     def hear_parts(self, news: list[tuple[str, str]], now: float) -> None:
         """Take what a peer's requests left at the engines."""
         for upstream_id, name in news:
             self._remember(upstream_id, name, now)
 
-    def take_news(self) -> list[tuple[str, str]]:
-        """Return the parts read since the last call, as pairs of engine and part."""
-        news, self._news = self._news, []
-        return news
+    def news(self, now: float) -> list[tuple[str, str]]:
+        """Return the parts read lately, as pairs of engine and part."""
+        while self._news and now - self._news[0][0] > NEWS_SECONDS:
+            self._news.popleft()
+        return [(upstream_id, name) for _, upstream_id, name in self._news]
 
     def cached_tokens(self, upstream_id: str, parts: tuple, now: float) -> int:
         """Return how many tokens of a prompt an engine probably holds."""
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -19,7 +19,7 @@
 PREFILL_FIXED_MS = 15.0
 # What a running answer adds to the time of another on the same engine, ms.
 RUNNING_MS = 4.0
-# Prompt tokens that an answering engine may read at a time. It reads about 1,000 between
+# Prompt tokens that an answering engine may read at a time. It reads 1,000 between
 # two tokens of its streams, so that more would hold up every event of them.
 MOST_DIRECT_TOKENS = 1500
 # Bytes between zones are priced; this is the time that avoiding them is worth, ms.
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -24,7 +24,10 @@
 
 
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All settings of one hosted daemon; addresses are ``host:port``."""
+    """All settings of one hosted daemon; addresses are ``host:port``.
+
+    ``peer_address`` takes gRPC and ``gossip_address`` datagrams of other instances.
+    """
 
     instance_id: str
     availability_zone: str
@@ -32,6 +35,7 @@
     caller_address: str
     ready_address: str
     peer_address: str
+    gossip_address: str
     store_address: str
     operations_address: str = ""
     operator_address: str = ""
@@ -42,7 +46,13 @@
     log_level: str = "INFO"
 
 
-_ADDRESS_FIELDS = ("caller_address", "ready_address", "peer_address", "store_address")
+_ADDRESS_FIELDS = (
+    "caller_address",
+    "ready_address",
+    "peer_address",
+    "gossip_address",
+    "store_address",
+)
 _OPTIONAL_FIELDS = ("operations_address", "operator_address")
 
 
--- a/packages/camphorgate/src/camphorgate/serving/usage.py
+++ b/packages/camphorgate/src/camphorgate/serving/usage.py
@@ -13,7 +13,7 @@
     repeated or reordered.
     """
 
-    __slots__ = ("window_seconds", "own_boot", "_counts_by_boot", "_heard_by_boot")
+    __slots__ = ("window_seconds", "own_boot", "_counts_by_boot", "_told_by_boot")
 
     def __init__(self, window_seconds: float, own_boot: str) -> None:
         """Start without counts.
@@ -23,7 +23,8 @@
         self.window_seconds = window_seconds
         self.own_boot = own_boot
         self._counts_by_boot: dict[str, dict[int, Counter[str]]] = {own_boot: {}}
-        self._heard_by_boot: dict[str, float] = {}
+        # What a boot said last: its true time, and its totals of the open windows.
+        self._told_by_boot: dict[str, tuple[float, dict[int, int]]] = {}
 
     def window_at(self, true_now: float) -> int:
         """Return the number of the window that contains a moment."""
@@ -49,28 +50,42 @@
             if window >= oldest
         }
 
-    def merge(
-        self, boot: str, counts_by_window: dict[int, dict[str, int]], told_at: float
-    ) -> None:
-        """Take a peer's counters.
+    def own_totals(self, true_now: float) -> dict[int, int]:
+        """Return the own number of requests in each window that may be open."""
+        recent = self.own_recent(true_now)
+        return {window: sum(counts.values()) for window, counts in recent.items()}
+
+    def merge(self, boot: str, window: int, counts: dict[str, int]) -> None:
+        """Take a part of a peer's counters of one window."""
+        merged = self._counts_by_boot.setdefault(boot, {}).setdefault(window, Counter())
+        for workspace, count in counts.items():
+            merged[workspace] = max(merged[workspace], count)
+
+    def hear(self, boot: str, told_at: float, totals: dict[int, int]) -> None:
+        """Take how much a peer counted, so that missing parts show.
 
         :param told_at: the true time at which the peer made the message.
         """
-        known = self._counts_by_boot.setdefault(boot, {})
-        for window, counts in counts_by_window.items():
-            merged = known.setdefault(window, Counter())
-            for workspace, count in counts.items():
-                merged[workspace] = max(merged[workspace], count)
-        self._heard_by_boot[boot] = max(self._heard_by_boot.get(boot, 0.0), told_at)
+        known = self._told_by_boot.get(boot)
+        if known is None or told_at > known[0]:
+            self._told_by_boot[boot] = (told_at, totals)
 
     def complete(self, window: int, live_boots: set[str]) -> bool:
-        """Tell whether every live boot has told its counters after a window's end."""
-        end = self.window_end(window)
+        """Tell whether all counters of every live boot have arrived.
+
+        A boot's counters are final once it spoke after the window's end.
+        """
         return all(
-            self._heard_by_boot.get(boot, 0.0) > end
-            for boot in live_boots - {self.own_boot}
+            self._complete_at(boot, window) for boot in live_boots - {self.own_boot}
         )
 
+    def _complete_at(self, boot: str, window: int) -> bool:
+        told_at, totals = self._told_by_boot.get(boot, (0.0, {}))
+        if told_at <= self.window_end(window):
+            return False
+        arrived = self._counts_by_boot.get(boot, {}).get(window, Counter())
+        return arrived.total() >= totals.get(window, 0)
+
     def totals(self, window: int) -> dict[str, int]:
         """Return the sum over all boots."""
         total: Counter[str] = Counter()
@@ -86,4 +101,4 @@
                 del windows[window]
             if not windows and boot != self.own_boot:
                 del self._counts_by_boot[boot]
-                self._heard_by_boot.pop(boot, None)
+                self._told_by_boot.pop(boot, None)
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -38,6 +38,7 @@
         "caller_address": free_address(),
         "ready_address": free_address(),
         "peer_address": free_address(),
+        "gossip_address": free_address(),
         "store_address": store,
         "operations_address": store,
         "times": {"lease_seconds": 1.5, "usage_window_seconds": 1.0},
--- /dev/null
+++ b/tests/test_platform/test_deploy.py
@@ -0,0 +1,165 @@
+"""Tests of the deploy file, the template of the settings and the program."""
+
+import asyncio
+import json
+import re
+import signal
+import sys
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+import json5
+import msgspec
+
+from camphorgate.errors import SettingsError
+from camphorgate.serving.settings import check_hosted_settings
+from camphorgated.main import load_settings
+from tests.hosted import HostedCase, build_hosted_settings, free_address
+
+ROOT = Path(__file__).resolve().parents[2]
+DEPLOY = ROOT / "deploy"
+FIELDS = {
+    "node-name": "front-a-1",
+    "zone": "zone-a",
+    "ip": "10.0.0.1",
+    "listen-addrs.front": "10.0.0.1:80",
+    "listen-addrs.ready": "10.0.0.1:81",
+    "listen-addrs.control": "10.0.0.1:82",
+    "platform.address": "10.0.0.2:80",
+    "cloud-api.address": "10.0.0.3:80",
+    "port-range.0": 7000,
+    "seeds": ["10.0.0.4:82"],
+    "bounds.retry-budget-ratio": 0.2,
+    "bounds.retry-slack": 54,
+    "bounds.budget-window-s": 10,
+    "bounds.lease-ms": 3000,
+    "bounds.grace-s": 8,
+    "bounds.usage-window-s": 5,
+    "bounds.usage-late-s": 10,
+}
+
+
+def fill_template(text: str) -> str:
+    """Fill the template as the platform does."""
+
+    def fill(match: re.Match) -> str:
+        name, _, form = match[1].partition("|")
+        value = FIELDS[name]
+        return json.dumps(value) if form == "json" else str(value)
+
+    return re.sub(r"\{\{([^}]+)\}\}", fill, text)
+
+
+class DeployFileTests(unittest.TestCase):
+    """The platform can build and start what the deploy file says."""
+
+    def setUp(self):
+        """Read the deploy file."""
+        self.deploy = tomllib.loads((DEPLOY / "system.toml").read_text())
+
+    def test_role_starts_the_daemon_with_a_template(self):
+        """Guards against a role that starts something else."""
+        role = self.deploy["roles"]["entry"]
+        words = role["run"].split()
+        self.assertEqual(words[:3], ["python3", "-m", "camphorgated.main"])
+        self.assertTrue((ROOT / role["template"]).exists())
+        self.assertEqual(role["serves"], ["front", "control"])
+
+    def test_build_names_what_exists(self):
+        """Guards against a build that copies a folder that was renamed."""
+        for path in re.findall(r"(?:packages|platform)/\S+", self.deploy["build"]):
+            self.assertTrue((ROOT / path).is_dir(), path)
+
+    def test_run_time_libraries_are_those_of_the_tests(self):
+        """Guards against a daemon that runs on versions that no test saw."""
+        known = set((ROOT / "requirements.txt").read_text().split())
+        wanted = (ROOT / "requirements-run.txt").read_text().splitlines()
+        for line in wanted:
+            if line and not line.startswith("#"):
+                self.assertIn(line, known)
+
+    def test_filled_template_passes_the_checks(self):
+        """Guards against a template that the daemon does not accept."""
+        text = fill_template((DEPLOY / "settings.jsonc").read_text())
+        settings = check_hosted_settings(json5.loads(text), "template")
+        self.assertEqual(settings.times.lease_seconds, 3.0)
+        self.assertEqual(settings.seeds, ("10.0.0.4:82",))
+        self.assertEqual(settings.operator_address, "10.0.0.1:7000")
+
+    def test_days_of_our_own_can_be_read(self):
+        """Guards against a day that the users' bench leaves out as broken."""
+        for path in (DEPLOY / "days").glob("*.toml"):
+            with self.subTest(day=path.name):
+                day = tomllib.loads(path.read_text())["day"]
+                self.assertTrue(all(item["name"] for item in day))
+
+
+class SettingsTests(unittest.TestCase):
+    """Wrong settings are refused with the place of the fault."""
+
+    def test_faults_are_named(self):
+        """Guards against a daemon that starts with half its settings."""
+        text = fill_template((DEPLOY / "settings.jsonc").read_text())
+        good = json5.loads(text)
+        for name, value, expected in (
+            ("caller_address", "nowhere", "$.caller_address"),
+            ("budget", {"ratio": "much"}, "$.budget.ratio"),
+            ("unknown", 1, "unknown"),
+        ):
+            with self.subTest(field=name), self.assertRaises(SettingsError) as raised:
+                check_hosted_settings({**good, name: value}, "x")
+            self.assertIn(expected, raised.exception.message)
+
+
+class ProgramTests(HostedCase):
+    """The program starts, serves and ends as the platform expects."""
+
+    async def start_program(self):
+        """Start the daemon as a process of its own."""
+        settings = build_hosted_settings(
+            self.store_address,
+            operator_address=free_address(),
+            duties=["usage", "fleet"],
+        )
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "settings.jsonc"
+        path.write_text("// of a test\n" + msgspec.json.encode(settings).decode())
+        self.assertEqual(load_settings(str(path)), settings)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "camphorgated.main",
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.addCleanup(lambda: process.returncode is None and process.kill())
+        return process, settings
+
+    async def test_program_serves_and_ends_with_success(self):
+        """Guards against a build that only works inside the tests."""
+        self.configure()
+        await self.add_worker("desk-1")
+        process, settings = await self.start_program()
+
+        class App:
+            """What ``ask`` needs to know of a daemon."""
+
+        App.settings = settings
+        status = 0
+        async with asyncio.timeout(20):
+            while status != 200:
+                await asyncio.sleep(0.1)
+                try:
+                    status = (await self.ask(App, "/read/a")).status
+                except OSError:
+                    continue
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        output, _ = await asyncio.wait_for(process.communicate(), 10)
+        self.assertEqual(process.returncode, 0)
+        lines = output.decode().splitlines()
+        events = [re.search(r"event=(\S+)", line)[1] for line in lines]
+        for name in ("started", "answered", "settings_reloaded", "draining", "stopped"):
+            self.assertIn(name, events)
