--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -333,6 +333,8 @@
         job, caller = generation.job, generation.job.caller
         events = EventStream(generation.stream.last_id)
         generation.stream = events
+        clock = self._app.clock
+        passed_at = None
         while True:
             seconds = self._wait(job)
             if job.route.repeatable() and generation.tries.may_send():
@@ -343,6 +345,12 @@
             self._count(generation)
             whole = events.feed(piece)
             if whole:
+                now = clock.monotonic()
+                if passed_at is not None:
+                    gap = (now - passed_at) * 1000
+                    longest = job.decisions.get("longest_gap_ms", 0.0)
+                    job.decisions["longest_gap_ms"] = max(gap, longest)
+                passed_at = now
                 self._begin(generation, exchange)
                 caller.stream(whole)
                 await caller.drain()
