Keep a handle that a refusing engine has not taken

Change: a refused handle goes to another engine, and to a reading engine again after two refusals; a second reading call counts as a repeat.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -33,6 +33,12 @@
 LEAST_RETURN_SECONDS = 0.1
 MOST_RETURN_SECONDS = 2.0
 RELEASE_SECONDS = 1.0
+# Refusals of engines that should take a handle, after which it counts as gone.
+MOST_HANDLE_REFUSALS = 2
+# Reading calls for one request; beyond the first they count as repeats.
+MOST_READS = 2
+# The status of an engine that is not the expected one, or not in the right phase.
+WRONG_ENGINE_STATUS = 421
 
 
 class Handle:
@@ -63,6 +69,7 @@
         "stream",
         "counted",
         "reads",
+        "handle_refusals",
         "unsent",
         "urgency",
     )
@@ -78,6 +85,7 @@
         self.stream = EventStream()
         self.counted = False
         self.reads = 0
+        self.handle_refusals = 0
         self.unsent = 0
         self.urgency = min(LEAST_URGENCY, job.rank * URGENCY_PER_RANK)
 
@@ -176,13 +184,17 @@
             engine = generation.handle.engine
             return None, placement.for_answering(answerers, prompt, engine, spec, now)
         direct = placement.for_answering(answerers, prompt, None, spec, now)
-        if generation.reads or generation.resume_from is not None or not answerers:
+        resuming = generation.resume_from is not None
+        if resuming or not answerers or generation.reads >= MOST_READS:
             return None, direct
         reader = placement.for_reading(readers, prompt, now)
         if reader is None:
             return None, direct
+        allowed = placement.direct_allowed(direct, now)
         sooner = direct.wait_ms <= reader.wait_ms + DIRECT_MS
-        if sooner and placement.direct_allowed(direct, now):
+        if allowed and (sooner or generation.reads):
+            return None, direct
+        if generation.reads and not self._upstreams.take_repeat(service):
             return None, direct
         return reader, None
 
@@ -257,6 +269,7 @@
                 )
                 facts = await exchange.read_head(job.facts.attempt, self._wait(job))
                 if facts.stage is Stage.REFUSED:
+                    self._keep_handle(generation, handle, facts.status)
                     return self._refused(generation, engine, facts.status)
                 generation.tries.ran()
                 if facts.status != 200 or not facts.stamped:
@@ -296,10 +309,24 @@
         )
         exchange.send(request.method, request.target, headers, request.body)
 
+    def _keep_handle(
+        self, generation: Generation, handle: Handle | None, status: int
+    ) -> None:
+        """Keep a handle that the refusing engine has not taken.
+
+        An engine of the wrong phase never looks at it; another refusal may mean that
+        the handle is gone, which a second engine's refusal confirms.
+        """
+        generation.handle_refusals += status != WRONG_ENGINE_STATUS
+        if generation.handle_refusals < MOST_HANDLE_REFUSALS:
+            generation.handle = handle
+        elif handle is not None:
+            self._release(handle)
+
     def _refused(self, generation: Generation, engine: Upstream, status: int) -> bool:
         generation.tries.failed(Stage.REFUSED)
         health = self._upstreams.health.of(engine.boot)
-        if status == 421:
+        if status == WRONG_ENGINE_STATUS:
             health.failed(self._app.clock.monotonic())
         else:
             health.refused(self._app.clock.monotonic())
--- a/tests/test_serving/test_requests.py
+++ b/tests/test_serving/test_requests.py
@@ -265,18 +265,34 @@
         self.assertFalse(reply.whole)
         self.assertEqual(len(self.runs()), 1)
 
-    async def test_engine_that_lost_its_handle_is_replaced_by_a_direct_run(self):
-        """Guards against failing a request because a read prompt is gone."""
-        headers = {
+    def long_prompt(self):
+        """Return the headers of a prompt that is read apart."""
+        return {
             **PROMPT,
             b"x-token-count": b"14600,88",
             b"x-prompt-prefix": b"a:14600",
         }
+
+    async def test_refused_handle_is_taken_by_another_engine(self):
+        """Guards against reading a prompt again because one engine was full."""
+        self.answerers[0].phase = "prefill"
+        headers = self.long_prompt()
+        for _ in range(2):
+            reply = await self.ask(self.app, "/draft/a", method="POST", headers=headers)
+            self.assertEqual(reply.body, self.expected())
+        self.assertEqual(len(self.reader.prefills), 2)
+        for run in self.runs():
+            self.assertIn("/h", run["headers"]["x-kv-source"])
+
+    async def test_handle_that_is_gone_is_read_again_by_a_reading_engine(self):
+        """Guards against long prompts that hold up the streams of an engine."""
         for worker in self.answerers:
             worker.faults.arm({"fault": "refuse", "count": 1})
+        headers = self.long_prompt()
         reply = await self.ask(self.app, "/draft/a", method="POST", headers=headers)
-        self.assertIn(reply.status, (200, 503))
-        self.assertLessEqual(len(self.runs()), 1)
+        self.assertEqual(reply.body, self.expected())
+        self.assertEqual(len(self.reader.prefills), 2)
+        self.assertEqual(len(self.runs()), 1)
 
     async def test_dead_reader_leaves_the_reading_to_the_answerer(self):
         """Guards against requests that die with the engine that reads."""
