Hold requests while every upstream is avoided; replace cheap engines that are not to be had

Change: a holder whose key still stands under its lease holds it again; a number that a receiver refused is given up with its key. A request waits while all upstreams are avoided, one request at a time tries a dead one, and peers share what failed. Zones where cheap engines are refused get ordinary ones.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -8,6 +8,7 @@
 from camphorgate.serving.tries import Tries
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.front import Job
+from camphorgated.serving.patience import wait_for_upstream
 from camphorgated.serving.statistics import job_fields, log_try
 
 # A repeatable request is given to another upstream after this many times its target.
@@ -53,7 +54,10 @@
                 return
             if job.caller.left:
                 return
+            if await wait_for_upstream(job, choice, clock):
+                continue
             upstream = choice.upstream
+            upstreams.health.of(upstream.boot).trying(now)
             tried.add(upstream.id)
             try:
                 done = await self._try(job, tries, upstream)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -8,6 +8,7 @@
 from camphorgate.serving.fleet_plan import (
     AGAIN_SECONDS,
     CALM_SECONDS,
+    DRY_SECONDS,
     CapacityOrder,
     PhaseOrder,
     plan_capacity,
@@ -35,7 +36,7 @@
         "_ordered_by_subject",
         "_again_by_subject",
         "_changing_by_boot",
-        "_known_since",
+        "_dry_since",
         "_ordered_boots",
         "_engines_by_service",
         "_gossip",
@@ -50,7 +51,7 @@
         self._ordered_by_subject: dict[tuple, CapacityOrder] = {}
         self._again_by_subject: dict[tuple, float] = {}
         self._changing_by_boot: dict[tuple, float] = {}
-        self._known_since: dict[str, float] = {}
+        self._dry_since: dict[tuple[str, str], float] = {}
         self._ordered_boots: set[tuple] = set()
         self._engines_by_service: dict[str, tuple[set, float]] = {}
         self._gossip = app.service("gossip")
@@ -80,8 +81,7 @@
         table = self._directory.table.by_id.values()
         upstreams = [item for item in table if item.service == service.name]
         now = self._app.clock.monotonic()
-        settled = self._settled(service, now)
-        for order in plan_capacity(service, upstreams, settled):
+        for order in plan_capacity(service, upstreams, self._dry_zones(service, now)):
             subject = (order.service, order.zone, order.cheap)
             if self._ordered_by_subject.get(subject) == order and not self._missing(
                 order, upstreams, subject, now
@@ -91,11 +91,13 @@
                 continue
             await self._give_capacity(order, subject)
 
-    def _settled(self, service: Service, now: float) -> bool:
-        """Tell whether the service has been known for longer than a start takes."""
-        since = self._known_since.setdefault(service.name, now)
-        startup = service.scaling.startup_seconds if service.scaling else 0.0
-        return now - since > 2 * startup + AGAIN_SECONDS
+    def _dry_zones(self, service: Service, now: float) -> frozenset[str]:
+        """Return the zones in which cheap upstreams were refused lately."""
+        return frozenset(
+            zone
+            for (name, zone), refused_at in self._dry_since.items()
+            if name == service.name and now - refused_at < DRY_SECONDS
+        )
 
     def _missing(self, order: CapacityOrder, upstreams, subject, now: float) -> bool:
         """Tell whether upstreams of an accepted order are gone or never came."""
@@ -148,6 +150,8 @@
             self._members.refused(fencing)
         else:
             self._again_by_subject[subject] = now + AGAIN_SECONDS
+            if order.cheap:
+                self._dry_since[(order.service, order.zone)] = now
 
     async def _order_phases(self, service: Service) -> None:
         if service.engine is None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -3,6 +3,8 @@
 Provides ``generations``.
 """
 
+import asyncio
+
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import EngineSpec, Phase, Stage, Upstream
@@ -14,6 +16,7 @@
 from camphorgated.serving.exchange import Exchange
 from camphorgated.serving.front import Job
 from camphorgated.serving.http1 import CallClient
+from camphorgated.serving.patience import LOOK_SECONDS, wait_for_upstream
 from camphorgated.serving.statistics import job_fields, log_try
 
 # Answering engines read a prompt themselves where that is predicted to be sooner than
@@ -28,11 +31,13 @@
 # Urgency steps of the engines per rank of the routes; 0 to 9, 0 first.
 URGENCY_PER_RANK = 3
 LEAST_URGENCY = 9
-MOST_CONNECTS = 4
+MOST_CONNECTS = 12
 # Bounds of the time after which a refused caller returns, in seconds.
 LEAST_RETURN_SECONDS = 0.1
 MOST_RETURN_SECONDS = 2.0
 RELEASE_SECONDS = 1.0
+# A service without any engine that answers may get one back within a phase change.
+WITHOUT_ENGINES_MS = 3000.0
 # Refusals of engines that should take a handle, after which it counts as gone.
 MOST_HANDLE_REFUSALS = 2
 # Reading calls for one request; beyond the first they count as repeats.
@@ -138,12 +143,17 @@
                 return
             reader, answerer = self._choose(generation, spec, now)
             if reader is None and answerer is None:
+                if await self._wait_for_engines(job):
+                    continue
                 self._give_up(generation, "no_upstream")
                 return
             first = reader or answerer
             if first.wait_ms / 1000 > job.left(now) and not generation.tries.sends:
                 self._give_up(generation, "deadline_unreachable", first.wait_ms / 1000)
                 return
+            if await wait_for_upstream(job, first, clock):
+                continue
+            self._upstreams.health.of(first.upstream.boot).trying(now)
             try:
                 if reader is not None:
                     await self._read(generation, reader)
@@ -153,6 +163,18 @@
             except ExchangeError as error:
                 self._note_failure(generation, error, answerer)
 
+    async def _wait_for_engines(self, job: Job) -> bool:
+        """Wait a little for engines to be listed again.
+
+        :returns: false if the service has had none for too long.
+        """
+        waited = job.decisions.get("without_engines_ms", 0.0)
+        if waited >= WITHOUT_ENGINES_MS:
+            return False
+        job.decisions["without_engines_ms"] = waited + LOOK_SECONDS * 1000
+        await asyncio.sleep(LOOK_SECONDS)
+        return True
+
     def _why_not(self, generation: Generation, now: float) -> str | None:
         """Return why the request is not sent (again)."""
         job, tries = generation.job, generation.tries
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -16,6 +16,7 @@
 from camphorgate.log import log_event
 from camphorgate.peers.service import CHANNEL_OPTIONS
 from camphorgate.serving.catalog import Upstream
+from camphorgate.serving.health import HealthBook
 from camphorgate.serving.loads import Load, LoadBook
 from camphorgate.serving.true_time import TrueTime
 from camphorgate.serving.usage import UsageCounts
@@ -30,6 +31,7 @@
 MOST_PER_TICK = 16
 # Counters in one datagram, which keeps it below the size that links pass whole.
 MOST_COUNTERS = 50
+MOST_FAILING = 10
 FETCH_SECONDS = 0.6
 FETCH_PERIOD_SECONDS = 0.25
 # A peer counts as live this long after it was heard.
@@ -46,7 +48,8 @@
     ``vote`` is its vote for the time of day and ``true_now`` its estimate of the true
     time, both in seconds since 1970. ``totals`` are its counted requests by window.
     ``changing`` are the engines that the sender, as the holder of the duty, is about to
-    order to another phase or has just ordered.
+    order to another phase or has just ordered. ``failing`` are the starts of upstreams
+    that failed for the sender just now.
     """
 
     instance: str
@@ -61,6 +64,7 @@
     loads: dict[str, Load] = {}
     parts: list[tuple[str, str]] = []
     changing: list[str] = []
+    failing: list[tuple[str, int]] = []
 
 
 class Counters(msgspec.Struct, tag="c"):
@@ -117,6 +121,7 @@
 
     __slots__ = (
         "loads",
+        "health",
         "true_time",
         "usage",
         "changing",
@@ -139,6 +144,7 @@
         self._members = app.service("members")
         self._directory = app.service("directory")
         self.loads = LoadBook()
+        self.health = HealthBook()
         self.true_time = TrueTime(self._wall(), app.clock.monotonic())
         self.usage = UsageCounts(
             app.settings.times.usage_window_seconds, self._members.own.boot
@@ -265,6 +271,7 @@
             loads=self.loads.own_by_id,
             parts=self.loads.news(now),
             changing=list(self.changing),
+            failing=self.health.failing(now)[:MOST_FAILING],
         )
         messages: list[State | Counters] = [state]
         for window, counts in self.usage.own_recent(true_now).items():
@@ -293,6 +300,8 @@
         self.usage.hear(message.boot, message.true_now, message.totals)
         self.loads.hear(message.instance, message.loads, now)
         self.loads.hear_parts(message.parts, now)
+        for boot in message.failing:
+            self.health.of(boot).suspected(now)
 
     def _note_ahead(self) -> None:
         catalog = self._directory.catalog
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -14,7 +14,7 @@
 from camphorgate.application import Application
 from camphorgate.authority.leases import Lease, LeaseRules
 from camphorgate.kv.errors import KvError, KvRefused
-from camphorgate.kv.records import KvEntry, Put, absent
+from camphorgate.kv.records import Delete, KvEntry, Put, absent, unchanged
 from camphorgate.log import log_event
 from camphorgated.serving.directory import OWN_PREFIX
 
@@ -175,17 +175,22 @@
             entry = self._directory.own_entries_by_key.get(DUTY_KEY)
             if entry is not None:
                 self._free_since = None
-                self._adopt(entry)
+                await self._adopt(entry)
             elif self._directory.sound and self._lease_id:
                 await self._try_to_take(now)
 
-    def _adopt(self, entry: KvEntry) -> None:
-        """Hold the duty if the entry is this boot's own, under the present lease."""
+    async def _adopt(self, entry: KvEntry) -> None:
+        """Hold the duty if the entry is this boot's own, under the present lease.
+
+        That also holds after the duty was dropped because renewals failed: while the
+        key stands, nobody else can have taken it.
+        """
         duty = _decode(entry, DutyEntry)
         ours = duty is not None and duty.boot == self.own.boot
         if not ours or entry.lease != self._lease_id or self.fencing:
             return
         if entry.mod_revision in self._refused:
+            await self._give_up_key(entry)
             return
         now = self._app.clock.monotonic()
         self._lease.resign()
@@ -194,6 +199,14 @@
             log_event("duty_taken", fencing=self.fencing, lease=self._lease_id)
             self._app.emit("duty-taken")
 
+    async def _give_up_key(self, entry: KvEntry) -> None:
+        """Remove the own key, whose number a receiver refused."""
+        try:
+            condition = unchanged(DUTY_KEY, entry.mod_revision)
+            await self._store.transact([condition], [Delete(DUTY_KEY)])
+        except KvError as error:
+            log_event("duty_not_given_up", level="WARNING", error=error.message)
+
     async def _try_to_take(self, now: float) -> None:
         if self._free_since is None:
             self._free_since = now
@@ -220,7 +233,7 @@
             self._free_since = self._app.clock.monotonic() + TURN_SECONDS
         if done.succeeded:
             value = msgspec.json.encode(duty)
-            self._adopt(
+            await self._adopt(
                 KvEntry(DUTY_KEY, value, "", done.revision, done.revision, lease)
             )
 
@@ -228,7 +241,6 @@
         if not self.fencing:
             return
         log_event("duty_lost", fencing=self.fencing, reason=reason)
-        self._refused.add(self.fencing)
         self.fencing = 0
         self._lease.lose()
         rest = self._app.settings.times.lease_seconds + REST_SECONDS
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/patience.py
@@ -0,0 +1,28 @@
+"""Holds a request while every upstream is left alone after failures.
+
+Answers crashes of many upstreams at once: refused callers come back once, into the same
+outage, while most upstreams are back or replaced within a few seconds.
+"""
+
+import asyncio
+
+from camphorgate.clock import Clock
+from camphorgate.serving.placement import Choice
+from camphorgated.serving.front import Job
+
+# Upstreams that appear meanwhile are noticed at this period.
+LOOK_SECONDS = 0.05
+
+
+async def wait_for_upstream(job: Job, choice: Choice, clock: Clock) -> bool:
+    """Wait a little if the best upstream should be left alone.
+
+    :returns: whether to choose again; false if the upstream may be tried now.
+    """
+    now = clock.monotonic()
+    wait = choice.avoid_until - now
+    if wait <= 0 or job.left(now) <= LOOK_SECONDS:
+        return False
+    job.decisions["held_ms"] = job.decisions.get("held_ms", 0.0) + LOOK_SECONDS * 1000
+    await asyncio.sleep(min(wait, LOOK_SECONDS))
+    return True
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -9,7 +9,8 @@
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.http1 import ClientConnection, connect
 
-CONNECT_SECONDS = 0.4
+# Connections within a region open within a few ms; a lost packet costs a second.
+CONNECT_SECONDS = 0.25
 # An idle connection is used again for less than this part of the time that its server
 # keeps it.
 KEPT_PART = 0.7
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -9,7 +9,6 @@
 from camphorgate.application import Application
 from camphorgate.serving.budget import ShareOfBudget
 from camphorgate.serving.catalog import Service, Upstream
-from camphorgate.serving.health import HealthBook
 from camphorgate.serving.placement import Placement
 from camphorgated.serving.exchange import Exchange
 from camphorgated.serving.pool import USED_PART, Pool
@@ -40,7 +39,7 @@
         self._gossip = app.service("gossip")
         self._dialect = app.service("dialect")
         self.pool = Pool(app.clock)
-        self.health = HealthBook()
+        self.health = self._gossip.health
         self.loads = self._gossip.loads
         zone = app.settings.availability_zone
         self.placement = Placement(self.loads, self.health, zone)
--- a/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
@@ -21,11 +21,15 @@
 # Ordinary engines that each zone keeps, so that a reclaim of every cheap one leaves
 # engines that answer.
 ORDINARY_PER_ZONE = 1
-# With fewer engines than this part of the bound, ordinary ones are ordered too.
-SHORT_PART = 0.5
-SHORT_ORDINARY_PER_ZONE = 2
+# Ordinary engines in a zone that take the place of cheap ones that are not to be had.
+MOST_REPLACED = 2
+# A zone counts as dry this long after cheap ones were refused there.
+DRY_SECONDS = 6.0
+# Below this part of all engines, reading is so short that answering engines change
+# their phase even while the fleet changes.
+LEAST_READING_PART = 0.4
 # A refused order for cheap upstreams is given again after this time.
-AGAIN_SECONDS = 4.0
+AGAIN_SECONDS = 2.0
 
 
 class CapacityOrder(msgspec.Struct, frozen=True):
@@ -45,24 +49,32 @@
 
 
 def plan_capacity(
-    service: Service, upstreams: list[Upstream], settled: bool
+    service: Service, upstreams: list[Upstream], dry_zones: frozenset[str]
 ) -> list[CapacityOrder]:
     """Return the wanted numbers of upstreams, of both kinds in each zone.
 
     :param upstreams: the listed ones of the service, leaving ones included.
-    :param settled: whether what was ordered first has had the time to start.
+    :param dry_zones: where cheap upstreams were not to be had lately; ordinary ones
+        take the place of those that are missing there.
     """
     scaling = service.scaling
     if scaling is None or scaling.cheap_price is None or not upstreams:
         return []
     zones = sorted({upstream.zone for upstream in upstreams})
-    present = [upstream for upstream in upstreams if not upstream.leaving]
-    short = settled and len(present) < scaling.maximum * len(zones) * SHORT_PART
-    ordinary = SHORT_ORDINARY_PER_ZONE if short else ORDINARY_PER_ZONE
-    ordinary = min(scaling.maximum, max(scaling.minimum, ordinary))
     orders = []
     for zone in zones:
+        ordinary = max(scaling.minimum, ORDINARY_PER_ZONE)
+        if zone in dry_zones:
+            cheap = sum(
+                1
+                for item in upstreams
+                if item.zone == zone and item.cheap and not item.leaving
+            )
+            missing = max(0, scaling.maximum - ordinary - cheap)
+            ordinary += min(missing, MOST_REPLACED)
+        ordinary = min(scaling.maximum, ordinary)
         orders.append(CapacityOrder(service.name, zone, ordinary, cheap=False))
+        # The bound holds for both kinds together.
         count = max(0, scaling.maximum - ordinary)
         orders.append(CapacityOrder(service.name, zone, count, cheap=True))
     return orders
@@ -83,6 +95,9 @@
     for upstream in upstreams:
         if upstream.phase is not None:
             by_zone.setdefault(upstream.zone, []).append(upstream)
+    known = [item for items in by_zone.values() for item in items]
+    reading = sum(1 for item in known if item.phase is Phase.PREFILL)
+    short_of_readers = reading < len(known) * LEAST_READING_PART
     for zone in sorted(by_zone):
         engines = by_zone[zone]
         wanted = _wanted_answerers(len(engines), len(by_zone))
@@ -90,13 +105,14 @@
             key=lambda item: (item.cheap, item.phase is not Phase.DECODE, item.id)
         )
         answering = sum(1 for item in engines if item.phase is Phase.DECODE)
+        settled = calm or (short_of_readers and answering > wanted)
         for number, engine in enumerate(engines):
             phase = Phase.DECODE if number < wanted else Phase.PREFILL
             if engine.phase is phase:
                 continue
             if phase is Phase.DECODE and not calm and answering >= wanted:
                 continue
-            if phase is Phase.PREFILL and not calm and answering <= wanted + SPARE:
+            if phase is Phase.PREFILL and not settled and answering <= wanted + SPARE:
                 continue
             orders.append(PhaseOrder(engine, phase))
     # Engines that start to answer go first, as a zone without one is worse off.
--- a/packages/camphorgate/src/camphorgate/serving/health.py
+++ b/packages/camphorgate/src/camphorgate/serving/health.py
@@ -7,6 +7,10 @@
 # How long an upstream is left alone after its first refusal in a row; doubles too.
 REFUSED_SECONDS = 0.3
 LONGEST_REFUSED_SECONDS = 1.2
+# How long the word of a peer counts; it repeats it while it avoids the upstream.
+SUSPECTED_SECONDS = 0.4
+# How long one request tries an upstream that failed, before others do.
+TRYING_SECONDS = 0.4
 # Weight of the newest outcome in the moving share of failures.
 NEWEST_WEIGHT = 0.15
 
@@ -47,6 +51,20 @@
         """Note an error that the upstream itself answered."""
         self.failing_share += (1.0 - self.failing_share) * NEWEST_WEIGHT
 
+    def suspected(self, now: float) -> None:
+        """Take the word of a peer that failed there; own failures go first."""
+        if not self.failures:
+            self.avoid_until = max(self.avoid_until, now + SUSPECTED_SECONDS)
+
+    def trying(self, now: float) -> None:
+        """Note a request to an upstream that failed before.
+
+        Until it is answered, other requests stay away, so that a dead upstream costs
+        one of them at a time.
+        """
+        if self.failures:
+            self.avoid_until = max(self.avoid_until, now + TRYING_SECONDS)
+
     def avoided(self, now: float) -> bool:
         """Tell whether other upstreams go first."""
         return now < self.avoid_until
@@ -68,6 +86,14 @@
             health = self._by_boot[boot] = Health()
         return health
 
+    def failing(self, now: float) -> list[tuple[str, int]]:
+        """Return the starts of upstreams that failed for this instance just now."""
+        return [
+            boot
+            for boot, health in self._by_boot.items()
+            if health.failures and health.avoided(now)
+        ]
+
     def keep_only(self, boots: set[tuple[str, int]]) -> None:
         """Forget all other starts."""
         for boot in self._by_boot.keys() - boots:
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -30,6 +30,8 @@
 CHEAP_ANSWER_MS = 30.0
 # An upstream that fails requests is chosen only if the others are this much slower.
 FAILING_MS = 400.0
+# Upstreams that are avoided come after all others.
+AVOIDED_MS = 1e6
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -44,12 +46,14 @@
     """An upstream, and what is predicted of the request there.
 
     ``wait_ms`` is the time until its first token or start; ``uncached`` the prompt
-    tokens that must be read.
+    tokens that must be read. ``avoid_until`` is in the future if the upstream, and with
+    it every other one, should be left alone until then.
     """
 
     upstream: Upstream
     wait_ms: float
     uncached: int = 0
+    avoid_until: float = 0.0
 
 
 class Placement:
@@ -136,6 +140,7 @@
     def _best(self, upstreams: list[Upstream], now: float, predict) -> Choice | None:
         best = None
         best_cost = 0.0
+        avoid_until = 0.0
         for item in upstreams:
             choice = predict(item)
             health = self._health.of(item.boot)
@@ -143,7 +148,11 @@
             if item.zone != self._zone:
                 cost += OTHER_ZONE_MS
             if health.avoided(now):
-                cost += 1e6
+                # The one that may be tried first is the best of those to be avoided.
+                cost += AVOIDED_MS * (1.0 + health.avoid_until - now)
             if best is None or cost < best_cost:
                 best, best_cost = choice, cost
+                avoid_until = health.avoid_until
+        if best is not None and avoid_until > now:
+            best = msgspec.structs.replace(best, avoid_until=avoid_until)
         return best
