--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -102,7 +102,7 @@
         upstreams = self._upstreams
         sure = not job.route.repeatable()
         most = upstreams.most_connections(job.service)
-        upstreams.loads.begin(upstream.id, 0, False)
+        upstreams.loads.begin(upstream.id, 0)
         try:
             async with upstreams.exchange(upstream) as exchange:
                 await exchange.open(most, sure)
@@ -137,7 +137,7 @@
             if self._why_not(job, tries, 0, clock.monotonic()) is None:
                 return False
         else:
-            health.succeeded()
+            health.succeeded(clock.monotonic())
         headers = self._dialect.caller_headers(exchange.headers)
         job.caller.whole(facts.status, headers, body)
         return True
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -9,6 +9,7 @@
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import EngineSpec, Phase, Stage, Upstream
 from camphorgate.serving.placement import Choice, Prompt
+from camphorgate.serving.reading_queue import LONG_TOKENS, ReadingQueue, Ticket
 from camphorgate.serving.tries import Tries
 from camphorgate.settings import split_address
 from camphorgated.serving.errors import CallFailed, ExchangeError
@@ -32,6 +33,8 @@
 URGENCY_PER_RANK = 3
 LEAST_URGENCY = 9
 MOST_CONNECTS = 12
+# How often the first of the waiting prompts looks for an engine.
+TURN_SECONDS = 0.02
 # Bounds of the time after which a refused caller returns, in seconds.
 LEAST_RETURN_SECONDS = 0.1
 MOST_RETURN_SECONDS = 2.0
@@ -77,13 +80,14 @@
         "handle_refusals",
         "unsent",
         "urgency",
+        "ticket",
     )
 
     def __init__(self, job: Job) -> None:
         """Start unsent."""
         self.job = job
         facts = job.facts
-        self.prompt = Prompt(facts.prompt_tokens, facts.parts, job.rank == 0)
+        self.prompt = Prompt(facts.prompt_tokens, facts.parts)
         self.tries = Tries(job.route.repeatable(), job.route.attempts)
         self.tried: set[str] = set()
         self.handle: Handle | None = None
@@ -92,6 +96,7 @@
         self.reads = 0
         self.handle_refusals = 0
         self.unsent = 0
+        self.ticket: Ticket | None = None
         self.urgency = min(LEAST_URGENCY, job.rank * URGENCY_PER_RANK)
 
     @property
@@ -105,7 +110,7 @@
 class Generations:
     """Leads generations to their answers."""
 
-    __slots__ = ("_app", "_dialect", "_upstreams", "_gossip", "_statistics")
+    __slots__ = ("_app", "_dialect", "_upstreams", "_gossip", "_statistics", "_queue")
 
     def __init__(self, app: Application) -> None:
         """Use the shared state of the upstreams."""
@@ -114,6 +119,8 @@
         self._upstreams = app.service("upstreams")
         self._gossip = app.service("gossip")
         self._statistics = app.service("statistics")
+        self._queue = ReadingQueue()
+        app.add_dump_section("reading_queue", lambda: {"waiting": len(self._queue)})
 
     async def run(self, job: Job) -> None:
         """Answer a request."""
@@ -127,6 +134,7 @@
         try:
             await self._run(generation, service.engine)
         finally:
+            self._leave_queue(generation)
             if generation.handle is not None:
                 self._release(generation.handle)
 
@@ -148,11 +156,17 @@
                 self._give_up(generation, "no_upstream")
                 return
             first = reader or answerer
-            if first.wait_ms / 1000 > job.left(now) and not generation.tries.sends:
-                self._give_up(generation, "deadline_unreachable", first.wait_ms / 1000)
+            wait = first.wait_ms / 1000
+            if generation.ticket is not None:
+                wait += self._queue.wait_seconds(generation.ticket, now)
+            if wait > job.left(now) and not generation.tries.sends:
+                self._give_up(generation, "deadline_unreachable", wait)
                 return
             if await wait_for_upstream(job, first, clock):
                 continue
+            if reader is not None and await self._wait_to_read(generation, reader):
+                continue
+            self._leave_queue(generation)
             self._upstreams.health.of(first.upstream.boot).trying(now)
             try:
                 if reader is not None:
@@ -163,6 +177,42 @@
             except ExchangeError as error:
                 self._note_failure(generation, error, answerer)
 
+    async def _wait_to_read(self, generation: Generation, choice: Choice) -> bool:
+        """Let a long prompt wait while the engines have others to read.
+
+        :returns: whether to choose again.
+        """
+        now = self._app.clock.monotonic()
+        queue, ticket = self._queue, generation.ticket
+        if ticket is None:
+            if choice.uncached <= LONG_TOKENS:
+                return False
+            arrived_at = generation.job.request.read_at
+            ticket = Ticket(generation.job.rank, arrived_at, choice.uncached)
+            generation.ticket = ticket
+            queue.join(ticket)
+        if queue.is_first(ticket) and queue.may_go(ticket, choice.queued_ms, now):
+            self._leave_queue(generation)
+            queue.sent(choice.uncached, now)
+            return False
+        generation.job.decisions["queued_ms"] = (now - ticket.arrived_at) * 1000
+        await asyncio.sleep(TURN_SECONDS)
+        while not queue.is_first(ticket) and not self._expired(generation):
+            await asyncio.sleep(TURN_SECONDS)
+        return True
+
+    def _expired(self, generation: Generation) -> bool:
+        """Tell whether a waiting prompt can no longer be answered in time."""
+        now = self._app.clock.monotonic()
+        wait = self._queue.wait_seconds(generation.ticket, now)
+        left = generation.job.left(now)
+        return wait + generation.job.route.target_seconds > left
+
+    def _leave_queue(self, generation: Generation) -> None:
+        ticket, generation.ticket = generation.ticket, None
+        if ticket is not None:
+            self._queue.leave(ticket)
+
     async def _wait_for_engines(self, job: Job) -> bool:
         """Wait a little for engines to be listed again.
 
@@ -228,9 +278,8 @@
         generation.reads += 1
         sent_at = clock.monotonic()
         generation.tried.add(engine.id)
-        urgent = generation.prompt.urgent
         patience = choice.wait_ms / 1000 * READ_PATIENCE + READ_PATIENCE_SECONDS
-        loads.begin(engine.id, choice.uncached, urgent)
+        loads.begin(engine.id, choice.uncached)
         try:
             async with self._upstreams.exchange(engine) as exchange:
                 await exchange.open(self._most(job), False)
@@ -244,7 +293,7 @@
             log_try(job, engine, f"read_{error.cause}", error.stage)
             return
         finally:
-            loads.prefilled(engine.id, choice.uncached, urgent)
+            loads.prefilled(engine.id, choice.uncached)
             loads.end(engine.id)
         result = self._dialect.read_prefill(body) if facts.status == 200 else None
         job.decisions.update(
@@ -258,7 +307,7 @@
             health.refused(clock.monotonic())
             log_try(job, engine, f"read_refused_{facts.status}", Stage.REFUSED)
             return
-        health.succeeded()
+        health.succeeded(clock.monotonic())
         loads.read_parts(engine.id, generation.prompt.parts, clock.monotonic())
         generation.handle = Handle(engine, result.handle)
 
@@ -274,8 +323,7 @@
         generation.tried.add(engine.id)
         handle = generation.handle
         reading = 0 if handle is not None else choice.uncached
-        urgent = generation.prompt.urgent
-        loads.begin(engine.id, reading, urgent)
+        loads.begin(engine.id, reading)
         try:
             async with self._upstreams.exchange(engine) as exchange:
                 await exchange.open(self._most(job), not job.route.repeatable())
@@ -298,10 +346,10 @@
                     return await self._failed(generation, engine, exchange)
                 loads.read_parts(engine.id, generation.prompt.parts, clock.monotonic())
                 await self._pass_on(generation, exchange)
-                self._upstreams.health.of(engine.boot).succeeded()
+                self._upstreams.health.of(engine.boot).succeeded(clock.monotonic())
                 return True
         finally:
-            loads.prefilled(engine.id, reading, urgent)
+            loads.prefilled(engine.id, reading)
             loads.end(engine.id)
 
     def _wait(self, job: Job) -> float:
--- a/packages/camphorgate/src/camphorgate/serving/health.py
+++ b/packages/camphorgate/src/camphorgate/serving/health.py
@@ -18,7 +18,7 @@
 class Health:
     """What is known of one start of an upstream."""
 
-    __slots__ = ("failures", "refusals", "avoid_until", "failing_share")
+    __slots__ = ("failures", "refusals", "avoid_until", "failing_share", "worked_at")
 
     def __init__(self) -> None:
         """Start without doubts."""
@@ -26,9 +26,11 @@
         self.refusals = 0
         self.avoid_until = 0.0
         self.failing_share = 0.0
+        self.worked_at = -SUSPECTED_SECONDS
 
-    def succeeded(self) -> None:
+    def succeeded(self, now: float) -> None:
         """Note a request that was answered."""
+        self.worked_at = now
         self.failures = 0
         self.refusals = 0
         self.avoid_until = 0.0
@@ -52,8 +54,8 @@
         self.failing_share += (1.0 - self.failing_share) * NEWEST_WEIGHT
 
     def suspected(self, now: float) -> None:
-        """Take the word of a peer that failed there; own failures go first."""
-        if not self.failures:
+        """Take the word of a peer that failed there; own experience goes first."""
+        if not self.failures and now - self.worked_at > SUSPECTED_SECONDS:
             self.avoid_until = max(self.avoid_until, now + SUSPECTED_SECONDS)
 
     def trying(self, now: float) -> None:
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -23,7 +23,6 @@
 
     requests: int = 0
     prefill_tokens: int = 0
-    urgent_tokens: int = 0
 
 
 class LoadBook:
@@ -38,20 +37,16 @@
         self._parts_by_id: dict[str, dict[str, float]] = {}
         self._news: deque[tuple[float, str, str]] = deque(maxlen=MOST_NEWS)
 
-    def begin(self, upstream_id: str, prefill_tokens: int, urgent: bool) -> None:
+    def begin(self, upstream_id: str, prefill_tokens: int) -> None:
         """Note a request that is sent."""
         load = self.own_by_id.setdefault(upstream_id, Load())
         load.requests += 1
         load.prefill_tokens += prefill_tokens
-        if urgent:
-            load.urgent_tokens += prefill_tokens
 
-    def prefilled(self, upstream_id: str, prefill_tokens: int, urgent: bool) -> None:
+    def prefilled(self, upstream_id: str, prefill_tokens: int) -> None:
         """Note that the prompt of a request was read."""
         load = self.own_by_id.setdefault(upstream_id, Load())
         load.prefill_tokens -= prefill_tokens
-        if urgent:
-            load.urgent_tokens -= prefill_tokens
 
     def end(self, upstream_id: str) -> None:
         """Note the end of a request."""
@@ -69,13 +64,12 @@
         own = self.own_by_id.get(upstream_id)
         total = Load()
         if own is not None:
-            total = Load(own.requests, own.prefill_tokens, own.urgent_tokens)
+            total = Load(own.requests, own.prefill_tokens)
         for heard_at, loads_by_id in self._peers.values():
             load = loads_by_id.get(upstream_id)
             if load is not None and now - heard_at < PEER_SECONDS:
                 total.requests += load.requests
                 total.prefill_tokens += load.prefill_tokens
-                total.urgent_tokens += load.urgent_tokens
         return total
 
     def read_parts(self, upstream_id: str, parts: tuple, now: float) -> None:
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -5,6 +5,8 @@
 request only as far as the queue in front of it is not longer than reading it again.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 from camphorgate.serving.catalog import EngineSpec, Phase, Upstream
@@ -28,6 +30,9 @@
 OTHER_ZONE_MOVE_MS = 40.0
 # Streams prefer engines that cannot be reclaimed; the time that is worth, ms.
 CHEAP_ANSWER_MS = 30.0
+# What reading a shared part again on another engine counts beyond its time there: the
+# time is then missing to the prompts behind it.
+READ_AGAIN_PART = 0.5
 # An upstream that fails requests is chosen only if the others are this much slower.
 FAILING_MS = 400.0
 # Upstreams that are avoided come after all others.
@@ -39,20 +44,21 @@
 
     tokens: int
     parts: tuple[tuple[str, int], ...]
-    urgent: bool = False
 
 
 class Choice(msgspec.Struct, frozen=True):
     """An upstream, and what is predicted of the request there.
 
     ``wait_ms`` is the time until its first token or start; ``uncached`` the prompt
-    tokens that must be read. ``avoid_until`` is in the future if the upstream, and with
+    tokens that must be read; ``queued_ms`` the reading time of what is queued there
+    already. ``avoid_until`` is in the future if the upstream, and with
     it every other one, should be left alone until then.
     """
 
     upstream: Upstream
     wait_ms: float
     uncached: int = 0
+    queued_ms: float = 0.0
     avoid_until: float = 0.0
 
 
@@ -77,7 +83,20 @@
 
         :param engines: those that may, of any phase.
         """
-        return self._best(engines, now, lambda item: self._reading(item, prompt, now))
+        cached = {
+            item.id: self._loads.cached_tokens(item.id, prompt.parts, now)
+            for item in engines
+        }
+        most = max(cached.values(), default=0)
+
+        def cost(choice: Choice) -> float:
+            again = most - cached[choice.upstream.id]
+            return again / PREFILL_TOKENS_PER_MS * READ_AGAIN_PART
+
+        def predict(item: Upstream) -> Choice:
+            return self._reading(item, prompt, cached[item.id], now)
+
+        return self._best(engines, now, predict, cost)
 
     def for_answering(
         self,
@@ -127,24 +146,33 @@
 
         return self._best(upstreams, now, predict)
 
-    def _reading(self, item: Upstream, prompt: Prompt, now: float) -> Choice:
+    def _reading(
+        self, item: Upstream, prompt: Prompt, cached: int, now: float
+    ) -> Choice:
         load = self._loads.total(item.id, now)
-        cached = self._loads.cached_tokens(item.id, prompt.parts, now)
         uncached = max(1, prompt.tokens - cached)
-        queued = load.urgent_tokens if prompt.urgent else load.prefill_tokens
         speed = PREFILL_TOKENS_PER_MS
         if item.phase is not Phase.PREFILL:
             speed *= DECODE_PREFILL_PART
-        return Choice(item, (queued + uncached) / speed + PREFILL_FIXED_MS, uncached)
+        queued = load.prefill_tokens / speed
+        wait = queued + uncached / speed + PREFILL_FIXED_MS
+        return Choice(item, wait, uncached, queued)
 
-    def _best(self, upstreams: list[Upstream], now: float, predict) -> Choice | None:
+    def _best(
+        self,
+        upstreams: list[Upstream],
+        now: float,
+        predict: Callable[[Upstream], Choice],
+        extra_cost: Callable[[Choice], float] = lambda choice: 0.0,
+    ) -> Choice | None:
         best = None
         best_cost = 0.0
         avoid_until = 0.0
         for item in upstreams:
             choice = predict(item)
             health = self._health.of(item.boot)
-            cost = choice.wait_ms + health.failing_share * FAILING_MS
+            cost = choice.wait_ms + extra_cost(choice)
+            cost += health.failing_share * FAILING_MS
             if item.zone != self._zone:
                 cost += OTHER_ZONE_MS
             if health.avoided(now):
--- a/tests/test_serving/test_decisions.py
+++ b/tests/test_serving/test_decisions.py
@@ -8,6 +8,7 @@
 from camphorgate.serving.budget import ShareOfBudget
 from camphorgate.serving.catalog import Stage
 from camphorgate.serving.health import Health
+from camphorgate.serving.reading_queue import ReadingQueue, Ticket
 from camphorgate.serving.tries import Tries
 from camphorgate.serving.true_time import TrueTime
 from camphorgate.serving.usage import UsageCounts
@@ -89,7 +90,7 @@
         """Guards against an upstream that is never used again."""
         health = Health()
         health.failed(0.0)
-        health.succeeded()
+        health.succeeded(0.0)
         self.assertFalse(health.avoided(0.01))
 
     def test_refusals_avoid_for_less_than_failures(self):
@@ -192,3 +193,43 @@
         time.hear("b", 2000.0, 0.0)
         time.follow(1100.0, 100.0)
         self.assertAlmostEqual(time.now(100.0), 1100.0, delta=0.01)
+
+
+class ReadingQueueTests(unittest.TestCase):
+    """Long prompts wait for engines with short queues; none is starved."""
+
+    def setUp(self):
+        """Start with three waiting prompts."""
+        self.queue = ReadingQueue()
+        self.old = Ticket(1, 0.0, 8000)
+        self.new = Ticket(1, 1.0, 8000)
+        self.urgent = Ticket(0, 2.0, 8000)
+        for ticket in (self.new, self.old, self.urgent):
+            self.queue.join(ticket)
+
+    def test_most_urgent_and_oldest_goes_first(self):
+        """Guards against a prompt that waits behind a less urgent one."""
+        order = []
+        for _ in range(3):
+            for ticket in (self.old, self.new, self.urgent):
+                if self.queue.is_first(ticket):
+                    order.append(ticket)
+                    self.queue.leave(ticket)
+                    break
+        self.assertEqual(order, [self.urgent, self.old, self.new])
+
+    def test_prompt_waits_while_engines_are_busy(self):
+        """Guards against short prompts that are late behind long ones."""
+        self.assertFalse(self.queue.may_go(self.urgent, 200.0, 2.0))
+        self.assertTrue(self.queue.may_go(self.urgent, 20.0, 2.0))
+
+    def test_bound_grows_with_the_time_waited(self):
+        """Guards against a long prompt that never finds an idle engine."""
+        self.assertTrue(self.queue.may_go(self.old, 400.0, 4.0))
+
+    def test_wait_follows_the_rate(self):
+        """Guards against prompts that wait for a deadline they cannot meet."""
+        for number in range(4):
+            self.queue.sent(8000, number * 0.5)
+        self.assertEqual(self.queue.wait_seconds(self.urgent, 2.0), 0.0)
+        self.assertAlmostEqual(self.queue.wait_seconds(self.new, 2.0), 1.0)
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -38,7 +38,7 @@
     def test_cached_part_does_not_outweigh_a_long_queue(self):
         """Guards against a queue behind one engine while others are idle."""
         self.loads.read_parts("p2", PARTS, 0.5)
-        self.loads.begin("p2", 20000, False)
+        self.loads.begin("p2", 20000)
         self.assertNotEqual(self.read(), "p2")
 
     def test_load_of_peers_counts(self):
@@ -49,8 +49,8 @@
     def test_old_load_of_peers_does_not_count(self):
         """Guards against avoiding an engine for a peer that was killed."""
         self.loads.hear("peer", {"p0": Load(1, 9000)}, 1.0)
-        self.loads.begin("p1", 100, False)
-        self.loads.begin("p2", 100, False)
+        self.loads.begin("p1", 100)
+        self.loads.begin("p2", 100)
         self.assertEqual(self.read(now=1.1 + PEER_SECONDS), "p0")
 
     def test_part_behind_a_missing_one_is_not_cached(self):
@@ -118,7 +118,7 @@
         for prompt, allowed in ((PROMPT, False), (short, True)):
             choice = self.placement.for_reading(self.answerers, prompt, 1.0)
             self.assertIs(self.placement.direct_allowed(choice, 1.0), allowed)
-        self.loads.begin("d0", 900, False)
+        self.loads.begin("d0", 900)
         choice = self.placement.for_reading(self.answerers[:1], short, 1.0)
         self.assertFalse(self.placement.direct_allowed(choice, 1.0))
 
@@ -128,7 +128,7 @@
         taken = []
         for _ in range(6):
             choice = self.placement.for_call(desks, 1.0)
-            self.loads.begin(choice.upstream.id, 0, False)
+            self.loads.begin(choice.upstream.id, 0)
             taken.append(choice.upstream.id)
         self.assertEqual(sorted(taken), ["s0", "s0", "s1", "s1", "s2", "s2"])
 
