--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -25,8 +25,8 @@
 DIRECT_MS = 10.0
 # A reading engine that takes this many times the predicted time, and this much more,
 # is taken for stuck.
-READ_PATIENCE = 4.0
-READ_PATIENCE_SECONDS = 0.6
+READ_PATIENCE = 5.0
+READ_PATIENCE_SECONDS = 1.5
 # A resumable stream that is silent this long goes on elsewhere.
 SILENT_SECONDS = 1.2
 # Urgency steps of the engines per rank of the routes; 0 to 9, 0 first.
@@ -44,7 +44,7 @@
 # Refusals of engines that should take a handle, after which it counts as gone.
 MOST_HANDLE_REFUSALS = 2
 # Reading calls for one request; beyond the first they count as repeats.
-MOST_READS = 2
+MOST_READS = 4
 # The status of an engine that is not the expected one, or not in the right phase.
 WRONG_ENGINE_STATUS = 421
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
@@ -12,8 +12,12 @@
 
 from camphorgated.serving.errors import BadRequest, CallFailed
 
-# An unacknowledged write closes the connection after this time.
-UNACKNOWLEDGED_MS = 3000
+# An unacknowledged write closes the connection after this time: to callers, and to
+# servers within the region, whose round trip is a few ms.
+CALLER_UNACKNOWLEDGED_MS = 3000
+SERVER_UNACKNOWLEDGED_MS = 1200
+# An idle connection is probed after this time, and again, seconds.
+PROBE_SECONDS = 1
 # Bytes of an answer that may wait for a slow reader.
 BUFFERED_BYTES = 262144
 BODILESS = frozenset({204, 304})
@@ -29,12 +33,16 @@
     return None
 
 
-def _prepare_socket(transport: asyncio.Transport) -> None:
+def _prepare_socket(transport: asyncio.Transport, unacknowledged_ms: int) -> None:
+    """Find peers that lost power or are cut off, which send no reset."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -90,7 +98,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport."""
         self.transport = transport
-        _prepare_socket(transport)
+        _prepare_socket(transport, SERVER_UNACKNOWLEDGED_MS)
 
     def send(self, method: str, data: bytes) -> None:
         """Send a request and expect its answer.
@@ -312,7 +320,7 @@
         """Keep the transport and announce the connection."""
         self.transport = transport
         self.left = asyncio.get_running_loop().create_future()
-        _prepare_socket(transport)
+        _prepare_socket(transport, CALLER_UNACKNOWLEDGED_MS)
         transport.set_write_buffer_limits(high=BUFFERED_BYTES)
         self._on_made(self)
 
