--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -291,6 +291,10 @@
         except ExchangeError as error:
             self._upstreams.health.of(engine.boot).failed(clock.monotonic())
             log_try(job, engine, f"read_{error.cause}", error.stage)
+            if error.stage is Stage.NOT_SENT:
+                # It does not count as a call, neither here nor in the budget.
+                generation.reads -= 1
+                generation.unsent += 1
             return
         finally:
             loads.prefilled(engine.id, choice.uncached)
--- a/packages/camphorgate/src/camphorgate/serving/budget.py
+++ b/packages/camphorgate/src/camphorgate/serving/budget.py
@@ -10,7 +10,7 @@
 
 # The part of the bound that is used. The rest covers instances that start within one
 # window and arrivals that an upstream counts later than they were sent.
-USED_PART = 0.5
+USED_PART = 0.7
 
 
 class ShareOfBudget:
