--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -158,7 +158,7 @@
             caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
         else:
             caller.refuse(503, reason, job.route.target_seconds * RETURN_TARGETS)
-        self._app.service("statistics").refused(job, reason, **job_fields(job))
+        self._app.service("statistics").given_up(job, reason, **job_fields(job))
 
 
 def setup(app: Application) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -499,7 +499,7 @@
             seconds = wait_seconds - job.route.target_seconds
             seconds = min(MOST_RETURN_SECONDS, max(LEAST_RETURN_SECONDS, seconds))
             caller.refuse(503, reason, seconds)
-        self._statistics.refused(
+        self._statistics.given_up(
             job,
             reason,
             wait=wait_seconds,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -11,6 +11,7 @@
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Stage, Upstream
+from camphorgated.serving.caller import NOT_RUN_STATUSES
 
 # Lines about single requests per second; more are counted, not written.
 MOST_LINES_PER_SECOND = 50.0
@@ -77,12 +78,21 @@
                 **job.decisions,
             )
 
-    def refused(self, job, reason: str, **fields) -> None:
-        """Note an answer of the system's own."""
-        self._counts[f"refused_{reason}"] += 1
+    def given_up(self, job, reason: str, **fields) -> None:
+        """Note a request that the system itself gave up."""
+        status = job.caller.status
+        if status in NOT_RUN_STATUSES:
+            outcome = "refused"
+        else:
+            outcome = "broken_off" if status == 200 else "unknown"
+        self._counts[f"{outcome}_{reason}"] += 1
         if self._lines.take(self._app.clock.monotonic()):
             log_event(
-                "request_refused", reason=reason, status=job.caller.status, **fields
+                "request_given_up",
+                reason=reason,
+                outcome=outcome,
+                status=status,
+                **fields,
             )
 
     def caller_left(self) -> None:
