--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -19,6 +19,10 @@
 FIRST_RETURN_SECONDS = 0.1
 LONGEST_RETURN_SECONDS = 1.0
 SETTLE_SECONDS = 0.25
+# Changes of upstreams are collected for this long per instance, up to the bound, as
+# every answer of a waiting watch is a call of every instance.
+COLLECT_SECONDS_PER_INSTANCE = 0.006
+MOST_COLLECT_SECONDS = 0.5
 # A peer may be ahead by the spread of one change before the own watch is in doubt.
 BEHIND_SECONDS = 0.5
 
@@ -32,6 +36,7 @@
         "own_entries_by_key",
         "store_sound_since",
         "own_prefix",
+        "instances",
         "_app",
         "_dialect",
         "_store",
@@ -44,13 +49,15 @@
     def __init__(self, app: Application, own_prefix: str) -> None:
         """Start without knowledge.
 
-        :param own_prefix: of the keys that the instances themselves write.
+        :param own_prefix: of the keys of the instances' own that are watched.
         """
         self.catalog: Catalog | None = None
         self.table = UpstreamTable()
         self.own_entries_by_key: dict = {}
         self.store_sound_since: float | None = None
         self.own_prefix = own_prefix
+        # How many instances there are; kept up to date by the members.
+        self.instances = 1
         self._app = app
         self._dialect = app.service("dialect")
         self._store = app.service("store")
@@ -139,11 +146,17 @@
                     self._watch_works(prefix)
                     delay = FIRST_RETURN_SECONDS
                     handler(batch)
+                    if prefix == self._dialect.upstream_prefix:
+                        await asyncio.sleep(self._collect_seconds())
             except KvError as error:
                 self._watch_fails(prefix, error.message)
             await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
             delay = min(LONGEST_RETURN_SECONDS, delay * 2)
 
+    def _collect_seconds(self) -> float:
+        seconds = self.instances * COLLECT_SECONDS_PER_INSTANCE
+        return min(MOST_COLLECT_SECONDS, seconds)
+
     def _watch_works(self, prefix: str) -> None:
         self._failing.discard(prefix)
         if not self._failing and self.store_sound_since is None:
@@ -215,7 +228,6 @@
             self.own_entries_by_key[entry.key] = entry
         for key, _ in batch.deleted:
             self.own_entries_by_key.pop(key, None)
-        self._app.emit("own-entries-changed")
 
     async def _settle(self) -> None:
         while True:
@@ -248,14 +260,15 @@
 
 # Prefix of the keys that the instances themselves write.
 OWN_PREFIX = "camphorgate/"
+# The only one of them that every instance watches.
+DUTY_KEY = OWN_PREFIX + "duty"
 
 
 def setup(app: Application) -> None:
     """Provide the directory and start its watches."""
     app.add_event("catalog-changed")
     app.add_event("upstreams-changed")
-    app.add_event("own-entries-changed")
-    directory = Directory(app, OWN_PREFIX)
+    directory = Directory(app, DUTY_KEY)
     app.provide("directory", directory)
     app.add_dump_section("directory", directory.dump)
     app.on_start(directory.start)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -232,7 +232,8 @@
             self._note_ahead()
             addresses = self._addresses(now)
             if addresses:
-                datagrams = self._datagrams(now)
+                rounds = -(-len(addresses) // MOST_PER_TICK)
+                datagrams = self._datagrams(now, 2.5 * rounds * TICK_SECONDS)
                 first = self._turn * MOST_PER_TICK % len(addresses)
                 self._turn += 1
                 for address in (addresses + addresses)[first : first + MOST_PER_TICK][
@@ -254,7 +255,7 @@
         addresses.discard(self._members.own.gossip_address)
         return sorted(addresses)
 
-    def _datagrams(self, now: float) -> list[bytes]:
+    def _datagrams(self, now: float, news_seconds: float) -> list[bytes]:
         true_now = self.true_time.now(now)
         own = self._members.own
         catalog = self._directory.catalog
@@ -269,7 +270,7 @@
             version=catalog.version if catalog else 0,
             totals=self.usage.own_totals(true_now),
             loads=self.loads.own_by_id,
-            parts=self.loads.news(now),
+            parts=self.loads.news(now, news_seconds),
             changing=list(self.changing),
             failing=self.health.failing(now)[:MOST_FAILING],
         )
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -16,12 +16,15 @@
 from camphorgate.kv.errors import KvError, KvRefused
 from camphorgate.kv.records import Delete, KvEntry, Put, absent, unchanged
 from camphorgate.log import log_event
-from camphorgated.serving.directory import OWN_PREFIX
+from camphorgated.serving.directory import DUTY_KEY, OWN_PREFIX
 
 MEMBER_PREFIX = OWN_PREFIX + "members/"
-DUTY_KEY = OWN_PREFIX + "duty"
 # Renewals per life of the lease.
 RENEWALS_PER_LEASE = 3
+# The other instances' entries are read this often; gossip knows of changes sooner.
+LIST_SECONDS = 5.0
+# Instances start together; the first list is read after all of them wrote theirs.
+FIRST_LIST_SECONDS = 0.7
 # The holder stops this long before the store can let the lease lapse.
 MARGIN_SECONDS = 0.4
 TICK_SECONDS = 0.1
@@ -65,6 +68,7 @@
         "_rested_at",
         "_refused",
         "_free_since",
+        "_listed_by_instance",
     )
 
     def __init__(self, app: Application) -> None:
@@ -90,21 +94,33 @@
         self._rested_at = 0.0
         self._refused: set[int] = set()
         self._free_since: float | None = None
+        self._listed_by_instance: dict[str, Member] = {}
 
     async def start(self) -> None:
         """Start renewing and watching the duty."""
         self._app.spawn(self._keep_listed(), "member lease")
         self._app.spawn(self._tick(), "duty")
+        self._app.spawn(self._list_others(), "members")
 
     def by_instance(self) -> dict[str, Member]:
-        """Return the listed instances."""
-        members = {}
-        for key, entry in self._directory.own_entries_by_key.items():
-            if key.startswith(MEMBER_PREFIX):
-                member = _decode(entry, Member)
-                if member is not None:
-                    members[member.instance] = member
-        return members
+        """Return the listed instances, as of some seconds ago."""
+        return self._listed_by_instance
+
+    async def _list_others(self) -> None:
+        stale = False
+        while True:
+            await asyncio.sleep(LIST_SECONDS if stale else FIRST_LIST_SECONDS)
+            try:
+                entries, _ = await self._store.read_prefix(MEMBER_PREFIX, stale)
+            except KvError as error:
+                log_event("members_not_read", level="WARNING", error=error.message)
+                continue
+            stale = True
+            found = [_decode(entry, Member) for entry in entries]
+            self._listed_by_instance = {
+                member.instance: member for member in found if member is not None
+            }
+            self._directory.instances = max(1, len(self._listed_by_instance))
 
     def holds_duty(self) -> bool:
         """Tell whether this instance may give orders at this moment."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -97,6 +97,10 @@
         self.opened += 1
         return Lease(connection, upstream, False)
 
+    def connected(self, boot: tuple) -> bool:
+        """Tell whether a connection to an upstream is open and idle."""
+        return bool(self._idle_by_boot.get(boot))
+
     def give_back(self, lease: Lease, keep_seconds: float | None) -> None:
         """Keep a connection whose exchange ended well, else close it.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -25,6 +25,8 @@
 OVERDUE_SECONDS = 10.0
 # Frozen windows are removed after this many further ones.
 KEPT_WINDOWS = 8
+# Removals in one write, which takes 32 entries.
+MOST_REMOVED = 20
 
 
 class UsageDuty:
@@ -39,6 +41,8 @@
         "_gossip",
         "_directory",
         "_first_window",
+        "_frozen",
+        "_read_under",
     )
 
     def __init__(self, app: Application) -> None:
@@ -50,6 +54,8 @@
         self._gossip = app.service("gossip")
         self._directory = app.service("directory")
         self.reported: set[int] = set()
+        self._frozen: dict[int, dict[str, int]] = {}
+        self._read_under = 0
         usage = self._gossip.usage
         self._first_window = usage.window_at(self._gossip.true_now())
 
@@ -59,6 +65,12 @@
             await asyncio.sleep(TICK_SECONDS)
             if not self._members.holds_duty() or not self._directory.sound:
                 continue
+            try:
+                if self._read_under != self._members.fencing:
+                    await self._read_frozen()
+            except KvError as error:
+                log_event("windows_not_read", level="WARNING", error=error.message)
+                continue
             for window in self._due_windows():
                 if not self._members.holds_duty():
                     break
@@ -70,7 +82,7 @@
         late = self._app.settings.times.usage_late_seconds
         newest = usage.window_at(now - SETTLE_SECONDS) - 1
         oldest = usage.window_at(now - late - OVERDUE_SECONDS)
-        known = self._frozen()
+        known = self._frozen
         first = min([self._first_window, *known])
         due = []
         for window in range(max(oldest, first), newest + 1):
@@ -82,13 +94,15 @@
                 due.append(window)
         return due
 
-    def _frozen(self) -> dict[int, KvEntry]:
-        entries = self._directory.own_entries_by_key
-        return {
-            int(key.removeprefix(WINDOW_PREFIX)): entry
-            for key, entry in entries.items()
-            if key.startswith(WINDOW_PREFIX)
+    async def _read_frozen(self) -> None:
+        """Read what earlier holders froze, once after the duty was taken."""
+        fencing = self._members.fencing
+        entries, _ = await self._store.read_prefix(WINDOW_PREFIX)
+        self._frozen = {
+            int(entry.key.removeprefix(WINDOW_PREFIX)): _decode(entry)
+            for entry in entries
         }
+        self._read_under = fencing
 
     async def _report(self, window: int) -> None:
         try:
@@ -130,23 +144,28 @@
 
         :raises KvError: if neither is possible now.
         """
+        counts = self._frozen.get(window)
+        if counts is not None:
+            return counts
         key = f"{WINDOW_PREFIX}{window}"
-        entry = self._directory.own_entries_by_key.get(key)
-        if entry is None:
-            counts = self._gossip.usage.totals(window)
-            operations = [Put(key, msgspec.json.encode(counts))]
-            operations += [
-                Delete(f"{WINDOW_PREFIX}{old}")
-                for old in self._frozen()
-                if old < window - KEPT_WINDOWS
-            ]
-            done = await self._store.transact([absent(key)], operations[:30])
-            if done.succeeded:
-                return counts
+        counts = self._gossip.usage.totals(window)
+        old = [item for item in self._frozen if item < window - KEPT_WINDOWS]
+        operations = [Put(key, msgspec.json.encode(counts))]
+        operations += [Delete(f"{WINDOW_PREFIX}{item}") for item in old[:MOST_REMOVED]]
+        done = await self._store.transact([absent(key)], operations)
+        if not done.succeeded:
             entry = done.entries_by_key.get(key) or await self._store.get(key)
             if entry is None:
                 raise KvError(f"the window {window} vanished")
-        return msgspec.json.decode(entry.value, type=dict[str, int])
+            counts = _decode(entry)
+        for item in old[:MOST_REMOVED]:
+            self._frozen.pop(item, None)
+        self._frozen[window] = counts
+        return counts
+
+
+def _decode(entry: KvEntry) -> dict[str, int]:
+    return msgspec.json.decode(entry.value, type=dict[str, int])
 
 
 def setup(app: Application) -> None:
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -4,13 +4,13 @@
 
 import msgspec
 
-# A peer's figures count this long after they were made.
-PEER_SECONDS = 2.0
+# A peer's figures count less the older they are, and nothing after this time: most
+# requests that they speak of have ended by then.
+PEER_SECONDS = 1.5
 # Prompt parts are taken for cached this long after their last use.
 PART_SECONDS = 20.0
-# Parts read are told to peers for this long, so that a lost message loses none.
-NEWS_SECONDS = 0.5
-MOST_NEWS = 20
+# Parts read that are told in one message.
+MOST_NEWS = 40
 # Parts remembered for one engine; the oldest are forgotten first.
 MOST_PARTS = 2000
 
@@ -21,8 +21,8 @@
     ``prefill_tokens`` are the prompt tokens that were sent and not answered yet.
     """
 
-    requests: int = 0
-    prefill_tokens: int = 0
+    requests: float = 0
+    prefill_tokens: float = 0
 
 
 class LoadBook:
@@ -67,9 +67,10 @@
             total = Load(own.requests, own.prefill_tokens)
         for heard_at, loads_by_id in self._peers.values():
             load = loads_by_id.get(upstream_id)
-            if load is not None and now - heard_at < PEER_SECONDS:
-                total.requests += load.requests
-                total.prefill_tokens += load.prefill_tokens
+            weight = 1.0 - (now - heard_at) / PEER_SECONDS
+            if load is not None and weight > 0.0:
+                total.requests += load.requests * weight
+                total.prefill_tokens += load.prefill_tokens * weight
         return total
 
     def read_parts(self, upstream_id: str, parts: tuple, now: float) -> None:
@@ -86,9 +87,13 @@
         for upstream_id, name in news:
             self._remember(upstream_id, name, now)
 
-    def news(self, now: float) -> list[tuple[str, str]]:
-        """Return the parts read lately, as pairs of engine and part."""
-        while self._news and now - self._news[0][0] > NEWS_SECONDS:
+    def news(self, now: float, seconds: float) -> list[tuple[str, str]]:
+        """Return the parts read lately, as pairs of engine and part.
+
+        :param seconds: how long ago they may have been read, so that every peer hears
+            of them and a lost message loses none.
+        """
+        while self._news and now - self._news[0][0] > seconds:
             self._news.popleft()
         return [(upstream_id, name) for _, upstream_id, name in self._news]
 
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
+import xxhash
 
 from camphorgate.serving.catalog import EngineSpec, Phase, Upstream
 from camphorgate.serving.health import HealthBook
@@ -33,6 +34,11 @@
 # What reading a shared part again on another engine counts beyond its time there: the
 # time is then missing to the prompts behind it.
 READ_AGAIN_PART = 0.5
+# Engines for one prompt part differ by up to this in an order that all instances share,
+# so that they send it to the same engine before any of them knows who holds it.
+SHARED_ORDER_MS = 25.0
+# What a new connection counts against one that is open, ms.
+CONNECTION_MS = 3.0
 # An upstream that fails requests is chosen only if the others are this much slower.
 FAILING_MS = 400.0
 # Upstreams that are avoided come after all others.
@@ -65,13 +71,21 @@
 class Placement:
     """Chooses upstreams by predicted time; holds no state of its own."""
 
-    __slots__ = ("_loads", "_health", "_zone")
+    __slots__ = ("_loads", "_health", "_zone", "_connected")
 
-    def __init__(self, loads: LoadBook, health: HealthBook, zone: str) -> None:
+    def __init__(
+        self,
+        loads: LoadBook,
+        health: HealthBook,
+        zone: str,
+        connected: Callable[[tuple[str, int]], bool] = lambda boot: True,
+    ) -> None:
         """Use the books of this instance.
 
         :param zone: availability zone of this instance.
+        :param connected: tells whether a connection to an upstream is open and idle.
         """
+        self._connected = connected
         self._loads = loads
         self._health = health
         self._zone = zone
@@ -91,7 +105,10 @@
 
         def cost(choice: Choice) -> float:
             again = most - cached[choice.upstream.id]
-            return again / PREFILL_TOKENS_PER_MS * READ_AGAIN_PART
+            extra = again / PREFILL_TOKENS_PER_MS * READ_AGAIN_PART
+            if len(prompt.parts) > 1:
+                extra += _shared_order(prompt.parts[-2][0], choice.upstream.id)
+            return extra
 
         def predict(item: Upstream) -> Choice:
             return self._reading(item, prompt, cached[item.id], now)
@@ -175,6 +192,8 @@
             cost += health.failing_share * FAILING_MS
             if item.zone != self._zone:
                 cost += OTHER_ZONE_MS
+            if not self._connected(item.boot):
+                cost += CONNECTION_MS
             if health.avoided(now):
                 # The one that may be tried first is the best of those to be avoided.
                 cost += AVOIDED_MS * (1.0 + health.avoid_until - now)
@@ -184,3 +203,9 @@
         if best is not None and avoid_until > now:
             best = msgspec.structs.replace(best, avoid_until=avoid_until)
         return best
+
+
+def _shared_order(part: str, upstream_id: str) -> float:
+    """Return the place of an engine in the order for a prompt part, ms."""
+    digest = xxhash.xxh3_64_intdigest(f"{part}/{upstream_id}".encode())
+    return digest / 2**64 * SHARED_ORDER_MS
