Keep frozen usage windows for as long as any holder may report them

Change: windows are removed 30 s after no holder reports them, counters kept 60 s. Tests use a loopback address of their own process, as three soaks beside each other took each other's ports (KeyError and timeouts at the start).

--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -23,8 +23,9 @@
 EARLY_SECONDS = 3.0
 # Windows are reported for at most this long after they were due.
 OVERDUE_SECONDS = 10.0
-# Frozen windows are removed after this many further ones.
-KEPT_WINDOWS = 8
+# Frozen windows are removed this long after no holder reports them any more. A window
+# that is removed earlier would be frozen again, with other figures.
+KEPT_SECONDS = 30.0
 # Removals in one write, which takes 32 entries.
 MOST_REMOVED = 20
 
@@ -81,7 +82,7 @@
         now = self._gossip.true_now()
         late = self._app.settings.times.usage_late_seconds
         newest = usage.window_at(now - SETTLE_SECONDS) - 1
-        oldest = usage.window_at(now - late - OVERDUE_SECONDS)
+        oldest = self._oldest_due()
         known = self._frozen
         first = min([self._first_window, *known])
         due = []
@@ -139,6 +140,17 @@
         elif verdict.fenced:
             self._members.refused(fencing)
 
+    def _oldest_due(self) -> int:
+        """Return the oldest window that any holder may still report."""
+        late = self._app.settings.times.usage_late_seconds
+        now = self._gossip.true_now()
+        return self._gossip.usage.window_at(now - late - OVERDUE_SECONDS)
+
+    def _removable(self) -> list[int]:
+        kept = int(KEPT_SECONDS // self._gossip.usage.window_seconds) + 1
+        oldest = self._oldest_due() - kept
+        return [window for window in self._frozen if window < oldest]
+
     async def _freeze(self, window: int) -> dict[str, int]:
         """Return the figures of a window that the store keeps, or write them.
 
@@ -149,7 +161,7 @@
             return counts
         key = f"{WINDOW_PREFIX}{window}"
         counts = self._gossip.usage.totals(window)
-        old = [item for item in self._frozen if item < window - KEPT_WINDOWS]
+        old = self._removable()
         operations = [Put(key, msgspec.json.encode(counts))]
         operations += [Delete(f"{WINDOW_PREFIX}{item}") for item in old[:MOST_REMOVED]]
         done = await self._store.transact([absent(key)], operations)
--- a/packages/camphorgate/src/camphorgate/serving/usage.py
+++ b/packages/camphorgate/src/camphorgate/serving/usage.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
-# Windows are kept this long after their end, in windows.
-KEPT_WINDOWS = 12
+# Counters are kept for longer than any holder of the duty may still ask for them.
+KEPT_SECONDS = 60.0
 
 
 class UsageCounts:
@@ -95,7 +95,7 @@
 
     def forget_before(self, true_now: float) -> None:
         """Drop windows that nobody will ask for any more."""
-        oldest = self.window_at(true_now) - KEPT_WINDOWS
+        oldest = self.window_at(true_now - KEPT_SECONDS)
         for boot, windows in list(self._counts_by_boot.items()):
             for window in [item for item in windows if item < oldest]:
                 del windows[window]
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import socket
 import unittest
 
@@ -22,11 +23,16 @@
 WAIT_SECONDS = 5.0
 
 
+# A loopback address of this process's own, so that test runs beside each other do not
+# take each other's ports between choosing and binding them.
+LOOPBACK = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}.1"
+
+
 def free_address() -> str:
     """Return a loopback address whose port is free now."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{probe.getsockname()[1]}"
 
 
 def build_hosted_settings(store: str, **changes) -> HostedSettings:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from tests.hosted import LOOPBACK
+
 CHUNK = 65536
 # How often a held-back direction looks whether it may go on.
 LOOK_SECONDS = 0.02
@@ -26,7 +28,7 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -98,6 +98,27 @@
         }
         self.assertEqual(figures[window], {"north": 7})
 
+    async def test_window_is_not_frozen_again_after_a_change_of_holders(self):
+        """Guards against old windows that a successor reports with other figures."""
+        await self.add_worker("desk-1")
+        apps = [
+            await self.start_ready(duties=["usage"], instance_id=f"entry-{number}")
+            for number in (1, 2)
+        ]
+        members = [app.service("members") for app in apps]
+        await self.eventually(lambda: any(item.holds_duty() for item in members))
+        members.sort(key=lambda item: not item.holds_duty())
+        for _ in range(5):
+            await self.ask(apps[0], "/read/a")
+        await asyncio.sleep(16.0)
+        await members[0].leave()
+        await self.eventually(members[1].holds_duty)
+        await asyncio.sleep(1.0)
+        counts_by_window = {}
+        for report in self.store.reports:
+            window, counts = report["body"]["window-id"], report["body"]["counts"]
+            self.assertEqual(counts_by_window.setdefault(window, counts), counts)
+
 
 class PeerTests(HostedCase):
     """Instances that the store does not serve hear from their peers."""
