Let watches wait longer in large fleets

Change: the store holds a watch 0.25 s per instance (5 to 25 s), and changes of the list are collected for 0.01 s per instance, at most 0.8 s.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -21,8 +21,13 @@
 SETTLE_SECONDS = 0.25
 # Changes of upstreams are collected for this long per instance, up to the bound, as
 # every answer of a waiting watch is a call of every instance.
-COLLECT_SECONDS_PER_INSTANCE = 0.006
-MOST_COLLECT_SECONDS = 0.5
+COLLECT_SECONDS_PER_INSTANCE = 0.01
+MOST_COLLECT_SECONDS = 0.8
+# How long the store holds a watch; grows with the instances, as every waiting watch is
+# a call. A connection that went silent unnoticed is found after this time.
+WATCH_SECONDS = 5.0
+WATCH_SECONDS_PER_INSTANCE = 0.25
+MOST_WATCH_SECONDS = 25.0
 # A peer may be ahead by the spread of one change before the own watch is in doubt.
 BEHIND_SECONDS = 0.5
 
@@ -147,7 +152,7 @@
         delay = FIRST_RETURN_SECONDS
         while True:
             try:
-                async for batch in self._store.watch(prefix):
+                async for batch in self._store.watch(prefix, self._watch_seconds):
                     self._watch_works(prefix)
                     delay = FIRST_RETURN_SECONDS
                     handler(batch)
@@ -158,6 +163,10 @@
             await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
             delay = min(LONGEST_RETURN_SECONDS, delay * 2)
 
+    def _watch_seconds(self) -> float:
+        seconds = self.instances * WATCH_SECONDS_PER_INSTANCE
+        return min(MOST_WATCH_SECONDS, max(WATCH_SECONDS, seconds))
+
     def _collect_seconds(self) -> float:
         seconds = self.instances * COLLECT_SECONDS_PER_INSTANCE
         return min(MOST_COLLECT_SECONDS, seconds)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -205,7 +205,7 @@
 
     async def test_watch_sees_writes_and_removals(self):
         """Guards against changes that a watch misses."""
-        watch = self.client.watch("a/")
+        watch = self.client.watch("a/", lambda: 5.0)
         first = await anext(watch)
         self.assertTrue(first.complete)
         self.store.put("a/1", b"x")
@@ -217,7 +217,7 @@
 
     async def test_lost_history_reads_everything_anew(self):
         """Guards against a watch that goes on behind a gap."""
-        watch = self.client.watch("a/")
+        watch = self.client.watch("a/", lambda: 5.0)
         await anext(watch)
         self.store.put("a/1", b"x")
         self.store.faults.arm({"fault": "lose_history", "count": 1})
@@ -226,7 +226,7 @@
         self.assertEqual([item.key for item in batch.entries], ["a/1"])
         self.store.faults.arm({"fault": "lose_history", "count": 1})
         with self.assertRaises(HistoryLost):
-            await self.client.watch_once("a/", 1)
+            await self.client.watch_once("a/", 1, 5.0)
 
     async def test_lost_answer_of_a_write_is_unknown(self):
         """Guards against taking a lost answer for a failed write."""
