--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,8 +6,8 @@
 from tests.hosted import LOOPBACK
 
 CHUNK = 65536
-# How often a held-back direction looks whether it may go on.
-LOOK_SECONDS = 0.02
+# How long the far side of a dead connection stays open after the near side closed.
+DEAD_SECONDS = 2.0
 
 
 class Proxy:
@@ -54,12 +54,20 @@
             return
         self._writers |= {writer, far_writer}
         state = {"dead": False}
+        pumps = {
+            asyncio.create_task(self._pump(reader, far_writer, state, False)),
+            asyncio.create_task(self._pump(far_reader, writer, state, True)),
+        }
         try:
-            await asyncio.gather(
-                self._pump(reader, far_writer, state, False),
-                self._pump(far_reader, writer, state, True),
+            _, open_pumps = await asyncio.wait(
+                pumps, return_when=asyncio.FIRST_COMPLETED
             )
+            # The far side of a dead connection hears nothing of its end.
+            timeout = DEAD_SECONDS if state["dead"] else None
+            await asyncio.wait(open_pumps or pumps, timeout=timeout)
         finally:
+            for pump in pumps:
+                pump.cancel()
             self._writers -= {writer, far_writer}
             for item in (writer, far_writer):
                 item.transport.abort()
