Tell the counters of boots that ended

Cause: incident inc-3d19: the store was away while three instances were replaced; the instance that then took the duty had started after the window and froze it with 154 of 307 requests, as peers told only their own counters. Change: counters of boots that ended are told too, six datagrams a tick.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -32,6 +32,10 @@
 # Counters in one datagram, which keeps it below the size that links pass whole.
 MOST_COUNTERS = 50
 MOST_FAILING = 10
+# Counters of boots that ended are told for as long as their windows may be reported,
+# so many of them in one tick.
+ORPHAN_SECONDS = 25.0
+MOST_ORPHANS = 6
 FETCH_SECONDS = 0.6
 FETCH_PERIOD_SECONDS = 0.25
 # A peer counts as live this long after it was heard.
@@ -276,12 +280,17 @@
         )
         messages: list[State | Counters] = [state]
         for window, counts in self.usage.own_recent(true_now).items():
-            rows = list(counts.items())
-            for start in range(0, len(rows), MOST_COUNTERS):
-                part = dict(rows[start : start + MOST_COUNTERS])
-                messages.append(Counters(own.boot, window, part))
+            messages += _split_counters(own.boot, window, counts)
+        messages += self._orphaned_counters(true_now)
         return [msgspec.msgpack.encode(message) for message in messages]
 
+    def _orphaned_counters(self, true_now: float) -> list[Counters]:
+        """Return some of the counters of boots that ended, in turn."""
+        orphans = self.usage.orphans(self.live_boots(), true_now - ORPHAN_SECONDS)
+        parts = [part for row in orphans for part in _split_counters(*row)]
+        first = self._turn * MOST_ORPHANS % len(parts) if parts else 0
+        return (parts + parts)[first : first + min(MOST_ORPHANS, len(parts))]
+
     def _take(self, data: bytes) -> None:
         try:
             message = self._decoder.decode(data)
@@ -400,6 +409,14 @@
         }
 
 
+def _split_counters(boot: str, window: int, counts: dict[str, int]) -> list[Counters]:
+    rows = list(counts.items())
+    return [
+        Counters(boot, window, dict(rows[start : start + MOST_COUNTERS]))
+        for start in range(0, len(rows), MOST_COUNTERS)
+    ]
+
+
 def setup(app: Application) -> None:
     """Provide the gossip and start it."""
     gossip = Gossip(app)
--- a/packages/camphorgate/src/camphorgate/serving/usage.py
+++ b/packages/camphorgate/src/camphorgate/serving/usage.py
@@ -55,6 +55,24 @@
         recent = self.own_recent(true_now)
         return {window: sum(counts.values()) for window, counts in recent.items()}
 
+    def orphans(
+        self, live_boots: set[str], since: float
+    ) -> list[tuple[str, int, dict[str, int]]]:
+        """Return the counters of boots that ended, which nobody else tells.
+
+        An instance that starts later hears of them only in this way.
+
+        :param since: windows that ended before this true time are left out.
+        """
+        oldest = self.window_at(since)
+        return [
+            (boot, window, dict(counts))
+            for boot, windows in self._counts_by_boot.items()
+            if boot not in live_boots
+            for window, counts in windows.items()
+            if window >= oldest and counts
+        ]
+
     def merge(self, boot: str, window: int, counts: dict[str, int]) -> None:
         """Take a part of a peer's counters of one window."""
         merged = self._counts_by_boot.setdefault(boot, {}).setdefault(window, Counter())
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -178,6 +178,29 @@
 
         await self.eventually(known)
 
+    async def test_counts_of_a_killed_instance_reach_a_later_one(self):
+        """Guards against a new holder that freezes a window without them."""
+        self.configure()
+        await self.add_worker("desk-1")
+        first = await self.start_ready()
+        second = await self.start_ready(instance_id="entry-2")
+        await self.ask(second, "/read/a")
+        usage = first.service("gossip").usage
+        boot = second.service("members").own.boot
+
+        def orphans(app):
+            gossip = app.service("gossip")
+            return gossip.usage.orphans(set(), gossip.true_now() - 20.0)
+
+        await self.eventually(lambda: any(row[0] == boot for row in orphans(first)))
+        await second.service("members").leave()
+        await second.service("gossip").stop()
+        later = await self.start_ready(instance_id="entry-3")
+        await self.eventually(
+            lambda: any(row[0] == boot for row in orphans(later)), seconds=12.0
+        )
+        self.assertIsNot(usage, later.service("gossip").usage)
+
 
 class OutageTests(HostedCase):
     """The store's outages do not stop service."""
