--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
@@ -0,0 +1,92 @@
+"""Short calls to one outside address."""
+
+import asyncio
+
+from camphorgated.serving.client_connection import ClientConnection, connect
+from camphorgated.serving.errors import CallFailed
+from camphorgated.serving.http1 import Headers, encode_head
+
+
+class CallClient:
+    """Short calls to one address, on kept connections."""
+
+    __slots__ = ("_host", "_port", "_idle", "_timeout")
+
+    # An idle connection is not used again after this time.
+    IDLE_SECONDS = 10.0
+    MOST_IDLE = 4
+    CONNECT_SECONDS = 1.0
+
+    def __init__(self, address: tuple[str, int], timeout_seconds: float) -> None:
+        """Prepare without connecting.
+
+        :param timeout_seconds: bound on a call that names none.
+        """
+        self._host, self._port = address
+        self._idle: list[ClientConnection] = []
+        self._timeout = timeout_seconds
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Headers | None = None,
+        timeout: float | None = None,
+    ) -> tuple[int, bytes]:
+        """Send a call.
+
+        :param timeout: bound on the call in seconds.
+        :returns: status and body.
+        :raises CallFailed: without a whole answer in time.
+        """
+        sent = False
+        connection = None
+        try:
+            async with asyncio.timeout(timeout or self._timeout):
+                connection = await self._take()
+                lines = [
+                    (b"host", f"{self._host}:{self._port}".encode()),
+                    (b"content-length", b"%d" % len(body)),
+                    *(headers or []),
+                ]
+                if body:
+                    lines.append((b"content-type", b"application/json"))
+                start = f"{method} {target} HTTP/1.1".encode()
+                sent = True
+                connection.send(method, encode_head(start, lines) + body)
+                status = await connection.read_head()
+                pieces = []
+                while piece := await connection.read_piece():
+                    pieces.append(piece)
+                if not status or piece is None:
+                    raise CallFailed(f"{method} {target}: the answer broke off", True)
+        except (TimeoutError, OSError) as error:
+            if connection is not None:
+                connection.close()
+            raise CallFailed(f"{method} {target}: {error!r}", sent) from None
+        except BaseException:
+            if connection is not None:
+                connection.close()
+            raise
+        if connection.finish() and len(self._idle) < self.MOST_IDLE:
+            connection.idle_since = asyncio.get_running_loop().time()
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return status, b"".join(pieces)
+
+    async def _take(self) -> ClientConnection:
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable and now - connection.idle_since < self.IDLE_SECONDS:
+                return connection
+            connection.close()
+        return await connect(self._host, self._port, self.CONNECT_SECONDS)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from camphorgate.log import log_event
-from camphorgated.serving.http1 import Headers, Request, ServerConnection, encode_head
+from camphorgated.serving.http1 import Headers, encode_head
+from camphorgated.serving.server_connection import Request, ServerConnection
 
 _REASONS = {
     200: b"OK",
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -0,0 +1,227 @@
+"""HTTP/1.1 connections to servers."""
+
+import asyncio
+from collections import deque
+
+import httptools
+
+from camphorgated.serving.http1 import (
+    BUFFERED_BYTES,
+    Headers,
+    find_header,
+    prepare_socket,
+)
+
+# An unacknowledged write closes the connection after this time; the round trip within
+# the region is a few ms.
+UNACKNOWLEDGED_MS = 1200
+BODILESS = frozenset({204, 304})
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to a server; carries one request at a time."""
+
+    __slots__ = (
+        "transport",
+        "closed",
+        "reset",
+        "idle_since",
+        "served",
+        "status",
+        "headers",
+        "head_done",
+        "complete",
+        "framed",
+        "keep_alive",
+        "spoiled",
+        "received",
+        "_parser",
+        "_pieces",
+        "_piece_bytes",
+        "_paused",
+        "_waiter",
+        "_head_only",
+    )
+
+    def __init__(self) -> None:
+        """Start unconnected."""
+        self.transport: asyncio.Transport | None = None
+        self.closed = False
+        self.reset = False
+        self.idle_since = 0.0
+        self.served = 0
+        self._waiter: asyncio.Future | None = None
+        self._parser = None
+        self._begin("GET")
+
+    def _begin(self, method: str) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self.head_done = False
+        self.complete = False
+        self.framed = True
+        self.keep_alive = False
+        self.spoiled = False
+        self.received = 0
+        self._head_only = method == "HEAD"
+        self._pieces: deque[bytes] = deque()
+        self._piece_bytes = 0
+        self._paused = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        prepare_socket(transport, UNACKNOWLEDGED_MS)
+
+    def send(self, method: str, data: bytes) -> None:
+        """Send a request and expect its answer.
+
+        :param data: head and body as they go on the wire.
+        """
+        self._begin(method)
+        self.served += 1
+        self._parser = httptools.HttpResponseParser(self)
+        self.transport.write(data)
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the connection is open and nothing unexpected came."""
+        return not (self.closed or self.spoiled or self.transport.is_closing())
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; bytes outside an answer spoil the connection."""
+        if self._parser is None or self.complete:
+            self.spoiled = True
+            self.transport.close()
+            return
+        self.received += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.complete:
+                self.reset = True
+            self.spoiled = True
+            self.transport.abort()
+        if self._piece_bytes > BUFFERED_BYTES and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length; close the connection."""
+        if self.head_done and not self.framed and not self.spoiled:
+            self.complete = True
+        self.spoiled = True
+        self._wake()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note the end of the connection."""
+        self.closed = True
+        if error is not None:
+            self.reset = True
+        self._wake()
+
+    def on_message_begin(self) -> None:
+        """Note bytes that follow a whole answer."""
+        if self.complete:
+            self.spoiled = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header of the answer."""
+        if not self.head_done:
+            self.headers.append((name.lower(), value.strip()))
+
+    def on_headers_complete(self) -> None:
+        """Take the status; an interim answer is passed over."""
+        if self.head_done:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self.headers = []
+            return
+        self.status = status
+        self.head_done = True
+        self.keep_alive = self._parser.should_keep_alive() and not self._head_only
+        coding = find_header(self.headers, b"transfer-encoding")
+        self.framed = (
+            status in BODILESS
+            or self._head_only
+            or coding is not None
+            or find_header(self.headers, b"content-length") is not None
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a piece of the body."""
+        if self.head_done and not self.complete:
+            self._pieces.append(body)
+            self._piece_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of a framed answer."""
+        if self.head_done and self.framed:
+            self.complete = True
+
+    async def read_head(self) -> int:
+        """Wait for the head of the answer.
+
+        :returns: its status, 0 if the connection ended before.
+        """
+        while not self.head_done:
+            if self.closed or self.spoiled:
+                return 0
+            await self._wait()
+        return self.status
+
+    async def read_piece(self) -> bytes | None:
+        """Return the next bytes of the body.
+
+        :returns: ``b""`` after a whole answer, ``None`` if it broke off.
+        """
+        while not self._pieces:
+            if self.complete:
+                return b""
+            if self.closed or self.spoiled:
+                return None
+            await self._wait()
+        data = b"".join(self._pieces) if len(self._pieces) > 1 else self._pieces[0]
+        self._pieces.clear()
+        self._piece_bytes = 0
+        if self._paused and not self.closed:
+            self._paused = False
+            self.transport.resume_reading()
+        return data
+
+    def finish(self) -> bool:
+        """Tell whether the connection may carry another request."""
+        reusable = self.complete and self.keep_alive and self.framed
+        self._parser = None
+        return reusable and self.usable
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None and not self.closed:
+            self.transport.abort()
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(host: str, port: int, seconds: float) -> ClientConnection:
+    """Open a connection.
+
+    :raises OSError: if it cannot be opened.
+    :raises TimeoutError: if it takes too long.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(seconds):
+        _, connection = await loop.create_connection(ClientConnection, host, port)
+    return connection
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -14,7 +14,7 @@
 from camphorgated.errors import ListenError
 from camphorgated.serving.caller import Caller
 from camphorgated.serving.errors import BadRequest
-from camphorgated.serving.http1 import Request, ServerConnection
+from camphorgated.serving.server_connection import Request, ServerConnection
 from camphorgated.serving.wire import RequestFacts
 
 # Before there is a configuration, callers are told to come back after this time.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -8,15 +8,15 @@
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import EngineSpec, Phase, Stage, Upstream
-from camphorgate.serving.placement import Choice, Prompt
+from camphorgate.serving.placement import Choice
 from camphorgate.serving.reading_queue import LONG_TOKENS, ReadingQueue, Ticket
-from camphorgate.serving.tries import Tries
 from camphorgate.settings import split_address
+from camphorgated.serving.call_client import CallClient
 from camphorgated.serving.errors import CallFailed, ExchangeError
 from camphorgated.serving.events import EventStream
 from camphorgated.serving.exchange import Exchange
 from camphorgated.serving.front import Job
-from camphorgated.serving.http1 import CallClient
+from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.patience import LOOK_SECONDS, wait_for_upstream
 from camphorgated.serving.statistics import job_fields, log_try
 
@@ -29,9 +29,6 @@
 READ_PATIENCE_SECONDS = 1.5
 # A resumable stream that is silent this long goes on elsewhere.
 SILENT_SECONDS = 1.2
-# Urgency steps of the engines per rank of the routes; 0 to 9, 0 first.
-URGENCY_PER_RANK = 3
-LEAST_URGENCY = 9
 MOST_CONNECTS = 12
 # How often the first of the waiting prompts looks for an engine.
 TURN_SECONDS = 0.02
@@ -49,64 +46,6 @@
 WRONG_ENGINE_STATUS = 421
 
 
-class Handle:
-    """A prompt that an engine has read and keeps."""
-
-    __slots__ = ("engine", "name")
-
-    def __init__(self, engine: Upstream, name: str) -> None:
-        """Keep where it lies."""
-        self.engine = engine
-        self.name = name
-
-    @property
-    def source(self) -> str:
-        """Return the form in which another engine takes it."""
-        return f"{self.engine.address}/{self.name}"
-
-
-class Generation:
-    """One generation on its way: its tries, its stream and its handle."""
-
-    __slots__ = (
-        "job",
-        "prompt",
-        "tries",
-        "tried",
-        "handle",
-        "stream",
-        "counted",
-        "reads",
-        "handle_refusals",
-        "unsent",
-        "urgency",
-        "ticket",
-    )
-
-    def __init__(self, job: Job) -> None:
-        """Start unsent."""
-        self.job = job
-        facts = job.facts
-        self.prompt = Prompt(facts.prompt_tokens, facts.parts)
-        self.tries = Tries(job.route.repeatable(), job.route.attempts)
-        self.tried: set[str] = set()
-        self.handle: Handle | None = None
-        self.stream = EventStream()
-        self.counted = False
-        self.reads = 0
-        self.handle_refusals = 0
-        self.unsent = 0
-        self.ticket: Ticket | None = None
-        self.urgency = min(LEAST_URGENCY, job.rank * URGENCY_PER_RANK)
-
-    @property
-    def resume_from(self) -> int | None:
-        """Return the last event that the caller has."""
-        if self.stream.last_id is not None:
-            return self.stream.last_id
-        return self.job.facts.last_event
-
-
 class Generations:
     """Leads generations to their answers."""
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -15,13 +15,19 @@
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.peers.service import CHANNEL_OPTIONS
-from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.health import HealthBook
-from camphorgate.serving.loads import Load, LoadBook
+from camphorgate.serving.loads import LoadBook
 from camphorgate.serving.true_time import TrueTime
 from camphorgate.serving.usage import UsageCounts
 from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
+from camphorgated.serving.messages import (
+    Counters,
+    Knowledge,
+    Question,
+    State,
+    split_counters,
+)
 
 SERVICE = "camphorgate.serving.Knowledge"
 METHOD = f"/{SERVICE}/Fetch"
@@ -29,8 +35,6 @@
 # Datagrams of one tick; with more peers, each of them hears at every second tick, or
 # third. This bounds what an instance sends and receives, however many there are.
 MOST_PER_TICK = 16
-# Counters in one datagram, which keeps it below the size that links pass whole.
-MOST_COUNTERS = 50
 MOST_FAILING = 10
 # Counters of boots that ended are told for as long as their windows may be reported,
 # so many of them in one tick.
@@ -46,57 +50,6 @@
 _DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
 
 
-class State(msgspec.Struct, omit_defaults=True, tag="s"):
-    """What an instance tells a peer.
-
-    ``vote`` is its vote for the time of day and ``true_now`` its estimate of the true
-    time, both in seconds since 1970. ``totals`` are its counted requests by window.
-    ``changing`` are the engines that the sender, as the holder of the duty, is about to
-    order to another phase or has just ordered. ``failing`` are the starts of upstreams
-    that failed for the sender just now.
-    """
-
-    instance: str
-    boot: str
-    address: str
-    gossip_address: str
-    vote: float
-    true_now: float
-    store_sound: bool = False
-    version: int = 0
-    totals: dict[int, int] = {}
-    loads: dict[str, Load] = {}
-    parts: list[tuple[str, str]] = []
-    changing: list[str] = []
-    failing: list[tuple[str, int]] = []
-
-
-class Counters(msgspec.Struct, tag="c"):
-    """A part of an instance's counters of one window."""
-
-    boot: str
-    window: int
-    counts: dict[str, int]
-
-
-class Question(msgspec.Struct):
-    """What the sender knows already."""
-
-    version: int
-    digest: str
-
-
-class Knowledge(msgspec.Struct, omit_defaults=True):
-    """What the receiver has that the sender lacks."""
-
-    instance: str
-    gossip_addresses: list[str] = []
-    addresses: list[str] = []
-    catalog: bytes = b""
-    revision: int = 0
-    upstreams: list[Upstream] | None = None
-
-
 class _Datagrams(asyncio.DatagramProtocol):
     """Hands datagrams to the gossip."""
 
@@ -280,14 +233,14 @@
         )
         messages: list[State | Counters] = [state]
         for window, counts in self.usage.own_recent(true_now).items():
-            messages += _split_counters(own.boot, window, counts)
+            messages += split_counters(own.boot, window, counts)
         messages += self._orphaned_counters(true_now)
         return [msgspec.msgpack.encode(message) for message in messages]
 
     def _orphaned_counters(self, true_now: float) -> list[Counters]:
         """Return some of the counters of boots that ended, in turn."""
         orphans = self.usage.orphans(self.live_boots(), true_now - ORPHAN_SECONDS)
-        parts = [part for row in orphans for part in _split_counters(*row)]
+        parts = [part for row in orphans for part in split_counters(*row)]
         first = self._turn * MOST_ORPHANS % len(parts) if parts else 0
         return (parts + parts)[first : first + min(MOST_ORPHANS, len(parts))]
 
@@ -409,14 +362,6 @@
         }
 
 
-def _split_counters(boot: str, window: int, counts: dict[str, int]) -> list[Counters]:
-    rows = list(counts.items())
-    return [
-        Counters(boot, window, dict(rows[start : start + MOST_COUNTERS]))
-        for start in range(0, len(rows), MOST_COUNTERS)
-    ]
-
-
 def setup(app: Application) -> None:
     """Provide the gossip and start it."""
     gossip = Gossip(app)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -6,8 +6,8 @@
 from camphorgate.clock import Clock
 from camphorgate.serving.catalog import Stage, Upstream
 from camphorgate.settings import split_address
+from camphorgated.serving.client_connection import ClientConnection, connect
 from camphorgated.serving.errors import ExchangeError
-from camphorgated.serving.http1 import ClientConnection, connect
 
 # Connections within a region open within a few ms; a lost packet costs a second.
 CONNECT_SECONDS = 0.25
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -0,0 +1,256 @@
+"""HTTP/1.1 connections of callers."""
+
+import asyncio
+from collections import deque
+
+import httptools
+
+from camphorgated.serving.errors import BadRequest
+from camphorgated.serving.http1 import (
+    BUFFERED_BYTES,
+    Headers,
+    find_header,
+    prepare_socket,
+)
+
+# An unacknowledged write closes the connection after this time.
+UNACKNOWLEDGED_MS = 3000
+
+
+class Request:
+    """A whole request of a caller."""
+
+    __slots__ = ("method", "target", "headers", "body", "keep_alive", "read_at")
+
+    def __init__(
+        self, method: str, target: bytes, headers: Headers, body: bytes, keep: bool
+    ) -> None:
+        """Keep the parts.
+
+        :param target: path and query as they were sent.
+        :param headers: with lower-case names, in order.
+        """
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.keep_alive = keep
+        self.read_at = 0.0
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header with a lower-case name."""
+        return find_header(self.headers, name)
+
+
+class ServerConnection(asyncio.Protocol):
+    """A connection of a caller; requests are read whole, one after the other."""
+
+    __slots__ = (
+        "transport",
+        "closed",
+        "started_at",
+        "header_bytes",
+        "body_bytes",
+        "left",
+        "_on_made",
+        "_parser",
+        "_url",
+        "_headers",
+        "_body",
+        "_size",
+        "_head_size",
+        "_head_done",
+        "_requests",
+        "_error",
+        "_waiter",
+        "_drained",
+        "_clock",
+        "_paused",
+    )
+
+    def __init__(self, on_made, clock, header_bytes: int, body_bytes: int) -> None:
+        """Prepare a connection.
+
+        :param on_made: called with the connection once it is open.
+        :param header_bytes: bound on a request's head.
+        :param body_bytes: bound on a request's body.
+        """
+        self.transport: asyncio.Transport | None = None
+        self.closed = False
+        self.left: asyncio.Future | None = None
+        self.started_at: float | None = None
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self._clock = clock
+        self._on_made = on_made
+        self._requests: deque[Request] = deque()
+        self._error: BadRequest | None = None
+        self._waiter: asyncio.Future | None = None
+        self._drained: asyncio.Future | None = None
+        self._paused = False
+        self._parser = httptools.HttpRequestParser(self)
+        self.on_message_begin()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport and announce the connection."""
+        self.transport = transport
+        self.left = asyncio.get_running_loop().create_future()
+        prepare_socket(transport, UNACKNOWLEDGED_MS)
+        transport.set_write_buffer_limits(high=BUFFERED_BYTES)
+        self._on_made(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self._error is not None:
+            return
+        if self.started_at is None:
+            self.started_at = self._clock.monotonic()
+        try:
+            if not self._head_done:
+                self._head_size += len(data)
+                if self._head_size - self._size > self.header_bytes + len(data):
+                    raise BadRequest("the head is too large", 431)
+            self._parser.feed_data(data)
+        except BadRequest as error:
+            self._error = error
+        except httptools.HttpParserUpgrade:
+            self._error = BadRequest("upgrades are not supported", 400)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            known = isinstance(cause, BadRequest)
+            self._error = cause if known else BadRequest(f"malformed: {error}", 400)
+        if len(self._requests) > 1 and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+        if self._error is not None or self._requests:
+            self._wake()
+
+    def eof_received(self) -> bool:
+        """Treat the end of the caller's side as its leaving."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note that the caller left."""
+        self.closed = True
+        if not self.left.done():
+            self.left.set_result(None)
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        self._wake()
+
+    def pause_writing(self) -> None:
+        """Hold back writers while the caller does not read."""
+        self._drained = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        self._drained = None
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._url = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._head_size = 0
+        self._head_done = False
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        if not self._head_done:
+            self._headers.append((name.lower(), value.strip()))
+
+    def on_headers_complete(self) -> None:
+        """Check the size of the head and what frames the body."""
+        self._head_done = True
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size + len(self._url) > self.header_bytes:
+            raise BadRequest("the head is too large", 431)
+        lengths = [value for name, value in self._headers if name == b"content-length"]
+        coding = find_header(self._headers, b"transfer-encoding")
+        if coding is not None and (lengths or coding.lower() != b"chunked"):
+            raise BadRequest("the body is framed twice", 400)
+        if len(lengths) > 1:
+            raise BadRequest("the body has two lengths", 400)
+        if lengths and lengths[0].isdigit() and int(lengths[0]) > self.body_bytes:
+            raise BadRequest("the body is too large", 413)
+        if find_header(self._headers, b"expect") == b"100-continue":
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a piece of the body."""
+        self._size += len(body)
+        if self._size > self.body_bytes:
+            raise BadRequest("the body is too large", 413)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request."""
+        request = Request(
+            self._parser.get_method().decode("latin-1"),
+            self._url,
+            self._headers,
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+        )
+        request.read_at = self._clock.monotonic()
+        self._requests.append(request)
+        self.started_at = None
+
+    async def next_request(self, idle_seconds: float) -> Request | None:
+        """Return the next whole request.
+
+        :param idle_seconds: how long the caller may send nothing.
+        :returns: ``None`` if the caller left or stayed idle.
+        :raises BadRequest: if the bytes are no acceptable request.
+        """
+        while not self._requests:
+            if self._error is not None:
+                raise self._error
+            if self.closed:
+                return None
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                async with asyncio.timeout(idle_seconds):
+                    await self._waiter
+            except TimeoutError:
+                if self.started_at is None:
+                    return None
+                raise BadRequest("the request took too long", 408) from None
+            finally:
+                self._waiter = None
+        request = self._requests.popleft()
+        if self._paused and not self.closed:
+            self._paused = False
+            self.transport.resume_reading()
+        return request
+
+    def write(self, data: bytes) -> None:
+        """Send bytes unless the caller left."""
+        if not self.closed:
+            self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the caller reads again."""
+        if self._drained is not None:
+            await self._drained
+
+    def close(self) -> None:
+        """Close after what was written is sent."""
+        if not self.closed:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that an open answer cannot look complete."""
+        if not self.closed:
+            self.transport.abort()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from camphorgate.serving.catalog import Catalog, Phase, Stage, Upstream
-from camphorgated.serving.http1 import Headers, Request
+from camphorgated.serving.http1 import Headers
+from camphorgated.serving.server_connection import Request
 
 
 class RequestFacts(msgspec.Struct, frozen=True):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,8 +19,10 @@
 
 import msgspec
 
+from camphorgated.serving.call_client import CallClient
+from camphorgated.serving.client_connection import connect
 from camphorgated.serving.errors import CallFailed
-from camphorgated.serving.http1 import CallClient, connect, encode_head
+from camphorgated.serving.http1 import encode_head
 from tests.hosted import build_hosted_settings, free_address
 from tests.hosting_builders import (
     HOST,
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -12,7 +12,7 @@
 from camphorgate.settings import split_address
 from camphorgate_platform import decoding, headers
 from camphorgate_platform.store import HistoryLost, PlatformStore
-from camphorgated.serving.http1 import Request
+from camphorgated.serving.server_connection import Request
 from tests.hosted import HostedCase
 from tests.hosting_builders import (
     HOST,
--- a/tests/test_serving/test_http1.py
+++ b/tests/test_serving/test_http1.py
@@ -7,9 +7,10 @@
 from hypothesis import strategies as st
 
 from camphorgate.clock import SystemClock
+from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import BadRequest
 from camphorgated.serving.events import EventStream
-from camphorgated.serving.http1 import ClientConnection, ServerConnection
+from camphorgated.serving.server_connection import ServerConnection
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-a: b\r\n\r\nhello"
 CHUNKED = (
--- a/tests/test_serving/test_requests.py
+++ b/tests/test_serving/test_requests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from camphorgated.serving.http1 import connect
+from camphorgated.serving.client_connection import connect
 from tests.hosted import HostedCase
 from tests.hosting_builders import build_platform_entry
 
