Call a run of an instance or upstream its incarnation

Cause: the hosted modules used the platform's word where the design page and the rest of the code say incarnation. Change: names, log fields and pages; no change of behaviour.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -57,14 +57,14 @@
             if await wait_for_upstream(job, choice, clock):
                 continue
             upstream = choice.upstream
-            upstreams.health.of(upstream.boot).trying(now)
+            upstreams.health.of(upstream.incarnation).trying(now)
             tried.add(upstream.id)
             try:
                 done = await self._try(job, tries, upstream)
             except ExchangeError as error:
                 tries.failed(error.stage)
                 unsent += error.stage is Stage.NOT_SENT
-                upstreams.health.of(upstream.boot).failed(clock.monotonic())
+                upstreams.health.of(upstream.incarnation).failed(clock.monotonic())
                 log_try(job, upstream, error.cause, error.stage)
                 ran = error.stage is Stage.SENT and error.cause != "stale"
             else:
@@ -119,7 +119,7 @@
                 body = await exchange.read_body(max(0.01, job.left(clock.monotonic())))
         finally:
             upstreams.loads.end(upstream.id)
-        health = upstreams.health.of(upstream.boot)
+        health = upstreams.health.of(upstream.incarnation)
         if facts.stage is Stage.REFUSED:
             tries.failed(Stage.REFUSED)
             if facts.wrong_upstream:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -35,9 +35,9 @@
         "_directory",
         "_ordered_by_subject",
         "_again_by_subject",
-        "_changing_by_boot",
+        "_changing_by_incarnation",
         "_dry_since",
-        "_ordered_boots",
+        "_ordered_incarnations",
         "_engines_by_service",
         "_gossip",
     )
@@ -50,9 +50,9 @@
         self._directory = app.service("directory")
         self._ordered_by_subject: dict[tuple, CapacityOrder] = {}
         self._again_by_subject: dict[tuple, float] = {}
-        self._changing_by_boot: dict[tuple, float] = {}
+        self._changing_by_incarnation: dict[tuple, float] = {}
         self._dry_since: dict[tuple[str, str], float] = {}
-        self._ordered_boots: set[tuple] = set()
+        self._ordered_incarnations: set[tuple] = set()
         self._engines_by_service: dict[str, tuple[set, float]] = {}
         self._gossip = app.service("gossip")
 
@@ -60,8 +60,8 @@
         """Order anew, as the orders of a predecessor are unknown."""
         self._ordered_by_subject.clear()
         self._again_by_subject.clear()
-        self._changing_by_boot.clear()
-        self._ordered_boots.clear()
+        self._changing_by_incarnation.clear()
+        self._ordered_incarnations.clear()
 
     async def run(self) -> None:
         """Give orders for as long as the process runs."""
@@ -159,32 +159,34 @@
         engines = self._directory.service_upstreams(service.name)
         now = self._app.clock.monotonic()
         orders = plan_phases(engines, self._calm(service, engines, now))
-        wanted = {order.upstream.boot for order in orders}
-        for boot, since in list(self._changing_by_boot.items()):
-            done = boot not in wanted and now - since > ANNOUNCED_SECONDS
+        wanted = {order.upstream.incarnation for order in orders}
+        for incarnation, since in list(self._changing_by_incarnation.items()):
+            done = incarnation not in wanted and now - since > ANNOUNCED_SECONDS
             if done or now - since > PHASE_AGAIN_SECONDS:
-                del self._changing_by_boot[boot]
-                self._ordered_boots.discard(boot)
+                del self._changing_by_incarnation[incarnation]
+                self._ordered_incarnations.discard(incarnation)
         most = max(1, int(len(engines) * CHANGING_PART))
         for order in orders:
-            boot = order.upstream.boot
-            since = self._changing_by_boot.get(boot)
-            if since is None and len(self._changing_by_boot) < most:
-                self._changing_by_boot[boot] = now
-            elif since is None or boot in self._ordered_boots:
+            incarnation = order.upstream.incarnation
+            since = self._changing_by_incarnation.get(incarnation)
+            if since is None and len(self._changing_by_incarnation) < most:
+                self._changing_by_incarnation[incarnation] = now
+            elif since is None or incarnation in self._ordered_incarnations:
                 continue
             elif now - since >= ANNOUNCED_SECONDS and self._members.holds_duty():
-                self._ordered_boots.add(boot)
+                self._ordered_incarnations.add(incarnation)
                 await self._give_phase(order)
-        self._gossip.changing = {boot[0] for boot in self._changing_by_boot}
+        self._gossip.changing = {
+            incarnation[0] for incarnation in self._changing_by_incarnation
+        }
 
     def _calm(self, service: Service, engines: list[Upstream], now: float) -> bool:
         """Tell whether the engines of a service have been the same for some time."""
-        boots = {engine.boot for engine in engines}
+        incarnations = {engine.incarnation for engine in engines}
         known, since = self._engines_by_service.get(service.name, (set(), now))
-        if boots != known:
+        if incarnations != known:
             since = now
-            self._engines_by_service[service.name] = (boots, now)
+            self._engines_by_service[service.name] = (incarnations, now)
         if self._app.service("front").idle():
             return True
         return now - since > CALM_SECONDS
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -106,7 +106,7 @@
             if reader is not None and await self._wait_to_read(generation, reader):
                 continue
             self._leave_queue(generation)
-            self._upstreams.health.of(first.upstream.boot).trying(now)
+            self._upstreams.health.of(first.upstream.incarnation).trying(now)
             try:
                 if reader is not None:
                     await self._read(generation, reader)
@@ -228,7 +228,7 @@
                 facts = await exchange.read_head(None, seconds)
                 body = await exchange.read_body(seconds)
         except ExchangeError as error:
-            self._upstreams.health.of(engine.boot).failed(clock.monotonic())
+            self._upstreams.health.of(engine.incarnation).failed(clock.monotonic())
             log_try(job, engine, f"read_{error.cause}", error.stage)
             if error.stage is Stage.NOT_SENT:
                 # It does not count as a call, neither here nor in the budget.
@@ -245,7 +245,7 @@
             uncached=choice.uncached,
             read_ms=(clock.monotonic() - sent_at) * 1000,
         )
-        health = self._upstreams.health.of(engine.boot)
+        health = self._upstreams.health.of(engine.incarnation)
         if result is None:
             health.refused(clock.monotonic())
             log_try(job, engine, f"read_refused_{facts.status}", Stage.REFUSED)
@@ -289,7 +289,9 @@
                     return await self._failed(generation, engine, exchange)
                 loads.read_parts(engine.id, generation.prompt.parts, clock.monotonic())
                 await self._pass_on(generation, exchange)
-                self._upstreams.health.of(engine.boot).succeeded(clock.monotonic())
+                self._upstreams.health.of(engine.incarnation).succeeded(
+                    clock.monotonic()
+                )
                 return True
         finally:
             loads.prefilled(engine.id, reading)
@@ -338,7 +340,7 @@
 
     def _refused(self, generation: Generation, engine: Upstream, status: int) -> bool:
         generation.tries.failed(Stage.REFUSED)
-        health = self._upstreams.health.of(engine.boot)
+        health = self._upstreams.health.of(engine.incarnation)
         if status == WRONG_ENGINE_STATUS:
             health.failed(self._app.clock.monotonic())
         else:
@@ -351,7 +353,7 @@
     ) -> bool:
         """Pass an engine's own failure on, unless the request may be sent again."""
         job, facts = generation.job, exchange.facts
-        health = self._upstreams.health.of(engine.boot)
+        health = self._upstreams.health.of(engine.incarnation)
         health.answered_badly()
         body = await exchange.read_body(self._wait(job))
         self._count(generation)
@@ -422,7 +424,9 @@
         generation.tries.failed(error.stage)
         generation.unsent += error.stage is Stage.NOT_SENT
         engine = choice.upstream
-        self._upstreams.health.of(engine.boot).failed(self._app.clock.monotonic())
+        self._upstreams.health.of(engine.incarnation).failed(
+            self._app.clock.monotonic()
+        )
         log_try(generation.job, engine, error.cause, error.stage)
 
     def _give_up(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -36,8 +36,8 @@
 # third. This bounds what an instance sends and receives, however many there are.
 MOST_PER_TICK = 16
 MOST_FAILING = 10
-# Counters of boots that ended are told for as long as their windows may be reported,
-# so many of them in one tick.
+# Counters of incarnations that ended are told while their windows may be reported, so
+# many of them in one tick.
 ORPHAN_SECONDS = 25.0
 MOST_ORPHANS = 6
 FETCH_SECONDS = 0.6
@@ -104,7 +104,7 @@
         self.health = HealthBook()
         self.true_time = TrueTime(self._wall(), app.clock.monotonic())
         self.usage = UsageCounts(
-            app.settings.times.usage_window_seconds, self._members.own.boot
+            app.settings.times.usage_window_seconds, self._members.own.incarnation
         )
         self.changing: set[str] = set()
         self._server: grpc.aio.Server | None = None
@@ -128,12 +128,14 @@
         peers = self._peers_by_instance.values()
         return [peer for peer in peers if now - peer.heard_at < LIVE_SECONDS]
 
-    def live_boots(self) -> set[str]:
-        """Return the boots that are listed, or were heard of lately."""
-        boots = {member.boot for member in self._members.by_instance().values()}
-        boots.update(peer.state.boot for peer in self._live())
-        boots.add(self._members.own.boot)
-        return boots
+    def live_incarnations(self) -> set[str]:
+        """Return the incarnations that are listed, or were heard of lately."""
+        incarnations = {
+            member.incarnation for member in self._members.by_instance().values()
+        }
+        incarnations.update(peer.state.incarnation for peer in self._live())
+        incarnations.add(self._members.own.incarnation)
+        return incarnations
 
     def changing_engines(self) -> set[str]:
         """Return the engines that take no requests while they change their phase."""
@@ -144,7 +146,7 @@
 
     def instance_count(self) -> int:
         """Return how many instances there seem to be, this one included."""
-        return max(len(self.live_boots()), len(self._app.settings.seeds), 1)
+        return max(len(self.live_incarnations()), len(self._app.settings.seeds), 1)
 
     async def start(self) -> None:
         """Listen for peers and start talking to them.
@@ -218,7 +220,7 @@
         catalog = self._directory.catalog
         state = State(
             instance=own.instance,
-            boot=own.boot,
+            incarnation=own.incarnation,
             address=own.peer_address,
             gossip_address=own.gossip_address,
             vote=self.true_time.vote(now),
@@ -233,13 +235,15 @@
         )
         messages: list[State | Counters] = [state]
         for window, counts in self.usage.own_recent(true_now).items():
-            messages += split_counters(own.boot, window, counts)
+            messages += split_counters(own.incarnation, window, counts)
         messages += self._orphaned_counters(true_now)
         return [msgspec.msgpack.encode(message) for message in messages]
 
     def _orphaned_counters(self, true_now: float) -> list[Counters]:
-        """Return some of the counters of boots that ended, in turn."""
-        orphans = self.usage.orphans(self.live_boots(), true_now - ORPHAN_SECONDS)
+        """Return some of the counters of incarnations that ended, in turn."""
+        orphans = self.usage.orphans(
+            self.live_incarnations(), true_now - ORPHAN_SECONDS
+        )
         parts = [part for row in orphans for part in split_counters(*row)]
         first = self._turn * MOST_ORPHANS % len(parts) if parts else 0
         return (parts + parts)[first : first + min(MOST_ORPHANS, len(parts))]
@@ -251,20 +255,22 @@
             log_event("datagram_unreadable", level="WARNING", error=str(error))
             return
         if isinstance(message, Counters):
-            self.usage.merge(message.boot, message.window, message.counts)
+            self.usage.merge(message.incarnation, message.window, message.counts)
             return
         now = self._app.clock.monotonic()
         known = self._peers_by_instance.get(message.instance)
         if known is None or now - known.heard_at > LIVE_SECONDS:
-            log_event("peer_heard", peer=message.instance, boot=message.boot)
+            log_event(
+                "peer_heard", peer=message.instance, incarnation=message.incarnation
+            )
         self._peers_by_instance[message.instance] = Peer(message, now)
         self._known_addresses[message.gossip_address] = now
         self.true_time.hear(message.instance, message.vote, now)
-        self.usage.hear(message.boot, message.true_now, message.totals)
+        self.usage.hear(message.incarnation, message.true_now, message.totals)
         self.loads.hear(message.instance, message.loads, now)
         self.loads.hear_parts(message.parts, now)
-        for boot in message.failing:
-            self.health.of(boot).suspected(now)
+        for incarnation in message.failing:
+            self.health.of(incarnation).suspected(now)
 
     def _note_ahead(self) -> None:
         catalog = self._directory.catalog
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -39,17 +39,17 @@
     """An instance's entry."""
 
     instance: str
-    boot: str
+    incarnation: str
     zone: str
     peer_address: str
     gossip_address: str
 
 
 class DutyEntry(msgspec.Struct, frozen=True):
-    """Who holds the duty; ``boot`` names one run of the instance."""
+    """Who holds the duty; ``incarnation`` names one run of the instance."""
 
     instance: str
-    boot: str
+    incarnation: str
 
 
 class Members:
@@ -196,13 +196,13 @@
                 await self._try_to_take(now)
 
     async def _adopt(self, entry: KvEntry) -> None:
-        """Hold the duty if the entry is this boot's own, under the present lease.
+        """Hold the duty if the entry is this process's own, under the present lease.
 
         That also holds after the duty was dropped because renewals failed: while the
         key stands, nobody else can have taken it.
         """
         duty = _decode(entry, DutyEntry)
-        ours = duty is not None and duty.boot == self.own.boot
+        ours = duty is not None and duty.incarnation == self.own.incarnation
         if not ours or entry.lease != self._lease_id or self.fencing:
             return
         if entry.mod_revision in self._refused:
@@ -233,7 +233,7 @@
         turn = instances.index(self.own.instance) * TURN_SECONDS
         if now < max(self._free_since + turn, self._rested_at):
             return
-        duty = DutyEntry(self.own.instance, self.own.boot)
+        duty = DutyEntry(self.own.instance, self.own.incarnation)
         put = Put(DUTY_KEY, msgspec.json.encode(duty), self._lease_id)
         lease = self._lease_id
         try:
@@ -265,7 +265,7 @@
     def dump(self) -> dict:
         """Return the state for the operators."""
         return {
-            "boot": self.own.boot,
+            "incarnation": self.own.incarnation,
             "lease": self._lease_id,
             "fencing": self.fencing,
             "holds_duty": self.holds_duty(),
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -20,7 +20,7 @@
     """
 
     instance: str
-    boot: str
+    incarnation: str
     address: str
     gossip_address: str
     vote: float
@@ -37,7 +37,7 @@
 class Counters(msgspec.Struct, tag="c"):
     """A part of an instance's counters of one window."""
 
-    boot: str
+    incarnation: str
     window: int
     counts: dict[str, int]
 
@@ -60,9 +60,11 @@
     upstreams: list[Upstream] | None = None
 
 
-def split_counters(boot: str, window: int, counts: dict[str, int]) -> list[Counters]:
+def split_counters(
+    incarnation: str, window: int, counts: dict[str, int]
+) -> list[Counters]:
     rows = list(counts.items())
     return [
-        Counters(boot, window, dict(rows[start : start + MOST_COUNTERS]))
+        Counters(incarnation, window, dict(rows[start : start + MOST_COUNTERS]))
         for start in range(0, len(rows), MOST_COUNTERS)
     ]
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -40,15 +40,21 @@
 class Pool:
     """Connections by start of an upstream."""
 
-    __slots__ = ("opened", "_clock", "_idle_by_boot", "_used_by_boot", "_keep_by_boot")
+    __slots__ = (
+        "opened",
+        "_clock",
+        "_idle_by_incarnation",
+        "_used_by_incarnation",
+        "_keep_by_incarnation",
+    )
 
     def __init__(self, clock: Clock) -> None:
         """Start without connections."""
         self.opened = 0
         self._clock = clock
-        self._idle_by_boot: dict[tuple, deque[ClientConnection]] = {}
-        self._used_by_boot: dict[tuple, int] = {}
-        self._keep_by_boot: dict[tuple, float] = {}
+        self._idle_by_incarnation: dict[tuple, deque[ClientConnection]] = {}
+        self._used_by_incarnation: dict[tuple, int] = {}
+        self._keep_by_incarnation: dict[tuple, float] = {}
 
     async def take(self, upstream: Upstream, most: int, sure: bool) -> Lease:
         """Return a connection for one exchange.
@@ -57,23 +63,27 @@
         :param sure: it must be known to be open.
         :raises ExchangeError: if none can be had; nothing was sent.
         """
-        boot = upstream.boot
+        incarnation = upstream.incarnation
         now = self._clock.monotonic()
-        idle = self._idle_by_boot.get(boot)
-        keep = self._keep_by_boot.get(boot, DEFAULT_KEEP_SECONDS) * KEPT_PART
+        idle = self._idle_by_incarnation.get(incarnation)
+        keep = (
+            self._keep_by_incarnation.get(incarnation, DEFAULT_KEEP_SECONDS) * KEPT_PART
+        )
         limit = min(keep, SURE_SECONDS) if sure else keep
         while idle:
             connection = idle[-1]
             if connection.usable and now - connection.idle_since < limit:
                 idle.pop()
-                self._used_by_boot[boot] = self._used_by_boot.get(boot, 0) + 1
+                self._used_by_incarnation[incarnation] = (
+                    self._used_by_incarnation.get(incarnation, 0) + 1
+                )
                 return Lease(connection, upstream, True)
             if connection.usable and now - connection.idle_since < keep:
                 # Still good for others.
                 break
             idle.pop()
             connection.close()
-        used = self._used_by_boot.get(boot, 0)
+        used = self._used_by_incarnation.get(incarnation, 0)
         if used >= most:
             raise ExchangeError(
                 f"{used} connections to {upstream.id} are in use",
@@ -82,66 +92,69 @@
             )
         if idle and used + len(idle) >= most:
             idle.popleft().close()
-        self._used_by_boot[boot] = used + 1
+        self._used_by_incarnation[incarnation] = used + 1
         host, port = split_address(upstream.address)
         try:
             connection = await connect(host, port, CONNECT_SECONDS)
         except (OSError, TimeoutError) as error:
-            self._release(boot)
+            self._release(incarnation)
             raise ExchangeError(
                 f"cannot connect to {upstream.id}: {error!r}", Stage.NOT_SENT, "connect"
             ) from None
         except BaseException:
-            self._release(boot)
+            self._release(incarnation)
             raise
         self.opened += 1
         return Lease(connection, upstream, False)
 
-    def connected(self, boot: tuple) -> bool:
+    def connected(self, incarnation: tuple) -> bool:
         """Tell whether a connection to an upstream is open and idle."""
-        return bool(self._idle_by_boot.get(boot))
+        return bool(self._idle_by_incarnation.get(incarnation))
 
     def give_back(self, lease: Lease, keep_seconds: float | None) -> None:
         """Keep a connection whose exchange ended well, else close it.
 
         :param keep_seconds: how long the server says that it keeps it.
         """
-        boot = lease.upstream.boot
-        self._release(boot)
+        incarnation = lease.upstream.incarnation
+        self._release(incarnation)
         connection = lease.connection
         if not connection.finish():
             connection.close()
             return
         if keep_seconds is not None:
-            self._keep_by_boot[boot] = keep_seconds
+            self._keep_by_incarnation[incarnation] = keep_seconds
         connection.idle_since = self._clock.monotonic()
-        self._idle_by_boot.setdefault(boot, deque()).append(connection)
+        self._idle_by_incarnation.setdefault(incarnation, deque()).append(connection)
 
     def discard(self, lease: Lease) -> None:
         """Close a connection whose exchange did not end well."""
-        self._release(lease.upstream.boot)
+        self._release(lease.upstream.incarnation)
         lease.connection.close()
 
-    def keep_only(self, boots: set[tuple]) -> None:
+    def keep_only(self, incarnations: set[tuple]) -> None:
         """Close the idle connections to upstreams that take no more requests."""
-        for boot in self._idle_by_boot.keys() - boots:
-            for connection in self._idle_by_boot.pop(boot):
+        for incarnation in self._idle_by_incarnation.keys() - incarnations:
+            for connection in self._idle_by_incarnation.pop(incarnation):
                 connection.close()
-            self._keep_by_boot.pop(boot, None)
+            self._keep_by_incarnation.pop(incarnation, None)
 
     async def sweep(self) -> None:
         """Close connections that have been idle for too long, for ever."""
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
             now = self._clock.monotonic()
-            for boot, idle in self._idle_by_boot.items():
-                keep = self._keep_by_boot.get(boot, DEFAULT_KEEP_SECONDS) * KEPT_PART
+            for incarnation, idle in self._idle_by_incarnation.items():
+                keep = (
+                    self._keep_by_incarnation.get(incarnation, DEFAULT_KEEP_SECONDS)
+                    * KEPT_PART
+                )
                 while idle and (not idle[0].usable or now - idle[0].idle_since >= keep):
                     idle.popleft().close()
 
-    def _release(self, boot: tuple) -> None:
-        used = self._used_by_boot.get(boot, 1) - 1
+    def _release(self, incarnation: tuple) -> None:
+        used = self._used_by_incarnation.get(incarnation, 1) - 1
         if used:
-            self._used_by_boot[boot] = used
+            self._used_by_incarnation[incarnation] = used
         else:
-            self._used_by_boot.pop(boot, None)
+            self._used_by_incarnation.pop(incarnation, None)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -94,9 +94,9 @@
     def upstreams_changed(self) -> None:
         """Forget what is known of upstreams that are gone or leave."""
         table = self._directory.table.by_id
-        boots = {item.boot for item in table.values() if not item.leaving}
-        self.pool.keep_only(boots)
-        self.health.keep_only({item.boot for item in table.values()})
+        incarnations = {item.incarnation for item in table.values() if not item.leaving}
+        self.pool.keep_only(incarnations)
+        self.health.keep_only({item.incarnation for item in table.values()})
         self.loads.keep_only(set(table))
 
     def dump(self) -> dict:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -90,7 +90,7 @@
             if window in self.reported:
                 continue
             waited = now - usage.window_end(window)
-            complete = usage.complete(window, self._gossip.live_boots())
+            complete = usage.complete(window, self._gossip.live_incarnations())
             if window in known or complete or waited > late - EARLY_SECONDS:
                 due.append(window)
         return due
--- a/packages/camphorgate/src/camphorgate/serving/catalog.py
+++ b/packages/camphorgate/src/camphorgate/serving/catalog.py
@@ -135,7 +135,7 @@
     leaves_seconds: float | None = None
 
     @property
-    def boot(self) -> tuple[str, int]:
+    def incarnation(self) -> tuple[str, int]:
         """Return what identifies this start of the upstream."""
         return self.id, self.started_at
 
--- a/packages/camphorgate/src/camphorgate/serving/health.py
+++ b/packages/camphorgate/src/camphorgate/serving/health.py
@@ -75,28 +75,28 @@
 class HealthBook:
     """The health of every upstream by its start."""
 
-    __slots__ = ("_by_boot",)
+    __slots__ = ("_by_incarnation",)
 
     def __init__(self) -> None:
         """Start without doubts."""
-        self._by_boot: dict[tuple[str, int], Health] = {}
+        self._by_incarnation: dict[tuple[str, int], Health] = {}
 
-    def of(self, boot: tuple[str, int]) -> Health:
+    def of(self, incarnation: tuple[str, int]) -> Health:
         """Return the health of one start of an upstream."""
-        health = self._by_boot.get(boot)
+        health = self._by_incarnation.get(incarnation)
         if health is None:
-            health = self._by_boot[boot] = Health()
+            health = self._by_incarnation[incarnation] = Health()
         return health
 
     def failing(self, now: float) -> list[tuple[str, int]]:
         """Return the starts of upstreams that failed for this instance just now."""
         return [
-            boot
-            for boot, health in self._by_boot.items()
+            incarnation
+            for incarnation, health in self._by_incarnation.items()
             if health.failures and health.avoided(now)
         ]
 
-    def keep_only(self, boots: set[tuple[str, int]]) -> None:
+    def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
         """Forget all other starts."""
-        for boot in self._by_boot.keys() - boots:
-            del self._by_boot[boot]
+        for incarnation in self._by_incarnation.keys() - incarnations:
+            del self._by_incarnation[incarnation]
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -78,7 +78,7 @@
         loads: LoadBook,
         health: HealthBook,
         zone: str,
-        connected: Callable[[tuple[str, int]], bool] = lambda boot: True,
+        connected: Callable[[tuple[str, int]], bool] = lambda incarnation: True,
     ) -> None:
         """Use the books of this instance.
 
@@ -187,12 +187,12 @@
         avoid_until = 0.0
         for item in upstreams:
             choice = predict(item)
-            health = self._health.of(item.boot)
+            health = self._health.of(item.incarnation)
             cost = choice.wait_ms + extra_cost(choice)
             cost += health.failing_share * FAILING_MS
             if item.zone != self._zone:
                 cost += OTHER_ZONE_MS
-            if not self._connected(item.boot):
+            if not self._connected(item.incarnation):
                 cost += CONNECTION_MS
             if health.avoided(now):
                 # The one that may be tried first is the best of those to be avoided.
--- a/packages/camphorgate/src/camphorgate/serving/usage.py
+++ b/packages/camphorgate/src/camphorgate/serving/usage.py
@@ -7,24 +7,31 @@
 
 
 class UsageCounts:
-    """Counts of all boots, merged from the instances' own counters.
+    """Counts of all incarnations, merged from the instances' own counters.
 
-    Counters of one boot only rise, so a merge keeps the larger value and may be
+    Counters of one incarnation only rise, so a merge keeps the larger value and may be
     repeated or reordered.
     """
 
-    __slots__ = ("window_seconds", "own_boot", "_counts_by_boot", "_told_by_boot")
+    __slots__ = (
+        "window_seconds",
+        "own_incarnation",
+        "_counts_by_incarnation",
+        "_told_by_incarnation",
+    )
 
-    def __init__(self, window_seconds: float, own_boot: str) -> None:
+    def __init__(self, window_seconds: float, own_incarnation: str) -> None:
         """Start without counts.
 
-        :param own_boot: unique name of this run of the instance.
+        :param own_incarnation: unique name of this run of the instance.
         """
         self.window_seconds = window_seconds
-        self.own_boot = own_boot
-        self._counts_by_boot: dict[str, dict[int, Counter[str]]] = {own_boot: {}}
-        # What a boot said last: its true time, and its totals of the open windows.
-        self._told_by_boot: dict[str, tuple[float, dict[int, int]]] = {}
+        self.own_incarnation = own_incarnation
+        self._counts_by_incarnation: dict[str, dict[int, Counter[str]]] = {
+            own_incarnation: {}
+        }
+        # What each said last: its true time, and its totals of the open windows.
+        self._told_by_incarnation: dict[str, tuple[float, dict[int, int]]] = {}
 
     def window_at(self, true_now: float) -> int:
         """Return the number of the window that contains a moment."""
@@ -36,14 +43,14 @@
 
     def count(self, workspace: str, true_now: float) -> None:
         """Count a request that began to run at this instance's upstream."""
-        windows = self._counts_by_boot[self.own_boot]
+        windows = self._counts_by_incarnation[self.own_incarnation]
         window = self.window_at(true_now)
         windows.setdefault(window, Counter())[workspace] += 1
 
     def own_recent(self, true_now: float) -> dict[int, dict[str, int]]:
         """Return the own counters of the windows that may still be open anywhere."""
         oldest = self.window_at(true_now) - 3
-        windows = self._counts_by_boot[self.own_boot]
+        windows = self._counts_by_incarnation[self.own_incarnation]
         return {
             window: dict(counts)
             for window, counts in windows.items()
@@ -56,9 +63,9 @@
         return {window: sum(counts.values()) for window, counts in recent.items()}
 
     def orphans(
-        self, live_boots: set[str], since: float
+        self, live_incarnations: set[str], since: float
     ) -> list[tuple[str, int, dict[str, int]]]:
-        """Return the counters of boots that ended, which nobody else tells.
+        """Return the counters of incarnations that ended, which nobody else tells.
 
         An instance that starts later hears of them only in this way.
 
@@ -66,57 +73,62 @@
         """
         oldest = self.window_at(since)
         return [
-            (boot, window, dict(counts))
-            for boot, windows in self._counts_by_boot.items()
-            if boot not in live_boots
+            (incarnation, window, dict(counts))
+            for incarnation, windows in self._counts_by_incarnation.items()
+            if incarnation not in live_incarnations
             for window, counts in windows.items()
             if window >= oldest and counts
         ]
 
-    def merge(self, boot: str, window: int, counts: dict[str, int]) -> None:
+    def merge(self, incarnation: str, window: int, counts: dict[str, int]) -> None:
         """Take a part of a peer's counters of one window."""
-        merged = self._counts_by_boot.setdefault(boot, {}).setdefault(window, Counter())
+        merged = self._counts_by_incarnation.setdefault(incarnation, {}).setdefault(
+            window, Counter()
+        )
         for workspace, count in counts.items():
             merged[workspace] = max(merged[workspace], count)
 
-    def hear(self, boot: str, told_at: float, totals: dict[int, int]) -> None:
+    def hear(self, incarnation: str, told_at: float, totals: dict[int, int]) -> None:
         """Take how much a peer counted, so that missing parts show.
 
         :param told_at: the true time at which the peer made the message.
         """
-        known = self._told_by_boot.get(boot)
+        known = self._told_by_incarnation.get(incarnation)
         if known is None or told_at > known[0]:
-            self._told_by_boot[boot] = (told_at, totals)
+            self._told_by_incarnation[incarnation] = (told_at, totals)
 
-    def complete(self, window: int, live_boots: set[str]) -> bool:
-        """Tell whether all counters of every live boot have arrived.
+    def complete(self, window: int, live_incarnations: set[str]) -> bool:
+        """Tell whether all counters of every live incarnation have arrived.
 
-        A boot's counters are final once it spoke after the window's end.
+        An incarnation's counters are final once it spoke after the window's end.
         """
         return all(
-            self._complete_at(boot, window) for boot in live_boots - {self.own_boot}
+            self._complete_at(incarnation, window)
+            for incarnation in live_incarnations - {self.own_incarnation}
         )
 
-    def _complete_at(self, boot: str, window: int) -> bool:
-        told_at, totals = self._told_by_boot.get(boot, (0.0, {}))
+    def _complete_at(self, incarnation: str, window: int) -> bool:
+        told_at, totals = self._told_by_incarnation.get(incarnation, (0.0, {}))
         if told_at <= self.window_end(window):
             return False
-        arrived = self._counts_by_boot.get(boot, {}).get(window, Counter())
+        arrived = self._counts_by_incarnation.get(incarnation, {}).get(
+            window, Counter()
+        )
         return arrived.total() >= totals.get(window, 0)
 
     def totals(self, window: int) -> dict[str, int]:
-        """Return the sum over all boots."""
+        """Return the sum over all incarnations."""
         total: Counter[str] = Counter()
-        for windows in self._counts_by_boot.values():
+        for windows in self._counts_by_incarnation.values():
             total.update(windows.get(window, {}))
         return dict(total)
 
     def forget_before(self, true_now: float) -> None:
         """Drop windows that nobody will ask for any more."""
         oldest = self.window_at(true_now - KEPT_SECONDS)
-        for boot, windows in list(self._counts_by_boot.items()):
+        for incarnation, windows in list(self._counts_by_incarnation.items()):
             for window in [item for item in windows if item < oldest]:
                 del windows[window]
-            if not windows and boot != self.own_boot:
-                del self._counts_by_boot[boot]
-                self._told_by_boot.pop(boot, None)
+            if not windows and incarnation != self.own_incarnation:
+                del self._counts_by_incarnation[incarnation]
+                self._told_by_incarnation.pop(incarnation, None)
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -186,18 +186,20 @@
         second = await self.start_ready(instance_id="entry-2")
         await self.ask(second, "/read/a")
         usage = first.service("gossip").usage
-        boot = second.service("members").own.boot
+        incarnation = second.service("members").own.incarnation
 
         def orphans(app):
             gossip = app.service("gossip")
             return gossip.usage.orphans(set(), gossip.true_now() - 20.0)
 
-        await self.eventually(lambda: any(row[0] == boot for row in orphans(first)))
+        await self.eventually(
+            lambda: any(row[0] == incarnation for row in orphans(first))
+        )
         await second.service("members").leave()
         await second.service("gossip").stop()
         later = await self.start_ready(instance_id="entry-3")
         await self.eventually(
-            lambda: any(row[0] == boot for row in orphans(later)), seconds=12.0
+            lambda: any(row[0] == incarnation for row in orphans(later)), seconds=12.0
         )
         self.assertIsNot(usage, later.service("gossip").usage)
 
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -73,22 +73,22 @@
 
     def test_avoided_engine_is_the_last_choice(self):
         """Guards against sending to an engine that just failed."""
-        self.health.of(self.readers[0].boot).failed(1.0)
-        self.health.of(self.readers[1].boot).failed(1.0)
+        self.health.of(self.readers[0].incarnation).failed(1.0)
+        self.health.of(self.readers[1].incarnation).failed(1.0)
         self.assertEqual(self.read(now=1.1), "p2")
 
     def test_choice_tells_that_all_upstreams_are_avoided(self):
         """Guards against a request that tries dead upstreams until it is refused."""
         for reader in self.readers:
-            self.health.of(reader.boot).failed(1.0)
-        self.health.of(self.readers[1].boot).failed(1.0)
+            self.health.of(reader.incarnation).failed(1.0)
+        self.health.of(self.readers[1].incarnation).failed(1.0)
         choice = self.placement.for_reading(self.readers, PROMPT, 1.1)
         self.assertNotEqual(choice.upstream.id, "p1")
         self.assertGreater(choice.avoid_until, 1.1)
 
     def test_one_request_at_a_time_tries_an_upstream_that_failed(self):
         """Guards against a crowd at an upstream that is still dead."""
-        health = self.health.of(self.readers[0].boot)
+        health = self.health.of(self.readers[0].incarnation)
         health.failed(0.0)
         later = health.avoid_until
         self.assertFalse(health.avoided(later))
@@ -97,7 +97,7 @@
 
     def test_word_of_a_peer_does_not_outweigh_own_failures(self):
         """Guards against peers that shorten an avoidance."""
-        health = self.health.of(self.readers[0].boot)
+        health = self.health.of(self.readers[0].incarnation)
         health.suspected(1.0)
         self.assertTrue(health.avoided(1.1))
         health.failed(1.0)
