--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from tests.hosted import LOOPBACK
+from tests.hosted import free_address
 
 CHUNK = 65536
 # How long the far side of a dead connection stays open after the near side closed.
@@ -28,9 +28,11 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        # Not a port of the kernel's choice, which may be one that was chosen for a
+        # process that has not bound it yet.
+        self.address = free_address()
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def stop(self) -> None:
         """Close everything."""
