--- a/packages/camphorgate-daemon/src/camphorgated/serving/__init__.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/__init__.py
@@ -1,1 +1,1 @@
-"""The request path and the duties of an installation on a hosting platform."""
+"""The request path and the duties of a deployment on a hosting platform."""
--- a/packages/camphorgate/src/camphorgate/serving/__init__.py
+++ b/packages/camphorgate/src/camphorgate/serving/__init__.py
@@ -1,1 +1,1 @@
-"""Pure decisions of an installation whose platform keeps configuration and lists."""
+"""Pure decisions of a deployment whose platform keeps configuration and lists."""
