--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -9,7 +9,7 @@
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.front import Job
 from camphorgated.serving.patience import wait_for_upstream
-from camphorgated.serving.statistics import job_fields, log_try
+from camphorgated.serving.statistics import job_fields
 
 # A repeatable request is given to another upstream after this many times its target.
 PATIENCE_TARGETS = 3.0
@@ -23,7 +23,7 @@
 class Calls:
     """Leads requests of plain services to their answers."""
 
-    __slots__ = ("_app", "_dialect", "_upstreams", "_gossip")
+    __slots__ = ("_app", "_dialect", "_upstreams", "_gossip", "_statistics")
 
     def __init__(self, app: Application) -> None:
         """Use the shared state of the upstreams."""
@@ -31,6 +31,7 @@
         self._dialect = app.service("dialect")
         self._upstreams = app.service("upstreams")
         self._gossip = app.service("gossip")
+        self._statistics = app.service("statistics")
 
     async def run(self, job: Job) -> None:
         """Answer a request."""
@@ -65,7 +66,7 @@
                 tries.failed(error.stage)
                 unsent += error.stage is Stage.NOT_SENT
                 upstreams.health.of(upstream.incarnation).failed(clock.monotonic())
-                log_try(job, upstream, error.cause, error.stage)
+                self._statistics.try_failed(job, upstream, error.cause, error.stage)
                 ran = error.stage is Stage.SENT and error.cause != "stale"
             else:
                 ran = tries.may_have_run
@@ -126,14 +127,18 @@
                 health.failed(clock.monotonic())
             else:
                 health.refused(clock.monotonic())
-            log_try(job, upstream, f"refused_{facts.status}", Stage.REFUSED)
+            self._statistics.try_failed(
+                job, upstream, f"refused_{facts.status}", Stage.REFUSED
+            )
             return False
         if not facts.stamped and facts.status < 500:
             raise ExchangeError("the answer has no stamp", Stage.SENT, "unstamped")
         tries.ran()
         if facts.status >= 500:
             health.answered_badly()
-            log_try(job, upstream, f"failed_{facts.status}", Stage.SENT)
+            self._statistics.try_failed(
+                job, upstream, f"failed_{facts.status}", Stage.SENT
+            )
             if self._why_not(job, tries, 0, clock.monotonic()) is None:
                 return False
         else:
@@ -158,7 +163,7 @@
             caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
         else:
             caller.refuse(503, reason, job.route.target_seconds * RETURN_TARGETS)
-        self._app.service("statistics").given_up(job, reason, **job_fields(job))
+        self._statistics.given_up(job, reason, **job_fields(job))
 
 
 def setup(app: Application) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -198,7 +198,9 @@
         except BadRequest as error:
             empty = Request("GET", b"/", [], b"", False)
             Caller(connection, empty).refuse(error.status, error.code)
-            log_event("request_malformed", status=error.status, error=error.message)
+            self._statistics.request_line(
+                "request_malformed", status=error.status, error=error.message
+            )
             return False
         if request is None:
             return False
@@ -262,7 +264,7 @@
         route = catalog.match(facts.host, path)
         if route is None:
             caller.refuse(404, "route_unknown")
-            log_event(
+            self._statistics.request_line(
                 "request_refused",
                 attempt=facts.attempt,
                 reason="route_unknown",
@@ -274,7 +276,7 @@
             workspace = catalog.workspaces_by_key.get(facts.key or "")
             if workspace is None:
                 caller.refuse(401, "key_unknown")
-                log_event(
+                self._statistics.request_line(
                     "request_refused",
                     attempt=facts.attempt,
                     reason="key_unknown",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -18,7 +18,7 @@
 from camphorgated.serving.front import Job
 from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.patience import LOOK_SECONDS, wait_for_upstream
-from camphorgated.serving.statistics import job_fields, log_try
+from camphorgated.serving.statistics import job_fields
 
 # Answering engines read a prompt themselves where that is predicted to be sooner than
 # a reading engine by more than the second call and the move cost, ms.
@@ -229,7 +229,7 @@
                 body = await exchange.read_body(seconds)
         except ExchangeError as error:
             self._upstreams.health.of(engine.incarnation).failed(clock.monotonic())
-            log_try(job, engine, f"read_{error.cause}", error.stage)
+            self._statistics.try_failed(job, engine, f"read_{error.cause}", error.stage)
             if error.stage is Stage.NOT_SENT:
                 # It does not count as a call, neither here nor in the budget.
                 generation.reads -= 1
@@ -248,7 +248,9 @@
         health = self._upstreams.health.of(engine.incarnation)
         if result is None:
             health.refused(clock.monotonic())
-            log_try(job, engine, f"read_refused_{facts.status}", Stage.REFUSED)
+            self._statistics.try_failed(
+                job, engine, f"read_refused_{facts.status}", Stage.REFUSED
+            )
             return
         health.succeeded(clock.monotonic())
         loads.read_parts(engine.id, generation.prompt.parts, clock.monotonic())
@@ -345,7 +347,9 @@
             health.failed(self._app.clock.monotonic())
         else:
             health.refused(self._app.clock.monotonic())
-        log_try(generation.job, engine, f"refused_{status}", Stage.REFUSED)
+        self._statistics.try_failed(
+            generation.job, engine, f"refused_{status}", Stage.REFUSED
+        )
         return False
 
     async def _failed(
@@ -357,7 +361,7 @@
         health.answered_badly()
         body = await exchange.read_body(self._wait(job))
         self._count(generation)
-        log_try(job, engine, f"failed_{facts.status}", Stage.SENT)
+        self._statistics.try_failed(job, engine, f"failed_{facts.status}", Stage.SENT)
         if not facts.stamped:
             raise ExchangeError("the answer has no stamp", Stage.SENT, "unstamped")
         now = self._app.clock.monotonic()
@@ -427,7 +431,7 @@
         self._upstreams.health.of(engine.incarnation).failed(
             self._app.clock.monotonic()
         )
-        log_try(generation.job, engine, error.cause, error.stage)
+        self._statistics.try_failed(generation.job, engine, error.cause, error.stage)
 
     def _give_up(
         self, generation: Generation, reason: str, wait_seconds: float = 0.0
--- a/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -69,14 +69,13 @@
         self._counts[outcome] += 1
         self._answers.inc({"status": outcome, "route": job.route.name})
         self._latency.observe({"route": job.route.name}, seconds)
-        if self._lines.take(self._app.clock.monotonic()):
-            log_event(
-                "answered",
-                status=outcome,
-                seconds=seconds,
-                **job_fields(job),
-                **job.decisions,
-            )
+        self.request_line(
+            "answered",
+            status=outcome,
+            seconds=seconds,
+            **job_fields(job),
+            **job.decisions,
+        )
 
     def given_up(self, job, reason: str, **fields) -> None:
         """Note a request that the system itself gave up."""
@@ -86,14 +85,28 @@
         else:
             outcome = "broken_off" if status == 200 else "unknown"
         self._counts[f"{outcome}_{reason}"] += 1
+        self.request_line(
+            "request_given_up",
+            reason=reason,
+            outcome=outcome,
+            status=status,
+            **fields,
+        )
+
+    def try_failed(self, job, upstream: Upstream, cause: str, stage: Stage) -> None:
+        """Note why a try at an upstream did not end well."""
+        self.request_line(
+            "try_failed",
+            upstream=upstream.id,
+            cause=cause,
+            stage=stage.value,
+            **job_fields(job),
+        )
+
+    def request_line(self, event: str, **fields) -> None:
+        """Write a line about a single request, if the budget of lines has one."""
         if self._lines.take(self._app.clock.monotonic()):
-            log_event(
-                "request_given_up",
-                reason=reason,
-                outcome=outcome,
-                status=status,
-                **fields,
-            )
+            log_event(event, **fields)
 
     def caller_left(self) -> None:
         """Note a caller that closed its connection before its answer."""
@@ -119,17 +132,6 @@
     }
 
 
-def log_try(job, upstream: Upstream, cause: str, stage: Stage) -> None:
-    """Write why a try at an upstream did not end well."""
-    log_event(
-        "try_failed",
-        upstream=upstream.id,
-        cause=cause,
-        stage=stage.value,
-        **job_fields(job),
-    )
-
-
 def setup(app: Application) -> None:
     """Provide the statistics."""
     statistics = Statistics(app)
