Decide on repeats and refusals in one place; drop dead code

Calls and generations each had the same checks before a send and the same notes on a refusal; both now call Upstreams.why_not and Upstreams.note_refusal, and the status of a wrong engine is known to the adapter alone. The pool's idle time is worked out in one place. Gone: an event nobody listens to, a time of Job that nobody read under a docstring that was not true, and a method that returned an attribute. No change of behaviour; the serving tests pass (106).

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -44,7 +44,7 @@
         counted = False
         while True:
             now = clock.monotonic()
-            reason = self._why_not(job, tries, unsent, now)
+            reason = upstreams.why_not(job, tries, unsent, MOST_CONNECTS)
             if reason is None:
                 found = upstreams.candidates(job.service, tried)
                 choice = upstreams.placement.for_call(found, now)
@@ -81,19 +81,6 @@
         if job.workspace is not None and not counted:
             self._gossip.usage.count(job.workspace.name, self._gossip.true_now())
 
-    def _why_not(self, job: Job, tries: Tries, unsent: int, now: float) -> str | None:
-        """Return why the request is not sent (again)."""
-        if job.left(now) <= 0:
-            return "deadline"
-        if not tries.may_send():
-            return "attempts"
-        if unsent >= MOST_CONNECTS:
-            return "no_connection"
-        if not tries.granted and not self._upstreams.take_repeat(job.service):
-            return "budget"
-        tries.granted = True
-        return None
-
     async def _try(self, job: Job, tries: Tries, upstream: Upstream) -> bool:
         """Send the request once.
 
@@ -123,10 +110,7 @@
         health = upstreams.health.of(upstream.incarnation)
         if facts.stage is Stage.REFUSED:
             tries.failed(Stage.REFUSED)
-            if facts.wrong_upstream:
-                health.failed(clock.monotonic())
-            else:
-                health.refused(clock.monotonic())
+            upstreams.note_refusal(upstream, facts)
             self._statistics.try_failed(
                 job, upstream, f"refused_{facts.status}", Stage.REFUSED
             )
@@ -139,7 +123,7 @@
             self._statistics.try_failed(
                 job, upstream, f"failed_{facts.status}", Stage.SENT
             )
-            if self._why_not(job, tries, 0, clock.monotonic()) is None:
+            if upstreams.why_not(job, tries, 0, MOST_CONNECTS) is None:
                 return False
         else:
             health.succeeded(clock.monotonic())
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -124,7 +124,6 @@
             return
         self.catalog = catalog
         log_event("configuration_in_force", version=catalog.version, source=source)
-        self._app.emit("catalog-changed", catalog)
 
     def take_peer_upstreams(
         self, upstreams: list[Upstream], revision: int, peer: str
@@ -280,7 +279,6 @@
 
 def setup(app: Application) -> None:
     """Provide the directory and start its watches."""
-    app.add_event("catalog-changed")
     app.add_event("upstreams-changed")
     directory = Directory(app, DUTY_KEY)
     app.provide("directory", directory)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -44,7 +44,6 @@
         "workspace",
         "rank",
         "deadline",
-        "promised",
         "decisions",
     )
 
@@ -72,17 +71,12 @@
         self.decisions: dict[str, object] = {}
         seconds = facts.seconds if facts.seconds is not None else DEFAULT_SECONDS
         read_at = self.request.read_at
-        self.promised = read_at + seconds
         self.deadline = read_at + min(seconds, route.timeout_seconds) - ANSWER_SECONDS
 
     def left(self, now: float) -> float:
         """Return the seconds until the last moment for an answer."""
         return self.deadline - now
 
-    def caller_left(self, now: float) -> float:
-        """Return the seconds that the caller still waits; upstreams are given these."""
-        return self.promised - now
-
     @property
     def workspace_name(self) -> str | None:
         """Return the name of the workspace whose key came with the request."""
@@ -214,7 +208,7 @@
             await asyncio.wait(
                 {work, connection.left}, return_when=asyncio.FIRST_COMPLETED
             )
-            if not work.done() and not self._must_finish(caller):
+            if not work.done() and not caller.sent_once:
                 work.cancel()
                 await asyncio.wait({work})
                 self._statistics.caller_left()
@@ -230,10 +224,6 @@
             self._busy.discard(connection)
         return not caller.closing and caller.ended
 
-    def _must_finish(self, caller: Caller) -> bool:
-        """Tell whether the work goes on although the caller left."""
-        return caller.sent_once
-
     def _failed(self, caller: Caller, error: BaseException) -> None:
         log_event("request_failed", level="ERROR", error=repr(error))
         if caller.begun:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -19,6 +19,7 @@
 from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.patience import LOOK_SECONDS, wait_for_upstream
 from camphorgated.serving.statistics import job_fields
+from camphorgated.serving.wire import AnswerFacts
 
 # Answering engines read a prompt themselves where that is predicted to be sooner than
 # a reading engine by more than the second call and the move cost, ms.
@@ -42,8 +43,6 @@
 MOST_HANDLE_REFUSALS = 2
 # Reading calls for one request; beyond the first they count as repeats.
 MOST_READS = 4
-# The status of an engine that is not the expected one, or not in the right phase.
-WRONG_ENGINE_STATUS = 421
 
 
 class Generations:
@@ -82,7 +81,7 @@
         clock = self._app.clock
         while True:
             now = clock.monotonic()
-            reason = self._why_not(generation, now)
+            reason = self._why_not(generation)
             if reason is not None:
                 self._give_up(generation, reason)
                 return
@@ -164,19 +163,11 @@
         await asyncio.sleep(LOOK_SECONDS)
         return True
 
-    def _why_not(self, generation: Generation, now: float) -> str | None:
+    def _why_not(self, generation: Generation) -> str | None:
         """Return why the request is not sent (again)."""
-        job, tries = generation.job, generation.tries
-        if job.left(now) <= 0:
-            return "deadline"
-        if not tries.may_send():
-            return "attempts"
-        if generation.unsent >= MOST_CONNECTS:
-            return "no_connection"
-        if not tries.granted and not self._upstreams.take_repeat(job.service):
-            return "budget"
-        tries.granted = True
-        return None
+        return self._upstreams.why_not(
+            generation.job, generation.tries, generation.unsent, MOST_CONNECTS
+        )
 
     def _choose(
         self, generation: Generation, spec: EngineSpec, now: float
@@ -284,8 +275,8 @@
                 )
                 facts = await exchange.read_head(job.facts.attempt, self._wait(job))
                 if facts.stage is Stage.REFUSED:
-                    self._keep_handle(generation, handle, facts.status)
-                    return self._refused(generation, engine, facts.status)
+                    self._keep_handle(generation, handle, facts)
+                    return self._refused(generation, engine, facts)
                 generation.tries.ran()
                 if facts.status != 200 or not facts.stamped:
                     return await self._failed(generation, engine, exchange)
@@ -327,29 +318,26 @@
         exchange.send(request.method, request.target, headers, request.body)
 
     def _keep_handle(
-        self, generation: Generation, handle: Handle | None, status: int
+        self, generation: Generation, handle: Handle | None, facts: AnswerFacts
     ) -> None:
         """Keep a handle that the refusing engine has not taken.
 
         An engine of the wrong phase never looks at it; another refusal may mean that
         the handle is gone, which a second engine's refusal confirms.
         """
-        generation.handle_refusals += status != WRONG_ENGINE_STATUS
+        generation.handle_refusals += not facts.wrong_upstream
         if generation.handle_refusals < MOST_HANDLE_REFUSALS:
             generation.handle = handle
         elif handle is not None:
             self._release(handle)
 
-    def _refused(self, generation: Generation, engine: Upstream, status: int) -> bool:
+    def _refused(
+        self, generation: Generation, engine: Upstream, facts: AnswerFacts
+    ) -> bool:
         generation.tries.failed(Stage.REFUSED)
-        health = self._upstreams.health.of(engine.incarnation)
-        if status == WRONG_ENGINE_STATUS:
-            health.failed(self._app.clock.monotonic())
-        else:
-            health.refused(self._app.clock.monotonic())
-        self._statistics.try_failed(
-            generation.job, engine, f"refused_{status}", Stage.REFUSED
-        )
+        self._upstreams.note_refusal(engine, facts)
+        cause = f"refused_{facts.status}"
+        self._statistics.try_failed(generation.job, engine, cause, Stage.REFUSED)
         return False
 
     async def _failed(
@@ -364,8 +352,7 @@
         self._statistics.try_failed(job, engine, f"failed_{facts.status}", Stage.SENT)
         if not facts.stamped:
             raise ExchangeError("the answer has no stamp", Stage.SENT, "unstamped")
-        now = self._app.clock.monotonic()
-        if facts.status >= 500 and self._why_not(generation, now) is None:
+        if facts.status >= 500 and self._why_not(generation) is None:
             return False
         if job.caller.begun:
             job.caller.break_off()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -66,9 +66,7 @@
         incarnation = upstream.incarnation
         now = self._clock.monotonic()
         idle = self._idle_by_incarnation.get(incarnation)
-        keep = (
-            self._keep_by_incarnation.get(incarnation, DEFAULT_KEEP_SECONDS) * KEPT_PART
-        )
+        keep = self._keep_seconds(incarnation)
         limit = min(keep, SURE_SECONDS) if sure else keep
         while idle:
             connection = idle[-1]
@@ -145,13 +143,15 @@
             await asyncio.sleep(SWEEP_SECONDS)
             now = self._clock.monotonic()
             for incarnation, idle in self._idle_by_incarnation.items():
-                keep = (
-                    self._keep_by_incarnation.get(incarnation, DEFAULT_KEEP_SECONDS)
-                    * KEPT_PART
-                )
+                keep = self._keep_seconds(incarnation)
                 while idle and (not idle[0].usable or now - idle[0].idle_since >= keep):
                     idle.popleft().close()
 
+    def _keep_seconds(self, incarnation: tuple) -> float:
+        """Return how long an idle connection is used again."""
+        kept = self._keep_by_incarnation.get(incarnation, DEFAULT_KEEP_SECONDS)
+        return kept * KEPT_PART
+
     def _release(self, incarnation: tuple) -> None:
         used = self._used_by_incarnation.get(incarnation, 1) - 1
         if used:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -10,8 +10,11 @@
 from camphorgate.serving.budget import ShareOfBudget
 from camphorgate.serving.catalog import Service, Upstream
 from camphorgate.serving.placement import Placement
+from camphorgate.serving.tries import Tries
 from camphorgated.serving.exchange import Exchange
+from camphorgated.serving.front import Job
 from camphorgated.serving.pool import USED_PART, Pool
+from camphorgated.serving.wire import AnswerFacts
 
 # At least this many connections to an upstream, however many instances there are.
 LEAST_CONNECTIONS = 4
@@ -91,6 +94,36 @@
         now = self._app.clock.monotonic()
         return self.budget(service).take(now, self._gossip.instance_count())
 
+    def why_not(
+        self, job: Job, tries: Tries, unsent: int, most_unsent: int
+    ) -> str | None:
+        """Return why a request is not sent (again), ``None`` if it may be.
+
+        Takes a place in the budget for a repeat that has none yet.
+
+        :param unsent: sends that ended before anything left.
+        :param most_unsent: bound on these.
+        """
+        if job.left(self._app.clock.monotonic()) <= 0:
+            return "deadline"
+        if not tries.may_send():
+            return "attempts"
+        if unsent >= most_unsent:
+            return "no_connection"
+        if not tries.granted and not self.take_repeat(job.service):
+            return "budget"
+        tries.granted = True
+        return None
+
+    def note_refusal(self, upstream: Upstream, facts: AnswerFacts) -> None:
+        """Note that an upstream refused a request without running it."""
+        now = self._app.clock.monotonic()
+        health = self.health.of(upstream.incarnation)
+        if facts.wrong_upstream:
+            health.failed(now)
+        else:
+            health.refused(now)
+
     def upstreams_changed(self) -> None:
         """Forget what is known of upstreams that are gone or leave."""
         table = self._directory.table.by_id
