Play the gateway's invariants until there is enough to judge

Traced: 38 to 67 streams alone, 22 to 25 beside 12 busy processes; no invariant broke. Change: the test plays at least as long as before, and on a busy machine on until both counts exceed the bound, at most 30 s. Bounds and assertions are unchanged.

--- a/tests/test_gateway/test_invariants.py
+++ b/tests/test_gateway/test_invariants.py
@@ -7,6 +7,9 @@
 from tests.test_gateway.harness import BEARER, Caller, GatewayTestCase, stream_text
 
 SECONDS = 2.0
+# A busy machine plays on until there were enough requests to judge, at most this long.
+LONGEST_SECONDS = 30.0
+ENOUGH = 20
 CALLERS = 12
 ENGINE_FAULTS = [
     ("die_after", {"value": 3, "count": 2}),
@@ -34,7 +37,7 @@
     async def test_requests_under_changing_faults(self):
         """Guards against cut or foreign answers, double runs and a false "not run"."""
         self.source = random.Random(7)
-        self.ends_at = asyncio.get_running_loop().time() + SECONDS
+        self.began_at = asyncio.get_running_loop().time()
         self.outcomes_by_booking = {}
         self.streams = 0
         async with asyncio.TaskGroup() as group:
@@ -42,8 +45,8 @@
             for number in range(CALLERS):
                 group.create_task(self._stream(number))
                 group.create_task(self._book(number))
-        self.assertGreater(self.streams, 20)
-        self.assertGreater(len(self.outcomes_by_booking), 20)
+        self.assertGreater(self.streams, ENOUGH)
+        self.assertGreater(len(self.outcomes_by_booking), ENOUGH)
         runs_by_booking = {}
         for booking in self.bookings():
             count = runs_by_booking.get(booking["body"], 0)
@@ -56,7 +59,9 @@
             self.assertEqual(view.view.own_requests, 0)
 
     def _running(self):
-        return asyncio.get_running_loop().time() < self.ends_at
+        passed = asyncio.get_running_loop().time() - self.began_at
+        fewest = min(self.streams, len(self.outcomes_by_booking))
+        return passed < SECONDS or (fewest <= ENOUGH and passed < LONGEST_SECONDS)
 
     async def _arm_faults(self):
         while self._running():
