Tell the age and version of the inputs in every line about a request

Change: answered, try_failed and request_given_up carry the version of the configuration that admitted the request, the revision and soundness of the list of upstreams and the age of the oldest peer loads; plain services also name the upstream and the predicted wait. Tests: three, of a fresh and a stale list and of a lost answer.

Trace: with the link to the other zone's instance cut when the first batch goes, the old check fails every time with the very figures that were seen; the copy is meant to stay in the own zone until then. The test now waits for the better holder, and a second test plays the late link and the hand-in of both copies.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -9,7 +9,6 @@
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.front import Job
 from camphorgated.serving.patience import wait_for_upstream
-from camphorgated.serving.statistics import job_fields
 
 # A repeatable request is given to another upstream after this many times its target.
 PATIENCE_TARGETS = 3.0
@@ -58,6 +57,8 @@
             if await wait_for_upstream(job, choice, clock):
                 continue
             upstream = choice.upstream
+            upstreams.note_inputs(job, now)
+            job.decisions.update(answerer=upstream.id, predicted_ms=choice.wait_ms)
             upstreams.health.of(upstream.incarnation).trying(now)
             tried.add(upstream.id)
             try:
@@ -147,7 +148,7 @@
             caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
         else:
             caller.refuse(503, reason, job.route.target_seconds * RETURN_TARGETS)
-        self._statistics.given_up(job, reason, **job_fields(job))
+        self._statistics.given_up(job, reason, sends=tries.sends)
 
 
 def setup(app: Application) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -43,6 +43,7 @@
         "service",
         "workspace",
         "rank",
+        "version",
         "deadline",
         "decisions",
     )
@@ -55,10 +56,12 @@
         service: str,
         workspace: Workspace | None,
         rank: int,
+        version: int,
     ) -> None:
         """Work out until when an answer counts.
 
         :param rank: 0 is the most urgent.
+        :param version: of the configuration that admitted the request.
         """
         self.caller = caller
         self.request = caller.request
@@ -67,6 +70,7 @@
         self.service = service
         self.workspace = workspace
         self.rank = rank
+        self.version = version
         # What was decided and measured on the way, for the log line of the answer.
         self.decisions: dict[str, object] = {}
         seconds = facts.seconds if facts.seconds is not None else DEFAULT_SECONDS
@@ -276,7 +280,7 @@
         service = self._pick_backend(route)
         rank = catalog.rank(route, workspace)
         self._admitted += 1
-        return Job(caller, facts, route, service, workspace, rank)
+        return Job(caller, facts, route, service, workspace, rank, catalog.version)
 
     def _pick_backend(self, route: Route) -> str:
         """Return a service by its weight, spread evenly over the requests."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -18,7 +18,6 @@
 from camphorgated.serving.front import Job
 from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.patience import LOOK_SECONDS, wait_for_upstream
-from camphorgated.serving.statistics import job_fields
 from camphorgated.serving.wire import AnswerFacts
 
 # Answering engines read a prompt themselves where that is predicted to be sooner than
@@ -94,6 +93,7 @@
                 self._give_up(generation, "no_upstream")
                 return
             first = reader or answerer
+            self._upstreams.note_inputs(job, now)
             wait = first.wait_ms / 1000
             if generation.ticket is not None:
                 wait += self._queue.wait_seconds(generation.ticket, now)
@@ -438,7 +438,6 @@
             reason,
             wait=wait_seconds,
             sends=generation.tries.sends,
-            **job_fields(job),
         )
 
     def _release(self, handle: Handle) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -91,6 +91,8 @@
             outcome=outcome,
             status=status,
             **fields,
+            **job_fields(job),
+            **job.decisions,
         )
 
     def try_failed(self, job, upstream: Upstream, cause: str, stage: Stage) -> None:
@@ -101,6 +103,7 @@
             cause=cause,
             stage=stage.value,
             **job_fields(job),
+            **job.decisions,
         )
 
     def request_line(self, event: str, **fields) -> None:
@@ -129,6 +132,7 @@
         "route": job.route.name,
         "service": job.service,
         "workspace": job.workspace_name,
+        "version": job.version,
     }
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -115,6 +115,14 @@
         tries.granted = True
         return None
 
+    def note_inputs(self, job: Job, now: float) -> None:
+        """Note for the log how old and how sound the inputs of a choice are."""
+        job.decisions.update(
+            loads_age_ms=self.loads.oldest_heard_seconds(now) * 1000,
+            list_revision=self._directory.table.revision,
+            store_sound=self._directory.sound,
+        )
+
     def note_refusal(self, upstream: Upstream, facts: AnswerFacts) -> None:
         """Note that an upstream refused a request without running it."""
         now = self._app.clock.monotonic()
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -73,6 +73,14 @@
                 total.prefill_tokens += load.prefill_tokens * weight
         return total
 
+    def oldest_heard_seconds(self, now: float) -> float:
+        """Return the age of the oldest peer's figures that :meth:`total` counts.
+
+        :returns: 0 if no peer's figures count.
+        """
+        ages = (now - heard_at for heard_at, _ in self._peers.values())
+        return max((age for age in ages if age < PEER_SECONDS), default=0.0)
+
     def read_parts(self, upstream_id: str, parts: tuple, now: float) -> None:
         """Note that an engine holds the shared parts of a prompt.
 
--- a/tests/test_accounting/test_links.py
+++ b/tests/test_accounting/test_links.py
@@ -78,9 +78,10 @@
         author = cluster.usage("i-0").book.author
         # The first batch of a link may come before the link is usable.
         await cluster.use("i-0", 1)
-        await eventually(lambda: cluster.usage("i-0").copying.holder != "")
+        # With three instances in two zones, only i-1 is in the other zone. Its link may
+        # open after that to i-2, which holds the copy until then.
+        await eventually(lambda: cluster.usage("i-0").copying.holder == "i-1")
         self.assertTrue(await cluster.use("i-0", 4))
-        # With three instances in two zones, only i-1 is in the other zone.
         self.assertEqual(cluster.usage("i-0").copying.holder, "i-1")
         store = cluster.usage("i-1").copying.store
         self.assertIn(author, store.authors())
@@ -91,6 +92,25 @@
         await eventually(lambda: cluster.calls_by_author() == {author: 5})
         await eventually(lambda: author not in store.authors())
 
+    async def test_a_holder_in_the_own_zone_yields_to_one_in_another(self):
+        """Guards against copies that stay where one zone's loss takes both."""
+        await self.start(window_seconds=10**6)
+        cluster = self.cluster
+        cluster.partition({"i-0", "i-2"}, {"i-1", "i-2"})
+        copying = cluster.usage("i-0").copying
+        await eventually(lambda: copying.holder == "i-2")
+        await cluster.use("i-0", 3)
+        self.assertEqual(copying.holder, "i-2")
+        cluster.heal()
+        await eventually(lambda: copying.holder == "i-1")
+        self.assertTrue(await cluster.use("i-0", 4))
+        author = cluster.usage("i-0").book.author
+        cluster.usage("i-0").handing = None
+        await cluster.stop_daemon("i-0")
+        await cluster.start_daemon("i-0")
+        # Both holders hand their copy in, and it counts once.
+        await eventually(lambda: cluster.calls_by_author() == {author: 7})
+
     async def test_a_later_instance_takes_the_window_length_of_the_system(self):
         """Guards against instances that wait for parts of windows others don't have."""
         await self.start(window_seconds=60)
--- a/tests/test_serving/test_statistics.py
+++ b/tests/test_serving/test_statistics.py
@@ -1,11 +1,14 @@
 """Tests of the lines about single requests."""
 
+import contextlib
 import unittest
 from unittest import mock
 
 from camphorgate.application import Application
 from camphorgate.clock import ManualClock
 from camphorgated.serving import statistics
+from tests.hosted import HostedCase
+from tests.hosting_builders import build_platform_entry
 
 
 class LineTests(unittest.TestCase):
@@ -28,3 +31,77 @@
         with mock.patch.object(statistics, "log_event") as log:
             counters.request_line("answered")
         self.assertEqual(log.call_count, 1)
+
+
+class InputTests(HostedCase):
+    """The lines about a request tell what its decisions rest on."""
+
+    async def asyncSetUp(self):
+        """Start two workers and a daemon under the third configuration."""
+        await super().asyncSetUp()
+        self.configure(3)
+        await self.add_worker("desk-1")
+        await self.add_worker("desk-2")
+        self.app = await self.start_ready()
+        self.lines = []
+
+    @contextlib.contextmanager
+    def collected(self):
+        """Collect the lines as pairs of event and fields."""
+        with mock.patch.object(
+            statistics,
+            "log_event",
+            lambda event, **fields: self.lines.append((event, fields)),
+        ):
+            yield
+
+    def fields(self, event):
+        """Return the fields of the first line of an event."""
+        return next(fields for name, fields in self.lines if name == event)
+
+    async def test_an_answer_tells_age_and_version_of_its_inputs(self):
+        """Guards against choices that cannot be explained afterwards."""
+        heard_at = self.app.clock.monotonic() - 0.5
+        loads = self.app.service("upstreams").loads
+        loads.hear("entry-2", {}, heard_at)
+        loads.hear("entry-3", {}, heard_at - 60.0)
+        with self.collected():
+            await self.ask(self.app, "/read/a")
+        answered = self.fields("answered")
+        self.assertEqual(answered["version"], 3)
+        self.assertIn(answered["answerer"], ("desk-1", "desk-2"))
+        self.assertEqual(
+            answered["list_revision"], self.app.service("directory").table.revision
+        )
+        self.assertIs(answered["store_sound"], True)
+        self.assertGreaterEqual(answered["loads_age_ms"], 500.0)
+        self.assertLess(answered["loads_age_ms"], 1500.0)
+
+    async def test_failures_tell_them_too(self):
+        """Guards against lines of failures that leave the inputs to guessing."""
+        for worker in self.workers.values():
+            worker.faults.arm({"fault": "lose_answers", "count": 1})
+        with self.collected():
+            reply = await self.ask(self.app, "/book/a", method="POST")
+        self.assertEqual(reply.status, 502)
+        for event in ("try_failed", "request_given_up"):
+            fields = self.fields(event)
+            self.assertEqual(fields["version"], 3)
+            self.assertEqual(fields["attempt"], "attempt-1")
+            for name in ("answerer", "loads_age_ms", "list_revision", "store_sound"):
+                self.assertIn(name, fields)
+
+    async def test_a_choice_from_an_old_list_shows(self):
+        """Guards against stale lists that look like fresh ones in the log."""
+        directory = self.app.service("directory")
+        before = directory.table.revision
+        self.store.faults.arm({"fault": "busy"})
+        await self.eventually(lambda: not directory.sound, seconds=8.0)
+        self.store.close()
+        await self.eventually(lambda: not directory.sound)
+        self.store.put("servers/desk-3", build_platform_entry("127.0.0.1:9"))
+        with self.collected():
+            await self.ask(self.app, "/read/a")
+        answered = self.fields("answered")
+        self.assertIs(answered["store_sound"], False)
+        self.assertEqual(answered["list_revision"], before)
