Judge removals of upstreams by the watch that tells of them

The store counted as lost until 14.58 s, so the workers were kept for 2 s more, as after an outage. Ruled out: peers (they only help while the store is lost) and the store (stable since 11.3 s). Change: each watch has its own time since which it works; removals and what is doubtful after an outage go by the watch of upstreams alone. Test: fails before (another watch fails, a removal must count within 1 s).

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -39,13 +39,12 @@
         "catalog",
         "table",
         "own_entries_by_key",
-        "store_sound_since",
+        "_sound_since_by_prefix",
         "own_prefix",
         "instances",
         "_app",
         "_dialect",
         "_store",
-        "_failing",
         "_watch_tasks",
         "_random",
         "_behind_since",
@@ -59,26 +58,34 @@
         self.catalog: Catalog | None = None
         self.table = UpstreamTable()
         self.own_entries_by_key: dict = {}
-        self.store_sound_since: float | None = None
         self.own_prefix = own_prefix
         # How many instances there are; kept up to date by the members.
         self.instances = 1
         self._app = app
         self._dialect = app.service("dialect")
         self._store = app.service("store")
-        self._failing: set[str] = {"start"}
+        # Since when each watch has worked; those that do not are missing.
+        self._sound_since_by_prefix: dict[str, float] = {}
         self._watch_tasks: dict[str, asyncio.Task] = {}
         self._random = random.Random()
         self._behind_since: float | None = None
 
     @property
     def sound(self) -> bool:
-        """Tell whether the store answers this instance's watches."""
-        return self.store_sound_since is not None
+        """Tell whether the store answers every watch of this instance."""
+        return len(self._sound_since_by_prefix) == len(self._handlers())
+
+    @property
+    def upstreams_sound_since(self) -> float | None:
+        """Return since when the list of upstreams is followed without a break.
+
+        The other watches do not count: a removal that is seen while only one of them
+        hangs is no consequence of an outage.
+        """
+        return self._sound_since_by_prefix.get(self._dialect.upstream_prefix)
 
     async def start(self) -> None:
         """Start the watches."""
-        self._failing = set(self._handlers())
         for prefix in self._handlers():
             self._start_watch(prefix)
         self._app.spawn(self._settle(), "directory settle")
@@ -100,8 +107,7 @@
         Until each of them works, the store counts as lost, so that peers are asked.
         """
         log_event("watches_reopened", level="WARNING", reason=reason)
-        self._failing = set(self._handlers())
-        self.store_sound_since = None
+        self._sound_since_by_prefix.clear()
         for prefix, task in list(self._watch_tasks.items()):
             task.cancel()
             self._start_watch(prefix)
@@ -171,16 +177,16 @@
         return min(MOST_COLLECT_SECONDS, seconds)
 
     def _watch_works(self, prefix: str) -> None:
-        self._failing.discard(prefix)
-        if not self._failing and self.store_sound_since is None:
-            self.store_sound_since = self._app.clock.monotonic()
+        if prefix in self._sound_since_by_prefix:
+            return
+        self._sound_since_by_prefix[prefix] = self._app.clock.monotonic()
+        if self.sound:
             log_event("store_regained")
 
     def _watch_fails(self, prefix: str, message: str) -> None:
-        self._failing.add(prefix)
-        if self.store_sound_since is not None:
-            self.store_sound_since = None
+        if self.sound:
             log_event("store_lost", level="WARNING", watch=prefix, error=message)
+        self._sound_since_by_prefix.pop(prefix, None)
 
     def _take_configuration(self, batch: WatchBatch) -> None:
         for entry in batch.entries:
@@ -190,7 +196,8 @@
     def _take_upstreams(self, batch: WatchBatch) -> None:
         now = self._app.clock.monotonic()
         # After an outage, the first complete list lacks entries that come back.
-        sound = self.sound and now - self.store_sound_since > SETTLE_SECONDS
+        since = self.upstreams_sound_since
+        sound = since is not None and now - since > SETTLE_SECONDS
         found = []
         for entry in batch.entries:
             try:
@@ -246,7 +253,7 @@
         while True:
             await asyncio.sleep(SETTLE_SECONDS)
             now = self._app.clock.monotonic()
-            dropped = self.table.settle(now, self.store_sound_since)
+            dropped = self.table.settle(now, self.upstreams_sound_since)
             if dropped:
                 log_event("upstreams_gone_after_outage", upstreams=",".join(dropped))
                 self._app.emit("upstreams-changed")
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -1,7 +1,11 @@
 """Tests of the duty, usage reports, peers and outages of the store."""
 
 import asyncio
+from unittest import mock
 
+from camphorgate.kv.errors import KvUnavailable
+from camphorgate_platform.store import PlatformStore
+from camphorgated.serving.directory import DUTY_KEY, SETTLE_SECONDS
 from tests.hosted import HostedCase, free_address
 from tests.soak.proxy import Proxy
 
@@ -219,6 +223,27 @@
         await self.eventually(lambda: not directory.sound, seconds=8.0)
         self.assertEqual((await self.ask(app, "/read/a")).status, 200)
 
+    async def test_removal_counts_at_once_while_another_watch_fails(self):
+        """Guards against work for a worker that left while one connection hangs."""
+        watch = PlatformStore.watch
+
+        async def watch_but_the_duty(store, prefix, seconds):
+            if prefix == DUTY_KEY:
+                raise KvUnavailable("no answer")
+            async for batch in watch(store, prefix, seconds):
+                yield batch
+
+        self.configure()
+        await self.add_worker("desk-1")
+        patched = mock.patch.object(PlatformStore, "watch", watch_but_the_duty)
+        self.enterContext(patched)
+        app = await self.start_ready()
+        directory = app.service("directory")
+        await asyncio.sleep(2 * SETTLE_SECONDS)
+        self.assertFalse(directory.sound)
+        self.store.remove("servers/desk-1")
+        await self.eventually(lambda: not directory.table.by_id, seconds=1.0)
+
     async def test_instance_without_a_configuration_refuses_as_not_run(self):
         """Guards against answers that depend on nothing."""
         app = await self.start_daemon()
--- a/tests/test_serving/test_statistics.py
+++ b/tests/test_serving/test_statistics.py
@@ -97,8 +97,6 @@
         before = directory.table.revision
         self.store.faults.arm({"fault": "busy"})
         await self.eventually(lambda: not directory.sound, seconds=8.0)
-        self.store.close()
-        await self.eventually(lambda: not directory.sound)
         self.store.put("servers/desk-3", build_platform_entry("127.0.0.1:9"))
         with self.collected():
             await self.ask(self.app, "/read/a")
