Keep ordinary engines in one zone of four, and order changes without delay

Change: only the least expensive zone of every four always keeps an ordinary engine; the others have one only while they lack cheap ones, and there cheap engines answer first. A number that differs from the accepted one is ordered at once; one without an answer still waits; a count that an order carried out late has left is corrected; zones are remembered through the loss of every engine.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -11,6 +11,7 @@
     DRY_SECONDS,
     CapacityOrder,
     PhaseOrder,
+    keeping_zones,
     plan_capacity,
     plan_phases,
 )
@@ -39,6 +40,7 @@
         "_dry_since",
         "_ordered_incarnations",
         "_engines_by_service",
+        "_zones_by_service",
         "_gossip",
     )
 
@@ -54,6 +56,7 @@
         self._dry_since: dict[tuple[str, str], float] = {}
         self._ordered_incarnations: set[tuple] = set()
         self._engines_by_service: dict[str, tuple[set, float]] = {}
+        self._zones_by_service: dict[str, set[str]] = {}
         self._gossip = app.service("gossip")
 
     def forget(self) -> None:
@@ -70,24 +73,35 @@
             catalog = self._directory.catalog
             if catalog is None:
                 continue
+            self.see_zones()
             for service in catalog.services_by_name.values():
                 if not self._members.holds_duty():
                     self._gossip.changing = set()
                     break
-                await self._order_capacity(service)
+                await self.order_capacity(service)
                 await self._order_phases(service)
 
-    async def _order_capacity(self, service: Service) -> None:
+    def see_zones(self) -> None:
+        """Remember the zones of each service, through the loss of all upstreams."""
+        for upstream in self._directory.table.by_id.values():
+            zones = self._zones_by_service.setdefault(upstream.service, set())
+            zones.add(upstream.zone)
+
+    async def order_capacity(self, service: Service) -> None:
+        """Order what differs from the plan of a service."""
         table = self._directory.table.by_id.values()
         upstreams = [item for item in table if item.service == service.name]
         now = self._app.clock.monotonic()
-        for order in plan_capacity(service, upstreams, self._dry_zones(service, now)):
+        zones = self._zones_by_service.get(service.name, set())
+        dry_zones = self._dry_zones(service, now)
+        for order in plan_capacity(service, upstreams, zones, dry_zones):
             subject = (order.service, order.zone, order.cheap)
-            if self._ordered_by_subject.get(subject) == order and not self._missing(
-                order, upstreams, subject, now
-            ):
+            given = self._ordered_by_subject.get(subject)
+            if given == order and not self._differs(order, upstreams, subject, now):
                 continue
-            if now < self._again_by_subject.get(subject, 0.0):
+            # Another number than the accepted one need not wait for its effect.
+            accepted = given is not None and given != order
+            if not accepted and now < self._again_by_subject.get(subject, 0.0):
                 continue
             await self._give_capacity(order, subject)
 
@@ -99,8 +113,11 @@
             if name == service.name and now - refused_at < DRY_SECONDS
         )
 
-    def _missing(self, order: CapacityOrder, upstreams, subject, now: float) -> bool:
-        """Tell whether upstreams of an accepted order are gone or never came."""
+    def _differs(self, order: CapacityOrder, upstreams, subject, now: float) -> bool:
+        """Tell whether an accepted order does not show, or shows no longer.
+
+        Upstreams may be lost, and an earlier order may be carried out late.
+        """
         if now < self._again_by_subject.get(subject, 0.0):
             return False
         present = sum(
@@ -110,7 +127,7 @@
             and item.cheap == order.cheap
             and not item.leaving
         )
-        return present < order.count
+        return present != order.count
 
     async def _give_capacity(self, order: CapacityOrder, subject: tuple) -> None:
         fencing = self._members.fencing
@@ -132,6 +149,7 @@
             )
         except CallFailed as error:
             log_event("capacity_not_ordered", level="WARNING", error=error.message)
+            self._ordered_by_subject.pop(subject, None)
             self._again_by_subject[subject] = now + AGAIN_SECONDS
             return
         log_event(
@@ -149,6 +167,7 @@
         elif verdict.fenced:
             self._members.refused(fencing)
         else:
+            self._ordered_by_subject.pop(subject, None)
             self._again_by_subject[subject] = now + AGAIN_SECONDS
             if order.cheap:
                 self._dry_since[(order.service, order.zone)] = now
@@ -158,7 +177,9 @@
             return
         engines = self._directory.service_upstreams(service.name)
         now = self._app.clock.monotonic()
-        orders = plan_phases(engines, self._calm(service, engines, now))
+        zones = self._zones_by_service.get(service.name, set())
+        keepers = keeping_zones(service, zones)
+        orders = plan_phases(engines, self._calm(service, engines, now), keepers)
         wanted = {order.upstream.incarnation for order in orders}
         for incarnation, since in list(self._changing_by_incarnation.items()):
             done = incarnation not in wanted and now - since > ANNOUNCED_SECONDS
--- a/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
@@ -8,6 +8,8 @@
 hold the streams.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from camphorgate.serving.catalog import Phase, Service, Upstream
@@ -18,9 +20,12 @@
 SPARE = 1
 # The list counts as calm after this time without a change of a service's engines.
 CALM_SECONDS = 3.0
-# Ordinary engines that each zone keeps, so that a reclaim of every cheap one leaves
-# engines that answer.
+# Ordinary engines in a zone that keeps any.
 ORDINARY_PER_ZONE = 1
+# One zone of this many, the least expensive, keeps ordinary engines; a reclaim takes
+# the cheap engines of one zone only, and the others go on. Another zone has ordinary
+# ones only while it lacks cheap ones.
+ZONES_PER_KEEPER = 4
 # Ordinary engines in a zone that take the place of cheap ones that are not to be had.
 MOST_REPLACED = 2
 # A zone counts as dry this long after cheap ones were refused there.
@@ -49,28 +54,34 @@
 
 
 def plan_capacity(
-    service: Service, upstreams: list[Upstream], dry_zones: frozenset[str]
+    service: Service,
+    upstreams: list[Upstream],
+    zones: Iterable[str],
+    dry_zones: frozenset[str],
 ) -> list[CapacityOrder]:
     """Return the wanted numbers of upstreams, of both kinds in each zone.
 
     :param upstreams: the listed ones of the service, leaving ones included.
+    :param zones: where the service runs, also those that have lost every upstream.
     :param dry_zones: where cheap upstreams were not to be had lately; ordinary ones
         take the place of those that are missing there.
     """
     scaling = service.scaling
-    if scaling is None or scaling.cheap_price is None or not upstreams:
+    if scaling is None or scaling.cheap_price is None:
         return []
-    zones = sorted({upstream.zone for upstream in upstreams})
+    keepers = keeping_zones(service, zones)
     orders = []
-    for zone in zones:
-        ordinary = max(scaling.minimum, ORDINARY_PER_ZONE)
-        if zone in dry_zones:
-            cheap = sum(
-                1
-                for item in upstreams
-                if item.zone == zone and item.cheap and not item.leaving
-            )
-            missing = max(0, scaling.maximum - ordinary - cheap)
+    for zone in sorted(zones):
+        cheap = sum(
+            1
+            for item in upstreams
+            if item.zone == zone and item.cheap and not item.leaving
+        )
+        ordinary = ORDINARY_PER_ZONE
+        missing = max(0, scaling.maximum - ordinary - cheap)
+        if zone not in keepers and not missing:
+            ordinary = 0
+        elif zone in dry_zones:
             ordinary += min(missing, MOST_REPLACED)
         ordinary = min(scaling.maximum, ordinary)
         orders.append(CapacityOrder(service.name, zone, ordinary, cheap=False))
@@ -80,15 +91,31 @@
     return orders
 
 
-def plan_phases(upstreams: list[Upstream], calm: bool) -> list[PhaseOrder]:
+def keeping_zones(service: Service, zones: Iterable[str]) -> frozenset[str]:
+    """Return the zones that always keep ordinary upstreams of a service."""
+    scaling = service.scaling
+    if scaling is None or scaling.cheap_price is None:
+        return frozenset(zones)
+    by_price = sorted(
+        zones, key=lambda zone: (scaling.price_by_zone.get(zone, 1), zone)
+    )
+    return frozenset(by_price[: -(-len(by_price) // ZONES_PER_KEEPER)])
+
+
+def plan_phases(
+    upstreams: list[Upstream], calm: bool, keepers: frozenset[str]
+) -> list[PhaseOrder]:
     """Return the phase changes that a service's engines need.
 
-    Ordinary engines answer before cheap ones do. Every zone keeps both phases if it has
-    two engines, so that caches move within it. An engine that answers takes seconds to
-    change, as its streams end first, so one too many is left alone unless it is calm.
+    Ordinary engines answer before cheap ones do where they stay; elsewhere they answer
+    last, as they leave once there are enough cheap ones. Every zone keeps both phases
+    if it has two engines, so that caches move within it. An engine that answers takes
+    seconds to change, as its streams end first, so one too many is left alone unless it
+    is calm.
 
     :param upstreams: the engines of a service that take requests.
     :param calm: whether the list has not changed for some time.
+    :param keepers: the zones that always keep ordinary engines.
     """
     orders = []
     by_zone: dict[str, list[Upstream]] = {}
@@ -102,7 +129,11 @@
         engines = by_zone[zone]
         wanted = _wanted_answerers(len(engines), len(by_zone))
         engines.sort(
-            key=lambda item: (item.cheap, item.phase is not Phase.DECODE, item.id)
+            key=lambda item: (
+                item.cheap is (zone in keepers),
+                item.phase is not Phase.DECODE,
+                item.id,
+            )
         )
         answering = sum(1 for item in engines if item.phase is Phase.DECODE)
         settled = calm or (short_of_readers and answering > wanted)
--- a/tests/hosting_builders.py
+++ b/tests/hosting_builders.py
@@ -2,7 +2,7 @@
 
 import json
 
-from camphorgate.serving.catalog import Phase, Upstream
+from camphorgate.serving.catalog import EngineSpec, Phase, Upstream
 
 HOST = "shop.example"
 KEY = "key-north"
@@ -103,3 +103,15 @@
 def build_engine(upstream_id: str, phase: Phase, **changes) -> Upstream:
     """Return a listed engine of a phase."""
     return build_listed_upstream(upstream_id, phase=phase, **changes)
+
+
+def build_engine_spec(**changes) -> EngineSpec:
+    """Return what is declared of a service's engines."""
+    fields = {
+        "slots": 8,
+        "cache_tokens": 400000,
+        "bytes_per_token": 18432,
+        "link_mbps": 550000,
+        **changes,
+    }
+    return EngineSpec(**fields)
