Serve sooner after a restart

Change: the exchange with peers over gRPC moves from gossip to knowledge; it and the operators' pages are late extensions, loaded beside the loop 2 s after the start, or after 0.2 s without the store. The gossip ends before its socket does (an error was logged at each stop). Test: none of these libraries is loaded by what serves.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -18,9 +18,16 @@
     "generations",
     "usage_duty",
     "fleet_duty",
-    "operator",
     "front",
 )
+# What brings large libraries that no request needs. They are loaded once the process
+# serves, so that it serves sooner after a restart.
+_LATE_EXTENSIONS = ("knowledge", "operator")
+# The first requests after a start have the processor to themselves for this long.
+LATE_SECONDS = 2.0
+# Without the store after this time, peers are asked, so that the wait ends.
+ALONE_SECONDS = 0.2
+LOOK_SECONDS = 0.05
 _PACKAGE = "camphorgated.serving"
 
 
@@ -33,6 +40,23 @@
     return app
 
 
+async def start(app: Application) -> None:
+    """Start an application, and load the rest while it serves."""
+    await app.start()
+    app.spawn(_load_late(app), "late extensions")
+
+
+async def _load_late(app: Application) -> None:
+    began = app.clock.monotonic()
+    directory = app.service("directory")
+    while (passed := app.clock.monotonic() - began) < LATE_SECONDS:
+        if passed >= ALONE_SECONDS and not directory.sound:
+            break
+        await asyncio.sleep(LOOK_SECONDS)
+    for name in _LATE_EXTENSIONS:
+        await app.load_late(f"{_PACKAGE}.{name}")
+
+
 async def run(settings: HostedSettings, read_again) -> None:
     """Serve until SIGTERM or SIGINT, then drain.
 
@@ -55,7 +79,7 @@
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     try:
-        await app.start()
+        await start(app)
         log_event("started", instance=settings.instance_id)
         await stopping.wait()
         members = app.service("members")
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -1,36 +1,24 @@
-"""Tells the other instances loads and usage, and fetches from them what is missing.
+"""Tells the other instances loads and usage, and hears theirs.
 
 Provides ``gossip``. Short datagrams go to every peer at a steady period: they are
 small, lose nothing that the next one does not repeat, and have no connection that
-could go silent. What must arrive whole, the configuration and the list of upstreams,
-is fetched over gRPC, and only by instances that the store does not serve.
+could go silent. What must arrive whole is fetched, see ``knowledge``.
 """
 
 import asyncio
-import random
 
-import grpc
 import msgspec
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
-from camphorgate.peers.service import CHANNEL_OPTIONS
 from camphorgate.serving.health import HealthBook
 from camphorgate.serving.loads import LoadBook
 from camphorgate.serving.true_time import TrueTime
 from camphorgate.serving.usage import UsageCounts
 from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
-from camphorgated.serving.messages import (
-    Counters,
-    Knowledge,
-    Question,
-    State,
-    split_counters,
-)
-
-SERVICE = "camphorgate.serving.Knowledge"
-METHOD = f"/{SERVICE}/Fetch"
+from camphorgated.serving.messages import Counters, State, split_counters
+
 TICK_SECONDS = 0.2
 # Datagrams of one tick; with more peers, each of them hears at every second tick, or
 # third. This bounds what an instance sends and receives, however many there are.
@@ -40,14 +28,10 @@
 # many of them in one tick.
 ORPHAN_SECONDS = 25.0
 MOST_ORPHANS = 6
-FETCH_SECONDS = 0.6
-FETCH_PERIOD_SECONDS = 0.25
 # A peer counts as live this long after it was heard.
 LIVE_SECONDS = 3.0
 # Addresses of peers that were not heard are kept this long.
 KNOWN_SECONDS = 30.0
-# A new connection for every dial, as a shared one may be the silent one.
-_DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -85,14 +69,11 @@
         "_app",
         "_members",
         "_directory",
-        "_server",
         "_transport",
         "_decoder",
         "_peers_by_instance",
         "_known_addresses",
-        "_fetch_addresses",
         "_turn",
-        "_random",
     )
 
     def __init__(self, app: Application) -> None:
@@ -107,14 +88,11 @@
             app.settings.times.usage_window_seconds, self._members.own.incarnation
         )
         self.changing: set[str] = set()
-        self._server: grpc.aio.Server | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(State | Counters)
         self._peers_by_instance: dict[str, Peer] = {}
         self._known_addresses: dict[str, float] = {}
-        self._fetch_addresses: dict[str, float] = {}
         self._turn = 0
-        self._random = random.Random()
 
     def _wall(self) -> float:
         return self._app.clock.now().timestamp()
@@ -123,25 +101,32 @@
         """Return the estimate of the true time, seconds since 1970."""
         return self.true_time.now(self._app.clock.monotonic())
 
-    def _live(self) -> list[Peer]:
+    def live_states(self) -> list[State]:
+        """Return the newest states of the peers that were heard of lately."""
         now = self._app.clock.monotonic()
         peers = self._peers_by_instance.values()
-        return [peer for peer in peers if now - peer.heard_at < LIVE_SECONDS]
+        return [peer.state for peer in peers if now - peer.heard_at < LIVE_SECONDS]
+
+    def note_addresses(self, gossip_addresses: list[str]) -> None:
+        """Talk to instances of which a peer told."""
+        now = self._app.clock.monotonic()
+        for address in gossip_addresses:
+            self._known_addresses.setdefault(address, now)
 
     def live_incarnations(self) -> set[str]:
         """Return the incarnations that are listed, or were heard of lately."""
         incarnations = {
             member.incarnation for member in self._members.by_instance().values()
         }
-        incarnations.update(peer.state.incarnation for peer in self._live())
+        incarnations.update(state.incarnation for state in self.live_states())
         incarnations.add(self._members.own.incarnation)
         return incarnations
 
     def changing_engines(self) -> set[str]:
         """Return the engines that take no requests while they change their phase."""
         engines = set(self.changing)
-        for peer in self._live():
-            engines.update(peer.state.changing)
+        for state in self.live_states():
+            engines.update(state.changing)
         return engines
 
     def instance_count(self) -> int:
@@ -153,38 +138,23 @@
 
         :raises ListenError: if an address cannot be used.
         """
-        settings = self._app.settings
-        self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
-        handler = grpc.unary_unary_rpc_method_handler(
-            self._answer,
-            request_deserializer=msgspec.msgpack.Decoder(Question).decode,
-            response_serializer=msgspec.msgpack.encode,
-        )
-        self._server.add_generic_rpc_handlers(
-            (grpc.method_handlers_generic_handler(SERVICE, {"Fetch": handler}),)
-        )
+        loop = asyncio.get_running_loop()
         try:
-            self._server.add_insecure_port(settings.peer_address)
-            loop = asyncio.get_running_loop()
             self._transport, _ = await loop.create_datagram_endpoint(
                 lambda: _Datagrams(self._take),
-                local_addr=split_address(settings.gossip_address),
+                local_addr=split_address(self._app.settings.gossip_address),
             )
-        except (RuntimeError, OSError) as error:
+        except OSError as error:
             raise ListenError(f"cannot listen for peers: {error}") from None
-        await self._server.start()
         self._app.spawn(self._tell(), "gossip")
-        self._app.spawn(self._fetch(), "knowledge of peers")
 
     async def stop(self) -> None:
-        """Stop answering."""
+        """Stop listening."""
         if self._transport is not None:
             self._transport.close()
-        if self._server is not None:
-            await self._server.stop(0.2)
 
     async def _tell(self) -> None:
-        while True:
+        while not self._transport.is_closing():
             now = self._app.clock.monotonic()
             self.true_time.follow(self._wall(), now)
             self.usage.forget_before(self.true_now())
@@ -275,87 +245,9 @@
     def _note_ahead(self) -> None:
         catalog = self._directory.catalog
         version = catalog.version if catalog else 0
-        newest = max((peer.state.version for peer in self._live()), default=0)
+        newest = max((state.version for state in self.live_states()), default=0)
         self._directory.peer_ahead(newest > version)
 
-    async def _fetch(self) -> None:
-        """Fetch what this instance lacks while the store does not serve it."""
-        failed = False
-        while True:
-            await asyncio.sleep(FETCH_PERIOD_SECONDS)
-            if self._directory.sound:
-                continue
-            address = self._fetch_address()
-            if address is None:
-                continue
-            try:
-                self._learn(await self._ask(address))
-                failed = False
-            except grpc.RpcError as error:
-                self._fetch_addresses.pop(address, None)
-                if not failed:
-                    code = error.code().name.lower()
-                    log_event("peer_not_answering", peer=address, error=code)
-                failed = True
-
-    def _fetch_address(self) -> str | None:
-        """Return a peer that the store serves, or else any that may answer."""
-        live = self._live()
-        sound = [peer.state.address for peer in live if peer.state.store_sound]
-        known = {*self._app.settings.seeds, *self._fetch_addresses}
-        known.update(peer.state.address for peer in live)
-        known.discard(self._members.own.peer_address)
-        candidates = sound or sorted(known)
-        return self._random.choice(candidates) if candidates else None
-
-    async def _ask(self, address: str) -> Knowledge:
-        catalog = self._directory.catalog
-        question = Question(
-            catalog.version if catalog else 0, self._directory.table.digest()
-        )
-        async with grpc.aio.insecure_channel(address, _DIAL_OPTIONS) as channel:
-            call = channel.unary_unary(
-                METHOD,
-                request_serializer=msgspec.msgpack.encode,
-                response_deserializer=msgspec.msgpack.Decoder(Knowledge).decode,
-            )
-            return await call(question, timeout=FETCH_SECONDS)
-
-    def _learn(self, knowledge: Knowledge) -> None:
-        now = self._app.clock.monotonic()
-        for address in knowledge.gossip_addresses:
-            self._known_addresses.setdefault(address, now)
-        for address in knowledge.addresses:
-            self._fetch_addresses.setdefault(address, now)
-        if knowledge.catalog:
-            self._directory.take_catalog(knowledge.catalog, knowledge.instance)
-        if knowledge.upstreams is not None and not self._directory.sound:
-            self._directory.take_peer_upstreams(
-                knowledge.upstreams, knowledge.revision, knowledge.instance
-            )
-
-    async def _answer(self, question: Question, context) -> Knowledge:
-        directory = self._directory
-        catalog = directory.catalog
-        members = self._members.by_instance().values()
-        live = [peer.state for peer in self._live()]
-        knowledge = Knowledge(
-            instance=self._members.own.instance,
-            gossip_addresses=sorted(
-                {item.gossip_address for item in (*members, *live, self._members.own)}
-            ),
-            addresses=sorted(
-                {item.peer_address for item in members}
-                | {item.address for item in live}
-            ),
-        )
-        if catalog is not None and catalog.version > question.version:
-            knowledge.catalog = catalog.raw
-        if directory.sound and directory.table.digest() != question.digest:
-            knowledge.upstreams = list(directory.table.by_id.values())
-            knowledge.revision = directory.table.revision
-        return knowledge
-
     def dump(self) -> dict:
         """Return the state for the operators."""
         now = self._app.clock.monotonic()
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -0,0 +1,158 @@
+"""Fetches from peers what the store does not tell this instance.
+
+The configuration and the list of upstreams must arrive whole, so they come over gRPC
+instead of datagrams, and only to instances that the store does not serve.
+"""
+
+import asyncio
+import random
+
+import grpc
+import msgspec
+
+from camphorgate.application import Application
+from camphorgate.log import log_event
+from camphorgate.peers.service import CHANNEL_OPTIONS
+from camphorgated.errors import ListenError
+from camphorgated.serving.messages import Knowledge, Question
+
+SERVICE = "camphorgate.serving.Knowledge"
+METHOD = f"/{SERVICE}/Fetch"
+FETCH_SECONDS = 0.6
+FETCH_PERIOD_SECONDS = 0.25
+STOP_SECONDS = 0.2
+# A new connection for every dial, as a shared one may be the silent one.
+_DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
+
+
+class PeerKnowledge:
+    """Answers peers that lack something, and asks them in turn."""
+
+    __slots__ = (
+        "_app",
+        "_members",
+        "_directory",
+        "_gossip",
+        "_server",
+        "_addresses",
+        "_random",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Start without a server."""
+        self._app = app
+        self._members = app.service("members")
+        self._directory = app.service("directory")
+        self._gossip = app.service("gossip")
+        self._server: grpc.aio.Server | None = None
+        # Peers of which others told, beside those that were heard.
+        self._addresses: set[str] = set()
+        self._random = random.Random()
+
+    async def start(self) -> None:
+        """Listen for peers and start asking them when needed.
+
+        :raises ListenError: if the address cannot be used.
+        """
+        self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
+        handler = grpc.unary_unary_rpc_method_handler(
+            self._answer,
+            request_deserializer=msgspec.msgpack.Decoder(Question).decode,
+            response_serializer=msgspec.msgpack.encode,
+        )
+        self._server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(SERVICE, {"Fetch": handler}),)
+        )
+        try:
+            self._server.add_insecure_port(self._app.settings.peer_address)
+        except RuntimeError as error:
+            raise ListenError(f"cannot listen for peers: {error}") from None
+        await self._server.start()
+        self._app.spawn(self._fetch(), "knowledge of peers")
+
+    async def stop(self) -> None:
+        """Stop answering."""
+        if self._server is not None:
+            await self._server.stop(STOP_SECONDS)
+
+    async def _fetch(self) -> None:
+        """Fetch what this instance lacks while the store does not serve it."""
+        failed = False
+        while True:
+            await asyncio.sleep(FETCH_PERIOD_SECONDS)
+            if self._directory.sound:
+                continue
+            address = self._fetch_address()
+            if address is None:
+                continue
+            try:
+                self._learn(await self._ask(address))
+                failed = False
+            except grpc.RpcError as error:
+                self._addresses.discard(address)
+                if not failed:
+                    code = error.code().name.lower()
+                    log_event("peer_not_answering", peer=address, error=code)
+                failed = True
+
+    def _fetch_address(self) -> str | None:
+        """Return a peer that the store serves, or else any that may answer."""
+        live = self._gossip.live_states()
+        sound = [state.address for state in live if state.store_sound]
+        known = {*self._app.settings.seeds, *self._addresses}
+        known.update(state.address for state in live)
+        known.discard(self._members.own.peer_address)
+        candidates = sound or sorted(known)
+        return self._random.choice(candidates) if candidates else None
+
+    async def _ask(self, address: str) -> Knowledge:
+        catalog = self._directory.catalog
+        question = Question(
+            catalog.version if catalog else 0, self._directory.table.digest()
+        )
+        async with grpc.aio.insecure_channel(address, _DIAL_OPTIONS) as channel:
+            call = channel.unary_unary(
+                METHOD,
+                request_serializer=msgspec.msgpack.encode,
+                response_deserializer=msgspec.msgpack.Decoder(Knowledge).decode,
+            )
+            return await call(question, timeout=FETCH_SECONDS)
+
+    def _learn(self, knowledge: Knowledge) -> None:
+        self._gossip.note_addresses(knowledge.gossip_addresses)
+        self._addresses.update(knowledge.addresses)
+        if knowledge.catalog:
+            self._directory.take_catalog(knowledge.catalog, knowledge.instance)
+        if knowledge.upstreams is not None and not self._directory.sound:
+            self._directory.take_peer_upstreams(
+                knowledge.upstreams, knowledge.revision, knowledge.instance
+            )
+
+    async def _answer(self, question: Question, context) -> Knowledge:
+        directory = self._directory
+        catalog = directory.catalog
+        members = self._members.by_instance().values()
+        live = self._gossip.live_states()
+        knowledge = Knowledge(
+            instance=self._members.own.instance,
+            gossip_addresses=sorted(
+                {item.gossip_address for item in (*members, *live, self._members.own)}
+            ),
+            addresses=sorted(
+                {item.peer_address for item in members}
+                | {item.address for item in live}
+            ),
+        )
+        if catalog is not None and catalog.version > question.version:
+            knowledge.catalog = catalog.raw
+        if directory.sound and directory.table.digest() != question.digest:
+            knowledge.upstreams = list(directory.table.by_id.values())
+            knowledge.revision = directory.table.revision
+        return knowledge
+
+
+def setup(app: Application) -> None:
+    """Start answering and asking."""
+    knowledge = PeerKnowledge(app)
+    app.on_start(knowledge.start)
+    app.on_stop(knowledge.stop)
--- a/packages/camphorgate/src/camphorgate/application.py
+++ b/packages/camphorgate/src/camphorgate/application.py
@@ -63,6 +63,19 @@
         self._extensions.append(module_name)
         setup(self)
 
+    async def load_late(self, module_name: str) -> None:
+        """Set up and start an extension of an application that runs.
+
+        The module is imported beside the event loop, which goes on meanwhile.
+
+        :raises ExtensionError: if the module has no ``setup`` function.
+        """
+        await asyncio.to_thread(importlib.import_module, module_name)
+        known = len(self._start_hooks)
+        self.setup_extension(module_name)
+        for hook in self._start_hooks[known:]:
+            await hook()
+
     def provide(self, name: str, service: Any) -> None:
         """Offer an object to the other extensions.
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -118,7 +118,7 @@
         """Start a daemon within this process."""
         settings = build_hosted_settings(self.store_address, **changes)
         app = daemon.build(settings)
-        await app.start()
+        await daemon.start(app)
         self.stack.push_async_callback(app.stop)
         return app
 
--- a/tests/test_platform/test_deploy.py
+++ b/tests/test_platform/test_deploy.py
@@ -4,6 +4,7 @@
 import json
 import re
 import signal
+import subprocess
 import sys
 import tempfile
 import tomllib
@@ -63,7 +64,11 @@
         """Guards against a role that starts something else."""
         role = self.deploy["roles"]["entry"]
         words = role["run"].split()
-        self.assertEqual(words[:3], ["python3", "-m", "camphorgated.main"])
+        program, *options = words[: words.index("-m")]
+        self.assertEqual(program, "python3")
+        # Without the packages of the system, which are not needed.
+        self.assertEqual(options, ["-S"])
+        self.assertEqual(words[2:4], ["-m", "camphorgated.main"])
         self.assertTrue((ROOT / role["template"]).exists())
         self.assertEqual(role["serves"], ["front", "control"])
 
@@ -113,6 +118,26 @@
             self.assertIn(expected, raised.exception.message)
 
 
+class StartTests(unittest.TestCase):
+    """A restarted process serves before it loads what no request needs."""
+
+    def test_large_libraries_come_late(self):
+        """Guards against an import that costs every restart a tenth of a second."""
+        code = (
+            "import importlib, sys\n"
+            "from camphorgated.serving import daemon\n"
+            "names = [f'camphorgated.serving.{n}' for n in daemon._EXTENSIONS]\n"
+            "for name in ['camphorgate_platform.extension', *names]:\n"
+            "    importlib.import_module(name)\n"
+            "late = {'grpc', 'google.protobuf', 'starlette', 'uvicorn', 'aiosonic'}\n"
+            "print(sorted(late & set(sys.modules)))\n"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        self.assertEqual(run.stdout.strip(), "[]")
+
+
 class ProgramTests(HostedCase):
     """The program starts, serves and ends as the platform expects."""
 
