Load the exchange with peers 1 s after the start, and collect changes a little longer

Late loading after 2 s fell into the backlog after a restart, and for a lonely instance the exchange must not wait for 6 s (a test failed so). Change: changes are collected for 15 ms an instance, at most 1.2 s, still far within the 2 to 3 s in which a leaving upstream must be left alone; the exchange loads after 1 s, or at once if this instance or a peer lacks the store; the operators' pages after 6 s.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -20,15 +20,19 @@
     "fleet_duty",
     "front",
 )
+_PACKAGE = "camphorgated.serving"
 # What brings large libraries that no request needs. They are loaded once the process
 # serves, so that it serves sooner after a restart.
-_LATE_EXTENSIONS = ("knowledge", "operator")
+_KNOWLEDGE = f"{_PACKAGE}.knowledge"
+_OPERATOR = f"{_PACKAGE}.operator"
 # The first requests after a start have the processor to themselves for this long.
-LATE_SECONDS = 2.0
-# Without the store after this time, peers are asked, so that the wait ends.
+# Peers that started without the store need an answer soon, operators can wait.
+KNOWLEDGE_SECONDS = 1.0
+OPERATOR_SECONDS = 6.0
+# Once this instance or a peer has been without the store for this long, it must be
+# possible to fetch from peers, so that the wait ends.
 ALONE_SECONDS = 0.2
 LOOK_SECONDS = 0.05
-_PACKAGE = "camphorgated.serving"
 
 
 def build(settings: HostedSettings) -> Application:
@@ -47,14 +51,17 @@
 
 
 async def _load_late(app: Application) -> None:
-    began = app.clock.monotonic()
-    directory = app.service("directory")
-    while (passed := app.clock.monotonic() - began) < LATE_SECONDS:
-        if passed >= ALONE_SECONDS and not directory.sound:
+    began = sound_at = app.clock.monotonic()
+    directory, gossip = app.service("directory"), app.service("gossip")
+    while (now := app.clock.monotonic()) - began < KNOWLEDGE_SECONDS:
+        if directory.sound and all(s.store_sound for s in gossip.live_states()):
+            sound_at = now
+        elif now - sound_at >= ALONE_SECONDS:
             break
         await asyncio.sleep(LOOK_SECONDS)
-    for name in _LATE_EXTENSIONS:
-        await app.load_late(f"{_PACKAGE}.{name}")
+    await app.load_late(_KNOWLEDGE)
+    await asyncio.sleep(max(0.0, began + OPERATOR_SECONDS - app.clock.monotonic()))
+    await app.load_late(_OPERATOR)
 
 
 async def run(settings: HostedSettings, read_again) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -21,8 +21,8 @@
 SETTLE_SECONDS = 0.25
 # Changes of upstreams are collected for this long per instance, up to the bound, as
 # every answer of a waiting watch is a call of every instance.
-COLLECT_SECONDS_PER_INSTANCE = 0.01
-MOST_COLLECT_SECONDS = 0.8
+COLLECT_SECONDS_PER_INSTANCE = 0.015
+MOST_COLLECT_SECONDS = 1.2
 # How long the store holds a watch; grows with the instances, as every waiting watch is
 # a call. A connection that went silent unnoticed is found after this time.
 WATCH_SECONDS = 5.0
