Let a part of the service's engines answer, not a rounded part of each zone

Change: the part of engines that answer is 0.35 and is shared out over the zones of a service as a whole; a zone with two engines still keeps both phases.

--- a/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
@@ -14,8 +14,8 @@
 
 from camphorgate.serving.catalog import Phase, Service, Upstream
 
-# The part of a zone's engines that answers; the others read prompts.
-ANSWERING_PART = 0.25
+# The part of a service's engines that answers; the others read prompts.
+ANSWERING_PART = 0.35
 # Engines that answer beyond that, and are left alone while the fleet changes.
 SPARE = 1
 # The list counts as calm after this time without a change of a service's engines.
@@ -125,9 +125,10 @@
     known = [item for items in by_zone.values() for item in items]
     reading = sum(1 for item in known if item.phase is Phase.PREFILL)
     short_of_readers = reading < len(known) * LEAST_READING_PART
+    wanted_by_zone = share_answerers({zone: len(by_zone[zone]) for zone in by_zone})
     for zone in sorted(by_zone):
         engines = by_zone[zone]
-        wanted = _wanted_answerers(len(engines), len(by_zone))
+        wanted = wanted_by_zone[zone]
         engines.sort(
             key=lambda item: (
                 item.cheap is (zone in keepers),
@@ -151,11 +152,27 @@
     return orders
 
 
-def _wanted_answerers(engines: int, zones: int) -> int:
-    """Return how many of a zone's engines answer."""
-    if engines < 2:
-        return engines
-    wanted = max(1, round(engines * ANSWERING_PART))
-    if zones == 1 and engines > 2:
-        wanted = max(2, wanted)
+def share_answerers(engines_by_zone: dict[str, int]) -> dict[str, int]:
+    """Return how many engines of each zone answer.
+
+    The part holds for the service as a whole, so that small zones do not round it all
+    up or all down. Each zone with two engines keeps both phases; a single zone keeps
+    two that answer, as no other takes over from one that crashes.
+
+    :param engines_by_zone: number of engines by zone.
+    """
+    wanted = {}
+    for zone, engines in engines_by_zone.items():
+        least = 2 if len(engines_by_zone) == 1 and engines > 2 else 1
+        whole = int(engines * ANSWERING_PART)
+        wanted[zone] = engines if engines < 2 else max(least, whole)
+    missing = round(sum(engines_by_zone.values()) * ANSWERING_PART)
+    missing -= sum(wanted.values())
+    # The zones whose part was cut off most come first.
+    rests = sorted(
+        (zone for zone in wanted if wanted[zone] < engines_by_zone[zone] - 1),
+        key=lambda zone: (wanted[zone] - engines_by_zone[zone] * ANSWERING_PART, zone),
+    )
+    for zone in rests[: max(0, missing)]:
+        wanted[zone] += 1
     return wanted
