--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -277,7 +277,7 @@
                 self.assertEqual(wanted[zone], engines)
                 single += engines
                 continue
-            # Never more than the zone's own part, rounded up, or what it needs at least.
+            # Never more than the own part, rounded up, or what a zone needs at least.
             part = math.ceil(engines * ANSWERING_PART)
             self.assertTrue(1 <= wanted[zone] <= max(part, most))
             self.assertLess(wanted[zone], engines)
