Announce long prompts to peers at once

Several instances sent to the engine that was idle at the last tick, and an engine reads one prompt after the other. Change: an instance tells up to 80 peers, its own zone first, when it sends a prompt of 1,000 tokens or more to be read and when that is done. The figures of a peer count in full until it tells newer ones. Datagrams of the tick: 12 peers of the own zone and 8 of others instead of 16 of any. Tests: loads (2), the announcement between two daemons whose tick is 60 s, the turns of peers up to 300 instances.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -210,6 +210,7 @@
         generation.tried.add(engine.id)
         patience = choice.wait_ms / 1000 * READ_PATIENCE + READ_PATIENCE_SECONDS
         loads.begin(engine.id, choice.uncached)
+        self._gossip.announce(engine.id, choice.uncached)
         try:
             async with self._upstreams.exchange(engine) as exchange:
                 await exchange.open(self._most(job), False)
@@ -228,6 +229,7 @@
             return
         finally:
             loads.prefilled(engine.id, choice.uncached)
+            self._gossip.announce(engine.id, -choice.uncached)
             loads.end(engine.id)
         result = self._dialect.read_prefill(body) if facts.status == 200 else None
         job.decisions.update(
@@ -260,6 +262,7 @@
         handle = generation.handle
         reading = 0 if handle is not None else choice.uncached
         loads.begin(engine.id, reading)
+        self._gossip.announce(engine.id, reading)
         try:
             async with self._upstreams.exchange(engine) as exchange:
                 await exchange.open(self._most(job), not job.route.repeatable())
@@ -288,6 +291,7 @@
                 return True
         finally:
             loads.prefilled(engine.id, reading)
+            self._gossip.announce(engine.id, -reading)
             loads.end(engine.id)
 
     def _wait(self, job: Job) -> float:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -17,13 +17,22 @@
 from camphorgate.serving.usage import UsageCounts
 from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
-from camphorgated.serving.messages import Counters, State, split_counters
+from camphorgated.serving.messages import Counters, Reading, State, split_counters
 
 TICK_SECONDS = 0.2
-# Datagrams of one tick; with more peers, each of them hears at every second tick, or
-# third. This bounds what an instance sends and receives, however many there are.
-MOST_PER_TICK = 16
+# Peers that are told in one tick, in the own zone and in others; with more of them,
+# each hears at every second tick, or third. This bounds what an instance sends and
+# receives, however many there are. Bytes between zones are priced, and the loads that
+# matter most are those of the own zone, whose upstreams are preferred.
+MOST_NEAR_PER_TICK = 12
+MOST_FAR_PER_TICK = 8
 MOST_FAILING = 10
+# A prompt of which at least so many tokens must be read is announced at once, as
+# several instances would send theirs to the same idle engine between two ticks.
+ANNOUNCED_TOKENS = 1000
+# Peers that hear an announcement, those of the own zone first. What an instance hears
+# so is bounded by its peers' own rates, not by their number.
+MOST_HEARERS = 80
 # Counters of incarnations that ended are told while their windows may be reported, so
 # many of them in one tick.
 ORPHAN_SECONDS = 25.0
@@ -74,6 +83,7 @@
         "_peers_by_instance",
         "_known_addresses",
         "_turn",
+        "_hearers",
     )
 
     def __init__(self, app: Application) -> None:
@@ -89,10 +99,12 @@
         )
         self.changing: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder = msgspec.msgpack.Decoder(State | Counters)
+        self._decoder = msgspec.msgpack.Decoder(State | Reading | Counters)
         self._peers_by_instance: dict[str, Peer] = {}
         self._known_addresses: dict[str, float] = {}
         self._turn = 0
+        # Addresses of peers that hear announcements, as of the last tick.
+        self._hearers: list[tuple[str, int]] = []
 
     def _wall(self) -> float:
         return self._app.clock.now().timestamp()
@@ -159,30 +171,50 @@
             self.true_time.follow(self._wall(), now)
             self.usage.forget_before(self.true_now())
             self._note_ahead()
-            addresses = self._addresses(now)
-            if addresses:
-                rounds = -(-len(addresses) // MOST_PER_TICK)
+            near, far = self._addresses(now)
+            hearers = in_turn(near, self._turn, MOST_HEARERS)
+            hearers += in_turn(far, self._turn, MOST_HEARERS - len(hearers))
+            self._hearers = [split_address(address) for address in hearers]
+            told = in_turn(near, self._turn, MOST_NEAR_PER_TICK)
+            told += in_turn(far, self._turn, MOST_FAR_PER_TICK)
+            if told:
+                rounds = self.ticks_per_round(len(near), len(far))
                 datagrams = self._datagrams(now, 2.5 * rounds * TICK_SECONDS)
-                first = self._turn * MOST_PER_TICK % len(addresses)
                 self._turn += 1
-                for address in (addresses + addresses)[first : first + MOST_PER_TICK][
-                    : len(addresses)
-                ]:
+                for address in told:
                     for datagram in datagrams:
                         self._transport.sendto(datagram, split_address(address))
             await asyncio.sleep(TICK_SECONDS)
 
-    def _addresses(self, now: float) -> list[str]:
-        """Return the peers' addresses in a fixed order."""
+    def announce(self, upstream_id: str, tokens: int) -> None:
+        """Tell peers at once of a prompt that is read, if it is a long one.
+
+        :param tokens: that must be read, negative when they have been.
+        """
+        if abs(tokens) < ANNOUNCED_TOKENS or self._transport is None:
+            return
+        message = Reading(self._members.own.instance, upstream_id, tokens)
+        datagram = msgspec.msgpack.encode(message)
+        for address in self._hearers:
+            self._transport.sendto(datagram, address)
+
+    @staticmethod
+    def ticks_per_round(near: int, far: int) -> int:
+        """Return after how many ticks every peer has been told."""
+        return max(-(-near // MOST_NEAR_PER_TICK), -(-far // MOST_FAR_PER_TICK), 1)
+
+    def _addresses(self, now: float) -> tuple[list[str], list[str]]:
+        """Return the peers' addresses in a fixed order: the own zone's, and others."""
         for address, known_at in list(self._known_addresses.items()):
             if now - known_at > KNOWN_SECONDS:
                 del self._known_addresses[address]
-        addresses = {
-            member.gossip_address for member in self._members.by_instance().values()
-        }
-        addresses |= self._known_addresses.keys()
-        addresses.discard(self._members.own.gossip_address)
-        return sorted(addresses)
+        own = self._members.own
+        members = self._members.by_instance().values()
+        near = {item.gossip_address for item in members if item.zone == own.zone}
+        far = {item.gossip_address for item in members} | self._known_addresses.keys()
+        near.discard(own.gossip_address)
+        far.discard(own.gossip_address)
+        return sorted(near), sorted(far - near)
 
     def _datagrams(self, now: float, news_seconds: float) -> list[bytes]:
         true_now = self.true_time.now(now)
@@ -227,6 +259,9 @@
         if isinstance(message, Counters):
             self.usage.merge(message.incarnation, message.window, message.counts)
             return
+        if isinstance(message, Reading):
+            self.loads.hear_reading(message.instance, message.upstream, message.tokens)
+            return
         now = self._app.clock.monotonic()
         known = self._peers_by_instance.get(message.instance)
         if known is None or now - known.heard_at > LIVE_SECONDS:
@@ -260,6 +295,14 @@
         }
 
 
+def in_turn(addresses: list[str], turn: int, most: int) -> list[str]:
+    """Return the addresses whose turn it is, at most so many."""
+    if len(addresses) <= most:
+        return list(addresses)
+    first = turn * most % len(addresses)
+    return (addresses + addresses)[first : first + most]
+
+
 def setup(app: Application) -> None:
     """Provide the gossip and start it."""
     gossip = Gossip(app)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -34,6 +34,17 @@
     failing: list[tuple[str, int]] = []
 
 
+class Reading(msgspec.Struct, tag="r"):
+    """The sender has just begun to have a prompt read, or has its answer.
+
+    ``tokens`` are those that must be read, negative when they have been.
+    """
+
+    instance: str
+    upstream: str
+    tokens: int
+
+
 class Counters(msgspec.Struct, tag="c"):
     """A part of an instance's counters of one window."""
 
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-# A peer's figures count less the older they are, and nothing after this time: most
-# requests that they speak of have ended by then.
-PEER_SECONDS = 1.5
+# A peer's figures count until it tells newer ones, as its load is about the same
+# meanwhile, and nothing after this time, when it is gone or cut off.
+PEER_SECONDS = 3.0
 # Prompt parts are taken for cached this long after their last use.
 PART_SECONDS = 20.0
 # Parts read that are told in one message.
@@ -59,6 +59,18 @@
         """Take the loads of a peer."""
         self._peers[instance] = (now, loads_by_id)
 
+    def hear_reading(self, instance: str, upstream_id: str, tokens: int) -> None:
+        """Correct the loads of a peer, until it tells all of them again.
+
+        :param tokens: prompt tokens that it has just sent, negative if they were read.
+        """
+        _, loads_by_id = self._peers.get(instance, (0.0, None))
+        if loads_by_id is None:
+            return
+        load = loads_by_id.setdefault(upstream_id, Load())
+        load.requests = max(0, load.requests + (1 if tokens > 0 else -1))
+        load.prefill_tokens = max(0, load.prefill_tokens + tokens)
+
     def total(self, upstream_id: str, now: float) -> Load:
         """Return the load of all instances together."""
         own = self.own_by_id.get(upstream_id)
@@ -67,10 +79,9 @@
             total = Load(own.requests, own.prefill_tokens)
         for heard_at, loads_by_id in self._peers.values():
             load = loads_by_id.get(upstream_id)
-            weight = 1.0 - (now - heard_at) / PEER_SECONDS
-            if load is not None and weight > 0.0:
-                total.requests += load.requests * weight
-                total.prefill_tokens += load.prefill_tokens * weight
+            if load is not None and now - heard_at < PEER_SECONDS:
+                total.requests += load.requests
+                total.prefill_tokens += load.prefill_tokens
         return total
 
     def oldest_heard_seconds(self, now: float) -> float:
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -5,6 +5,7 @@
 
 from camphorgate.kv.errors import KvUnavailable
 from camphorgate_platform.store import PlatformStore
+from camphorgated.serving import gossip as gossip_module
 from camphorgated.serving.directory import DUTY_KEY, SETTLE_SECONDS
 from tests.hosted import HostedCase, free_address
 from tests.soak.proxy import Proxy
@@ -208,6 +209,57 @@
         self.assertIsNot(usage, later.service("gossip").usage)
 
 
+class GossipTests(HostedCase):
+    """What instances tell each other, and how often."""
+
+    async def test_long_prompt_is_announced_at_once(self):
+        """Guards against engines that several instances find idle between two ticks."""
+        self.configure()
+        reader = await self.add_worker("p1", "models", phase="prefill")
+        await self.add_worker("d1", "models", phase="decode")
+        first = await self.start_ready()
+        second = await self.start_ready(instance_id="entry-2")
+        gossip = second.service("gossip")
+        await self.eventually(lambda: len(gossip.live_states()) == 1)
+        await self.eventually(lambda: len(first.service("gossip").live_states()) == 1)
+        # The period is too long to be what tells of the prompt.
+        with mock.patch.object(gossip_module, "TICK_SECONDS", 60.0):
+            await asyncio.sleep(0.5)
+            reader.faults.arm({"fault": "slow", "value": 0.3})
+            headers = {
+                b"x-model": b"m",
+                b"x-token-count": b"14600,88",
+                b"x-prompt-prefix": b"a:14600",
+            }
+            asked = asyncio.ensure_future(
+                self.ask(first, "/draft/a", method="POST", headers=headers)
+            )
+
+            def tokens():
+                return gossip.loads.total("p1", second.clock.monotonic()).prefill_tokens
+
+            await self.eventually(lambda: tokens() == 14600, seconds=0.25)
+            self.assertEqual((await asked).status, 200)
+            await self.eventually(lambda: tokens() == 0, seconds=0.25)
+
+    def test_every_peer_is_told_in_turn(self):
+        """Guards against peers that are left out, and against bursts of datagrams."""
+        for near, far in ((0, 1), (2, 5), (20, 61), (100, 200)):
+            peers = [
+                [f"{kind}-{n}" for n in range(count)]
+                for kind, count in (("near", near), ("far", far))
+            ]
+            bounds = (gossip_module.MOST_NEAR_PER_TICK, gossip_module.MOST_FAR_PER_TICK)
+            heard = set()
+            for turn in range(gossip_module.Gossip.ticks_per_round(near, far)):
+                for addresses, most in zip(peers, bounds, strict=True):
+                    told = gossip_module.in_turn(addresses, turn, most)
+                    self.assertLessEqual(len(told), most)
+                    self.assertEqual(len(told), len(set(told)))
+                    heard.update(told)
+            self.assertEqual(heard, {*peers[0], *peers[1]})
+
+
 class OutageTests(HostedCase):
     """The store's outages do not stop service."""
 
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -67,6 +67,28 @@
         self.loads.begin("p2", 9000)
         self.assertEqual(self.read(now=1.1 + PEER_SECONDS), "p0")
 
+    def test_announced_prompt_of_a_peer_counts_at_once(self):
+        """Guards against instances that all send to the engine that was idle."""
+        self.loads.hear("peer", {}, 1.0)
+        self.loads.hear_reading("peer", "p0", 9000)
+        self.loads.hear_reading("peer", "p1", 9000)
+        self.assertEqual(self.read(now=1.1), "p2")
+        self.loads.hear_reading("peer", "p1", -9000)
+        self.loads.begin("p2", 9000)
+        self.assertEqual(self.read(now=1.1), "p1")
+
+    def test_announcement_does_not_count_twice(self):
+        """Guards against loads that grow with every lost or doubled datagram."""
+        self.loads.hear_reading("peer", "p0", 9000)
+        self.assertEqual(self.loads.total("p0", 1.0).prefill_tokens, 0)
+        self.loads.hear("peer", {"p0": Load(1, 9000)}, 1.0)
+        self.loads.hear_reading("peer", "p0", 9000)
+        self.loads.hear("peer", {"p0": Load(2, 18000)}, 1.2)
+        self.assertEqual(self.loads.total("p0", 1.2), Load(2, 18000))
+        for _ in range(3):
+            self.loads.hear_reading("peer", "p0", -9000)
+        self.assertEqual(self.loads.total("p0", 1.2), Load(0, 0))
+
     def test_instances_agree_on_the_engine_for_an_unknown_part(self):
         """Guards against shared parts that every instance reads elsewhere."""
         other = Placement(LoadBook(), HealthBook(), "zone-a")
