--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -33,7 +33,7 @@
 CHEAP_ANSWER_MS = 30.0
 # What reading a shared part again on another engine counts beyond its time there: the
 # time is then missing to the prompts behind it.
-READ_AGAIN_PART = 0.5
+READ_AGAIN_PART = 1.0
 # Engines for one prompt part differ by up to this in an order that all instances share,
 # so that they send it to the same engine before any of them knows who holds it.
 SHARED_ORDER_MS = 25.0
