Replace half of a zone's missing cheap engines, whatever its size

Cause: while cheap engines are not to be had, two ordinary ones took the place of 34 on the grown sites, and of 3 or 4 on the small ones. The part is the same there.

--- a/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
@@ -8,6 +8,7 @@
 hold the streams.
 """
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -26,8 +27,9 @@
 # the cheap engines of one zone only, and the others go on. Another zone has ordinary
 # ones only while it lacks cheap ones.
 ZONES_PER_KEEPER = 4
-# Ordinary engines in a zone that take the place of cheap ones that are not to be had.
-MOST_REPLACED = 2
+# The part of a zone's missing cheap engines whose place ordinary ones take while none
+# are to be had; the other zones take the rest of the work.
+REPLACED_PART = 0.5
 # A zone counts as dry this long after cheap ones were refused there.
 DRY_SECONDS = 6.0
 # Below this part of all engines, reading is so short that answering engines change
@@ -82,7 +84,7 @@
         if zone not in keepers and not missing:
             ordinary = 0
         elif zone in dry_zones:
-            ordinary += min(missing, MOST_REPLACED)
+            ordinary += math.ceil(missing * REPLACED_PART)
         ordinary = min(scaling.maximum, ordinary)
         orders.append(CapacityOrder(service.name, zone, ordinary, cheap=False))
         # The bound holds for both kinds together.
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -219,6 +219,14 @@
         expected = {("a", False): 3, ("a", True): 1, ("b", False): 0, ("b", True): 4}
         self.assertEqual(counts, expected)
 
+    def test_large_zone_gets_half_of_what_it_lost(self):
+        """Guards against a large zone whose load falls on the others as a whole."""
+        service = self.service(maximum=35)
+        engines = self.engines("a", 1, 0) + self.engines("b", 1, 34)
+        orders = plan_capacity(service, engines, {"a", "b"}, frozenset("a"))
+        counts = {order.cheap: order.count for order in orders if order.zone == "a"}
+        self.assertEqual(counts, {False: 18, True: 17})
+
     def test_only_the_least_expensive_zones_keep_ordinary_ones(self):
         """Guards against paying for engines whose work the other zones can take."""
         prices = {"a": 1.1, "b": 0.85, "c": 1.0}
