Tell usage counters to the holder and a few peers, and spread a tick's datagrams

Change: counters go to the holder of the duty in each tick and to others in turn, 400 in a tick beyond two peers; the datagrams of a tick leave in four parts, each with a fresh state; announcements go to 24 peers, the own zone first; engines of other zones cost more time with more instances, as their loads are less known. Tests: who hears the counters, at 80 peers.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -26,13 +26,20 @@
 # matter most are those of the own zone, whose upstreams are preferred.
 MOST_NEAR_PER_TICK = 12
 MOST_FAR_PER_TICK = 8
+# The datagrams of a tick leave in so many parts, as a burst would hold up the answers
+# on a slow link (5 Mbit/s pass 125 kB in a tick).
+PARTS_PER_TICK = 4
+# Usage counters that are told in one tick, over all peers. The holder of the duty hears
+# them in each tick, other peers in turn, to keep them if this instance is killed.
+MOST_COUNTERS_PER_TICK = 400
+LEAST_KEEPERS = 2
 MOST_FAILING = 10
 # A prompt of which at least so many tokens must be read is announced at once, as
 # several instances would send theirs to the same idle engine between two ticks.
 ANNOUNCED_TOKENS = 1000
 # Peers that hear an announcement, those of the own zone first. What an instance hears
 # so is bounded by its peers' own rates, not by their number.
-MOST_HEARERS = 80
+MOST_HEARERS = 24
 # Counters of incarnations that ended are told while their windows may be reported, so
 # many of them in one tick.
 ORPHAN_SECONDS = 25.0
@@ -177,14 +184,35 @@
             self._hearers = [split_address(address) for address in hearers]
             told = in_turn(near, self._turn, MOST_NEAR_PER_TICK)
             told += in_turn(far, self._turn, MOST_FAR_PER_TICK)
-            if told:
-                rounds = self.ticks_per_round(len(near), len(far))
-                datagrams = self._datagrams(now, 2.5 * rounds * TICK_SECONDS)
-                self._turn += 1
-                for address in told:
-                    for datagram in datagrams:
-                        self._transport.sendto(datagram, split_address(address))
-            await asyncio.sleep(TICK_SECONDS)
+            counters = self._counters()
+            keepers = self._keepers(near + far, counters)
+            news_seconds = (
+                2.5 * self.ticks_per_round(len(near), len(far)) * TICK_SECONDS
+            )
+            self._turn += 1
+            for part in range(PARTS_PER_TICK):
+                state = self._state(self._app.clock.monotonic(), news_seconds)
+                self._send([state], told[part::PARTS_PER_TICK])
+                self._send(counters, keepers[part::PARTS_PER_TICK])
+                await asyncio.sleep(TICK_SECONDS / PARTS_PER_TICK)
+
+    def _send(self, messages: list[State | Counters], addresses: list[str]) -> None:
+        if not addresses or self._transport.is_closing():
+            return
+        datagrams = [msgspec.msgpack.encode(message) for message in messages]
+        for address in addresses:
+            for datagram in datagrams:
+                self._transport.sendto(datagram, split_address(address))
+
+    def _keepers(self, addresses: list[str], counters: list[Counters]) -> list[str]:
+        """Return the peers that hear the counters in this tick, the holder first."""
+        entries = sum(len(message.counts) for message in counters)
+        most = max(LEAST_KEEPERS, MOST_COUNTERS_PER_TICK // max(1, entries))
+        keepers = in_turn(addresses, self._turn, most)
+        holder = self._members.holder_address()
+        if holder in addresses and holder not in keepers:
+            keepers.insert(0, holder)
+        return keepers
 
     def announce(self, upstream_id: str, tokens: int) -> None:
         """Tell peers at once of a prompt that is read, if it is a long one.
@@ -216,11 +244,11 @@
         far.discard(own.gossip_address)
         return sorted(near), sorted(far - near)
 
-    def _datagrams(self, now: float, news_seconds: float) -> list[bytes]:
+    def _state(self, now: float, news_seconds: float) -> State:
         true_now = self.true_time.now(now)
         own = self._members.own
         catalog = self._directory.catalog
-        state = State(
+        return State(
             instance=own.instance,
             incarnation=own.incarnation,
             address=own.peer_address,
@@ -235,11 +263,14 @@
             changing=list(self.changing),
             failing=self.health.failing(now)[:MOST_FAILING],
         )
-        messages: list[State | Counters] = [state]
+
+    def _counters(self) -> list[Counters]:
+        """Return the own counters, and some of instances that ended."""
+        true_now = self.true_now()
+        messages = []
         for window, counts in self.usage.own_recent(true_now).items():
-            messages += split_counters(own.incarnation, window, counts)
-        messages += self._orphaned_counters(true_now)
-        return [msgspec.msgpack.encode(message) for message in messages]
+            messages += split_counters(self._members.own.incarnation, window, counts)
+        return messages + self._orphaned_counters(true_now)
 
     def _orphaned_counters(self, true_now: float) -> list[Counters]:
         """Return some of the counters of incarnations that ended, in turn."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -122,6 +122,13 @@
             }
             self._directory.instances = max(1, len(self._listed_by_instance))
 
+    def holder_address(self) -> str:
+        """Return where the holder of the duty hears datagrams, empty if unknown."""
+        entry = self._directory.own_entries_by_key.get(DUTY_KEY)
+        duty = _decode(entry, DutyEntry) if entry is not None else None
+        member = self._listed_by_instance.get(duty.instance) if duty else None
+        return member.gossip_address if member else ""
+
     def holds_duty(self) -> bool:
         """Tell whether this instance may give orders at this moment."""
         return bool(self.fencing) and self._lease.valid(self._app.clock.monotonic())
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -27,6 +27,9 @@
 MOST_DIRECT_TOKENS = 1500
 # Bytes between zones are priced; this is the time that avoiding them is worth, ms.
 OTHER_ZONE_MS = 8.0
+# With more instances than this, those of other zones tell their loads less often, and
+# the time counts as many times more: what is not known of an upstream there costs more.
+OTHER_ZONE_INSTANCES = 16
 # A cache that moves between zones takes twice as long and is priced up to three times.
 OTHER_ZONE_MOVE_MS = 40.0
 # Streams prefer engines that cannot be reclaimed; the time that is worth, ms.
@@ -71,7 +74,7 @@
 class Placement:
     """Chooses upstreams by predicted time; holds no state of its own."""
 
-    __slots__ = ("_loads", "_health", "_zone", "_connected")
+    __slots__ = ("_loads", "_health", "_zone", "_connected", "_instances")
 
     def __init__(
         self,
@@ -79,12 +82,15 @@
         health: HealthBook,
         zone: str,
         connected: Callable[[tuple[str, int]], bool] = lambda incarnation: True,
+        instances: Callable[[], int] = lambda: 1,
     ) -> None:
         """Use the books of this instance.
 
         :param zone: availability zone of this instance.
         :param connected: tells whether a connection to an upstream is open and idle.
+        :param instances: returns how many instances send to the same upstreams.
         """
+        self._instances = instances
         self._connected = connected
         self._loads = loads
         self._health = health
@@ -185,13 +191,14 @@
         best = None
         best_cost = 0.0
         avoid_until = 0.0
+        other_zone = OTHER_ZONE_MS * max(1.0, self._instances() / OTHER_ZONE_INSTANCES)
         for item in upstreams:
             choice = predict(item)
             health = self._health.of(item.incarnation)
             cost = choice.wait_ms + extra_cost(choice)
             cost += health.failing_share * FAILING_MS
             if item.zone != self._zone:
-                cost += OTHER_ZONE_MS
+                cost += other_zone
             if not self._connected(item.incarnation):
                 cost += CONNECTION_MS
             if health.avoided(now):
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -7,6 +7,7 @@
 from camphorgate_platform.store import PlatformStore
 from camphorgated.serving import gossip as gossip_module
 from camphorgated.serving.directory import DUTY_KEY, SETTLE_SECONDS
+from camphorgated.serving.messages import Counters
 from tests.hosted import HostedCase, free_address
 from tests.soak.proxy import Proxy
 
@@ -242,6 +243,28 @@
             self.assertEqual((await asked).status, 200)
             await self.eventually(lambda: tokens() == 0, seconds=0.25)
 
+    async def test_counters_go_to_the_holder_and_to_a_few_others(self):
+        """Guards against slow links that usage counters fill, and lost windows."""
+        self.configure()
+        app = await self.start_ready()
+        gossip = app.service("gossip")
+        peers = [f"10.0.0.{number}:7000" for number in range(80)]
+        members = app.service("members")
+        counts = {f"workspace-{number}": 1 for number in range(50)}
+        counters = [Counters("entry-1/x", window, counts) for window in range(4)]
+        with mock.patch.object(type(members), "holder_address", lambda _: peers[70]):
+            heard = set()
+            for _ in range(len(peers) // gossip_module.LEAST_KEEPERS):
+                keepers = gossip._keepers(peers, counters)
+                gossip._turn += 1
+                self.assertIn(peers[70], keepers)
+                self.assertLessEqual(len(keepers), gossip_module.LEAST_KEEPERS + 1)
+                heard.update(keepers)
+            self.assertEqual(heard, set(peers))
+            # Few counters go to every peer in each tick.
+            few = [Counters("entry-1/x", 1, {"north": 1, "south": 2})]
+            self.assertEqual(set(gossip._keepers(peers, few)), set(peers))
+
     def test_every_peer_is_told_in_turn(self):
         """Guards against peers that are left out, and against bursts of datagrams."""
         for near, far in ((0, 1), (2, 5), (20, 61), (100, 200)):
