Soak planned work alone, and clocks that jump

The soak gains two mixes beside the present one, whose seeds stay as they are: planned work alone (restarts, drains, a withdrawn key), in which no request may be cut, and jumps of the time of day by up to 2,400 s, read through a program that moves the daemon's clock. Usage windows that were not due are found.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,8 @@
 
 # Answers that promise that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
+# The first holder reports windows that ended this many before its start.
+EARLIER_WINDOWS = 30
 # A withdrawn key may run requests for this long after the store has it.
 WITHDRAWN_SECONDS = 5.0
 
@@ -69,6 +71,36 @@
     return found + _check_reports(reports)
 
 
+def find_cuts(asked: list[Asked], runs: list[dict]) -> list[str]:
+    """Return the requests that planned work has cut.
+
+    A request that crosses the close of its connection and is not read is no cut: it has
+    no answer at all, and has not run.
+    """
+    ran = {run["headers"]["x-attempt-id"] for run in runs}
+    return [
+        f"{item.kind} {item.attempt} was cut, status {item.status}"
+        for item in asked
+        if not item.whole and not item.left and (item.status or item.attempt in ran)
+    ]
+
+
+def find_wrong_windows(reports: list[dict], first: float, last: float) -> list[str]:
+    """Return the reports of windows that were not due.
+
+    :param first: the window of the soak's start; one before may be reported.
+    :param last: the window of its end, which has not ended itself.
+    """
+    windows = [
+        report["body"]["window-id"] for report in reports if report["path"] == "/usage"
+    ]
+    return [
+        f"window {window} was reported, between {first:.1f} and {last:.1f}"
+        for window in windows
+        if not first - EARLIER_WINDOWS <= window < last
+    ]
+
+
 def _check_body(item: Asked, events: int) -> list[str]:
     if item.kind in ("chat", "draft"):
         right = item.body == expected_events(events)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -24,7 +24,13 @@
     "drain_worker",
 )
 # Faults that are planned work: they may cut nothing.
-PLANNED = frozenset({"stop_daemon", "withdraw_key", "drain_worker"})
+PLANNED = ("stop_daemon", "withdraw_key", "drain_worker")
+# What a soak injects, by its name. ``mixed`` stays as it is, as its seeds are kept.
+FAULTS_BY_MIX = {
+    "mixed": FAULTS,
+    "planned": PLANNED,
+    "clocks": (*FAULTS, "step_clock", "step_clock", "step_clock"),
+}
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -36,16 +42,18 @@
     target: int
 
 
-def build_plan(seed: int, seconds: float) -> list[Step]:
+def build_plan(seed: int, seconds: float, mix: str = "mixed") -> list[Step]:
     """Return overlapping faults in series for the length of a soak.
 
     :param seconds: the last fault ends before.
+    :param mix: key of :data:`FAULTS_BY_MIX`.
     """
+    faults = FAULTS_BY_MIX[mix]
     generator = random.Random(seed)
     steps = []
     at = 1.0
     while at < seconds - 4.0:
-        fault = generator.choice(FAULTS)
+        fault = generator.choice(faults)
         for number in range(generator.choice((1, 1, 2, 3))):
             steps.append(
                 Step(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""Runs a soak: ``python -m tests.soak.run [--seed N] [--seeds N] [--seconds S]``.
+"""Runs a soak: ``python -m tests.soak.run [--mix M] [--seed N] [--seeds N] ...``.
 
 Daemons, store and workers are processes of their own. Faults come from outside them:
 signals, loopback proxies, and the stand-ins' control calls. Prints the seed and every
@@ -29,8 +29,13 @@
     build_platform_configuration,
     build_platform_entry,
 )
-from tests.soak.checks import Asked, find_violations
-from tests.soak.plan import Step, build_plan
+from tests.soak.checks import (
+    Asked,
+    find_cuts,
+    find_violations,
+    find_wrong_windows,
+)
+from tests.soak.plan import FAULTS_BY_MIX, Step, build_plan
 from tests.soak.proxy import Proxy
 
 DAEMONS = 3
@@ -39,6 +44,9 @@
 KEYS = {"key-north": "north", "key-south": "south"}
 START_SECONDS = 15.0
 RESTART_SECONDS = 0.3
+WINDOW_SECONDS = 1.0
+# How far a clock jumps at most; half of the jumps are within 5 s.
+LONGEST_JUMP_SECONDS = 2400.0
 WORKERS = (
     ("desk-1", "desk", ""),
     ("desk-2", "desk", ""),
@@ -51,10 +59,12 @@
 class Soak:
     """One run of a plan."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path):
+    def __init__(self, seed: int, seconds: float, folder: Path, mix: str = "mixed"):
         self.seed = seed
         self.seconds = seconds
         self.folder = folder
+        self.mix = mix
+        self.began_at = time.time()
         self.random = random.Random(seed + 1)
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.commands: dict[str, list[str]] = {}
@@ -80,7 +90,7 @@
             ]
             began = time.monotonic()
             faults = []
-            for step in build_plan(self.seed, self.seconds):
+            for step in build_plan(self.seed, self.seconds, self.mix):
                 await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
                 faults.append(asyncio.create_task(self._inject(step)))
             await asyncio.sleep(max(0.0, began + self.seconds - time.monotonic()))
@@ -127,19 +137,21 @@
             proxy.address,
             instance_id=f"entry-{number}",
             duties=["usage"],
-            times={"lease_seconds": 1.5, "usage_window_seconds": 1.0},
+            times={"lease_seconds": 1.5, "usage_window_seconds": WINDOW_SECONDS},
         )
         self.caller_addresses.append(settings.caller_address)
         path = self.folder / f"entry-{number}.jsonc"
         path.write_bytes(msgspec.json.encode(settings))
         name = f"entry-{number}"
-        self.commands[name] = [sys.executable, "-m", "camphorgated.main", str(path)]
+        program = "tests.soak.clocked" if self.mix == "clocks" else "camphorgated.main"
+        self.commands[name] = [sys.executable, "-m", program, str(path)]
         await self._spawn(name)
 
     async def _spawn(self, name: str) -> None:
         log = (self.folder / f"{name}.log").open("ab")
+        environment = {**os.environ, "SOAK_CLOCK": str(self.folder / f"{name}.clock")}
         self.processes[name] = await asyncio.create_subprocess_exec(
-            *self.commands[name], stdout=log, stderr=log
+            *self.commands[name], stdout=log, stderr=log, env=environment
         )
         log.close()
 
@@ -233,6 +245,8 @@
         kind, _, rest = step.fault.partition("_")
         if kind in ("kill", "pause", "stop"):
             await self._signal(kind, f"entry-{step.target % DAEMONS}", step.seconds)
+        elif step.fault == "step_clock":
+            await self._step_clock(f"entry-{step.target % DAEMONS}", step)
         elif step.fault in ("store_lose_answers", "store_lose_history"):
             await self._arm(self.store, rest, step.seconds, 3)
         elif kind == "store":
@@ -271,6 +285,15 @@
             await asyncio.sleep(RESTART_SECONDS)
             await self._spawn(name)
 
+    async def _step_clock(self, name: str, step: Step) -> None:
+        """Let the time of day of a process jump, and back after a while."""
+        generator = random.Random(f"{self.seed} {step.at} {name}")
+        most = generator.choice((5.0, LONGEST_JUMP_SECONDS))
+        path = self.folder / f"{name}.clock"
+        path.write_text(str(generator.uniform(-most, most)))
+        await asyncio.sleep(step.seconds)
+        path.write_text("0")
+
     async def _disturb(self, proxy: Proxy, mode: str, seconds: float) -> None:
         proxy.mode, proxy.delay = mode, 0.3
         await asyncio.sleep(seconds)
@@ -315,6 +338,11 @@
         found = find_violations(
             self.asked, runs, reports, self.withdrawn_at_by_key, EVENTS
         )
+        found += find_wrong_windows(
+            reports, self.began_at / WINDOW_SECONDS, time.time() / WINDOW_SECONDS
+        )
+        if self.mix == "planned":
+            found += find_cuts(self.asked, runs)
         if served < len(self.asked) * LEAST_SERVED_PART:
             found.append(f"only {served} of {len(self.asked)} requests were served")
         return found
@@ -339,13 +367,15 @@
     return host, int(port)
 
 
-def run_seed(seed: int, seconds: float, folder: Path | None = None) -> list[str]:
+def run_seed(
+    seed: int, seconds: float, folder: Path | None = None, mix: str = "mixed"
+) -> list[str]:
     """Run one seed and return the violations; logs stay in the folder if given."""
     with contextlib.ExitStack() as stack:
         if folder is None:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(Soak(seed, seconds, folder).run())
+        return asyncio.run(Soak(seed, seconds, folder, mix).run())
 
 
 def main() -> int:
@@ -354,6 +384,7 @@
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--mix", choices=sorted(FAULTS_BY_MIX), default="mixed")
     parser.add_argument("--logs", default="run/soak", help="folder for the logs")
     options = parser.parse_args()
     first = options.seed
@@ -361,7 +392,8 @@
         first = int.from_bytes(os.urandom(3), "big")
     failed = []
     for seed in range(first, first + options.seeds):
-        violations = run_seed(seed, options.seconds, Path(options.logs) / str(seed))
+        folder = Path(options.logs) / f"{options.mix}-{seed}"
+        violations = run_seed(seed, options.seconds, folder, options.mix)
         for line in violations:
             print(f"seed {seed}: {line}", flush=True)
         if violations:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from tests.soak.checks import Asked, expected_events, find_violations
+from tests.soak.checks import (
+    Asked,
+    expected_events,
+    find_cuts,
+    find_violations,
+    find_wrong_windows,
+)
 from tests.soak.plan import build_plan
 from tests.soak.run import run_seed
 
@@ -73,6 +79,25 @@
                 found = self.violations(*history)
                 self.assertTrue(any(text in line for line in found), found)
 
+    def test_cut_during_planned_work_is_found(self):
+        """Guards against a check that takes every cut for a crossing."""
+        cut = build_asked("a", "read", 200, b"do")
+        lost = build_asked("b", "read", 0)
+        crossed = build_asked("c", "read", 0)
+        for item in (cut, lost, crossed):
+            item.whole = False
+        found = find_cuts([cut, lost, crossed], [build_run("b")])
+        self.assertEqual(len(found), 2)
+
+    def test_window_of_a_wrong_clock_is_found(self):
+        """Guards against windows that only a jumped clock has reached."""
+        reports = [
+            {"path": "/usage", "body": {"window-id": window}}
+            for window in (60, 100, 110, 111, 2500)
+        ]
+        found = find_wrong_windows(reports, 100.5, 110.5)
+        self.assertEqual(len(found), 3)
+
     def test_plan_repeats_for_a_seed(self):
         """Guards against a seed that cannot be played again."""
         self.assertEqual(build_plan(7, 20.0), build_plan(7, 20.0))
@@ -86,6 +111,14 @@
         """Guards against violations that only whole processes show."""
         self.assertEqual(run_seed(11, SHORT_SECONDS), [])
 
+    def test_planned_work_cuts_nothing(self):
+        """Guards against restarts and drains that callers notice."""
+        self.assertEqual(run_seed(12, SHORT_SECONDS, mix="planned"), [])
+
+    def test_clocks_that_jump_leave_usage_right(self):
+        """Guards against windows that follow one machine's time of day."""
+        self.assertEqual(run_seed(13, SHORT_SECONDS, mix="clocks"), [])
+
     def test_seeds_that_failed_once_pass(self):
         """Guards against the return of a fault that a soak has found."""
         for seed, (seconds, cause) in REGRESSION_SEEDS.items():
