--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -219,7 +219,7 @@
 
         :param tokens: that must be read, negative when they have been.
         """
-        if abs(tokens) < ANNOUNCED_TOKENS or self._transport is None:
+        if abs(tokens) < ANNOUNCED_TOKENS or self._transport.is_closing():
             return
         message = Reading(self._members.own.instance, upstream_id, tokens)
         datagram = msgspec.msgpack.encode(message)
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -265,6 +265,19 @@
             few = [Counters("entry-1/x", 1, {"north": 1, "south": 2})]
             self.assertEqual(set(gossip._keepers(peers, few)), set(peers))
 
+    async def test_requests_that_end_after_the_gossip_announce_nothing(self):
+        """Guards against an error in every request that outlasts a stop."""
+        self.configure()
+        first = await self.start_ready()
+        second = await self.start_ready(instance_id="entry-2")
+        gossip = first.service("gossip")
+        await self.eventually(lambda: gossip._hearers)
+        await gossip.stop()
+        gossip.announce("p1", -5000)
+        await asyncio.sleep(0.05)
+        peers = second.service("gossip").loads._peers
+        self.assertNotIn("p1", peers.get("entry-1", (0.0, {}))[1])
+
     def test_every_peer_is_told_in_turn(self):
         """Guards against peers that are left out, and against bursts of datagrams."""
         for near, far in ((0, 1), (2, 5), (20, 61), (100, 200)):
