Two tests of links and submissions that a busy machine failed; measurements

Trace of test_an_instance_cut_off_from_everyone_becomes_stale: beside the same load a submission that may wait 1 s comes back without a majority, which follows 0.27 s later; that is what the wait means. The test now waits for the 8 s of the target and expects the same. Beside 24 processes its cluster does not always form within 10 s; beside 4 it passed twice.

--- a/tests/test_configuration/test_failures.py
+++ b/tests/test_configuration/test_failures.py
@@ -23,6 +23,9 @@
     Workspace("south", key_digests=(digest_of_key(KEYS_BY_WORKSPACE["south"]),)),
 )
 
+# A change is in force within this time (target of the capacity page).
+IN_FORCE_SECONDS = 8.0
+
 
 class FailureTests(unittest.IsolatedAsyncioTestCase):
     async def _cluster(self, count):
@@ -139,7 +142,9 @@
         cluster = await self._cluster(4)
         cluster.partition({"i-0", "i-1", "i-2"}, {"i-3"})
         cluster.cut_kv("i-3")
-        submission = await cluster.submit("i-0", 1, wait=1.0, workspaces=WITHDRAWN)
+        submission = await cluster.submit(
+            "i-0", 1, wait=IN_FORCE_SECONDS, workspaces=WITHDRAWN
+        )
         self.assertTrue(submission.accepted)
         self.assertEqual(submission.missing, ("i-3",))
         await eventually(lambda: cluster.fresh() == {"i-0", "i-1", "i-2"})
--- a/tests/test_peers/test_links.py
+++ b/tests/test_peers/test_links.py
@@ -143,12 +143,14 @@
         self.second.links.resolve = lambda address: self.first.address
         self.second.links.dial_only(["to-first"])
         await self._connect()
-        await eventually(
-            lambda: (
-                self.first.links.links_by_id["b"].dialled
-                and not self.second.links.links_by_id["a"].dialled
-            )
-        )
+
+        def one_is_kept():
+            # Each side may have dropped its link a moment before it takes the other's.
+            first = self.first.links.links_by_id.get("b")
+            second = self.second.links.links_by_id.get("a")
+            return first and second and first.dialled and not second.dialled
+
+        await eventually(one_is_kept)
 
     async def test_unary_calls(self):
         """Guards against answers that exceed the size of a message, or get lost."""
