--- a/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
@@ -81,7 +81,7 @@
         )
         ordinary = ORDINARY_PER_ZONE
         missing = max(0, scaling.maximum - ordinary - cheap)
-        if zone not in keepers and not missing:
+        if zone not in keepers and cheap and not missing:
             ordinary = 0
         elif zone in dry_zones:
             ordinary += math.ceil(missing * REPLACED_PART)
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -243,6 +243,13 @@
         ordinary = {order.zone: order.count for order in orders if not order.cheap}
         self.assertEqual(ordinary, {"a": 1, "b": 1})
 
+    def test_last_engine_of_a_zone_is_not_given_back(self):
+        """Guards against zones with a bound of one that are emptied for a cheap one."""
+        engines = self.engines("a", 1, 0) + self.engines("b", 1, 0)
+        orders = plan_capacity(self.service(maximum=1), engines, {"a", "b"}, NOWHERE)
+        counts = {(order.zone, order.cheap): order.count for order in orders}
+        self.assertEqual((counts["b", False], counts["b", True]), (1, 0))
+
     def test_reclaimed_zone_gets_an_ordinary_one_at_once(self):
         """Guards against zones that vanish from the plan with their last engine."""
         engines = self.engines("a", 1, 3)
