One account of a request under way; shared pieces instead of twins

From reading the whole change again, without a change of behaviour: - Calls and both halves of generations each counted a request under way, told peers and took it back; Upstreams.under_way does it for all three, and LoadBook.end takes what prefilled and end took. - Announcements leave by the same way as the other datagrams, with one check. - The hop-by-hop headers and the statuses without a body stood in two and three places; http1 holds them for the gateway, the serving part and the adapter. - The operators' pages of both kinds of daemon start and stop through serve_pages. - The front refuses an unknown route and an unknown key in one place. - The directory builds its table of handlers once, not at each look at whether the store is sound, which every request and datagram takes; the fleet duty notes zones when the list changes, not four times a second. - An upstream's load header was read from every answer and used by nobody. - Dialect.release_target said that it returns the method too.

Left as it is: LineBudget beside requests.admission.TokenBucket, whose burst is two seconds and whose import would add to the start; the tokens of a read prompt and the queue of an engine's report, decoded and checked but not used.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
@@ -15,7 +15,7 @@
 from camphorgate.application import Application
 from camphorgate.errors import CamphorgateError, ManifestError
 from camphorgate.log import log_event
-from camphorgated.http import EmbeddedServer, start_server, stop_server
+from camphorgated.http import serve_pages
 
 MAX_MANIFEST_BYTES = 64 * 1024 * 1024
 # A submission that does not wait still answers whether a majority knows it.
@@ -60,30 +60,11 @@
 class AdminExtension:
     """Serves the admin address."""
 
-    __slots__ = ("_app", "_server")
+    __slots__ = ("_app",)
 
     def __init__(self, app: Application) -> None:
         """Keep the application, whose services fill the pages."""
         self._app = app
-        self._server: EmbeddedServer | None = None
-
-    async def start(self) -> None:
-        """Listen on the admin address."""
-        routes = [
-            Route("/admin/status", self.status),
-            Route("/admin/report", self.report),
-            Route("/admin/dump", self.dump),
-            Route("/admin/manifest", self.submit, methods=["POST"]),
-            Route("/metrics", self.metrics),
-        ]
-        address = self._app.settings.admin_address
-        pages = Starlette(routes=routes, exception_handlers={Exception: _failed})
-        self._server = await start_server(pages, address)
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            await stop_server(self._server)
 
     async def status(self, request: Request) -> Response:
         """Answer with instances, versions, queues and duties."""
@@ -180,5 +161,12 @@
 def setup(app: Application) -> None:
     """Register the extension."""
     extension = AdminExtension(app)
-    app.on_start(extension.start)
-    app.on_stop(extension.stop)
+    routes = [
+        Route("/admin/status", extension.status),
+        Route("/admin/report", extension.report),
+        Route("/admin/dump", extension.dump),
+        Route("/admin/manifest", extension.submit, methods=["POST"]),
+        Route("/metrics", extension.metrics),
+    ]
+    pages = Starlette(routes=routes, exception_handlers={Exception: _failed})
+    serve_pages(app, pages, app.settings.admin_address)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
@@ -17,10 +17,10 @@
     WrongRequestId,
 )
 from camphorgated.ext.gateway.watch import NEVER, DeadlineWatch
+from camphorgated.serving.http1 import BODILESS
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
-_BODILESS_STATUSES = frozenset({204, 304})
 
 
 class RequestHead:
@@ -148,7 +148,7 @@
 
     def has_known_end(self) -> bool:
         """Tell whether a cut answer can be told from a whole one."""
-        if self.complete or self.status in _BODILESS_STATUSES:
+        if self.complete or self.status in BODILESS:
             return True
         coding = self.header(b"transfer-encoding")
         if coding is not None:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/services.py
@@ -21,6 +21,7 @@
 from camphorgated.ext.gateway.keys import is_key_header, strip_cookie, strip_query
 from camphorgated.ext.gateway.queueing import Slot
 from camphorgated.ext.gateway.records import service_of
+from camphorgated.serving.http1 import BODILESS, HOP_BY_HOP, Headers
 
 # Bodies up to this size are read whole, so that they can be sent again and a short
 # answer shows before its headers have left.
@@ -30,23 +31,9 @@
 # Part of a service's deadline that is kept for the answer on its way to the caller.
 DEADLINE_MARGIN = 0.05
 MIN_MARGIN_SECONDS = 0.1
-_HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-_NOT_SENT = _HOP_BY_HOP | {b"host", b"content-length", b"expect", b"x-request-id"}
+_NOT_SENT = HOP_BY_HOP | {b"host", b"content-length", b"expect", b"x-request-id"}
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
-_NOT_RETURNED = _HOP_BY_HOP | {b"date", b"x-request-id", b"x-load"}
-_BODILESS_STATUSES = frozenset({204, 304})
-
-Headers = list[tuple[bytes, bytes]]
+_NOT_RETURNED = HOP_BY_HOP | {b"date", b"x-request-id", b"x-load"}
 
 
 class ServicePlan(msgspec.Struct, eq=False):
@@ -281,7 +268,7 @@
 async def _answer_whole(
     call: Call, answer: Answer, headers: Headers, body: bytes
 ) -> None:
-    if answer.status not in _BODILESS_STATUSES and call.scope["method"] != "HEAD":
+    if answer.status not in BODILESS and call.scope["method"] != "HEAD":
         headers = [pair for pair in headers if pair[0] != b"content-length"]
         headers.append((b"content-length", b"%d" % len(body)))
     await call.begin_answer(answer.status, headers)
@@ -291,6 +278,6 @@
 def _answer_headers(answer: Answer) -> Headers:
     named = _named_by_connection(answer.headers)
     dropped = _NOT_RETURNED | named
-    if answer.status in _BODILESS_STATUSES:
+    if answer.status in BODILESS:
         dropped = dropped | {b"content-length"}
     return [pair for pair in answer.headers if pair[0] not in dropped]
--- a/packages/camphorgate-daemon/src/camphorgated/http.py
+++ b/packages/camphorgate-daemon/src/camphorgated/http.py
@@ -7,6 +7,7 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from camphorgate.application import Application
 from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
 
@@ -59,6 +60,21 @@
     await server.task
 
 
+def serve_pages(app: Application, pages: ASGIApp, address: str) -> None:
+    """Serve pages from the start of the application to its stop."""
+    servers: list[EmbeddedServer] = []
+
+    async def start() -> None:
+        servers.append(await start_server(pages, address))
+
+    async def stop() -> None:
+        for server in servers:
+            await stop_server(server)
+
+    app.on_start(start)
+    app.on_stop(stop)
+
+
 async def _serve(server: EmbeddedServer, address: str) -> None:
     try:
         await server.serve()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -91,8 +91,7 @@
         upstreams = self._upstreams
         sure = not job.route.repeatable()
         most = upstreams.most_connections(job.service)
-        upstreams.loads.begin(upstream.id, 0)
-        try:
+        with upstreams.under_way(upstream, 0):
             async with upstreams.exchange(upstream) as exchange:
                 await exchange.open(most, sure)
                 now = clock.monotonic()
@@ -106,8 +105,6 @@
                 seconds = self._patience(job, tries, now)
                 facts = await exchange.read_head(job.facts.attempt, seconds)
                 body = await exchange.read_body(max(0.01, job.left(clock.monotonic())))
-        finally:
-            upstreams.loads.end(upstream.id)
         health = upstreams.health.of(upstream.incarnation)
         if facts.stage is Stage.REFUSED:
             tries.failed(Stage.REFUSED)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -6,6 +6,7 @@
 import httptools
 
 from camphorgated.serving.http1 import (
+    BODILESS,
     BUFFERED_BYTES,
     Headers,
     find_header,
@@ -15,7 +16,6 @@
 # An unacknowledged write closes the connection after this time; the round trip within
 # the region is a few ms.
 UNACKNOWLEDGED_MS = 1200
-BODILESS = frozenset({204, 304})
 
 
 class ClientConnection(asyncio.Protocol):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -40,6 +40,7 @@
         "table",
         "own_entries_by_key",
         "_sound_since_by_prefix",
+        "_handlers_by_prefix",
         "own_prefix",
         "instances",
         "_app",
@@ -66,6 +67,11 @@
         self._store = app.service("store")
         # Since when each watch has worked; those that do not are missing.
         self._sound_since_by_prefix: dict[str, float] = {}
+        self._handlers_by_prefix = {
+            self._dialect.configuration_prefix: self._take_configuration,
+            self._dialect.upstream_prefix: self._take_upstreams,
+            own_prefix: self._take_own,
+        }
         self._watch_tasks: dict[str, asyncio.Task] = {}
         self._random = random.Random()
         self._behind_since: float | None = None
@@ -73,7 +79,7 @@
     @property
     def sound(self) -> bool:
         """Tell whether the store answers every watch of this instance."""
-        return len(self._sound_since_by_prefix) == len(self._handlers())
+        return len(self._sound_since_by_prefix) == len(self._handlers_by_prefix)
 
     @property
     def upstreams_sound_since(self) -> float | None:
@@ -86,17 +92,10 @@
 
     async def start(self) -> None:
         """Start the watches."""
-        for prefix in self._handlers():
+        for prefix in self._handlers_by_prefix:
             self._start_watch(prefix)
         self._app.spawn(self._settle(), "directory settle")
 
-    def _handlers(self) -> dict:
-        return {
-            self._dialect.configuration_prefix: self._take_configuration,
-            self._dialect.upstream_prefix: self._take_upstreams,
-            self.own_prefix: self._take_own,
-        }
-
     def _start_watch(self, prefix: str) -> None:
         task = self._app.spawn(self._follow(prefix), f"watch {prefix}")
         self._watch_tasks[prefix] = task
@@ -153,7 +152,7 @@
             self.restart_watches("a peer knows a newer version")
 
     async def _follow(self, prefix: str) -> None:
-        handler = self._handlers()[prefix]
+        handler = self._handlers_by_prefix[prefix]
         delay = FIRST_RETURN_SECONDS
         while True:
             try:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -73,7 +73,6 @@
             catalog = self._directory.catalog
             if catalog is None:
                 continue
-            self.see_zones()
             for service in catalog.services_by_name.values():
                 if not self._members.holds_duty():
                     self._gossip.changing = set()
@@ -250,6 +249,7 @@
         return
     duty = FleetDuty(app)
     app.connect("duty-taken", duty.forget)
+    app.connect("upstreams-changed", duty.see_zones)
 
     async def start() -> None:
         app.spawn(duty.run(), "fleet duty")
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -257,31 +257,34 @@
         path = caller.request.target.partition(b"?")[0].decode("latin-1")
         route = catalog.match(facts.host, path)
         if route is None:
-            caller.refuse(404, "route_unknown")
-            self._statistics.request_line(
-                "request_refused",
-                attempt=facts.attempt,
-                reason="route_unknown",
-                version=catalog.version,
-            )
-            return None
+            return self._refuse(caller, 404, "route_unknown", facts, catalog)
         workspace = None
         if catalog.keyed and not route.public:
             workspace = catalog.workspaces_by_key.get(facts.key or "")
             if workspace is None:
-                caller.refuse(401, "key_unknown")
-                self._statistics.request_line(
-                    "request_refused",
-                    attempt=facts.attempt,
-                    reason="key_unknown",
-                    version=catalog.version,
-                )
-                return None
+                return self._refuse(caller, 401, "key_unknown", facts, catalog)
         service = self._pick_backend(route)
         rank = catalog.rank(route, workspace)
         self._admitted += 1
         return Job(caller, facts, route, service, workspace, rank, catalog.version)
 
+    def _refuse(
+        self,
+        caller: Caller,
+        status: int,
+        reason: str,
+        facts: RequestFacts,
+        catalog: Catalog,
+    ) -> None:
+        """Refuse what the configuration in force does not know."""
+        caller.refuse(status, reason)
+        self._statistics.request_line(
+            "request_refused",
+            attempt=facts.attempt,
+            reason=reason,
+            version=catalog.version,
+        )
+
     def _pick_backend(self, route: Route) -> str:
         """Return a service by its weight, spread evenly over the requests."""
         if len(route.backends) == 1:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -209,16 +209,15 @@
         sent_at = clock.monotonic()
         generation.tried.add(engine.id)
         patience = choice.wait_ms / 1000 * READ_PATIENCE + READ_PATIENCE_SECONDS
-        loads.begin(engine.id, choice.uncached)
-        self._gossip.announce(engine.id, choice.uncached)
         try:
-            async with self._upstreams.exchange(engine) as exchange:
-                await exchange.open(self._most(job), False)
-                sent_at = clock.monotonic()
-                self._send(generation, exchange, phase=Phase.PREFILL)
-                seconds = min(patience, max(0.01, job.left(clock.monotonic())))
-                facts = await exchange.read_head(None, seconds)
-                body = await exchange.read_body(seconds)
+            with self._upstreams.under_way(engine, choice.uncached):
+                async with self._upstreams.exchange(engine) as exchange:
+                    await exchange.open(self._most(job), False)
+                    sent_at = clock.monotonic()
+                    self._send(generation, exchange, phase=Phase.PREFILL)
+                    seconds = min(patience, max(0.01, job.left(clock.monotonic())))
+                    facts = await exchange.read_head(None, seconds)
+                    body = await exchange.read_body(seconds)
         except ExchangeError as error:
             self._upstreams.health.of(engine.incarnation).failed(clock.monotonic())
             self._statistics.try_failed(job, engine, f"read_{error.cause}", error.stage)
@@ -227,10 +226,6 @@
                 generation.reads -= 1
                 generation.unsent += 1
             return
-        finally:
-            loads.prefilled(engine.id, choice.uncached)
-            self._gossip.announce(engine.id, -choice.uncached)
-            loads.end(engine.id)
         result = self._dialect.read_prefill(body) if facts.status == 200 else None
         job.decisions.update(
             reader=engine.id,
@@ -261,9 +256,7 @@
         generation.tried.add(engine.id)
         handle = generation.handle
         reading = 0 if handle is not None else choice.uncached
-        loads.begin(engine.id, reading)
-        self._gossip.announce(engine.id, reading)
-        try:
+        with self._upstreams.under_way(engine, reading):
             async with self._upstreams.exchange(engine) as exchange:
                 await exchange.open(self._most(job), not job.route.repeatable())
                 if job.caller.left:
@@ -289,10 +282,6 @@
                     clock.monotonic()
                 )
                 return True
-        finally:
-            loads.prefilled(engine.id, reading)
-            self._gossip.announce(engine.id, -reading)
-            loads.end(engine.id)
 
     def _wait(self, job: Job) -> float:
         return max(0.01, job.left(self._app.clock.monotonic()))
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -49,6 +49,8 @@
 # Addresses of peers that were not heard are kept this long.
 KNOWN_SECONDS = 30.0
 
+Message = State | Reading | Counters
+
 
 class _Datagrams(asyncio.DatagramProtocol):
     """Hands datagrams to the gossip."""
@@ -106,12 +108,12 @@
         )
         self.changing: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder = msgspec.msgpack.Decoder(State | Reading | Counters)
+        self._decoder = msgspec.msgpack.Decoder(Message)
         self._peers_by_instance: dict[str, Peer] = {}
         self._known_addresses: dict[str, float] = {}
         self._turn = 0
         # Addresses of peers that hear announcements, as of the last tick.
-        self._hearers: list[tuple[str, int]] = []
+        self._hearers: list[str] = []
 
     def _wall(self) -> float:
         return self._app.clock.now().timestamp()
@@ -181,7 +183,7 @@
             near, far = self._addresses(now)
             hearers = in_turn(near, self._turn, MOST_HEARERS)
             hearers += in_turn(far, self._turn, MOST_HEARERS - len(hearers))
-            self._hearers = [split_address(address) for address in hearers]
+            self._hearers = hearers
             told = in_turn(near, self._turn, MOST_NEAR_PER_TICK)
             told += in_turn(far, self._turn, MOST_FAR_PER_TICK)
             counters = self._counters()
@@ -196,13 +198,13 @@
                 self._send(counters, keepers[part::PARTS_PER_TICK])
                 await asyncio.sleep(TICK_SECONDS / PARTS_PER_TICK)
 
-    def _send(self, messages: list[State | Counters], addresses: list[str]) -> None:
+    def _send(self, messages: list[Message], addresses: list[str]) -> None:
         if not addresses or self._transport.is_closing():
             return
         datagrams = [msgspec.msgpack.encode(message) for message in messages]
-        for address in addresses:
+        for address in map(split_address, addresses):
             for datagram in datagrams:
-                self._transport.sendto(datagram, split_address(address))
+                self._transport.sendto(datagram, address)
 
     def _keepers(self, addresses: list[str], counters: list[Counters]) -> list[str]:
         """Return the peers that hear the counters in this tick, the holder first."""
@@ -219,12 +221,9 @@
 
         :param tokens: that must be read, negative when they have been.
         """
-        if abs(tokens) < ANNOUNCED_TOKENS or self._transport.is_closing():
-            return
-        message = Reading(self._members.own.instance, upstream_id, tokens)
-        datagram = msgspec.msgpack.encode(message)
-        for address in self._hearers:
-            self._transport.sendto(datagram, address)
+        if abs(tokens) >= ANNOUNCED_TOKENS:
+            message = Reading(self._members.own.instance, upstream_id, tokens)
+            self._send([message], self._hearers)
 
     @staticmethod
     def ticks_per_round(near: int, far: int) -> int:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
@@ -13,6 +13,21 @@
 # Bytes that may wait for a slow reader.
 BUFFERED_BYTES = 262144
 
+# Headers that concern one connection only (RFC 9110, 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Statuses whose answers have no body.
+BODILESS = frozenset({204, 304})
+
 Headers = list[tuple[bytes, bytes]]
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/operator.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/operator.py
@@ -7,32 +7,17 @@
 from starlette.routing import Route
 
 from camphorgate.application import Application
-from camphorgated.http import EmbeddedServer, start_server, stop_server
+from camphorgated.http import serve_pages
 
 
 class OperatorPages:
     """The pages on the operators' address."""
 
-    __slots__ = ("_app", "_server")
+    __slots__ = ("_app",)
 
     def __init__(self, app: Application) -> None:
         """Keep the application, whose services fill the pages."""
         self._app = app
-        self._server: EmbeddedServer | None = None
-
-    async def start(self) -> None:
-        """Listen on the operators' address."""
-        routes = [
-            Route("/admin/dump", self.dump),
-            Route("/metrics", self.metrics),
-        ]
-        address = self._app.settings.operator_address
-        self._server = await start_server(Starlette(routes=routes), address)
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            await stop_server(self._server)
 
     async def dump(self, request: Request) -> Response:
         """Answer with the state of this process."""
@@ -50,5 +35,5 @@
     if not app.settings.operator_address:
         return
     pages = OperatorPages(app)
-    app.on_start(pages.start)
-    app.on_stop(pages.stop)
+    routes = [Route("/admin/dump", pages.dump), Route("/metrics", pages.metrics)]
+    serve_pages(app, Starlette(routes=routes), app.settings.operator_address)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -4,6 +4,9 @@
 repeated requests.
 """
 
+import contextlib
+from collections.abc import Iterator
+
 import msgspec
 
 from camphorgate.application import Application
@@ -121,6 +124,20 @@
         tries.granted = True
         return None
 
+    @contextlib.contextmanager
+    def under_way(self, upstream: Upstream, tokens: int) -> Iterator[None]:
+        """Count a request at an upstream, and tell peers if its prompt is long.
+
+        :param tokens: of its prompt, that the upstream must read.
+        """
+        self.loads.begin(upstream.id, tokens)
+        self._gossip.announce(upstream.id, tokens)
+        try:
+            yield
+        finally:
+            self.loads.end(upstream.id, tokens)
+            self._gossip.announce(upstream.id, -tokens)
+
     def note_inputs(self, job: Job, now: float) -> None:
         """Note for the log how old and how sound the inputs of a choice are."""
         job.decisions.update(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
@@ -39,8 +39,6 @@
     stage: Stage
     wrong_upstream: bool
     stamped: bool
-    running: int | None
-    waiting: int | None
     keep_seconds: float | None
 
 
@@ -94,7 +92,7 @@
         """Return the handle of a prompt that was read, ``None`` if there is none."""
 
     def release_target(self, handle: str) -> str:
-        """Return method and path of the call that frees a handle."""
+        """Return the path whose DELETE frees a handle."""
 
     async def report_usage(
         self, holder: str, fencing: int, window: int, counts: dict[str, int]
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -43,14 +43,10 @@
         load.requests += 1
         load.prefill_tokens += prefill_tokens
 
-    def prefilled(self, upstream_id: str, prefill_tokens: int) -> None:
-        """Note that the prompt of a request was read."""
-        load = self.own_by_id.setdefault(upstream_id, Load())
-        load.prefill_tokens -= prefill_tokens
-
-    def end(self, upstream_id: str) -> None:
-        """Note the end of a request."""
+    def end(self, upstream_id: str, prefill_tokens: int) -> None:
+        """Note the end of a request that :meth:`begin` noted."""
         load = self.own_by_id[upstream_id]
+        load.prefill_tokens -= prefill_tokens
         load.requests -= 1
         if not load.requests and not load.prefill_tokens:
             del self.own_by_id[upstream_id]
