--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -54,7 +54,7 @@
     began = sound_at = app.clock.monotonic()
     directory, gossip = app.service("directory"), app.service("gossip")
     while (now := app.clock.monotonic()) - began < KNOWLEDGE_SECONDS:
-        if directory.sound and all(s.store_sound for s in gossip.live_states()):
+        if directory.sound and all(s.sound for s in gossip.live_states()):
             sound_at = now
         elif now - sound_at >= ALONE_SECONDS:
             break
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -1,35 +1,32 @@
-"""Follows the platform's configuration and list of upstreams.
+"""Knows the platform's configuration and list of upstreams.
 
-Provides ``directory``. Both are also taken from peers, for instances that the store
-turns away.
+Provides ``directory``. Both come from the store, or from peers: those that follow the
+store for this zone, or any that it serves where it turns this instance away.
 """
 
 import asyncio
-import random
 
 from camphorgate.application import Application
-from camphorgate.kv.errors import KvError
 from camphorgate.kv.records import WatchBatch
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Catalog, Upstream
 from camphorgate.serving.errors import CatalogError
 from camphorgate.serving.upstream_table import UpstreamTable
+from camphorgated.serving.watches import Watches
 
-# Pause before a broken watch is opened again; doubles up to the longest.
-FIRST_RETURN_SECONDS = 0.1
-LONGEST_RETURN_SECONDS = 1.0
+# Prefix of the keys that the instances themselves write.
+OWN_PREFIX = "camphorgate/"
+# The only one of them that is watched.
+DUTY_KEY = OWN_PREFIX + "duty"
 SETTLE_SECONDS = 0.25
 # Changes of upstreams are collected for this long per instance, up to the bound, as
-# every answer of a waiting watch is a call of every instance.
-COLLECT_SECONDS_PER_INSTANCE = 0.015
-MOST_COLLECT_SECONDS = 1.2
-# How long the store holds a watch; grows with the instances, as every waiting watch is
-# a call. A connection that went silent unnoticed is found after this time.
-WATCH_SECONDS = 5.0
-WATCH_SECONDS_PER_INSTANCE = 0.25
-MOST_WATCH_SECONDS = 25.0
+# each of them is told to every instance.
+COLLECT_SECONDS_PER_INSTANCE = 0.005
+MOST_COLLECT_SECONDS = 0.5
 # A peer may be ahead by the spread of one change before the own watch is in doubt.
 BEHIND_SECONDS = 0.5
+# The same for the list of upstreams, whose changes are collected first.
+LIST_BEHIND_SECONDS = MOST_COLLECT_SECONDS + 0.5
 
 
 class Directory:
@@ -39,47 +36,36 @@
         "catalog",
         "table",
         "own_entries_by_key",
-        "_sound_since_by_prefix",
-        "_handlers_by_prefix",
-        "own_prefix",
         "instances",
+        "watches",
         "_app",
         "_dialect",
-        "_store",
-        "_watch_tasks",
-        "_random",
         "_behind_since",
+        "_list_behind_since",
     )
 
-    def __init__(self, app: Application, own_prefix: str) -> None:
-        """Start without knowledge.
-
-        :param own_prefix: of the keys of the instances' own that are watched.
-        """
+    def __init__(self, app: Application) -> None:
+        """Start without knowledge."""
         self.catalog: Catalog | None = None
         self.table = UpstreamTable()
         self.own_entries_by_key: dict = {}
-        self.own_prefix = own_prefix
         # How many instances there are; kept up to date by the members.
         self.instances = 1
         self._app = app
         self._dialect = app.service("dialect")
-        self._store = app.service("store")
-        # Since when each watch has worked; those that do not are missing.
-        self._sound_since_by_prefix: dict[str, float] = {}
-        self._handlers_by_prefix = {
+        handlers_by_prefix = {
             self._dialect.configuration_prefix: self._take_configuration,
             self._dialect.upstream_prefix: self._take_upstreams,
-            own_prefix: self._take_own,
+            DUTY_KEY: self._take_own,
         }
-        self._watch_tasks: dict[str, asyncio.Task] = {}
-        self._random = random.Random()
+        self.watches = Watches(app, handlers_by_prefix, frozenset({DUTY_KEY}))
         self._behind_since: float | None = None
+        self._list_behind_since: float | None = None
 
     @property
     def sound(self) -> bool:
-        """Tell whether the store answers every watch of this instance."""
-        return len(self._sound_since_by_prefix) == len(self._handlers_by_prefix)
+        """Tell whether what this instance knows is up to date."""
+        return self.watches.sound
 
     @property
     def upstreams_sound_since(self) -> float | None:
@@ -88,29 +74,18 @@
         The other watches do not count: a removal that is seen while only one of them
         hangs is no consequence of an outage.
         """
-        return self._sound_since_by_prefix.get(self._dialect.upstream_prefix)
+        return self.watches.sound_since(self._dialect.upstream_prefix)
+
+    @property
+    def sees_duty(self) -> bool:
+        """Tell whether this instance follows who holds the duty."""
+        return self.watches.sound_since(DUTY_KEY) is not None
 
     async def start(self) -> None:
-        """Start the watches."""
-        for prefix in self._handlers_by_prefix:
-            self._start_watch(prefix)
+        """Start reading the store."""
+        await self.watches.start()
         self._app.spawn(self._settle(), "directory settle")
 
-    def _start_watch(self, prefix: str) -> None:
-        task = self._app.spawn(self._follow(prefix), f"watch {prefix}")
-        self._watch_tasks[prefix] = task
-
-    def restart_watches(self, reason: str) -> None:
-        """Open every watch anew, as its connection may have gone silent.
-
-        Until each of them works, the store counts as lost, so that peers are asked.
-        """
-        log_event("watches_reopened", level="WARNING", reason=reason)
-        self._sound_since_by_prefix.clear()
-        for prefix, task in list(self._watch_tasks.items()):
-            task.cancel()
-            self._start_watch(prefix)
-
     def service_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that take new requests."""
         return self.table.usable(service)
@@ -129,70 +104,84 @@
             return
         self.catalog = catalog
         log_event("configuration_in_force", version=catalog.version, source=source)
+        self._app.emit("configuration-changed")
 
     def take_peer_upstreams(
         self, upstreams: list[Upstream], revision: int, peer: str
     ) -> None:
-        """Take the list of a peer that the store serves."""
+        """Take the whole list of a peer that is up to date."""
         before = self.table.digest()
         self.table.replace(upstreams, revision, self._app.clock.monotonic(), True)
         if self.table.digest() != before:
             log_event("upstreams_from_peer", peer=peer, revision=revision)
             self._app.emit("upstreams-changed")
 
-    def peer_ahead(self, ahead: bool) -> None:
-        """Note whether a peer knows a newer configuration than this instance."""
+    def take_peer_changes(
+        self, upstreams: list[Upstream], removed: list[tuple[str, int]]
+    ) -> None:
+        """Take changes of the list that a watcher of this zone tells."""
+        now = self._app.clock.monotonic()
+        news = [self.table.put(upstream) for upstream in upstreams]
+        for upstream_id, revision in removed:
+            news.append(upstream_id in self.table.by_id)
+            self.table.remove(upstream_id, revision, now, True)
+        if any(news):
+            self._app.emit("upstreams-changed")
+
+    def compare(self, version: int, list_revision: int, list_digest: str) -> None:
+        """Note what a watcher knows.
+
+        Where it is ahead for longer than a change takes to arrive, a watcher's own
+        watches are opened anew; any other instance asks a peer.
+
+        :param list_revision: up to which it followed the list of upstreams.
+        """
         now = self._app.clock.monotonic()
-        if not ahead:
+        own_version = self.catalog.version if self.catalog else 0
+        if version > own_version:
+            self._behind_since = self._behind_since or now
+        elif version == own_version:
             self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
-        elif now - self._behind_since > BEHIND_SECONDS and self.sound:
-            self._behind_since = now
-            self.restart_watches("a peer knows a newer version")
-
-    async def _follow(self, prefix: str) -> None:
-        handler = self._handlers_by_prefix[prefix]
-        delay = FIRST_RETURN_SECONDS
-        while True:
-            try:
-                async for batch in self._store.watch(prefix, self._watch_seconds):
-                    self._watch_works(prefix)
-                    delay = FIRST_RETURN_SECONDS
-                    handler(batch)
-                    if prefix == self._dialect.upstream_prefix:
-                        await asyncio.sleep(self._collect_seconds())
-            except KvError as error:
-                self._watch_fails(prefix, error.message)
-            await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
-            delay = min(LONGEST_RETURN_SECONDS, delay * 2)
-
-    def _watch_seconds(self) -> float:
-        seconds = self.instances * WATCH_SECONDS_PER_INSTANCE
-        return min(MOST_WATCH_SECONDS, max(WATCH_SECONDS, seconds))
+        if list_digest == self.table.digest():
+            self._list_behind_since = None
+        elif list_revision >= self.table.revision + self.watches.watching:
+            # Two watchers at one revision may differ in entries that they doubt.
+            self._list_behind_since = self._list_behind_since or now
+        if not self.watches.watching or not self.sound:
+            return
+        if self._longer(self._behind_since, BEHIND_SECONDS, now):
+            self._behind_since = None
+            self.watches.restart("a peer knows a newer version")
+        elif self._longer(self._list_behind_since, LIST_BEHIND_SECONDS, now):
+            self._list_behind_since = None
+            self.watches.restart("a peer knows a newer list of upstreams")
+
+    @staticmethod
+    def _longer(since: float | None, seconds: float, now: float) -> bool:
+        return since is not None and now - since > seconds
+
+    def lacks_news(self) -> bool:
+        """Tell whether a peer should be asked, as a change did not arrive.
+
+        Configurations are too large to be told, so they are always asked for.
+        """
+        if self.watches.watching:
+            return False
+        now = self._app.clock.monotonic()
+        late = self._longer(self._list_behind_since, BEHIND_SECONDS, now)
+        return late or self._behind_since is not None
 
     def _collect_seconds(self) -> float:
         seconds = self.instances * COLLECT_SECONDS_PER_INSTANCE
         return min(MOST_COLLECT_SECONDS, seconds)
 
-    def _watch_works(self, prefix: str) -> None:
-        if prefix in self._sound_since_by_prefix:
-            return
-        self._sound_since_by_prefix[prefix] = self._app.clock.monotonic()
-        if self.sound:
-            log_event("store_regained")
-
-    def _watch_fails(self, prefix: str, message: str) -> None:
-        if self.sound:
-            log_event("store_lost", level="WARNING", watch=prefix, error=message)
-        self._sound_since_by_prefix.pop(prefix, None)
-
-    def _take_configuration(self, batch: WatchBatch) -> None:
+    def _take_configuration(self, batch: WatchBatch) -> float:
         for entry in batch.entries:
             if entry.key == self._dialect.configuration_key:
                 self.take_catalog(entry.value, "store")
+        return 0.0
 
-    def _take_upstreams(self, batch: WatchBatch) -> None:
+    def _take_upstreams(self, batch: WatchBatch) -> float:
         now = self._app.clock.monotonic()
         # After an outage, the first complete list lacks entries that come back.
         since = self.upstreams_sound_since
@@ -213,6 +202,7 @@
         self.table.revision = max(self.table.revision, batch.revision)
         if batch.entries or batch.deleted or batch.complete:
             self._app.emit("upstreams-changed")
+        return self._collect_seconds()
 
     def _apply(
         self, found: list[Upstream], batch: WatchBatch, now: float, sound: bool
@@ -240,13 +230,14 @@
             log_event("upstream_unlisted", upstream=upstream_id, sound=sound)
             self.table.remove(upstream_id, revision, now, sound)
 
-    def _take_own(self, batch: WatchBatch) -> None:
+    def _take_own(self, batch: WatchBatch) -> float:
         if batch.complete:
             self.own_entries_by_key.clear()
         for entry in batch.entries:
             self.own_entries_by_key[entry.key] = entry
         for key, _ in batch.deleted:
             self.own_entries_by_key.pop(key, None)
+        return 0.0
 
     async def _settle(self) -> None:
         while True:
@@ -261,7 +252,8 @@
         """Return the state for the operators."""
         return {
             "version": self.catalog.version if self.catalog else None,
-            "store_sound": self.sound,
+            "sound": self.sound,
+            "watching": self.watches.watching,
             "revision": self.table.revision,
             "upstreams": {
                 item.id: {
@@ -277,16 +269,12 @@
         }
 
 
-# Prefix of the keys that the instances themselves write.
-OWN_PREFIX = "camphorgate/"
-# The only one of them that every instance watches.
-DUTY_KEY = OWN_PREFIX + "duty"
-
-
 def setup(app: Application) -> None:
     """Provide the directory and start its watches."""
     app.add_event("upstreams-changed")
-    directory = Directory(app, DUTY_KEY)
+    app.add_event("configuration-changed")
+    app.add_event("watching-begun")
+    directory = Directory(app)
     app.provide("directory", directory)
     app.add_dump_section("directory", directory.dump)
     app.on_start(directory.start)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -75,7 +75,7 @@
                 continue
             for service in catalog.services_by_name.values():
                 if not self._members.holds_duty():
-                    self._gossip.changing = set()
+                    self._gossip.change(set())
                     break
                 await self.order_capacity(service)
                 await self._order_phases(service)
@@ -196,9 +196,9 @@
             elif now - since >= ANNOUNCED_SECONDS and self._members.holds_duty():
                 self._ordered_incarnations.add(incarnation)
                 await self._give_phase(order)
-        self._gossip.changing = {
-            incarnation[0] for incarnation in self._changing_by_incarnation
-        }
+        self._gossip.change(
+            {incarnation[0] for incarnation in self._changing_by_incarnation}
+        )
 
     def _calm(self, service: Service, engines: list[Upstream], now: float) -> bool:
         """Tell whether the engines of a service have been the same for some time."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -1,11 +1,13 @@
 """Tells the other instances loads and usage, and hears theirs.
 
-Provides ``gossip``. Short datagrams go to every peer at a steady period: they are
-small, lose nothing that the next one does not repeat, and have no connection that
-could go silent. What must arrive whole is fetched, see ``knowledge``.
+Provides ``gossip``. Short datagrams go to some peers at a steady period: they are
+small, lose nothing that a later one does not repeat, and have no connection that could
+go silent. What must arrive whole is fetched, see ``knowledge``.
 """
 
 import asyncio
+import math
+import random
 
 import msgspec
 
@@ -13,26 +15,48 @@
 from camphorgate.log import log_event
 from camphorgate.serving.health import HealthBook
 from camphorgate.serving.loads import LoadBook
+from camphorgate.serving.relay import TOUCH_SECONDS
 from camphorgate.serving.true_time import TrueTime
 from camphorgate.serving.usage import UsageCounts
 from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
-from camphorgated.serving.messages import Counters, Reading, State, split_counters
+from camphorgated.serving.messages import (
+    FORMAT,
+    Changes,
+    Counters,
+    Reading,
+    State,
+    split_changes,
+    split_counters,
+)
+from camphorgated.serving.peers import PeerBook, in_turn
 
 TICK_SECONDS = 0.2
-# Peers that are told in one tick, in the own zone and in others; with more of them,
-# each hears at every second tick, or third. This bounds what an instance sends and
-# receives, however many there are. Bytes between zones are priced, and the loads that
-# matter most are those of the own zone, whose upstreams are preferred.
-MOST_NEAR_PER_TICK = 12
+# Peers of the own zone that are told in one tick; with more of them, each hears at
+# every second tick, or third. This bounds what an instance sends and receives, however
+# many there are.
+MOST_NEAR_PER_TICK = 8
+# The same for other zones. A peer there is told of the whole own zone, so that a few
+# messages from any of its instances keep the zone's figures up to date; with more
+# instances each of them sends fewer.
+FAR_PER_TICK_OF_ALL = 64
+LEAST_FAR_PER_TICK = 2
 MOST_FAR_PER_TICK = 8
+# Watchers tell each peer of their zone this often, so that none loses touch by two
+# lost datagrams in a row.
+WATCHER_ROUND_TICKS = int(TOUCH_SECONDS / 3 / TICK_SECONDS) + 1
 # The datagrams of a tick leave in so many parts, as a burst would hold up the answers
 # on a slow link (5 Mbit/s pass 125 kB in a tick).
-PARTS_PER_TICK = 4
-# Usage counters that are told in one tick, over all peers. The holder of the duty hears
-# them in each tick, other peers in turn, to keep them if this instance is killed.
-MOST_COUNTERS_PER_TICK = 400
+PARTS_PER_TICK = 2
+# Usage counters reach the holder of the duty at most this often in all, messages per
+# second; the period of the instances follows from their number.
+COUNTERS_PER_SECOND = 400.0
+# Usage counters that are told in one tick, over all peers but the holder. Peers keep
+# them in case this instance is killed.
+MOST_COUNTERS_PER_TICK = 120
 LEAST_KEEPERS = 2
+# Unchanged counters are told again after this many ticks, as datagrams may be lost.
+REPEAT_TICKS = 5
 MOST_FAILING = 10
 # A prompt of which at least so many tokens must be read is announced at once, as
 # several instances would send theirs to the same idle engine between two ticks.
@@ -40,16 +64,17 @@
 # Peers that hear an announcement, those of the own zone first. What an instance hears
 # so is bounded by its peers' own rates, not by their number.
 MOST_HEARERS = 24
-# Counters of incarnations that ended are told while their windows may be reported, so
-# many of them in one tick.
+# Counters of incarnations that ended are told while their windows may be reported.
 ORPHAN_SECONDS = 25.0
+# Of these the holder hears so many per second from all instances together.
+ORPHANS_PER_SECOND = 150.0
 MOST_ORPHANS = 6
-# A peer counts as live this long after it was heard.
-LIVE_SECONDS = 3.0
-# Addresses of peers that were not heard are kept this long.
-KNOWN_SECONDS = 30.0
+# An instance knows the loads of its zone this long after its start, at the latest.
+YOUNG_SECONDS = 2.0
+# Unreadable datagrams are logged at most this often.
+UNREADABLE_LOG_SECONDS = 1.0
 
-Message = State | Reading | Counters
+Message = State | Reading | Counters | Changes
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -64,17 +89,6 @@
         self._take(data)
 
 
-class Peer:
-    """What is known of another instance."""
-
-    __slots__ = ("state", "heard_at")
-
-    def __init__(self, state: State, heard_at: float) -> None:
-        """Keep its newest state."""
-        self.state = state
-        self.heard_at = heard_at
-
-
 class Gossip:
     """Keeps what peers said, and tells them what this instance does."""
 
@@ -83,16 +97,23 @@
         "health",
         "true_time",
         "usage",
-        "changing",
+        "peers",
         "_app",
         "_members",
         "_directory",
         "_transport",
         "_decoder",
-        "_peers_by_instance",
-        "_known_addresses",
+        "_changing",
         "_turn",
         "_hearers",
+        "_near",
+        "_far",
+        "_told_counts",
+        "_handlers",
+        "_started_at",
+        "_logged_at",
+        "_unreadable",
+        "_random",
     )
 
     def __init__(self, app: Application) -> None:
@@ -106,14 +127,26 @@
         self.usage = UsageCounts(
             app.settings.times.usage_window_seconds, self._members.own.incarnation
         )
-        self.changing: set[str] = set()
+        self.peers = PeerBook(app.clock, self._members, len(app.settings.seeds))
+        self._changing: frozenset[str] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(Message)
-        self._peers_by_instance: dict[str, Peer] = {}
-        self._known_addresses: dict[str, float] = {}
         self._turn = 0
-        # Addresses of peers that hear announcements, as of the last tick.
+        # Addresses of peers that hear announcements, and of all, as of the last tick.
         self._hearers: list[str] = []
+        self._near: list[str] = []
+        self._far: list[str] = []
+        self._told_counts: dict[int, dict[str, int]] = {}
+        self._handlers = {
+            State: self._take_state,
+            Reading: self._take_reading,
+            Counters: self._take_counters,
+            Changes: self._take_changes,
+        }
+        self._started_at = app.clock.monotonic()
+        self._logged_at = float("-inf")
+        self._unreadable = 0
+        self._random = random.Random()
 
     def _wall(self) -> float:
         return self._app.clock.now().timestamp()
@@ -124,35 +157,30 @@
 
     def live_states(self) -> list[State]:
         """Return the newest states of the peers that were heard of lately."""
-        now = self._app.clock.monotonic()
-        peers = self._peers_by_instance.values()
-        return [peer.state for peer in peers if now - peer.heard_at < LIVE_SECONDS]
+        return self.peers.live_states()
 
     def note_addresses(self, gossip_addresses: list[str]) -> None:
         """Talk to instances of which a peer told."""
-        now = self._app.clock.monotonic()
-        for address in gossip_addresses:
-            self._known_addresses.setdefault(address, now)
+        self.peers.note_addresses(gossip_addresses)
 
     def live_incarnations(self) -> set[str]:
         """Return the incarnations that are listed, or were heard of lately."""
-        incarnations = {
-            member.incarnation for member in self._members.by_instance().values()
-        }
-        incarnations.update(state.incarnation for state in self.live_states())
-        incarnations.add(self._members.own.incarnation)
-        return incarnations
+        return self.peers.live_incarnations()
+
+    def instance_count(self) -> int:
+        """Return how many instances there seem to be, this one included."""
+        return self.peers.instance_count()
 
     def changing_engines(self) -> set[str]:
         """Return the engines that take no requests while they change their phase."""
-        engines = set(self.changing)
-        for state in self.live_states():
-            engines.update(state.changing)
-        return engines
+        return self._changing | self.peers.changing()
 
-    def instance_count(self) -> int:
-        """Return how many instances there seem to be, this one included."""
-        return max(len(self.live_incarnations()), len(self._app.settings.seeds), 1)
+    def change(self, engines: set[str]) -> None:
+        """Tell every peer at once which engines are about to change their phase."""
+        news = frozenset(engines) != self._changing
+        self._changing = frozenset(engines)
+        if news:
+            self._send([self._state(None)], self._near + self._far)
 
     async def start(self) -> None:
         """Listen for peers and start talking to them.
@@ -179,42 +207,105 @@
             now = self._app.clock.monotonic()
             self.true_time.follow(self._wall(), now)
             self.usage.forget_before(self.true_now())
-            self._note_ahead()
-            near, far = self._addresses(now)
+            near, far = self.peers.addresses()
+            self._near, self._far = near, far
             hearers = in_turn(near, self._turn, MOST_HEARERS)
             hearers += in_turn(far, self._turn, MOST_HEARERS - len(hearers))
             self._hearers = hearers
-            told = in_turn(near, self._turn, MOST_NEAR_PER_TICK)
-            told += in_turn(far, self._turn, MOST_FAR_PER_TICK)
-            counters = self._counters()
-            keepers = self._keepers(near + far, counters)
-            news_seconds = (
-                2.5 * self.ticks_per_round(len(near), len(far)) * TICK_SECONDS
-            )
+            near_told = in_turn(near, self._turn, self._near_per_tick(len(near)))
+            far_told = in_turn(far, self._turn, far_per_tick(len(near) + len(far) + 1))
+            self._tell_counters()
             self._turn += 1
             for part in range(PARTS_PER_TICK):
-                state = self._state(self._app.clock.monotonic(), news_seconds)
-                self._send([state], told[part::PARTS_PER_TICK])
-                self._send(counters, keepers[part::PARTS_PER_TICK])
+                now = self._app.clock.monotonic()
+                state = self._state(self.loads.own_by_id)
+                self._send([state], near_told[part::PARTS_PER_TICK])
+                if far_told:
+                    state = self._state(self._zone_loads(now))
+                    self._send([state], far_told[part::PARTS_PER_TICK])
                 await asyncio.sleep(TICK_SECONDS / PARTS_PER_TICK)
 
+    def _near_per_tick(self, near: int) -> int:
+        if self._directory.watches.watching:
+            return max(MOST_NEAR_PER_TICK, -(-near // WATCHER_ROUND_TICKS))
+        return MOST_NEAR_PER_TICK
+
+    def _zone_loads(self, now: float):
+        """Return the loads of this zone, ``None`` if not all can be known yet."""
+        if now - self._started_at < YOUNG_SECONDS and self._near:
+            return None
+        return self.loads.sum_of(self.peers.near_instances(), now)
+
     def _send(self, messages: list[Message], addresses: list[str]) -> None:
-        if not addresses or self._transport.is_closing():
+        if not addresses or self._transport is None or self._transport.is_closing():
             return
-        datagrams = [msgspec.msgpack.encode(message) for message in messages]
+        datagrams = [FORMAT + msgspec.msgpack.encode(message) for message in messages]
         for address in map(split_address, addresses):
             for datagram in datagrams:
                 self._transport.sendto(datagram, address)
 
-    def _keepers(self, addresses: list[str], counters: list[Counters]) -> list[str]:
-        """Return the peers that hear the counters in this tick, the holder first."""
-        entries = sum(len(message.counts) for message in counters)
+    def tell_news(self) -> None:
+        """Tell the zone at once what the store has just told this instance."""
+        upstreams, removed = self._directory.table.take_changes()
+        if not self._directory.watches.watching or not self._near:
+            return
+        own = self._members.own
+        messages = split_changes(own.instance, own.zone, upstreams, removed)
+        self._send([*messages, self._state(self.loads.own_by_id)], self._near)
+
+    def _tell_counters(self) -> None:
+        """Tell the own counters, and some of instances that ended."""
+        peers = self._near + self._far
+        if not peers:
+            return
+        period = counter_ticks(len(peers) + 1)
+        counts = self.usage.own_recent(self.true_now())
+        repeated = self._turn % (period * REPEAT_TICKS) == 0
+        if self._turn % period or (counts == self._told_counts and not repeated):
+            messages = []
+        else:
+            self._told_counts = counts
+            messages = split_counters(
+                self._members.own.incarnation,
+                self.true_now(),
+                self.usage.own_totals(self.true_now()),
+                counts,
+            )
+            self._send(messages, self._keepers(peers, counts, self._turn // period))
+        orphans = self._orphaned_counters(len(peers) + 1)
+        messages += orphans
+        holder = self._members.holder_address()
+        if holder and holder != self._members.own.gossip_address:
+            self._send(messages, [holder])
+        elif orphans:
+            self._send(orphans, in_turn(peers, self._turn, LEAST_KEEPERS))
+
+    def _keepers(
+        self, peers: list[str], counts: dict[int, dict[str, int]], turn: int
+    ) -> list[str]:
+        """Return the peers that hear the counters in a turn, beside the holder."""
+        entries = sum(len(item) for item in counts.values())
         most = max(LEAST_KEEPERS, MOST_COUNTERS_PER_TICK // max(1, entries))
-        keepers = in_turn(addresses, self._turn, most)
+        keepers = in_turn(peers, turn, most)
         holder = self._members.holder_address()
-        if holder in addresses and holder not in keepers:
-            keepers.insert(0, holder)
-        return keepers
+        return [address for address in keepers if address != holder]
+
+    def _orphaned_counters(self, instances: int) -> list[Counters]:
+        """Return some of the counters of incarnations that ended, at random."""
+        most = ORPHANS_PER_SECOND * TICK_SECONDS / instances
+        number = min(MOST_ORPHANS, int(most) + (self._random.random() < most % 1))
+        if not number:
+            return []
+        true_now = self.true_now()
+        orphans = self.usage.orphans(
+            self.live_incarnations(), true_now - ORPHAN_SECONDS
+        )
+        chosen = self._random.sample(orphans, min(number, len(orphans)))
+        return [
+            message
+            for incarnation, counts in chosen
+            for message in split_counters(incarnation, true_now, None, counts)
+        ]
 
     def announce(self, upstream_id: str, tokens: int) -> None:
         """Tell peers at once of a prompt that is read, if it is a long one.
@@ -222,115 +313,114 @@
         :param tokens: that must be read, negative when they have been.
         """
         if abs(tokens) >= ANNOUNCED_TOKENS:
-            message = Reading(self._members.own.instance, upstream_id, tokens)
+            own = self._members.own
+            message = Reading(own.instance, own.zone, upstream_id, tokens)
             self._send([message], self._hearers)
 
-    @staticmethod
-    def ticks_per_round(near: int, far: int) -> int:
-        """Return after how many ticks every peer has been told."""
-        return max(-(-near // MOST_NEAR_PER_TICK), -(-far // MOST_FAR_PER_TICK), 1)
-
-    def _addresses(self, now: float) -> tuple[list[str], list[str]]:
-        """Return the peers' addresses in a fixed order: the own zone's, and others."""
-        for address, known_at in list(self._known_addresses.items()):
-            if now - known_at > KNOWN_SECONDS:
-                del self._known_addresses[address]
-        own = self._members.own
-        members = self._members.by_instance().values()
-        near = {item.gossip_address for item in members if item.zone == own.zone}
-        far = {item.gossip_address for item in members} | self._known_addresses.keys()
-        near.discard(own.gossip_address)
-        far.discard(own.gossip_address)
-        return sorted(near), sorted(far - near)
-
-    def _state(self, now: float, news_seconds: float) -> State:
-        true_now = self.true_time.now(now)
+    def _state(self, loads) -> State:
+        now = self._app.clock.monotonic()
         own = self._members.own
-        catalog = self._directory.catalog
+        directory = self._directory
+        rounds = -(-len(self._near) // MOST_NEAR_PER_TICK)
         return State(
             instance=own.instance,
             incarnation=own.incarnation,
+            zone=own.zone,
             address=own.peer_address,
             gossip_address=own.gossip_address,
             vote=self.true_time.vote(now),
-            true_now=true_now,
-            store_sound=self._directory.sound,
-            version=catalog.version if catalog else 0,
-            totals=self.usage.own_totals(true_now),
-            loads=self.loads.own_by_id,
-            parts=self.loads.news(now, news_seconds),
-            changing=list(self.changing),
+            watching=directory.watches.watching,
+            sound=directory.sound,
+            version=directory.catalog.version if directory.catalog else 0,
+            list_revision=directory.table.revision,
+            list_digest=directory.table.digest(),
+            holder=self._members.holder_address(),
+            loads=loads,
+            parts=self.loads.news(now, 2.5 * max(1, rounds) * TICK_SECONDS),
+            changing=list(self._changing),
             failing=self.health.failing(now)[:MOST_FAILING],
         )
 
-    def _counters(self) -> list[Counters]:
-        """Return the own counters, and some of instances that ended."""
-        true_now = self.true_now()
-        messages = []
-        for window, counts in self.usage.own_recent(true_now).items():
-            messages += split_counters(self._members.own.incarnation, window, counts)
-        return messages + self._orphaned_counters(true_now)
-
-    def _orphaned_counters(self, true_now: float) -> list[Counters]:
-        """Return some of the counters of incarnations that ended, in turn."""
-        orphans = self.usage.orphans(
-            self.live_incarnations(), true_now - ORPHAN_SECONDS
-        )
-        parts = [part for row in orphans for part in split_counters(*row)]
-        first = self._turn * MOST_ORPHANS % len(parts) if parts else 0
-        return (parts + parts)[first : first + min(MOST_ORPHANS, len(parts))]
-
     def _take(self, data: bytes) -> None:
         try:
-            message = self._decoder.decode(data)
+            if data[:1] != FORMAT:
+                raise msgspec.DecodeError(f"format {data[:1].hex()} is not understood")
+            message = self._decoder.decode(memoryview(data)[1:])
         except msgspec.DecodeError as error:
-            log_event("datagram_unreadable", level="WARNING", error=str(error))
-            return
-        if isinstance(message, Counters):
-            self.usage.merge(message.incarnation, message.window, message.counts)
-            return
-        if isinstance(message, Reading):
-            self.loads.hear_reading(message.instance, message.upstream, message.tokens)
+            self._note_unreadable(str(error))
             return
+        self._handlers[type(message)](message)
+
+    def _note_unreadable(self, error: str) -> None:
+        self._unreadable += 1
         now = self._app.clock.monotonic()
-        known = self._peers_by_instance.get(message.instance)
-        if known is None or now - known.heard_at > LIVE_SECONDS:
+        if now - self._logged_at >= UNREADABLE_LOG_SECONDS:
+            self._logged_at = now
             log_event(
-                "peer_heard", peer=message.instance, incarnation=message.incarnation
+                "datagram_unreadable",
+                level="WARNING",
+                error=error,
+                unreadable=self._unreadable,
             )
-        self._peers_by_instance[message.instance] = Peer(message, now)
-        self._known_addresses[message.gossip_address] = now
+
+    def _take_counters(self, message: Counters) -> None:
+        for window, counts in message.counts.items():
+            self.usage.merge(message.incarnation, window, counts)
+        if message.totals is not None:
+            self.usage.hear(message.incarnation, message.told_at, message.totals)
+
+    def _take_reading(self, message: Reading) -> None:
+        source = self._source(message.instance, message.zone)
+        self.loads.hear_reading(source, message.upstream, message.tokens)
+
+    def _take_changes(self, message: Changes) -> None:
+        watches = self._directory.watches
+        if message.zone == self._members.own.zone and not watches.watching:
+            self._directory.take_peer_changes(message.upstreams, message.removed)
+
+    def _take_state(self, message: State) -> None:
+        now = self._app.clock.monotonic()
+        if not self.peers.hear(message):
+            return
         self.true_time.hear(message.instance, message.vote, now)
-        self.usage.hear(message.incarnation, message.true_now, message.totals)
-        self.loads.hear(message.instance, message.loads, now)
+        if message.loads is not None:
+            source = self._source(message.instance, message.zone)
+            self.loads.hear(source, message.loads, now)
         self.loads.hear_parts(message.parts, now)
         for incarnation in message.failing:
             self.health.of(incarnation).suspected(now)
+        if message.zone == self._members.own.zone:
+            relay = self._directory.watches.relay
+            relay.hear(message.instance, message.watching, message.sound, now)
+            self._members.told_holder = message.holder or self._members.told_holder
+        if message.watching and message.sound:
+            self._directory.compare(
+                message.version, message.list_revision, message.list_digest
+            )
 
-    def _note_ahead(self) -> None:
-        catalog = self._directory.catalog
-        version = catalog.version if catalog else 0
-        newest = max((state.version for state in self.live_states()), default=0)
-        self._directory.peer_ahead(newest > version)
+    def _source(self, instance: str, zone: str) -> str:
+        """Return the name under which a peer's loads count."""
+        return instance if zone == self._members.own.zone else f"zone/{zone}"
 
     def dump(self) -> dict:
         """Return the state for the operators."""
-        now = self._app.clock.monotonic()
         return {
             "true_time": self.true_now(),
-            "heard_seconds_ago": {
-                instance: now - peer.heard_at
-                for instance, peer in self._peers_by_instance.items()
-            },
+            "heard_seconds_ago": self.peers.ages(),
+            "unreadable_datagrams": self._unreadable,
         }
 
 
-def in_turn(addresses: list[str], turn: int, most: int) -> list[str]:
-    """Return the addresses whose turn it is, at most so many."""
-    if len(addresses) <= most:
-        return list(addresses)
-    first = turn * most % len(addresses)
-    return (addresses + addresses)[first : first + most]
+def far_per_tick(instances: int) -> int:
+    """Return how many peers of other zones an instance tells in one tick."""
+    most = FAR_PER_TICK_OF_ALL // instances
+    return min(MOST_FAR_PER_TICK, max(LEAST_FAR_PER_TICK, most))
+
+
+def counter_ticks(instances: int) -> int:
+    """Return after how many ticks an instance tells its usage counters."""
+    seconds = instances / COUNTERS_PER_SECOND
+    return max(1, math.ceil(seconds / TICK_SECONDS))
 
 
 def setup(app: Application) -> None:
@@ -338,5 +428,7 @@
     gossip = Gossip(app)
     app.provide("gossip", gossip)
     app.add_dump_section("gossip", gossip.dump)
+    app.connect("upstreams-changed", gossip.tell_news)
+    app.connect("configuration-changed", gossip.tell_news)
     app.on_start(gossip.start)
     app.on_stop(gossip.stop)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -20,6 +20,7 @@
 METHOD = f"/{SERVICE}/Fetch"
 FETCH_SECONDS = 0.6
 FETCH_PERIOD_SECONDS = 0.25
+LOOK_SECONDS = 0.1
 STOP_SECONDS = 0.2
 # A new connection for every dial, as a shared one may be the silent one.
 _DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
@@ -79,9 +80,7 @@
         """Fetch what this instance lacks while the store does not serve it."""
         failed = False
         while True:
-            await asyncio.sleep(FETCH_PERIOD_SECONDS)
-            if self._directory.sound:
-                continue
+            await self._wait_until_needed()
             address = self._fetch_address()
             if address is None:
                 continue
@@ -95,10 +94,20 @@
                     log_event("peer_not_answering", peer=address, error=code)
                 failed = True
 
+    async def _wait_until_needed(self) -> None:
+        """Wait until this instance lacks something, a little at least.
+
+        Many instances learn of a new version at the same moment, from few that have it.
+        """
+        await asyncio.sleep(FETCH_PERIOD_SECONDS * self._random.uniform(0.2, 1.0))
+        while self._directory.sound and not self._directory.lacks_news():
+            await asyncio.sleep(LOOK_SECONDS)
+
     def _fetch_address(self) -> str | None:
         """Return a peer that the store serves, or else any that may answer."""
         live = self._gossip.live_states()
-        sound = [state.address for state in live if state.store_sound]
+        sound = [state.address for state in live if state.watching and state.sound]
+        sound = sound or [state.address for state in live if state.sound]
         known = {*self._app.settings.seeds, *self._addresses}
         known.update(state.address for state in live)
         known.discard(self._members.own.peer_address)
@@ -123,7 +132,8 @@
         self._addresses.update(knowledge.addresses)
         if knowledge.catalog:
             self._directory.take_catalog(knowledge.catalog, knowledge.instance)
-        if knowledge.upstreams is not None and not self._directory.sound:
+        watching = self._directory.watches.watching and self._directory.sound
+        if knowledge.upstreams is not None and not watching:
             self._directory.take_peer_upstreams(
                 knowledge.upstreams, knowledge.revision, knowledge.instance
             )
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -21,8 +21,14 @@
 MEMBER_PREFIX = OWN_PREFIX + "members/"
 # Renewals per life of the lease.
 RENEWALS_PER_LEASE = 3
-# The other instances' entries are read this often; gossip knows of changes sooner.
+# The other instances' entries are read this often; gossip knows of changes sooner. The
+# period grows with the number of instances, as each reads the entries of all.
 LIST_SECONDS = 5.0
+LIST_SECONDS_PER_INSTANCE = 0.1
+MOST_LIST_SECONDS = 30.0
+# An instance that cannot take the duty, as it does not follow the store, holds its
+# lease for this many times as long, and renews it as much more seldom.
+FOLLOWER_LEASES = 3
 # Instances start together; the first list is read after all of them wrote theirs.
 FIRST_LIST_SECONDS = 0.7
 # The holder stops this long before the store can let the lease lapse.
@@ -59,10 +65,13 @@
         "own",
         "leaving",
         "fencing",
+        "told_holder",
         "_app",
         "_store",
         "_directory",
         "_lease_id",
+        "_lease_ttl",
+        "_shorten",
         "_lease",
         "_lease_sent_at",
         "_rested_at",
@@ -83,10 +92,14 @@
         )
         self.leaving = False
         self.fencing = 0
+        # Where watchers say that the holder of the duty hears datagrams.
+        self.told_holder = ""
         self._app = app
         self._store = app.service("store")
         self._directory = app.service("directory")
         self._lease_id = 0
+        self._lease_ttl = 0.0
+        self._shorten = asyncio.Event()
         ttl = settings.times.lease_seconds
         renew = ttl / RENEWALS_PER_LEASE
         self._lease = Lease(LeaseRules(ttl, renew, MARGIN_SECONDS))
@@ -109,7 +122,7 @@
     async def _list_others(self) -> None:
         stale = False
         while True:
-            await asyncio.sleep(LIST_SECONDS if stale else FIRST_LIST_SECONDS)
+            await asyncio.sleep(self._list_seconds() if stale else FIRST_LIST_SECONDS)
             try:
                 entries, _ = await self._store.read_prefix(MEMBER_PREFIX, stale)
             except KvError as error:
@@ -121,11 +134,28 @@
                 member.instance: member for member in found if member is not None
             }
             self._directory.instances = max(1, len(self._listed_by_instance))
+            self._directory.watches.relay.listed(
+                member.instance
+                for member in self._listed_by_instance.values()
+                if member.zone == self.own.zone
+            )
+            self._directory.watches.role_known()
+
+    def _list_seconds(self) -> float:
+        if self.fencing:
+            # The figures of a usage window wait for the instances that are listed.
+            return LIST_SECONDS
+        seconds = self._directory.instances * LIST_SECONDS_PER_INSTANCE
+        return min(MOST_LIST_SECONDS, max(LIST_SECONDS, seconds))
 
     def holder_address(self) -> str:
         """Return where the holder of the duty hears datagrams, empty if unknown."""
+        if not self._directory.watches.watching:
+            return self.told_holder
         entry = self._directory.own_entries_by_key.get(DUTY_KEY)
         duty = _decode(entry, DutyEntry) if entry is not None else None
+        if duty is not None and duty.instance == self.own.instance:
+            return self.own.gossip_address
         member = self._listed_by_instance.get(duty.instance) if duty else None
         return member.gossip_address if member else ""
 
@@ -151,30 +181,52 @@
                 log_event("lease_not_ended", level="WARNING", error=error.message)
 
     async def _keep_listed(self) -> None:
-        period = self._app.settings.times.lease_seconds / RENEWALS_PER_LEASE
         while not self.leaving:
             try:
-                if self._lease_id:
+                if self._lease_id and self._lease_ttl <= self._wanted_ttl():
                     await self._renew()
                 else:
-                    await self._enlist()
+                    await self._enlist(self._wanted_ttl())
             except KvError as error:
                 log_event("lease_renewal_failed", level="WARNING", error=error.message)
-                await asyncio.sleep(period / 3)
+                await asyncio.sleep(self._short_ttl() / RENEWALS_PER_LEASE / 3)
                 continue
-            await asyncio.sleep(period if self._lease_id else period / 3)
+            period = self._lease_ttl / RENEWALS_PER_LEASE
+            await self._pause(period if self._lease_id else period / 3)
+
+    def _short_ttl(self) -> float:
+        return self._app.settings.times.lease_seconds
 
-    async def _enlist(self) -> None:
+    def _wanted_ttl(self) -> float:
+        """Return the longest life of the lease that will do, seconds."""
+        short = self._directory.watches.chosen or self.fencing
+        return self._short_ttl() * (1 if short else FOLLOWER_LEASES)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the lease has to be renewed, or has to be a shorter one."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._shorten.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._shorten.clear()
+
+    def shorten_lease(self) -> None:
+        """Look at once whether the lease is short enough for the duty."""
+        self._shorten.set()
+
+    async def _enlist(self, ttl: float) -> None:
         sent_at = self._app.clock.monotonic()
-        ttl = self._app.settings.times.lease_seconds
         lease = await self._store.grant(ttl)
         key = MEMBER_PREFIX + self.own.instance
         put = Put(key, msgspec.json.encode(self.own), lease)
         await self._store.transact([], [put])
         if not self.leaving:
             self._lease_id = lease
+            self._lease_ttl = ttl
             self._lease_sent_at = sent_at
-            log_event("member_listed", lease=lease)
+            log_event("member_listed", lease=lease, seconds=ttl)
 
     async def _renew(self) -> None:
         lease = self._lease_id
@@ -195,13 +247,20 @@
             now = self._app.clock.monotonic()
             if self.fencing and not self._lease.tick(now):
                 self._lose("not renewed in time")
+            if not self._directory.sees_duty:
+                self._free_since = None
+                continue
             entry = self._directory.own_entries_by_key.get(DUTY_KEY)
             if entry is not None:
                 self._free_since = None
                 await self._adopt(entry)
-            elif self._directory.sound and self._lease_id:
+            elif self._directory.sound and self._lease_short():
                 await self._try_to_take(now)
 
+    def _lease_short(self) -> bool:
+        """Tell whether the lease is one that the duty may hang on."""
+        return bool(self._lease_id) and self._lease_ttl <= self._short_ttl()
+
     async def _adopt(self, entry: KvEntry) -> None:
         """Hold the duty if the entry is this process's own, under the present lease.
 
@@ -266,7 +325,7 @@
         log_event("duty_lost", fencing=self.fencing, reason=reason)
         self.fencing = 0
         self._lease.lose()
-        rest = self._app.settings.times.lease_seconds + REST_SECONDS
+        rest = self._short_ttl() + REST_SECONDS
         self._rested_at = self._app.clock.monotonic() + rest
 
     def dump(self) -> dict:
@@ -294,4 +353,5 @@
     members = Members(app)
     app.provide("members", members)
     app.add_dump_section("members", members.dump)
+    app.connect("watching-begun", members.shorten_lease)
     app.on_start(members.start)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -7,28 +7,39 @@
 
 # Counters in one datagram, which keeps it below the size that links pass whole.
 MOST_COUNTERS = 50
+# Entries of upstreams in one datagram, for the same reason.
+MOST_ENTRIES = 6
+# First byte of every datagram. Instances of another format are not understood; both
+# sides then go by the store alone.
+FORMAT = b"\x02"
 
 
 class State(msgspec.Struct, omit_defaults=True, tag="s"):
     """What an instance tells a peer.
 
-    ``vote`` is its vote for the time of day and ``true_now`` its estimate of the true
-    time, both in seconds since 1970. ``totals`` are its counted requests by window.
-    ``changing`` are the engines that the sender, as the holder of the duty, is about to
-    order to another phase or has just ordered. ``failing`` are the starts of upstreams
-    that failed for the sender just now.
+    ``vote`` is its vote for the time of day, in seconds since 1970. ``watching`` tells
+    whether it follows the store itself and ``sound`` whether it is up to date;
+    ``list_revision`` and ``list_digest`` tell what it knows of the upstreams, and
+    ``holder`` where the holder of the duty hears datagrams. ``loads`` are its own for
+    a peer of its zone, the whole zone's for others, and ``None`` if it does not know
+    those yet. ``changing`` are the engines that the sender, as the holder of the duty,
+    is about to order to another phase or has just ordered. ``failing`` are the starts
+    of upstreams that failed for the sender just now.
     """
 
     instance: str
     incarnation: str
+    zone: str
     address: str
     gossip_address: str
     vote: float
-    true_now: float
-    store_sound: bool = False
+    watching: bool = False
+    sound: bool = False
     version: int = 0
-    totals: dict[int, int] = {}
-    loads: dict[str, Load] = {}
+    list_revision: int = 0
+    list_digest: str = ""
+    holder: str = ""
+    loads: dict[str, Load] | None = None
     parts: list[tuple[str, str]] = []
     changing: list[str] = []
     failing: list[tuple[str, int]] = []
@@ -41,16 +52,32 @@
     """
 
     instance: str
+    zone: str
     upstream: str
     tokens: int
 
 
 class Counters(msgspec.Struct, tag="c"):
-    """A part of an instance's counters of one window."""
+    """Counters of one incarnation, or a part of them.
+
+    ``told_at`` is the true time by the sender, seconds since 1970, and ``totals`` are
+    all its counted requests by window, so that missing parts show. ``totals`` is
+    ``None`` where somebody else than the incarnation tells its counters.
+    """
 
     incarnation: str
-    window: int
-    counts: dict[str, int]
+    told_at: float
+    totals: dict[int, int] | None
+    counts: dict[int, dict[str, int]]
+
+
+class Changes(msgspec.Struct, tag="l"):
+    """Entries of the list of upstreams that a watcher has just learned of."""
+
+    instance: str
+    zone: str
+    upstreams: list[Upstream]
+    removed: list[tuple[str, int]]
 
 
 class Question(msgspec.Struct):
@@ -72,10 +99,40 @@
 
 
 def split_counters(
-    incarnation: str, window: int, counts: dict[str, int]
+    incarnation: str,
+    told_at: float,
+    totals: dict[int, int] | None,
+    counts_by_window: dict[int, dict[str, int]],
 ) -> list[Counters]:
-    rows = list(counts.items())
+    """Return counters in messages of a bounded size; one at least."""
+    rows = [
+        (window, workspace, count)
+        for window, counts in counts_by_window.items()
+        for workspace, count in counts.items()
+    ]
+    messages = []
+    for start in range(0, max(1, len(rows)), MOST_COUNTERS):
+        part: dict[int, dict[str, int]] = {}
+        for window, workspace, count in rows[start : start + MOST_COUNTERS]:
+            part.setdefault(window, {})[workspace] = count
+        messages.append(Counters(incarnation, told_at, totals, part))
+    return messages
+
+
+def split_changes(
+    instance: str,
+    zone: str,
+    upstreams: list[Upstream],
+    removed: list[tuple[str, int]],
+) -> list[Changes]:
+    """Return changes of the list in messages of a bounded size."""
+    starts = range(0, max(len(upstreams), len(removed)), MOST_ENTRIES)
     return [
-        Counters(incarnation, window, dict(rows[start : start + MOST_COUNTERS]))
-        for start in range(0, len(rows), MOST_COUNTERS)
+        Changes(
+            instance,
+            zone,
+            upstreams[start : start + MOST_ENTRIES],
+            removed[start : start + MOST_ENTRIES],
+        )
+        for start in starts
     ]
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
@@ -0,0 +1,160 @@
+"""Which other instances there are, from the members' list and from their messages."""
+
+from camphorgate.clock import Clock
+from camphorgate.log import log_event
+from camphorgate.serving.relay import LIVE_SECONDS
+from camphorgated.serving.messages import State
+
+# Addresses of peers that were not heard are kept this long.
+KNOWN_SECONDS = 30.0
+# The number of instances is worked out again after this time.
+COUNT_SECONDS = 0.2
+
+
+class Peer:
+    """What is known of another instance."""
+
+    __slots__ = ("state", "heard_at")
+
+    def __init__(self, state: State, heard_at: float) -> None:
+        """Keep its newest state."""
+        self.state = state
+        self.heard_at = heard_at
+
+
+class PeerBook:
+    """The other instances, as this one sees them."""
+
+    __slots__ = (
+        "_clock",
+        "_members",
+        "_seeds",
+        "_peers_by_instance",
+        "_known_addresses",
+        "_changing_by_instance",
+        "_count",
+        "_counted_at",
+    )
+
+    def __init__(self, clock: Clock, members, seeds: int) -> None:
+        """Start without peers.
+
+        :param members: the own entry and the listed instances.
+        :param seeds: how many instances the settings name.
+        """
+        self._clock = clock
+        self._members = members
+        self._seeds = seeds
+        self._peers_by_instance: dict[str, Peer] = {}
+        self._known_addresses: dict[str, float] = {}
+        self._changing_by_instance: dict[str, list[str]] = {}
+        self._count = 1
+        self._counted_at = float("-inf")
+
+    def hear(self, state: State) -> bool:
+        """Take the state of a peer.
+
+        :returns: false for what this instance said itself.
+        """
+        if state.instance == self._members.own.instance:
+            return False
+        now = self._clock.monotonic()
+        known = self._peers_by_instance.get(state.instance)
+        if known is None or known.state.incarnation != state.incarnation:
+            log_event("peer_heard", peer=state.instance, incarnation=state.incarnation)
+        self._peers_by_instance[state.instance] = Peer(state, now)
+        self._known_addresses[state.gossip_address] = now
+        if state.changing:
+            self._changing_by_instance[state.instance] = state.changing
+        else:
+            self._changing_by_instance.pop(state.instance, None)
+        return True
+
+    def note_addresses(self, gossip_addresses: list[str]) -> None:
+        """Talk to instances of which a peer told."""
+        now = self._clock.monotonic()
+        for address in gossip_addresses:
+            self._known_addresses.setdefault(address, now)
+
+    def live_states(self) -> list[State]:
+        """Return the newest states of the peers that were heard of lately."""
+        now = self._clock.monotonic()
+        peers = self._peers_by_instance.values()
+        return [peer.state for peer in peers if now - peer.heard_at < LIVE_SECONDS]
+
+    def near_instances(self) -> list[str]:
+        """Return the instances of the own zone that were heard at any time."""
+        own = self._members.own.zone
+        return [
+            instance
+            for instance, peer in self._peers_by_instance.items()
+            if peer.state.zone == own
+        ]
+
+    def live_incarnations(self) -> set[str]:
+        """Return the incarnations that are listed, or were heard of lately.
+
+        Where an instance was heard, its listed incarnation may have ended.
+        """
+        by_instance = {
+            instance: member.incarnation
+            for instance, member in self._members.by_instance().items()
+        }
+        for state in self.live_states():
+            by_instance[state.instance] = state.incarnation
+        own = self._members.own
+        by_instance[own.instance] = own.incarnation
+        return set(by_instance.values())
+
+    def instance_count(self) -> int:
+        """Return how many instances there seem to be, this one included."""
+        now = self._clock.monotonic()
+        if now - self._counted_at >= COUNT_SECONDS:
+            self._counted_at = now
+            self._count = max(len(self.live_incarnations()), self._seeds, 1)
+        return self._count
+
+    def changing(self) -> set[str]:
+        """Return the engines that the holder of the duty is changing."""
+        if not self._changing_by_instance:
+            return set()
+        live = {state.instance for state in self.live_states()}
+        return {
+            engine
+            for instance, engines in self._changing_by_instance.items()
+            if instance in live
+            for engine in engines
+        }
+
+    def addresses(self) -> tuple[list[str], list[str]]:
+        """Return the peers' addresses in a fixed order: the own zone's, and others."""
+        now = self._clock.monotonic()
+        for address, known_at in list(self._known_addresses.items()):
+            if now - known_at > KNOWN_SECONDS:
+                del self._known_addresses[address]
+        own = self._members.own
+        members = list(self._members.by_instance().values())
+        members += [peer.state for peer in self._peers_by_instance.values()]
+        near = {item.gossip_address for item in members if item.zone == own.zone}
+        listed = {item.gossip_address for item in self._members.by_instance().values()}
+        everyone = listed | self._known_addresses.keys()
+        near &= everyone
+        near.discard(own.gossip_address)
+        everyone.discard(own.gossip_address)
+        return sorted(near), sorted(everyone - near)
+
+    def ages(self) -> dict[str, float]:
+        """Return how long ago each peer was heard, in seconds."""
+        now = self._clock.monotonic()
+        return {
+            instance: now - peer.heard_at
+            for instance, peer in self._peers_by_instance.items()
+        }
+
+
+def in_turn(addresses: list[str], turn: int, most: int) -> list[str]:
+    """Return the addresses whose turn it is, at most so many."""
+    if len(addresses) <= most:
+        return list(addresses)
+    first = turn * most % len(addresses)
+    return (addresses + addresses)[first : first + most]
--- a/packages/camphorgate/src/camphorgate/serving/upstream_table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_table.py
@@ -9,6 +9,11 @@
 RETURN_SECONDS = 2.0
 
 
+# Removals that are remembered, so that a late message does not bring an entry back; a
+# fleet loses fewer upstreams within the time that messages take.
+MOST_REMOVALS = 500
+
+
 class UpstreamTable:
     """Merges entries by revision; an entry never goes back to an older one.
 
@@ -16,13 +21,25 @@
     has been sound for :data:`RETURN_SECONDS`.
     """
 
-    __slots__ = ("by_id", "revision", "_doubtful_by_id")
+    __slots__ = (
+        "by_id",
+        "revision",
+        "_doubtful_by_id",
+        "_removed_by_id",
+        "_changed_ids",
+        "_digest",
+        "_usable_by_service",
+    )
 
     def __init__(self) -> None:
         """Start without upstreams."""
         self.by_id: dict[str, Upstream] = {}
         self.revision = 0
         self._doubtful_by_id: dict[str, tuple[int, float]] = {}
+        self._removed_by_id: dict[str, int] = {}
+        self._changed_ids: set[str] = set()
+        self._digest = ""
+        self._usable_by_service: dict[str, list[Upstream]] = {}
 
     def put(self, upstream: Upstream) -> bool:
         """Take an entry.
@@ -35,9 +52,13 @@
             or known.started_at > upstream.started_at
         ):
             return False
+        if self._removed_by_id.get(upstream.id, 0) >= upstream.revision:
+            return False
+        self._removed_by_id.pop(upstream.id, None)
         self._doubtful_by_id.pop(upstream.id, None)
         self.by_id[upstream.id] = upstream
         self.revision = max(self.revision, upstream.revision)
+        self._changed(upstream.id)
         return True
 
     def remove(self, upstream_id: str, revision: int, now: float, sound: bool) -> None:
@@ -53,7 +74,7 @@
         if known is not None and not sound and not known.leaving:
             self._doubtful_by_id.setdefault(upstream_id, (revision, now))
             return
-        self._drop(upstream_id)
+        self._drop(upstream_id, revision)
 
     def replace(
         self, upstreams: Iterable[Upstream], revision: int, now: float, sound: bool
@@ -87,22 +108,56 @@
             if now - max(since, sound_since) >= RETURN_SECONDS
         ]
         for upstream_id in dropped:
-            self._drop(upstream_id)
+            self._drop(upstream_id, self._doubtful_by_id[upstream_id][0])
         return dropped
 
+    def take_changes(self) -> tuple[list[Upstream], list[tuple[str, int]]]:
+        """Return what changed since the last call, and forget it.
+
+        :returns: the entries as they are now, and id and revision of those removed.
+        """
+        changed, self._changed_ids = sorted(self._changed_ids), set()
+        present = [self.by_id[item] for item in changed if item in self.by_id]
+        removed = [
+            (item, self._removed_by_id[item])
+            for item in changed
+            if item in self._removed_by_id
+        ]
+        return present, removed
+
     def digest(self) -> str:
         """Return a digest of what the table holds, for peers to compare."""
-        rows = sorted((item.id, item.revision) for item in self.by_id.values())
-        return hashlib.blake2b(repr(rows).encode(), digest_size=8).hexdigest()
+        if not self._digest:
+            rows = sorted((item.id, item.revision) for item in self.by_id.values())
+            digest = hashlib.blake2b(repr(rows).encode(), digest_size=8)
+            self._digest = digest.hexdigest()
+        return self._digest
 
     def usable(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that take new requests."""
-        return [
-            upstream
-            for upstream in self.by_id.values()
-            if upstream.service == service and not upstream.leaving
-        ]
+        """Return the upstreams of a service that take new requests.
 
-    def _drop(self, upstream_id: str) -> None:
+        :returns: a list that is shared between calls and must not be changed.
+        """
+        usable = self._usable_by_service.get(service)
+        if usable is None:
+            usable = [
+                upstream
+                for upstream in self.by_id.values()
+                if upstream.service == service and not upstream.leaving
+            ]
+            self._usable_by_service[service] = usable
+        return usable
+
+    def _drop(self, upstream_id: str, revision: int) -> None:
         self._doubtful_by_id.pop(upstream_id, None)
         self.by_id.pop(upstream_id, None)
+        known = self._removed_by_id.pop(upstream_id, 0)
+        self._removed_by_id[upstream_id] = max(known, revision)
+        if len(self._removed_by_id) > MOST_REMOVALS:
+            del self._removed_by_id[next(iter(self._removed_by_id))]
+        self._changed(upstream_id)
+
+    def _changed(self, upstream_id: str) -> None:
+        self._changed_ids.add(upstream_id)
+        self._digest = ""
+        self._usable_by_service.clear()
--- a/packages/camphorgate/src/camphorgate/serving/usage.py
+++ b/packages/camphorgate/src/camphorgate/serving/usage.py
@@ -64,21 +64,27 @@
 
     def orphans(
         self, live_incarnations: set[str], since: float
-    ) -> list[tuple[str, int, dict[str, int]]]:
+    ) -> list[tuple[str, dict[int, dict[str, int]]]]:
         """Return the counters of incarnations that ended, which nobody else tells.
 
         An instance that starts later hears of them only in this way.
 
         :param since: windows that ended before this true time are left out.
+        :returns: pairs of an incarnation and its counters by window.
         """
         oldest = self.window_at(since)
-        return [
-            (incarnation, window, dict(counts))
-            for incarnation, windows in self._counts_by_incarnation.items()
-            if incarnation not in live_incarnations
-            for window, counts in windows.items()
-            if window >= oldest and counts
-        ]
+        found = []
+        for incarnation, windows in self._counts_by_incarnation.items():
+            if incarnation in live_incarnations:
+                continue
+            counts = {
+                window: dict(counts)
+                for window, counts in windows.items()
+                if window >= oldest and counts
+            }
+            if counts:
+                found.append((incarnation, counts))
+        return found
 
     def merge(self, incarnation: str, window: int, counts: dict[str, int]) -> None:
         """Take a part of a peer's counters of one window."""
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -251,19 +251,39 @@
         peers = [f"10.0.0.{number}:7000" for number in range(80)]
         members = app.service("members")
         counts = {f"workspace-{number}": 1 for number in range(50)}
-        counters = [Counters("entry-1/x", window, counts) for window in range(4)]
+        counters = dict.fromkeys(range(4), counts)
+        gossip._near, gossip._far = peers[:20], peers[20:]
+        usage = gossip.usage
+        sent = []
+        self.enterContext(
+            mock.patch.object(type(gossip), "_send", lambda _, *args: sent.append(args))
+        )
+        self.enterContext(
+            mock.patch.object(type(usage), "own_recent", lambda *_: counters)
+        )
         with mock.patch.object(type(members), "holder_address", lambda _: peers[70]):
             heard = set()
-            for _ in range(len(peers) // gossip_module.LEAST_KEEPERS):
-                keepers = gossip._keepers(peers, counters)
+            for _ in range(2 * len(peers) // gossip_module.LEAST_KEEPERS):
+                sent.clear()
+                usage.count("workspace-1", gossip.true_now())
+                gossip._told_counts = {}
+                gossip._tell_counters()
                 gossip._turn += 1
-                self.assertIn(peers[70], keepers)
-                self.assertLessEqual(len(keepers), gossip_module.LEAST_KEEPERS + 1)
-                heard.update(keepers)
+                told = [
+                    address
+                    for messages, addresses in sent
+                    if any(isinstance(item, Counters) for item in messages)
+                    for address in addresses
+                ]
+                if gossip._turn % gossip_module.counter_ticks(81) != 1:
+                    continue
+                self.assertIn(peers[70], told)
+                self.assertLessEqual(len(told), gossip_module.LEAST_KEEPERS + 1)
+                heard.update(told)
             self.assertEqual(heard, set(peers))
-            # Few counters go to every peer in each tick.
-            few = [Counters("entry-1/x", 1, {"north": 1, "south": 2})]
-            self.assertEqual(set(gossip._keepers(peers, few)), set(peers))
+            # Few counters go to every peer of a small fleet in each tick.
+            few = {1: {"north": 1, "south": 2}}
+            self.assertEqual(set(gossip._keepers(peers[:8], few, 1)), set(peers[:8]))
 
     async def test_requests_that_end_after_the_gossip_announce_nothing(self):
         """Guards against an error in every request that outlasts a stop."""
@@ -275,7 +295,7 @@
         await gossip.stop()
         gossip.announce("p1", -5000)
         await asyncio.sleep(0.05)
-        peers = second.service("gossip").loads._peers
+        peers = second.service("gossip").loads._sources
         self.assertNotIn("p1", peers.get("entry-1", (0.0, {}))[1])
 
     def test_every_peer_is_told_in_turn(self):
@@ -285,9 +305,13 @@
                 [f"{kind}-{n}" for n in range(count)]
                 for kind, count in (("near", near), ("far", far))
             ]
-            bounds = (gossip_module.MOST_NEAR_PER_TICK, gossip_module.MOST_FAR_PER_TICK)
+            bounds = (
+                gossip_module.MOST_NEAR_PER_TICK,
+                gossip_module.far_per_tick(near + far + 1),
+            )
             heard = set()
-            for turn in range(gossip_module.Gossip.ticks_per_round(near, far)):
+            rounds = [-(-near // bounds[0]), -(-far // bounds[1])]
+            for turn in range(max(rounds)):
                 for addresses, most in zip(peers, bounds, strict=True):
                     told = gossip_module.in_turn(addresses, turn, most)
                     self.assertLessEqual(len(told), most)
@@ -327,6 +351,8 @@
         self.enterContext(patched)
         app = await self.start_ready()
         directory = app.service("directory")
+        # The duty is watched once this instance knows that it is a watcher.
+        await self.eventually(lambda: directory.watches.chosen)
         await asyncio.sleep(2 * SETTLE_SECONDS)
         self.assertFalse(directory.sound)
         self.store.remove("servers/desk-1")
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -352,3 +352,62 @@
         engines = self.engines("a", 0, 3) + self.engines("b", 1, 0, Phase.DECODE)
         orders = plan_phases(engines, False, EVERYWHERE)
         self.assertEqual([order.phase for order in orders], [Phase.DECODE])
+
+
+class LoadSumTests(unittest.TestCase):
+    """The sum over the sources is kept up to date with each message."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["hear", "reading", "wait"]),
+                st.integers(0, 4),
+                st.integers(0, 3),
+                st.integers(-4000, 9000),
+            ),
+            max_size=60,
+        )
+    )
+    def test_sum_is_that_of_all_sources_that_count(self, steps):
+        """Guards against figures that drift with messages that expire or repeat."""
+        book = LoadBook()
+        told = {}
+        now = 0.0
+        for kind, source, upstream, tokens in steps:
+            name, upstream_id = f"entry-{source}", f"u{upstream}"
+            if kind == "wait":
+                now += source
+            elif kind == "hear":
+                loads = {upstream_id: Load(source, abs(tokens))}
+                told[name] = (now, {upstream_id: [source, abs(tokens)]})
+                book.hear(name, loads, now)
+            else:
+                book.hear_reading(name, upstream_id, tokens)
+                heard_at, loads = told.get(name, (0.0, None))
+                if loads is not None and now - heard_at < PEER_SECONDS:
+                    load = loads.setdefault(upstream_id, [0, 0])
+                    load[0] = max(0, load[0] + (1 if tokens > 0 else -1))
+                    load[1] = max(0, load[1] + tokens)
+            for number in range(4):
+                total = book.total(f"u{number}", now)
+                expected = [
+                    loads[f"u{number}"]
+                    for heard_at, loads in told.values()
+                    if now - heard_at < PEER_SECONDS and f"u{number}" in loads
+                ]
+                self.assertEqual(total.requests, sum(item[0] for item in expected))
+                self.assertEqual(
+                    total.prefill_tokens, sum(item[1] for item in expected)
+                )
+
+    def test_a_zone_tells_the_sum_of_its_instances(self):
+        """Guards against instances of other zones that look idle for seconds."""
+        book = LoadBook()
+        book.begin("u1", 1000)
+        book.hear("entry-2", {"u1": Load(1, 500)}, 1.0)
+        book.hear("zone/zone-b", {"u1": Load(7, 7000)}, 1.0)
+        self.assertEqual(book.sum_of(["entry-2"], 1.1), {"u1": Load(2, 1500)})
+        other = LoadBook()
+        for _ in range(3):
+            other.hear("zone/zone-a", book.sum_of(["entry-2"], 1.1), 1.2)
+        self.assertEqual(other.total("u1", 1.3), Load(2, 1500))
--- /dev/null
+++ b/tests/test_serving/test_relay.py
@@ -0,0 +1,266 @@
+"""Tests of who follows the store, and of how the others learn of its changes."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+
+from camphorgate.serving.relay import (
+    KEEP_SECONDS,
+    LIVE_SECONDS,
+    TOUCH_SECONDS,
+    TURN_SECONDS,
+    WATCHERS_PER_ZONE,
+    Relay,
+)
+from camphorgated.serving.messages import FORMAT, Changes
+from tests.hosted import HostedCase
+from tests.hosting_builders import KEY, build_listed_upstream, build_platform_entry
+
+STEP_SECONDS = 0.1
+
+
+class Zone:
+    """Instances of one zone that tell each other whether they follow the store.
+
+    Plays the decision alone, with lost messages, without a network: who is alive and
+    whom the store serves is set from outside.
+    """
+
+    def __init__(self, size: int, loss: float = 0.0, seed: int = 1) -> None:
+        """List all instances, of which none watches yet."""
+        self.names = [f"entry-{number}" for number in range(size)]
+        self.relays = {name: Relay(name) for name in self.names}
+        self.watching = set()
+        self.dead = set()
+        self.turned_away = set()
+        self.now = 10.0
+        self._loss = loss
+        self._random = random.Random(seed)
+        for relay in self.relays.values():
+            relay.listed(self.names)
+
+    def run(self, seconds: float) -> None:
+        """Let every instance tell, then decide, once a step."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.now += STEP_SECONDS
+            for name in self.names:
+                if name not in self.dead:
+                    self._tell(name)
+            for name, relay in self.relays.items():
+                if name in self.dead:
+                    continue
+                if relay.needed(name in self.watching, self.now):
+                    self.watching.add(name)
+                else:
+                    self.watching.discard(name)
+
+    def _tell(self, name: str) -> None:
+        watching = name in self.watching
+        sound = watching and name not in self.turned_away
+        # A watcher tells each of its peers every fourth step, the others every tenth.
+        period = 4 if watching else 10
+        step = round(self.now / STEP_SECONDS)
+        for number, (other, relay) in enumerate(self.relays.items()):
+            told = (step + number) % period == 0
+            if other != name and told and self._random.random() >= self._loss:
+                relay.hear(name, watching, sound, self.now)
+
+    def sound_watchers(self) -> set[str]:
+        """Return the watchers that are alive and that the store serves."""
+        return self.watching - self.dead - self.turned_away
+
+    def out_of_touch(self) -> list[str]:
+        """Return the living instances that neither watch nor hear a watcher."""
+        return [
+            name
+            for name, relay in self.relays.items()
+            if name not in self.dead | self.watching and not relay.in_touch(self.now)
+        ]
+
+
+class RelayTests(unittest.TestCase):
+    """A zone keeps its watchers, and few of them."""
+
+    def test_a_zone_has_as_many_watchers_as_it_needs(self):
+        """Guards against a store that every instance of a large fleet calls."""
+        for size in (1, 2, 3, 40):
+            zone = Zone(size, loss=0.03)
+            zone.run(KEEP_SECONDS + 3.0)
+            wanted = min(size, WATCHERS_PER_ZONE)
+            self.assertEqual(len(zone.watching), wanted, size)
+            self.assertEqual(zone.out_of_touch(), [])
+
+    def test_watchers_that_die_together_are_replaced_in_time(self):
+        """Guards against a zone that works on with old lists, by seeds.
+
+        The bound leaves half of the smallest ``drain-ms`` of the users (2 s) to the
+        read and the word of it.
+        """
+        for seed in range(20):
+            zone = Zone(40, loss=0.03, seed=seed)
+            zone.run(KEEP_SECONDS + 3.0)
+            zone.dead |= zone.watching
+            zone.watching.clear()
+            zone.run(TOUCH_SECONDS + 4 * TURN_SECONDS)
+            self.assertTrue(zone.sound_watchers(), seed)
+            zone.run(KEEP_SECONDS + 3.0)
+            self.assertEqual(zone.out_of_touch(), [], seed)
+            self.assertLessEqual(len(zone.watching), WATCHERS_PER_ZONE + 1, seed)
+
+    def test_watchers_that_the_store_turns_away_are_replaced(self):
+        """Guards against a zone cut off by the trouble of two of its instances."""
+        zone = Zone(40, loss=0.03)
+        zone.run(KEEP_SECONDS + 3.0)
+        zone.turned_away |= zone.watching
+        zone.run(TOUCH_SECONDS + 4 * TURN_SECONDS)
+        self.assertGreaterEqual(len(zone.sound_watchers()), 1)
+        zone.run(3.0)
+        self.assertGreaterEqual(len(zone.sound_watchers()), WATCHERS_PER_ZONE)
+        zone.turned_away.clear()
+        zone.run(KEEP_SECONDS + 3.0)
+        self.assertEqual(len(zone.watching), WATCHERS_PER_ZONE)
+
+    def test_an_outage_of_the_store_for_all_ends_with_few_watchers(self):
+        """Guards against a fleet that goes on asking after an outage."""
+        zone = Zone(40, loss=0.03)
+        zone.run(KEEP_SECONDS + 3.0)
+        zone.turned_away |= set(zone.names)
+        zone.run(8.0)
+        zone.turned_away.clear()
+        zone.run(KEEP_SECONDS + 4.0)
+        self.assertLessEqual(len(zone.watching), WATCHERS_PER_ZONE + 1)
+        self.assertEqual(zone.out_of_touch(), [])
+
+    def test_silence_is_told_from_an_outage(self):
+        """Guards against removals that are doubted though the store was sound."""
+        relay = Relay("entry-1")
+        relay.hear("entry-2", True, True, 1.0)
+        self.assertFalse(relay.doubtful(1.5))
+        relay.hear("entry-2", True, False, 2.0)
+        self.assertTrue(relay.doubtful(2.5))
+        self.assertFalse(relay.doubtful(2.0 + LIVE_SECONDS))
+
+    def test_a_watcher_that_hands_its_role_on_is_no_outage(self):
+        """Guards against removals that are doubted after each change of watchers."""
+        relay = Relay("entry-1")
+        relay.hear("entry-2", True, True, 1.0)
+        relay.hear("entry-2", False, True, 1.2)
+        self.assertFalse(relay.doubtful(1.3))
+        self.assertFalse(relay.in_touch(1.3))
+
+
+class FollowerTests(HostedCase):
+    """An instance that does not follow the store hears of every change in time."""
+
+    async def start_zone(self, size: int = 4):
+        """Start instances and return the watchers and the others."""
+        self.configure()
+        await self.add_worker("desk-1")
+        apps = [
+            await self.start_ready(instance_id=f"entry-{number}")
+            for number in range(size)
+        ]
+
+        def watching():
+            return [app for app in apps if app.service("directory").watches.watching]
+
+        def settled():
+            watchers = watching()
+            holders = [app for app in apps if app.service("members").holds_duty()]
+            # The holder of the duty goes on watching.
+            return (
+                len(holders) == 1
+                and len(watchers) <= WATCHERS_PER_ZONE + (holders[0] in watchers)
+                and all(app.service("directory").sound for app in apps)
+            )
+
+        await self.eventually(settled, seconds=8.0)
+        watchers = watching()
+        return watchers, [app for app in apps if app not in watchers]
+
+    async def test_changes_of_upstreams_reach_followers(self):
+        """Guards against work for an upstream that leaves, and unused new ones."""
+        _, followers = await self.start_zone()
+        tables = [app.service("directory").table for app in followers]
+        address = next(iter(tables[0].by_id.values())).address
+        entry = build_platform_entry(address, state="draining")
+        self.store.put("servers/desk-1", entry)
+        await self.eventually(
+            lambda: all(table.by_id["desk-1"].leaving for table in tables), seconds=1.0
+        )
+        self.store.remove("servers/desk-1")
+        await self.eventually(
+            lambda: not any(table.by_id for table in tables), seconds=1.0
+        )
+
+    async def test_withdrawn_key_reaches_followers(self):
+        """Guards against keys that work on where the store is not followed."""
+        _, followers = await self.start_zone()
+        reply = await self.ask(followers[0], "/read/a")
+        self.assertEqual(reply.status, 200)
+        self.configure(2, tenants=[{"name": "north", "api-keys": ["another"]}])
+        await self.eventually(
+            lambda: all(
+                app.service("directory").catalog.version == 2 for app in followers
+            ),
+            seconds=2.0,
+        )
+        reply = await self.ask(followers[0], "/read/a")
+        self.assertEqual(reply.status, 401)
+        self.assertNotEqual(KEY, "another")
+
+    async def test_lost_word_of_a_change_is_noticed(self):
+        """Guards against a datagram whose loss leaves an old entry in use."""
+        _, followers = await self.start_zone()
+        table = followers[0].service("directory").table
+        gossip = type(followers[0].service("gossip"))
+        with mock.patch.object(gossip, "_take_changes", lambda *_: None):
+            self.store.remove("servers/desk-1")
+            await self.eventually(lambda: not table.by_id, seconds=3.0)
+
+    async def test_followers_go_on_without_both_watchers(self):
+        """Guards against a zone that hears of nothing after two kills."""
+        watchers, followers = await self.start_zone()
+        tables = [app.service("directory").table for app in followers]
+        for app in watchers:
+            await app.stop()
+        self.store.remove("servers/desk-1")
+        await self.eventually(
+            lambda: not any(table.by_id for table in tables), seconds=2.0
+        )
+
+    async def test_followers_stay_off_the_store(self):
+        """Guards against calls that grow with instances times changes."""
+        _, followers = await self.start_zone()
+        store = followers[0].service("store")
+        address = next(iter(followers[0].service("directory").table.by_id.values()))
+        before = store.statistics["calls"]
+        for number in range(10):
+            entry = build_platform_entry(address.address, sequence=number, slots=number)
+            self.store.put("servers/desk-1", entry)
+            await asyncio.sleep(0.1)
+        # What is left is the lease and the list of members.
+        self.assertLessEqual(store.statistics["calls"] - before, 3)
+
+    async def test_foreign_word_is_refused(self):
+        """Guards against a state that is old, of another zone, or half read."""
+        _, followers = await self.start_zone()
+        app = followers[0]
+        gossip, table = app.service("gossip"), app.service("directory").table
+        news = build_listed_upstream("u-9", revision=10**6)
+        old = msgspec.structs.replace(table.by_id["desk-1"], revision=0, leaving=True)
+        for message in (
+            Changes("entry-9", "zone-b", [news], [("desk-1", 10**6)]),
+            Changes("entry-0", "zone-a", [old], []),
+            Changes("entry-0", "zone-a", [], [("desk-1", 0)]),
+        ):
+            gossip._take(FORMAT + msgspec.msgpack.encode(message))
+        whole = msgspec.msgpack.encode(Changes("entry-0", "zone-a", [news], []))
+        for data in (b"", b"\x01" + whole, FORMAT + whole[:-9], whole):
+            gossip._take(data)
+        self.assertEqual(list(table.by_id), ["desk-1"])
+        self.assertFalse(table.by_id["desk-1"].leaving)
+        self.assertEqual(gossip.dump()["unreadable_datagrams"], 4)
--- a/tests/test_serving/test_upstream_table.py
+++ b/tests/test_serving/test_upstream_table.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from camphorgate.serving.upstream_table import RETURN_SECONDS, UpstreamTable
 from tests.hosting_builders import build_listed_upstream
 
@@ -71,3 +74,45 @@
         before = self.table.digest()
         self.table.put(build_listed_upstream("u1", revision=6))
         self.assertNotEqual(self.table.digest(), before)
+
+
+class ToldTableTests(unittest.TestCase):
+    """A table whose changes are told by two watchers, in any order."""
+
+    def test_late_word_does_not_bring_an_entry_back(self):
+        """Guards against work for an upstream whose removal overtook its entry."""
+        table = UpstreamTable()
+        table.put(build_listed_upstream("u1", revision=1))
+        table.remove("u1", 5, 0.0, True)
+        self.assertFalse(table.put(build_listed_upstream("u1", revision=4)))
+        self.assertEqual(table.by_id, {})
+        self.assertTrue(table.put(build_listed_upstream("u1", revision=6)))
+
+    @given(st.lists(st.integers(1, 60), max_size=60), st.randoms())
+    def test_any_order_of_changes_gives_the_same_table(self, kinds, shuffler):
+        """Guards against instances that differ for good after crossed datagrams."""
+        changes = []
+        for revision, kind in enumerate(kinds, start=1):
+            changes.append((f"u{kind % 5}", revision, kind % 3 == 0))
+        straight, crossed = UpstreamTable(), UpstreamTable()
+        for table, order in ((straight, changes), (crossed, list(changes))):
+            if table is crossed:
+                shuffler.shuffle(order)
+            for upstream_id, revision, removal in order + order:
+                if removal:
+                    table.remove(upstream_id, revision, 0.0, True)
+                else:
+                    table.put(build_listed_upstream(upstream_id, revision=revision))
+        self.assertEqual(straight.digest(), crossed.digest())
+
+    def test_changes_are_told_once(self):
+        """Guards against watchers that tell everything each time, or leave some out."""
+        table = UpstreamTable()
+        table.put(build_listed_upstream("u1", revision=1))
+        table.put(build_listed_upstream("u2", revision=2))
+        present, removed = table.take_changes()
+        self.assertEqual([item.id for item in present], ["u1", "u2"])
+        self.assertEqual(removed, [])
+        table.remove("u1", 3, 0.0, True)
+        self.assertEqual(table.take_changes(), ([], [("u1", 3)]))
+        self.assertEqual(table.take_changes(), ([], []))
