Bound every reader of bytes, tell stalled streams from slow ones, answer before a stop ends

Change: named bounds for each reader, parsing in slices; progress of a stream is an event, bounded by its route's pause and by how the engine serves others; unanswered requests end with 504 before the process ends; a new holder waits 1.5 s for counters.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
@@ -6,6 +6,9 @@
 from camphorgated.serving.errors import CallFailed
 from camphorgated.serving.http1 import Headers, encode_head
 
+# The largest answer of the store: a page of about 1 MB in base64.
+MOST_ANSWER_BYTES = 2_097_152
+
 
 class CallClient:
     """Short calls to one address, on kept connections."""
@@ -57,7 +60,13 @@
                 connection.send(method, encode_head(start, lines) + body)
                 status = await connection.read_head()
                 pieces = []
+                size = 0
                 while piece := await connection.read_piece():
+                    size += len(piece)
+                    if size > MOST_ANSWER_BYTES:
+                        raise CallFailed(
+                            f"{method} {target}: the answer is too large", True
+                        )
                     pieces.append(piece)
                 if not status or piece is None:
                     raise CallFailed(f"{method} {target}: the answer broke off", True)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -16,6 +16,14 @@
 # An unacknowledged write closes the connection after this time; the round trip within
 # the region is a few ms.
 UNACKNOWLEDGED_MS = 1200
+# The head of an answer with the interim answers before it; servers send some hundred
+# bytes.
+MOST_HEAD_BYTES = 65536
+# Bytes in a row that carry nothing of the body: sizes and extensions of chunks, and
+# trailers.
+MOST_FRAMING_BYTES = 65536
+# Bytes that are parsed before the bounds are looked at again.
+SLICE_BYTES = 16384
 
 
 class ClientConnection(asyncio.Protocol):
@@ -35,6 +43,8 @@
         "keep_alive",
         "spoiled",
         "received",
+        "endless",
+        "_framing_bytes",
         "_parser",
         "_pieces",
         "_piece_bytes",
@@ -63,6 +73,9 @@
         self.keep_alive = False
         self.spoiled = False
         self.received = 0
+        # Set once the server sends bytes that are no answer, beyond the bounds.
+        self.endless = False
+        self._framing_bytes = 0
         self._head_only = method == "HEAD"
         self._pieces: deque[bytes] = deque()
         self._piece_bytes = 0
@@ -94,9 +107,9 @@
             self.spoiled = True
             self.transport.close()
             return
-        self.received += len(data)
         try:
-            self._parser.feed_data(data)
+            for start in range(0, len(data), SLICE_BYTES):
+                self._parse(data[start : start + SLICE_BYTES])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self.complete:
                 self.reset = True
@@ -107,6 +120,23 @@
             self.transport.pause_reading()
         self._wake()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse a slice, unless the server only sends what is no answer.
+
+        :raises httptools.HttpParserError: if it is no part of an answer.
+        """
+        if self.spoiled:
+            return
+        self.received += len(data)
+        self._framing_bytes += len(data)
+        self._parser.feed_data(data)
+        bound = MOST_FRAMING_BYTES if self.head_done else MOST_HEAD_BYTES
+        if not self.complete and self._framing_bytes > bound:
+            self.endless = True
+            self.reset = True
+            self.spoiled = True
+            self.transport.abort()
+
     def eof_received(self) -> bool:
         """End an answer that has no length; close the connection."""
         if self.head_done and not self.framed and not self.spoiled:
@@ -142,6 +172,7 @@
             return
         self.status = status
         self.head_done = True
+        self._framing_bytes = 0
         self.keep_alive = self._parser.should_keep_alive() and not self._head_only
         coding = find_header(self.headers, b"transfer-encoding")
         self.framed = (
@@ -154,6 +185,7 @@
     def on_body(self, body: bytes) -> None:
         """Keep a piece of the body."""
         if self.head_done and not self.complete:
+            self._framing_bytes = 0
             self._pieces.append(body)
             self._piece_bytes += len(body)
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
@@ -42,3 +42,9 @@
         """Keep whether the call may have arrived."""
         super().__init__(message)
         self.sent = sent
+
+
+class EndlessEvent(CamphorgateError):
+    """An upstream sends an event that does not end."""
+
+    code = "endless_event"
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -8,8 +8,9 @@
 from camphorgated.serving.pool import Lease, Pool
 from camphorgated.serving.wire import AnswerFacts, Dialect
 
-# A whole answer of a plain call is kept in memory up to this size.
-MOST_BODY_BYTES = 8_388_608
+# A whole answer of a plain call is kept in memory up to this size. It is there twice
+# while its pieces are put together, and a connection may take 4 MB in all.
+MOST_BODY_BYTES = 1_572_864
 
 
 class Exchange:
@@ -64,11 +65,14 @@
         start = b"%b %b HTTP/1.1" % (method.encode("latin-1"), target)
         self._lease.connection.send(method, encode_head(start, headers) + body)
 
-    async def read_head(self, attempt: str | None, seconds: float) -> AnswerFacts:
+    async def read_head(
+        self, attempt: str, seconds: float, named: bool = True
+    ) -> AnswerFacts:
         """Wait for the head of the answer and check that it is this request's.
 
-        :param attempt: the id that the answer must carry, ``None`` for any.
+        :param attempt: the id that the answer must carry.
         :param seconds: how long to wait.
+        :param named: whether the answer must carry an id at all.
         :raises ExchangeError: without an acceptable head.
         """
         connection = self._lease.connection
@@ -78,13 +82,14 @@
         except TimeoutError:
             raise self._error("no answer in time", "silent") from None
         if not status:
-            cause = "stale" if self._lease.reused and not connection.received else "cut"
-            raise self._error("the connection ended before the answer", cause)
+            raise self._error(
+                "the connection ended before the answer", self._broken_cause()
+            )
         self.headers = connection.headers
         facts = self._dialect.read_answer(status, connection.headers)
-        if attempt is not None and facts.attempt != attempt:
-            refused = facts.attempt is None and facts.stage is Stage.REFUSED
-            if not refused:
+        if facts.attempt != attempt:
+            unnamed = not named or facts.stage is Stage.REFUSED
+            if facts.attempt is not None or not unnamed:
                 raise self._error("the answer is of another request", "crossed")
         self.facts = facts
         return facts
@@ -100,14 +105,15 @@
         except TimeoutError:
             raise self._error("the answer went silent", "silent") from None
         if piece is None:
-            raise self._error("the answer broke off", "cut")
+            raise self._error("the answer broke off", self._broken_cause())
         if not piece:
             self._whole = True
         return piece
 
-    async def read_body(self, seconds: float) -> bytes:
+    async def read_body(self, seconds: float, most: int = MOST_BODY_BYTES) -> bytes:
         """Return the whole body.
 
+        :param most: bound on its size in bytes.
         :raises ExchangeError: if it is not whole in time, or too large to keep.
         """
         pieces = []
@@ -116,12 +122,23 @@
             async with asyncio.timeout(seconds):
                 while piece := await self.read_piece(seconds):
                     size += len(piece)
-                    if size > MOST_BODY_BYTES:
+                    if size > most:
                         raise self._error("the answer is too large", "large")
                     pieces.append(piece)
         except TimeoutError:
             raise self._error("the answer went silent", "silent") from None
         return b"".join(pieces)
 
+    def _broken_cause(self) -> str:
+        connection = self._lease.connection
+        if connection.endless:
+            return "endless"
+        return "stale" if self._lease.reused and not connection.received else "cut"
+
+    @property
+    def framed(self) -> bool:
+        """Tell whether the answer says itself where it ends."""
+        return self._lease.connection.framed
+
     def _error(self, message: str, cause: str) -> ExchangeError:
         return ExchangeError(f"{self.upstream.id}: {message}", Stage.SENT, cause)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import itertools
+import math
+from collections.abc import Callable
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
@@ -46,6 +48,7 @@
         "version",
         "deadline",
         "decisions",
+        "_ends_at",
     )
 
     def __init__(
@@ -57,11 +60,13 @@
         workspace: Workspace | None,
         rank: int,
         version: int,
+        ends_at: Callable[[], float] = lambda: math.inf,
     ) -> None:
         """Work out until when an answer counts.
 
         :param rank: 0 is the most urgent.
         :param version: of the configuration that admitted the request.
+        :param ends_at: returns when this process ends, by the steady clock.
         """
         self.caller = caller
         self.request = caller.request
@@ -71,6 +76,7 @@
         self.workspace = workspace
         self.rank = rank
         self.version = version
+        self._ends_at = ends_at
         # What was decided and measured on the way, for the log line of the answer.
         self.decisions: dict[str, object] = {}
         seconds = facts.seconds if facts.seconds is not None else DEFAULT_SECONDS
@@ -79,7 +85,7 @@
 
     def left(self, now: float) -> float:
         """Return the seconds until the last moment for an answer."""
-        return self.deadline - now
+        return min(self.deadline, self._ends_at()) - now
 
     @property
     def workspace_name(self) -> str | None:
@@ -93,11 +99,12 @@
     __slots__ = (
         "stopping",
         "closed",
+        "ends_at",
         "_app",
         "_dialect",
         "_directory",
         "_connections",
-        "_busy",
+        "_work_by_connection",
         "_active",
         "_servers",
         "_admitted",
@@ -109,11 +116,15 @@
         """Start without sockets."""
         self.stopping = False
         self.closed = False
+        # Every request has its answer by then.
+        self.ends_at = math.inf
         self._app = app
         self._dialect = app.service("dialect")
         self._directory = app.service("directory")
         self._connections: set[ServerConnection] = set()
-        self._busy: set[ServerConnection] = set()
+        self._work_by_connection: dict[
+            ServerConnection, tuple[asyncio.Future, Caller]
+        ] = {}
         self._active = 0
         self._servers: list[asyncio.Server] = []
         self._admitted = 0
@@ -202,12 +213,10 @@
             return False
         if request is None:
             return False
-        if self.closed:
-            return False
         self._active += 1
-        self._busy.add(connection)
         caller = Caller(connection, request, lambda: self.stopping)
         work = asyncio.ensure_future(self._answer(caller))
+        self._work_by_connection[connection] = (work, caller)
         try:
             await asyncio.wait(
                 {work, connection.left}, return_when=asyncio.FIRST_COMPLETED
@@ -225,7 +234,7 @@
             raise
         finally:
             self._active -= 1
-            self._busy.discard(connection)
+            self._work_by_connection.pop(connection, None)
         return not caller.closing and caller.ended
 
     def _failed(self, caller: Caller, error: BaseException) -> None:
@@ -266,7 +275,16 @@
         service = self._pick_backend(route)
         rank = catalog.rank(route, workspace)
         self._admitted += 1
-        return Job(caller, facts, route, service, workspace, rank, catalog.version)
+        return Job(
+            caller,
+            facts,
+            route,
+            service,
+            workspace,
+            rank,
+            catalog.version,
+            lambda: self.ends_at,
+        )
 
     def _refuse(
         self,
@@ -304,21 +322,41 @@
         clock = self._app.clock
         began = clock.monotonic()
         last = began + self._app.settings.times.grace_seconds - GRACE_MARGIN_SECONDS
+        self.ends_at = last - ANSWER_SECONDS
         log_event("draining", active=self._active, connections=len(self._connections))
         await asyncio.sleep(LINGER_SECONDS)
-        # A caller whose request crosses the close sees that it was not read.
         self.closed = True
         for server in self._servers:
             server.close()
-        for connection in list(self._connections - self._busy):
-            connection.close()
-        while self._active and clock.monotonic() < last:
+        # Connections that were accepted while the sockets closed are served, too.
+        await asyncio.sleep(0)
+        while clock.monotonic() < last:
+            # A caller whose request crosses the close sees that it was not read. What
+            # has come in part is read whole and answered.
+            for connection in self._connections - self._work_by_connection.keys():
+                if not connection.receiving:
+                    connection.close()
+            if not self._active and not self._connections:
+                break
             await asyncio.sleep(0.02)
         if self._active:
             log_event("cut_at_stop", level="WARNING", active=self._active)
+            await self._end_work()
         for connection in list(self._connections):
             connection.close()
 
+    async def _end_work(self) -> None:
+        """Answer what did not end in time; whether it ran is not known."""
+        under_way = list(self._work_by_connection.values())
+        for work, _ in under_way:
+            work.cancel()
+        for work, caller in under_way:
+            await asyncio.wait({work})
+            if not caller.begun:
+                caller.refuse(504, "outcome_unknown")
+            elif not caller.ended:
+                caller.break_off()
+
     def dump(self) -> dict:
         """Return the state for the operators."""
         return {
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
@@ -44,6 +44,9 @@
         "unsent",
         "urgency",
         "ticket",
+        "passed_at",
+        "progress_seen",
+        "progressed_at",
     )
 
     def __init__(self, job: Job) -> None:
@@ -60,6 +63,10 @@
         self.handle_refusals = 0
         self.unsent = 0
         self.ticket: Ticket | None = None
+        # When events were last passed on, and when there last was progress.
+        self.passed_at: float | None = None
+        self.progress_seen = 0
+        self.progressed_at = 0.0
         self.urgency = min(LEAST_URGENCY, job.rank * URGENCY_PER_RANK)
 
     @property
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -13,11 +13,11 @@
 from camphorgate.settings import split_address
 from camphorgated.serving.call_client import CallClient
 from camphorgated.serving.errors import CallFailed, ExchangeError
-from camphorgated.serving.events import EventStream
 from camphorgated.serving.exchange import Exchange
 from camphorgated.serving.front import Job
 from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.patience import LOOK_SECONDS, wait_for_upstream
+from camphorgated.serving.streaming import Streaming
 from camphorgated.serving.wire import AnswerFacts
 
 # Answering engines read a prompt themselves where that is predicted to be sooner than
@@ -27,8 +27,8 @@
 # is taken for stuck.
 READ_PATIENCE = 5.0
 READ_PATIENCE_SECONDS = 1.5
-# A resumable stream that is silent this long goes on elsewhere.
-SILENT_SECONDS = 1.2
+# The answer to a reading call names a handle.
+MOST_RESULT_BYTES = 16_384
 MOST_CONNECTS = 12
 # How often the first of the waiting prompts looks for an engine.
 TURN_SECONDS = 0.02
@@ -47,16 +47,23 @@
 class Generations:
     """Leads generations to their answers."""
 
-    __slots__ = ("_app", "_dialect", "_upstreams", "_gossip", "_statistics", "_queue")
+    __slots__ = (
+        "_app",
+        "_dialect",
+        "_upstreams",
+        "_statistics",
+        "_queue",
+        "_streaming",
+    )
 
     def __init__(self, app: Application) -> None:
         """Use the shared state of the upstreams."""
         self._app = app
         self._dialect = app.service("dialect")
         self._upstreams = app.service("upstreams")
-        self._gossip = app.service("gossip")
         self._statistics = app.service("statistics")
         self._queue = ReadingQueue()
+        self._streaming = Streaming(app)
         app.add_dump_section("reading_queue", lambda: {"waiting": len(self._queue)})
 
     async def run(self, job: Job) -> None:
@@ -208,7 +215,7 @@
         generation.reads += 1
         sent_at = clock.monotonic()
         generation.tried.add(engine.id)
-        patience = choice.wait_ms / 1000 * READ_PATIENCE + READ_PATIENCE_SECONDS
+        patience = self._patience(choice)
         try:
             with self._upstreams.under_way(engine, choice.uncached):
                 async with self._upstreams.exchange(engine) as exchange:
@@ -216,8 +223,10 @@
                     sent_at = clock.monotonic()
                     self._send(generation, exchange, phase=Phase.PREFILL)
                     seconds = min(patience, max(0.01, job.left(clock.monotonic())))
-                    facts = await exchange.read_head(None, seconds)
-                    body = await exchange.read_body(seconds)
+                    facts = await exchange.read_head(
+                        job.facts.attempt, seconds, named=False
+                    )
+                    body = await exchange.read_body(seconds, MOST_RESULT_BYTES)
         except ExchangeError as error:
             self._upstreams.health.of(engine.incarnation).failed(clock.monotonic())
             self._statistics.try_failed(job, engine, f"read_{error.cause}", error.stage)
@@ -269,7 +278,8 @@
                     direct=handle is None,
                     answer_wait=choice.wait_ms,
                 )
-                facts = await exchange.read_head(job.facts.attempt, self._wait(job))
+                patience = self._head_patience(generation, choice)
+                facts = await exchange.read_head(job.facts.attempt, patience)
                 if facts.stage is Stage.REFUSED:
                     self._keep_handle(generation, handle, facts)
                     return self._refused(generation, engine, facts)
@@ -277,12 +287,25 @@
                 if facts.status != 200 or not facts.stamped:
                     return await self._failed(generation, engine, exchange)
                 loads.read_parts(engine.id, generation.prompt.parts, clock.monotonic())
-                await self._pass_on(generation, exchange)
+                generation.progressed_at = clock.monotonic()
+                await self._streaming.pass_on(generation, exchange)
                 self._upstreams.health.of(engine.incarnation).succeeded(
                     clock.monotonic()
                 )
                 return True
 
+    @staticmethod
+    def _patience(choice: Choice) -> float:
+        """Return after how many seconds an engine is taken for stuck."""
+        return choice.wait_ms / 1000 * READ_PATIENCE + READ_PATIENCE_SECONDS
+
+    def _head_patience(self, generation: Generation, choice: Choice) -> float:
+        """Return how long to wait for the head of an answer, seconds."""
+        seconds = self._wait(generation.job)
+        if generation.job.route.repeatable() and generation.tries.may_send():
+            return min(seconds, self._patience(choice))
+        return seconds
+
     def _wait(self, job: Job) -> float:
         return max(0.01, job.left(self._app.clock.monotonic()))
 
@@ -341,7 +364,7 @@
         health = self._upstreams.health.of(engine.incarnation)
         health.answered_badly()
         body = await exchange.read_body(self._wait(job))
-        self._count(generation)
+        self._streaming.count(generation)
         self._statistics.try_failed(job, engine, f"failed_{facts.status}", Stage.SENT)
         if not facts.stamped:
             raise ExchangeError("the answer has no stamp", Stage.SENT, "unstamped")
@@ -354,54 +377,6 @@
         job.caller.whole(facts.status, headers, body)
         return True
 
-    async def _pass_on(self, generation: Generation, exchange: Exchange) -> None:
-        """Pass the events on as they arrive."""
-        job, caller = generation.job, generation.job.caller
-        events = EventStream(generation.stream.last_id)
-        generation.stream = events
-        clock = self._app.clock
-        passed_at = None
-        while True:
-            seconds = self._wait(job)
-            if job.route.repeatable() and generation.tries.may_send():
-                seconds = min(seconds, SILENT_SECONDS)
-            piece = await exchange.read_piece(seconds)
-            if not piece:
-                break
-            self._count(generation)
-            whole = events.feed(piece)
-            if whole:
-                now = clock.monotonic()
-                if passed_at is not None:
-                    gap = (now - passed_at) * 1000
-                    longest = job.decisions.get("longest_gap_ms", 0.0)
-                    job.decisions["longest_gap_ms"] = max(gap, longest)
-                passed_at = now
-                self._begin(generation, exchange)
-                caller.stream(whole)
-                await caller.drain()
-        self._begin(generation, exchange)
-        if events.rest:
-            caller.stream(events.rest)
-        caller.end_stream()
-
-    def _begin(self, generation: Generation, exchange: Exchange) -> None:
-        caller = generation.job.caller
-        if not caller.begun:
-            now = self._app.clock.monotonic()
-            generation.job.decisions["first_ms"] = (
-                now - generation.job.request.read_at
-            ) * 1000
-            headers = self._dialect.caller_headers(exchange.headers)
-            caller.begin_stream(exchange.facts.status, headers)
-
-    def _count(self, generation: Generation) -> None:
-        """Count the start of the run, once a request."""
-        workspace = generation.job.workspace
-        if workspace is not None and not generation.counted:
-            generation.counted = True
-            self._gossip.usage.count(workspace.name, self._gossip.true_now())
-
     def _note_failure(
         self, generation: Generation, error: ExchangeError, choice: Choice
     ) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -15,6 +15,9 @@
 
 # An unacknowledged write closes the connection after this time.
 UNACKNOWLEDGED_MS = 3000
+# Bytes of a body in a row that carry nothing of it: sizes and extensions of chunks, and
+# trailers.
+MOST_FRAMING_BYTES = 65536
 
 
 class Request:
@@ -60,6 +63,7 @@
         "_size",
         "_head_size",
         "_head_done",
+        "_framing_bytes",
         "_requests",
         "_error",
         "_waiter",
@@ -110,7 +114,10 @@
                 self._head_size += len(data)
                 if self._head_size - self._size > self.header_bytes + len(data):
                     raise BadRequest("the head is too large", 431)
+            self._framing_bytes += len(data)
             self._parser.feed_data(data)
+            if self._head_done and self._framing_bytes > MOST_FRAMING_BYTES + len(data):
+                raise BadRequest("the framing of the body does not end", 400)
         except BadRequest as error:
             self._error = error
         except httptools.HttpParserUpgrade:
@@ -156,6 +163,7 @@
         self._size = 0
         self._head_size = 0
         self._head_done = False
+        self._framing_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Keep a part of the target."""
@@ -186,6 +194,7 @@
     def on_body(self, body: bytes) -> None:
         """Keep a piece of the body."""
         self._size += len(body)
+        self._framing_bytes = 0
         if self._size > self.body_bytes:
             raise BadRequest("the body is too large", 413)
         self._body.append(body)
@@ -203,6 +212,11 @@
         self._requests.append(request)
         self.started_at = None
 
+    @property
+    def receiving(self) -> bool:
+        """Tell whether a request has come, at least in part, that nobody took yet."""
+        return bool(self._requests) or self.started_at is not None
+
     async def next_request(self, idle_seconds: float) -> Request | None:
         """Return the next whole request.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -21,6 +21,9 @@
 SETTLE_SECONDS = 0.6
 # Before the report is due, a window is closed without the instances that are silent.
 EARLY_SECONDS = 3.0
+# A new holder hears of everyone's counters within this time: watchers tell who holds
+# the duty, then each instance tells its counters, at the latest when it repeats them.
+HEARD_SECONDS = 1.5
 # Windows are reported for at most this long after they were due.
 OVERDUE_SECONDS = 10.0
 # Frozen windows are removed this long after no holder reports them any more. A window
@@ -44,6 +47,8 @@
         "_first_window",
         "_frozen",
         "_read_under",
+        "_fencing",
+        "_held_since",
     )
 
     def __init__(self, app: Application) -> None:
@@ -57,6 +62,8 @@
         self.reported: set[int] = set()
         self._frozen: dict[int, dict[str, int]] = {}
         self._read_under = 0
+        self._fencing = 0
+        self._held_since = 0.0
         usage = self._gossip.usage
         self._first_window = usage.window_at(self._gossip.true_now())
 
@@ -86,15 +93,27 @@
         known = self._frozen
         first = min([self._first_window, *known])
         due = []
+        heard = self._heard()
         for window in range(max(oldest, first), newest + 1):
             if window in self.reported:
                 continue
             waited = now - usage.window_end(window)
             complete = usage.complete(window, self._gossip.live_incarnations())
-            if window in known or complete or waited > late - EARLY_SECONDS:
+            overdue = heard and waited > late - EARLY_SECONDS
+            if window in known or complete or overdue:
                 due.append(window)
         return due
 
+    def _heard(self) -> bool:
+        """Tell whether the instances had the time to tell this holder their counters.
+
+        Figures that lack them would be wrong for ever; later ones are just late.
+        """
+        if self._fencing != self._members.fencing:
+            self._fencing = self._members.fencing
+            self._held_since = self._app.clock.monotonic()
+        return self._app.clock.monotonic() - self._held_since >= HEARD_SECONDS
+
     async def _read_frozen(self) -> None:
         """Read what earlier holders froze, once after the duty was taken."""
         fencing = self._members.fencing
--- a/packages/camphorgate/src/camphorgate/serving/health.py
+++ b/packages/camphorgate/src/camphorgate/serving/health.py
@@ -18,7 +18,14 @@
 class Health:
     """What is known of one start of an upstream."""
 
-    __slots__ = ("failures", "refusals", "avoid_until", "failing_share", "worked_at")
+    __slots__ = (
+        "failures",
+        "refusals",
+        "avoid_until",
+        "failing_share",
+        "worked_at",
+        "progressed_at",
+    )
 
     def __init__(self) -> None:
         """Start without doubts."""
@@ -27,6 +34,8 @@
         self.avoid_until = 0.0
         self.failing_share = 0.0
         self.worked_at = -SUSPECTED_SECONDS
+        # When a stream from there last had an event.
+        self.progressed_at = float("-inf")
 
     def succeeded(self, now: float) -> None:
         """Note a request that was answered."""
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -8,6 +8,10 @@
 from tests.hosted import free_address
 
 EVENTS = 6
+# What a worker sends without end is ended after this, so that a test fails in time.
+MOST_POURED_BYTES = 64 * 2**20
+# A pause between two events of a slow but sound stream.
+SLOW_PAUSE_SECONDS = 1.5
 # An order of the operating system to reset a connection when it is closed.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -30,6 +34,10 @@
         self.engine = engine
         self.runs: list[tuple[str, str, dict]] = []
         self.arrivals: list[tuple[str, str]] = []
+        # Bytes of answers without end, and whether their reader took all of them.
+        self.poured = 0
+        self.poured_out = False
+        self.last_attempt = ""
         self.address = free_address()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -73,7 +81,9 @@
         self.arrivals.append((self.id, call.attempt))
         if behaviour != "refuse_early":
             await reader.readexactly(int(headers.get("content-length", "0")))
-        return bool(await getattr(call, f"act_{behaviour}")())
+        goes_on = await getattr(call, f"act_{behaviour}")()
+        self.last_attempt = call.attempt
+        return bool(goes_on)
 
 
 class Call:
@@ -261,12 +271,90 @@
         await self.send(head + body)
         return True
 
+    async def pour(self, first: bytes, again: bytes) -> None:
+        """Run, and send bytes until the caller closes."""
+        self.run()
+        await self.send(first)
+        for _ in range(MOST_POURED_BYTES // len(again)):
+            await self.send(again)
+            self.worker.poured += len(again)
+        self.worker.poured_out = True
+
+    async def act_pour_header_line(self):
+        """Send one header without end."""
+        await self.pour(b"HTTP/1.1 200 Said\r\nX-A: ", b"a" * 65536)
+
+    async def act_pour_header_lines(self):
+        """Send headers without end."""
+        await self.pour(b"HTTP/1.1 200 Said\r\n", b"X-A: a\r\n" * 8192)
+
+    async def act_pour_interim(self):
+        """Send interim answers without end."""
+        await self.pour(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2048)
+
+    async def act_pour_body(self):
+        """Send a body without end, and without an event."""
+        chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+        await self.pour(self.head(200, "Transfer-Encoding: chunked"), chunk)
+
+    async def act_pour_extension(self):
+        """Send the extension of a chunk without end."""
+        head = self.head(200, "Transfer-Encoding: chunked")
+        await self.pour(head + b"5;", b"a" * 65536)
+
+    async def act_pour_trailer(self):
+        """Send trailers without end."""
+        head = self.head(200, "Transfer-Encoding: chunked")
+        await self.pour(head + b"0\r\n", b"X-A: a\r\n" * 8192)
+
+    async def act_drip_comments(self):
+        """Run, send one event, and then comments now and then."""
+        self.run()
+        event = self.events()[0]
+        head = self.head(200, "Transfer-Encoding: chunked")
+        await self.send(head + b"%x\r\n%s\r\n" % (len(event), event))
+        while True:
+            await asyncio.sleep(0.1)
+            await self.send(b"3\r\n:\n\n\r\n")
+
+    async def act_answer_slowly(self):
+        """Run, and send each event after a long pause."""
+        self.run()
+        await self.send(self.head(200, "Transfer-Encoding: chunked"))
+        for event in self.events()[:3]:
+            await asyncio.sleep(SLOW_PAUSE_SECONDS)
+            await self.send(b"%x\r\n%s\r\n" % (len(event), event))
+        rest = b"".join(self.events()[3:])
+        await self.send(b"%x\r\n%s\r\n0\r\n\r\n" % (len(rest), rest))
+        return True
+
+    async def act_end_unframed_within_event(self):
+        """Run, and end an answer without a length in the middle of an event."""
+        self.run()
+        await self.send(self.head(200) + self.body()[:-3])
+
+    async def act_repeat_last_answer(self):
+        """Send the previous answer on this connection once more, then the own one."""
+        self.run()
+        earlier, self.attempt = self.attempt, self.worker.last_attempt
+        await self.whole()
+        self.attempt = earlier
+        await self.whole()
+        return True
+
 
 def build_event(attempt: str, number: int) -> bytes:
     """Return an event of a stream."""
     return f"id: {number}\ndata: {attempt} says {number}\n\n".encode()
 
 
+# Behaviours that take longer than the deadlines of generated requests, or whose events
+# are not those of a proper answer.
+_SET_APART = {"drip_comments", "answer_slowly", "repeat_last_answer"}
 BEHAVIOURS = tuple(
-    name.removeprefix("act_") for name in sorted(vars(Call)) if name.startswith("act_")
+    sorted(
+        name.removeprefix("act_")
+        for name in vars(Call)
+        if name.startswith("act_") and name.removeprefix("act_") not in _SET_APART
+    )
 )
