Send the prompts of a shared part to the same engines from every zone

Change: two homes a part among all engines by rendezvous hashing, taken to hold 0.6 of it; the zone's cost no longer grows with the fleet, as zones tell their sums.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -48,13 +48,7 @@
         self.health = self._gossip.health
         self.loads = self._gossip.loads
         zone = app.settings.availability_zone
-        self.placement = Placement(
-            self.loads,
-            self.health,
-            zone,
-            self.pool.connected,
-            lambda: self._directory.instances,
-        )
+        self.placement = Placement(self.loads, self.health, zone, self.pool.connected)
         self._budgets_by_service: dict[str, ShareOfBudget] = {}
 
     async def start(self) -> None:
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -5,6 +5,7 @@
 request only as far as the queue in front of it is not longer than reading it again.
 """
 
+import heapq
 from collections.abc import Callable
 
 import msgspec
@@ -27,9 +28,6 @@
 MOST_DIRECT_TOKENS = 1500
 # Bytes between zones are priced; this is the time that avoiding them is worth, ms.
 OTHER_ZONE_MS = 8.0
-# With more instances than this, those of other zones tell their loads less often, and
-# the time counts as many times more: what is not known of an upstream there costs more.
-OTHER_ZONE_INSTANCES = 16
 # A cache that moves between zones takes twice as long and is priced up to three times.
 OTHER_ZONE_MOVE_MS = 40.0
 # Streams prefer engines that cannot be reclaimed; the time that is worth, ms.
@@ -37,6 +35,12 @@
 # What reading a shared part again on another engine counts beyond its time there: the
 # time is then missing to the prompts behind it.
 READ_AGAIN_PART = 1.0
+# Every instance sends the prompts of a shared part to the same few engines, its homes,
+# as far as their queues allow. With hundreds of instances few prompts of one part come
+# by the same instance or zone, so who holds it is mostly not known where it is needed.
+HOME_ENGINES = 2
+# The part of the shared tokens that a home is taken to hold where nobody said so.
+HOME_HELD_PART = 0.6
 # Engines for one prompt part differ by up to this in an order that all instances share,
 # so that they send it to the same engine before any of them knows who holds it.
 SHARED_ORDER_MS = 25.0
@@ -54,6 +58,11 @@
     tokens: int
     parts: tuple[tuple[str, int], ...]
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the parts that other prompts have, too."""
+        return sum(size for _, size in self.parts[:-1])
+
 
 class Choice(msgspec.Struct, frozen=True):
     """An upstream, and what is predicted of the request there.
@@ -74,7 +83,7 @@
 class Placement:
     """Chooses upstreams by predicted time; holds no state of its own."""
 
-    __slots__ = ("_loads", "_health", "_zone", "_connected", "_instances")
+    __slots__ = ("_loads", "_health", "_zone", "_connected")
 
     def __init__(
         self,
@@ -82,15 +91,12 @@
         health: HealthBook,
         zone: str,
         connected: Callable[[tuple[str, int]], bool] = lambda incarnation: True,
-        instances: Callable[[], int] = lambda: 1,
     ) -> None:
         """Use the books of this instance.
 
         :param zone: availability zone of this instance.
         :param connected: tells whether a connection to an upstream is open and idle.
-        :param instances: returns how many instances send to the same upstreams.
         """
-        self._instances = instances
         self._connected = connected
         self._loads = loads
         self._health = health
@@ -107,6 +113,9 @@
             item.id: self._loads.cached_tokens(item.id, prompt.parts, now)
             for item in engines
         }
+        for upstream_id in _homes(prompt, engines):
+            held = int(prompt.shared_tokens * HOME_HELD_PART)
+            cached[upstream_id] = max(cached[upstream_id], held)
         most = max(cached.values(), default=0)
 
         def cost(choice: Choice) -> float:
@@ -191,14 +200,13 @@
         best = None
         best_cost = 0.0
         avoid_until = 0.0
-        other_zone = OTHER_ZONE_MS * max(1.0, self._instances() / OTHER_ZONE_INSTANCES)
         for item in upstreams:
             choice = predict(item)
             health = self._health.of(item.incarnation)
             cost = choice.wait_ms + extra_cost(choice)
             cost += health.failing_share * FAILING_MS
             if item.zone != self._zone:
-                cost += other_zone
+                cost += OTHER_ZONE_MS
             if not self._connected(item.incarnation):
                 cost += CONNECTION_MS
             if health.avoided(now):
@@ -212,6 +220,21 @@
         return best
 
 
+def _homes(prompt: Prompt, engines: list[Upstream]) -> list[str]:
+    """Return the engines that read the prompts of a shared part, of any phase.
+
+    The order of the engines for a part is the same on every instance, and an engine
+    that comes or goes changes it for few parts.
+    """
+    if len(prompt.parts) < 2:
+        return []
+    part = prompt.parts[-2][0]
+    ids = [item.id for item in engines]
+    return heapq.nsmallest(
+        HOME_ENGINES, ids, key=lambda item: _shared_order(part, item)
+    )
+
+
 def _shared_order(part: str, upstream_id: str) -> float:
     """Return the place of an engine in the order for a prompt part, ms."""
     digest = xxhash.xxh3_64_intdigest(f"{part}/{upstream_id}".encode())
