Pace and share the word of changes, announce prompts to the engine's zone, take removals after a cut

Change: entries go without field names, a watcher tells its share of the zone, four peers at a time; whoever knows the newest list is asked; a watcher takes its peers' word of a removal; long prompts are announced in the engine's zone, too; another zone counts 30 ms.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -25,8 +25,9 @@
 MOST_COLLECT_SECONDS = 0.5
 # A peer may be ahead by the spread of one change before the own watch is in doubt.
 BEHIND_SECONDS = 0.5
-# The same for the list of upstreams, whose changes are collected first.
-LIST_BEHIND_SECONDS = MOST_COLLECT_SECONDS + 0.5
+# The same for the list of upstreams, whose changes are collected first, and of which
+# there are many while a zone's upstreams are replaced.
+LIST_BEHIND_SECONDS = MOST_COLLECT_SECONDS + 1.5
 
 
 class Directory:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -13,6 +13,7 @@
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
+from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.health import HealthBook
 from camphorgate.serving.loads import LoadBook
 from camphorgate.serving.relay import TOUCH_SECONDS
@@ -48,6 +49,10 @@
 # The datagrams of a tick leave in so many parts, as a burst would hold up the answers
 # on a slow link (5 Mbit/s pass 125 kB in a tick).
 PARTS_PER_TICK = 2
+# News of the list go to so many peers at a time, this far apart: 4 times 2 kB take 13
+# ms on a link of 5 Mbit/s.
+PACED_ADDRESSES = 4
+PACED_SECONDS = 0.015
 # Usage counters reach the holder of the duty at most this often in all, messages per
 # second; the period of the instances follows from their number.
 COUNTERS_PER_SECOND = 400.0
@@ -61,8 +66,9 @@
 # A prompt of which at least so many tokens must be read is announced at once, as
 # several instances would send theirs to the same idle engine between two ticks.
 ANNOUNCED_TOKENS = 1000
-# Peers that hear an announcement, those of the own zone first. What an instance hears
-# so is bounded by its peers' own rates, not by their number.
+# Peers that hear an announcement, those of the own zone first, and so many of the
+# engine's zone. What an instance hears so is bounded by its peers' own rates, not by
+# their number.
 MOST_HEARERS = 24
 # Counters of incarnations that ended are told while their windows may be reported.
 ORPHAN_SECONDS = 25.0
@@ -108,6 +114,7 @@
         "_hearers",
         "_near",
         "_far",
+        "_far_by_zone",
         "_told_counts",
         "_handlers",
         "_started_at",
@@ -136,6 +143,7 @@
         self._hearers: list[str] = []
         self._near: list[str] = []
         self._far: list[str] = []
+        self._far_by_zone: dict[str, list[str]] = {}
         self._told_counts: dict[int, dict[str, int]] = {}
         self._handlers = {
             State: self._take_state,
@@ -207,7 +215,7 @@
             now = self._app.clock.monotonic()
             self.true_time.follow(self._wall(), now)
             self.usage.forget_before(self.true_now())
-            near, far = self.peers.addresses()
+            near, far, self._far_by_zone = self.peers.addresses()
             self._near, self._far = near, far
             hearers = in_turn(near, self._turn, MOST_HEARERS)
             hearers += in_turn(far, self._turn, MOST_HEARERS - len(hearers))
@@ -247,11 +255,24 @@
     def tell_news(self) -> None:
         """Tell the zone at once what the store has just told this instance."""
         upstreams, removed = self._directory.table.take_changes()
-        if not self._directory.watches.watching or not self._near:
+        watches = self._directory.watches
+        if not watches.watching or not self._near:
             return
         own = self._members.own
         messages = split_changes(own.instance, own.zone, upstreams, removed)
-        self._send([*messages, self._state(self.loads.own_by_id)], self._near)
+        messages.append(self._state(self.loads.own_by_id))
+        # All addresses of a zone have the same order on every instance of it.
+        zone = sorted([*self._near, own.gossip_address])
+        told = watches.relay.share(zone, self._app.clock.monotonic())
+        told = [address for address in told if address != own.gossip_address]
+        if told:
+            self._app.spawn(self._send_paced(messages, told), "news")
+
+    async def _send_paced(self, messages: list[Message], addresses: list[str]) -> None:
+        """Send to a few addresses at a time, so that a slow link loses none."""
+        for start in range(0, len(addresses), PACED_ADDRESSES):
+            self._send(messages, addresses[start : start + PACED_ADDRESSES])
+            await asyncio.sleep(PACED_SECONDS)
 
     def _tell_counters(self) -> None:
         """Tell the own counters, and some of instances that ended."""
@@ -307,15 +328,20 @@
             for message in split_counters(incarnation, true_now, None, counts)
         ]
 
-    def announce(self, upstream_id: str, tokens: int) -> None:
+    def announce(self, upstream: Upstream, tokens: int) -> None:
         """Tell peers at once of a prompt that is read, if it is a long one.
 
+        Those of the engine's zone hear it, too, as they send their prompts there.
+
         :param tokens: that must be read, negative when they have been.
         """
-        if abs(tokens) >= ANNOUNCED_TOKENS:
-            own = self._members.own
-            message = Reading(own.instance, own.zone, upstream_id, tokens)
-            self._send([message], self._hearers)
+        if abs(tokens) < ANNOUNCED_TOKENS:
+            return
+        own = self._members.own
+        message = Reading(own.instance, own.zone, upstream.id, tokens)
+        there = self._far_by_zone.get(upstream.zone, [])
+        hearers = in_turn(there, self._turn, MOST_HEARERS)
+        self._send([message], list({*self._hearers, *hearers}))
 
     def _state(self, loads) -> State:
         now = self._app.clock.monotonic()
@@ -374,8 +400,9 @@
         self.loads.hear_reading(source, message.upstream, message.tokens)
 
     def _take_changes(self, message: Changes) -> None:
-        watches = self._directory.watches
-        if message.zone == self._members.own.zone and not watches.watching:
+        # A watcher tells of a removal only once it does not doubt it, so its word also
+        # counts for one that follows the store again after a cut.
+        if message.zone == self._members.own.zone:
             self._directory.take_peer_changes(message.upstreams, message.removed)
 
     def _take_state(self, message: State) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -89,6 +89,10 @@
                 failed = False
             except grpc.RpcError as error:
                 self._addresses.discard(address)
+                if self._directory.sound:
+                    # What is lacking is lacking to many, which all ask the same few.
+                    pause = self._random.uniform(0.5, 1.0) * FETCH_SECONDS
+                    await asyncio.sleep(pause)
                 if not failed:
                     code = error.code().name.lower()
                     log_event("peer_not_answering", peer=address, error=code)
@@ -97,7 +101,7 @@
     async def _wait_until_needed(self) -> None:
         """Wait until this instance lacks something, a little at least.
 
-        Many instances learn of a new version at the same moment, from few that have it.
+        Many instances hear of a new version at the same moment, from few that have it.
         """
         await asyncio.sleep(FETCH_PERIOD_SECONDS * self._random.uniform(0.2, 1.0))
         while self._directory.sound and not self._directory.lacks_news():
@@ -106,12 +110,22 @@
     def _fetch_address(self) -> str | None:
         """Return a peer that the store serves, or else any that may answer."""
         live = self._gossip.live_states()
-        sound = [state.address for state in live if state.watching and state.sound]
-        sound = sound or [state.address for state in live if state.sound]
+        sound = [state for state in live if state.sound]
+        watching = [state for state in sound if state.watching]
+        if watching:
+            # Whoever already knows what the watchers know can tell it.
+            newest = max(watching, key=lambda item: (item.version, item.list_revision))
+            known_to = (newest.version, newest.list_digest)
+            sound = [
+                state
+                for state in sound
+                if (state.version, state.list_digest) == known_to
+            ]
+        addresses = [state.address for state in sound]
         known = {*self._app.settings.seeds, *self._addresses}
         known.update(state.address for state in live)
         known.discard(self._members.own.peer_address)
-        candidates = sound or sorted(known)
+        candidates = addresses or sorted(known)
         return self._random.choice(candidates) if candidates else None
 
     async def _ask(self, address: str) -> Knowledge:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -8,7 +8,7 @@
 # Counters in one datagram, which keeps it below the size that links pass whole.
 MOST_COUNTERS = 50
 # Entries of upstreams in one datagram, for the same reason.
-MOST_ENTRIES = 6
+MOST_ENTRIES = 10
 # First byte of every datagram. Instances of another format are not understood; both
 # sides then go by the store alone.
 FORMAT = b"\x02"
--- a/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
@@ -126,22 +126,29 @@
             for engine in engines
         }
 
-    def addresses(self) -> tuple[list[str], list[str]]:
-        """Return the peers' addresses in a fixed order: the own zone's, and others."""
+    def addresses(self) -> tuple[list[str], list[str], dict[str, list[str]]]:
+        """Return the peers' addresses in a fixed order.
+
+        :returns: those of the own zone, all others, and the others by zone as far as
+            theirs is known.
+        """
         now = self._clock.monotonic()
         for address, known_at in list(self._known_addresses.items()):
             if now - known_at > KNOWN_SECONDS:
                 del self._known_addresses[address]
         own = self._members.own
-        members = list(self._members.by_instance().values())
-        members += [peer.state for peer in self._peers_by_instance.values()]
-        near = {item.gossip_address for item in members if item.zone == own.zone}
-        listed = {item.gossip_address for item in self._members.by_instance().values()}
-        everyone = listed | self._known_addresses.keys()
-        near &= everyone
-        near.discard(own.gossip_address)
+        listed = self._members.by_instance().values()
+        everyone = {item.gossip_address for item in listed}
+        everyone |= self._known_addresses.keys()
         everyone.discard(own.gossip_address)
-        return sorted(near), sorted(everyone - near)
+        heard = [peer.state for peer in self._peers_by_instance.values()]
+        by_zone: dict[str, set[str]] = {}
+        for item in (*listed, *heard):
+            if item.gossip_address in everyone:
+                by_zone.setdefault(item.zone, set()).add(item.gossip_address)
+        near = by_zone.pop(own.zone, set())
+        far_by_zone = {zone: sorted(found) for zone, found in by_zone.items()}
+        return sorted(near), sorted(everyone - near), far_by_zone
 
     def ages(self) -> dict[str, float]:
         """Return how long ago each peer was heard, in seconds."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -125,12 +125,12 @@
         :param tokens: of its prompt, that the upstream must read.
         """
         self.loads.begin(upstream.id, tokens)
-        self._gossip.announce(upstream.id, tokens)
+        self._gossip.announce(upstream, tokens)
         try:
             yield
         finally:
             self.loads.end(upstream.id, tokens)
-            self._gossip.announce(upstream.id, -tokens)
+            self._gossip.announce(upstream, -tokens)
 
     def note_inputs(self, job: Job, now: float) -> None:
         """Note for the log how old and how sound the inputs of a choice are."""
--- a/packages/camphorgate/src/camphorgate/serving/catalog.py
+++ b/packages/camphorgate/src/camphorgate/serving/catalog.py
@@ -115,9 +115,10 @@
     priority: int | None = None
 
 
-class Upstream(msgspec.Struct, frozen=True):
+class Upstream(msgspec.Struct, frozen=True, array_like=True):
     """One start of an upstream, as the platform lists it.
 
+    Instances tell each other of it without names of fields, as links may be slow.
     ``revision`` is that of the entry; ``started_at`` tells two starts under one id
     apart. ``leaving`` upstreams take no new requests.
     """
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -26,8 +26,10 @@
 # Prompt tokens that an answering engine may read at a time. It reads 1,000 between
 # two tokens of its streams, so that more would hold up every event of them.
 MOST_DIRECT_TOKENS = 1500
-# Bytes between zones are priced; this is the time that avoiding them is worth, ms.
-OTHER_ZONE_MS = 8.0
+# Bytes between zones are priced, and what happens at an upstream of another zone is
+# known later; this is the time that avoiding both is worth, ms. A home that holds a
+# long shared part is worth more.
+OTHER_ZONE_MS = 30.0
 # A cache that moves between zones takes twice as long and is priced up to three times.
 OTHER_ZONE_MOVE_MS = 40.0
 # Streams prefer engines that cannot be reclaimed; the time that is worth, ms.
--- a/packages/camphorgate/src/camphorgate/serving/relay.py
+++ b/packages/camphorgate/src/camphorgate/serving/relay.py
@@ -74,13 +74,23 @@
         """Tell whether a sound watcher was heard lately."""
         return bool(self._sound_watchers(now))
 
+    def share(self, peers: list[str], now: float) -> list[str]:
+        """Return the peers that this watcher tells of a change; others tell the rest.
+
+        A peer whose watcher is gone notices that it knows less than another one.
+
+        :param peers: in an order that all watchers of the zone share.
+        """
+        watchers = sorted({*self._sound_watchers(now), self._own}, key=_place)
+        return peers[watchers.index(self._own) :: len(watchers)]
+
     def doubtful(self, now: float) -> bool:
         """Tell whether a watcher lately lost the store, rather than fell silent."""
         return now - self._unsound_at < LIVE_SECONDS
 
     def elected(self, now: float) -> bool:
         """Tell whether this instance is one of the first in its zone's order."""
-        return len(self._ahead(now)) < WATCHERS_PER_ZONE
+        return len(self._ahead(now)) < 2 * WATCHERS_PER_ZONE
 
     def needed(self, watching: bool, now: float) -> bool:
         """Tell whether this instance should follow the store itself.
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -9,6 +9,7 @@
 from camphorgated.serving.directory import DUTY_KEY, SETTLE_SECONDS
 from camphorgated.serving.messages import Counters
 from tests.hosted import HostedCase, free_address
+from tests.hosting_builders import build_listed_upstream
 from tests.soak.proxy import Proxy
 
 
@@ -293,7 +294,7 @@
         gossip = first.service("gossip")
         await self.eventually(lambda: gossip._hearers)
         await gossip.stop()
-        gossip.announce("p1", -5000)
+        gossip.announce(build_listed_upstream("p1"), -5000)
         await asyncio.sleep(0.05)
         peers = second.service("gossip").loads._sources
         self.assertNotIn("p1", peers.get("entry-1", (0.0, {}))[1])
--- a/tests/test_serving/test_relay.py
+++ b/tests/test_serving/test_relay.py
@@ -134,6 +134,17 @@
         self.assertLessEqual(len(zone.watching), WATCHERS_PER_ZONE + 1)
         self.assertEqual(zone.out_of_touch(), [])
 
+    def test_watchers_share_the_telling(self):
+        """Guards against links that one watcher fills, and peers that none tells."""
+        zone = Zone(12)
+        zone.run(KEEP_SECONDS + 3.0)
+        self.assertEqual(len(zone.watching), WATCHERS_PER_ZONE)
+        shares = [
+            zone.relays[name].share(zone.names, zone.now) for name in zone.watching
+        ]
+        self.assertEqual(sorted(sum(shares, [])), sorted(zone.names))
+        self.assertLessEqual(max(map(len, shares)), 6)
+
     def test_silence_is_told_from_an_outage(self):
         """Guards against removals that are doubted though the store was sound."""
         relay = Relay("entry-1")
@@ -245,6 +256,25 @@
         # What is left is the lease and the list of members.
         self.assertLessEqual(store.statistics["calls"] - before, 3)
 
+    async def test_watcher_that_was_cut_off_takes_a_removal_from_its_peers(self):
+        """Guards against work for an upstream that is gone, after a cut.
+
+        Seen on akmola trouble days: an instance followed the store again 30 ms before
+        a removal, doubted it, and used the upstream for 3 s.
+        """
+        watchers, _ = await self.start_zone()
+        table = watchers[0].service("directory").table
+        since = mock.patch.object(
+            type(watchers[0].service("directory")), "upstreams_sound_since", None
+        )
+        with since:
+            # Its own watch counts as disturbed, so that it doubts what vanishes.
+            message = Changes("entry-0", "zone-a", [], [("desk-1", 10**6)])
+            watchers[0].service("gossip")._take(
+                FORMAT + msgspec.msgpack.encode(message)
+            )
+            self.assertEqual(table.by_id, {})
+
     async def test_foreign_word_is_refused(self):
         """Guards against a state that is old, of another zone, or half read."""
         _, followers = await self.start_zone()
