Stagger what many instances fetch from few peers

Change: an instance waits for its turn after it finds that it lacks something, up to 1.2 s in large fleets; 0.25 s in small ones as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -20,6 +20,10 @@
 METHOD = f"/{SERVICE}/Fetch"
 FETCH_SECONDS = 0.6
 FETCH_PERIOD_SECONDS = 0.25
+# With more instances than this, each asks as much more seldom, up to the bound, which
+# leaves half of the smallest bound on a change for the rest of its way.
+PERIOD_INSTANCES = 16
+MOST_PERIOD_SECONDS = 1.2
 LOOK_SECONDS = 0.1
 STOP_SECONDS = 0.2
 # A new connection for every dial, as a shared one may be the silent one.
@@ -84,6 +88,8 @@
             address = self._fetch_address()
             if address is None:
                 continue
+            if self._directory.sound and not self._directory.lacks_news():
+                continue
             try:
                 self._learn(await self._ask(address))
                 failed = False
@@ -99,13 +105,16 @@
                 failed = True
 
     async def _wait_until_needed(self) -> None:
-        """Wait until this instance lacks something, a little at least.
+        """Wait until this instance lacks something, and then for its turn.
 
-        Many instances hear of a new version at the same moment, from few that have it.
+        Many instances lack the same at the same moment, and few have it: a watcher to
+        which all of a zone connected at once was silent for a second.
         """
-        await asyncio.sleep(FETCH_PERIOD_SECONDS * self._random.uniform(0.2, 1.0))
         while self._directory.sound and not self._directory.lacks_news():
             await asyncio.sleep(LOOK_SECONDS)
+        period = FETCH_PERIOD_SECONDS * self._directory.instances / PERIOD_INSTANCES
+        period = min(MOST_PERIOD_SECONDS, max(FETCH_PERIOD_SECONDS, period))
+        await asyncio.sleep(period * self._random.uniform(0.2, 1.0))
 
     def _fetch_address(self) -> str | None:
         """Return a peer that the store serves, or else any that may answer."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
@@ -60,7 +60,9 @@
             return False
         now = self._clock.monotonic()
         known = self._peers_by_instance.get(state.instance)
-        if known is None or known.state.incarnation != state.incarnation:
+        new = known is None or known.state.incarnation != state.incarnation
+        # Hundreds of lines after a start of all would tell nothing more.
+        if new and state.zone == self._members.own.zone:
             log_event("peer_heard", peer=state.instance, incarnation=state.incarnation)
         self._peers_by_instance[state.instance] = Peer(state, now)
         self._known_addresses[state.gossip_address] = now
