Tell configurations in compressed datagrams; news and counters in modules of their own

Cause: while one watcher of a zone was cut off, all followers fetched a new configuration from the other over gRPC, which was silent for a second again.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -12,6 +12,8 @@
     "directory",
     "members",
     "gossip",
+    "news",
+    "counters",
     "statistics",
     "upstreams",
     "calls",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -6,8 +6,7 @@
 """
 
 import asyncio
-import math
-import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -23,12 +22,11 @@
 from camphorgated.errors import ListenError
 from camphorgated.serving.messages import (
     FORMAT,
+    CatalogPart,
     Changes,
     Counters,
     Reading,
     State,
-    split_changes,
-    split_counters,
 )
 from camphorgated.serving.peers import PeerBook, in_turn
 
@@ -49,19 +47,6 @@
 # The datagrams of a tick leave in so many parts, as a burst would hold up the answers
 # on a slow link (5 Mbit/s pass 125 kB in a tick).
 PARTS_PER_TICK = 2
-# News of the list go to so many peers at a time, this far apart: 4 times 2 kB take 13
-# ms on a link of 5 Mbit/s.
-PACED_ADDRESSES = 4
-PACED_SECONDS = 0.015
-# Usage counters reach the holder of the duty at most this often in all, messages per
-# second; the period of the instances follows from their number.
-COUNTERS_PER_SECOND = 400.0
-# Usage counters that are told in one tick, over all peers but the holder. Peers keep
-# them in case this instance is killed.
-MOST_COUNTERS_PER_TICK = 120
-LEAST_KEEPERS = 2
-# Unchanged counters are told again after this many ticks, as datagrams may be lost.
-REPEAT_TICKS = 5
 MOST_FAILING = 10
 # A prompt of which at least so many tokens must be read is announced at once, as
 # several instances would send theirs to the same idle engine between two ticks.
@@ -70,17 +55,12 @@
 # engine's zone. What an instance hears so is bounded by its peers' own rates, not by
 # their number.
 MOST_HEARERS = 24
-# Counters of incarnations that ended are told while their windows may be reported.
-ORPHAN_SECONDS = 25.0
-# Of these the holder hears so many per second from all instances together.
-ORPHANS_PER_SECOND = 150.0
-MOST_ORPHANS = 6
 # An instance knows the loads of its zone this long after its start, at the latest.
 YOUNG_SECONDS = 2.0
 # Unreadable datagrams are logged at most this often.
 UNREADABLE_LOG_SECONDS = 1.0
 
-Message = State | Reading | Counters | Changes
+Message = State | Reading | Counters | Changes | CatalogPart
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -104,6 +84,8 @@
         "true_time",
         "usage",
         "peers",
+        "near",
+        "far",
         "_app",
         "_members",
         "_directory",
@@ -112,15 +94,12 @@
         "_changing",
         "_turn",
         "_hearers",
-        "_near",
-        "_far",
         "_far_by_zone",
-        "_told_counts",
         "_handlers",
+        "_tick_listeners",
         "_started_at",
         "_logged_at",
         "_unreadable",
-        "_random",
     )
 
     def __init__(self, app: Application) -> None:
@@ -141,20 +120,17 @@
         self._turn = 0
         # Addresses of peers that hear announcements, and of all, as of the last tick.
         self._hearers: list[str] = []
-        self._near: list[str] = []
-        self._far: list[str] = []
+        self.near: list[str] = []
+        self.far: list[str] = []
         self._far_by_zone: dict[str, list[str]] = {}
-        self._told_counts: dict[int, dict[str, int]] = {}
         self._handlers = {
             State: self._take_state,
             Reading: self._take_reading,
-            Counters: self._take_counters,
-            Changes: self._take_changes,
         }
+        self._tick_listeners: list[Callable[[int], None]] = []
         self._started_at = app.clock.monotonic()
         self._logged_at = float("-inf")
         self._unreadable = 0
-        self._random = random.Random()
 
     def _wall(self) -> float:
         return self._app.clock.now().timestamp()
@@ -188,7 +164,7 @@
         news = frozenset(engines) != self._changing
         self._changing = frozenset(engines)
         if news:
-            self._send([self._state(None)], self._near + self._far)
+            self.send([self._state(None)], self.near + self.far)
 
     async def start(self) -> None:
         """Listen for peers and start talking to them.
@@ -216,21 +192,22 @@
             self.true_time.follow(self._wall(), now)
             self.usage.forget_before(self.true_now())
             near, far, self._far_by_zone = self.peers.addresses()
-            self._near, self._far = near, far
+            self.near, self.far = near, far
             hearers = in_turn(near, self._turn, MOST_HEARERS)
             hearers += in_turn(far, self._turn, MOST_HEARERS - len(hearers))
             self._hearers = hearers
             near_told = in_turn(near, self._turn, self._near_per_tick(len(near)))
             far_told = in_turn(far, self._turn, far_per_tick(len(near) + len(far) + 1))
-            self._tell_counters()
+            for listener in self._tick_listeners:
+                listener(self._turn)
             self._turn += 1
             for part in range(PARTS_PER_TICK):
                 now = self._app.clock.monotonic()
                 state = self._state(self.loads.own_by_id)
-                self._send([state], near_told[part::PARTS_PER_TICK])
+                self.send([state], near_told[part::PARTS_PER_TICK])
                 if far_told:
                     state = self._state(self._zone_loads(now))
-                    self._send([state], far_told[part::PARTS_PER_TICK])
+                    self.send([state], far_told[part::PARTS_PER_TICK])
                 await asyncio.sleep(TICK_SECONDS / PARTS_PER_TICK)
 
     def _near_per_tick(self, near: int) -> int:
@@ -240,11 +217,24 @@
 
     def _zone_loads(self, now: float):
         """Return the loads of this zone, ``None`` if not all can be known yet."""
-        if now - self._started_at < YOUNG_SECONDS and self._near:
+        if now - self._started_at < YOUNG_SECONDS and self.near:
             return None
         return self.loads.sum_of(self.peers.near_instances(), now)
 
-    def _send(self, messages: list[Message], addresses: list[str]) -> None:
+    def hear(self, kind: type, handler: Callable) -> None:
+        """Hand messages of a kind to a handler."""
+        self._handlers[kind] = handler
+
+    def each_tick(self, listener: Callable[[int], None]) -> None:
+        """Call a listener with the number of each tick, before the states are told."""
+        self._tick_listeners.append(listener)
+
+    def state(self) -> State:
+        """Return what a peer of the own zone is told."""
+        return self._state(self.loads.own_by_id)
+
+    def send(self, messages: list[Message], addresses: list[str]) -> None:
+        """Send messages to some addresses, in one datagram each."""
         if not addresses or self._transport is None or self._transport.is_closing():
             return
         datagrams = [FORMAT + msgspec.msgpack.encode(message) for message in messages]
@@ -252,82 +242,6 @@
             for datagram in datagrams:
                 self._transport.sendto(datagram, address)
 
-    def tell_news(self) -> None:
-        """Tell the zone at once what the store has just told this instance."""
-        upstreams, removed = self._directory.table.take_changes()
-        watches = self._directory.watches
-        if not watches.watching or not self._near:
-            return
-        own = self._members.own
-        messages = split_changes(own.instance, own.zone, upstreams, removed)
-        messages.append(self._state(self.loads.own_by_id))
-        # All addresses of a zone have the same order on every instance of it.
-        zone = sorted([*self._near, own.gossip_address])
-        told = watches.relay.share(zone, self._app.clock.monotonic())
-        told = [address for address in told if address != own.gossip_address]
-        if told:
-            self._app.spawn(self._send_paced(messages, told), "news")
-
-    async def _send_paced(self, messages: list[Message], addresses: list[str]) -> None:
-        """Send to a few addresses at a time, so that a slow link loses none."""
-        for start in range(0, len(addresses), PACED_ADDRESSES):
-            self._send(messages, addresses[start : start + PACED_ADDRESSES])
-            await asyncio.sleep(PACED_SECONDS)
-
-    def _tell_counters(self) -> None:
-        """Tell the own counters, and some of instances that ended."""
-        peers = self._near + self._far
-        if not peers:
-            return
-        period = counter_ticks(len(peers) + 1)
-        counts = self.usage.own_recent(self.true_now())
-        repeated = self._turn % (period * REPEAT_TICKS) == 0
-        if self._turn % period or (counts == self._told_counts and not repeated):
-            messages = []
-        else:
-            self._told_counts = counts
-            messages = split_counters(
-                self._members.own.incarnation,
-                self.true_now(),
-                self.usage.own_totals(self.true_now()),
-                counts,
-            )
-            self._send(messages, self._keepers(peers, counts, self._turn // period))
-        orphans = self._orphaned_counters(len(peers) + 1)
-        messages += orphans
-        holder = self._members.holder_address()
-        if holder and holder != self._members.own.gossip_address:
-            self._send(messages, [holder])
-        elif orphans:
-            self._send(orphans, in_turn(peers, self._turn, LEAST_KEEPERS))
-
-    def _keepers(
-        self, peers: list[str], counts: dict[int, dict[str, int]], turn: int
-    ) -> list[str]:
-        """Return the peers that hear the counters in a turn, beside the holder."""
-        entries = sum(len(item) for item in counts.values())
-        most = max(LEAST_KEEPERS, MOST_COUNTERS_PER_TICK // max(1, entries))
-        keepers = in_turn(peers, turn, most)
-        holder = self._members.holder_address()
-        return [address for address in keepers if address != holder]
-
-    def _orphaned_counters(self, instances: int) -> list[Counters]:
-        """Return some of the counters of incarnations that ended, at random."""
-        most = ORPHANS_PER_SECOND * TICK_SECONDS / instances
-        number = min(MOST_ORPHANS, int(most) + (self._random.random() < most % 1))
-        if not number:
-            return []
-        true_now = self.true_now()
-        orphans = self.usage.orphans(
-            self.live_incarnations(), true_now - ORPHAN_SECONDS
-        )
-        chosen = self._random.sample(orphans, min(number, len(orphans)))
-        return [
-            message
-            for incarnation, counts in chosen
-            for message in split_counters(incarnation, true_now, None, counts)
-        ]
-
     def announce(self, upstream: Upstream, tokens: int) -> None:
         """Tell peers at once of a prompt that is read, if it is a long one.
 
@@ -341,13 +255,13 @@
         message = Reading(own.instance, own.zone, upstream.id, tokens)
         there = self._far_by_zone.get(upstream.zone, [])
         hearers = in_turn(there, self._turn, MOST_HEARERS)
-        self._send([message], list({*self._hearers, *hearers}))
+        self.send([message], list({*self._hearers, *hearers}))
 
     def _state(self, loads) -> State:
         now = self._app.clock.monotonic()
         own = self._members.own
         directory = self._directory
-        rounds = -(-len(self._near) // MOST_NEAR_PER_TICK)
+        rounds = -(-len(self.near) // MOST_NEAR_PER_TICK)
         return State(
             instance=own.instance,
             incarnation=own.incarnation,
@@ -373,11 +287,14 @@
                 raise msgspec.DecodeError(f"format {data[:1].hex()} is not understood")
             message = self._decoder.decode(memoryview(data)[1:])
         except msgspec.DecodeError as error:
-            self._note_unreadable(str(error))
+            self.note_unreadable(str(error))
             return
-        self._handlers[type(message)](message)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
 
-    def _note_unreadable(self, error: str) -> None:
+    def note_unreadable(self, error: str) -> None:
+        """Count a message that cannot be used, and log it if none was lately."""
         self._unreadable += 1
         now = self._app.clock.monotonic()
         if now - self._logged_at >= UNREADABLE_LOG_SECONDS:
@@ -389,22 +306,10 @@
                 unreadable=self._unreadable,
             )
 
-    def _take_counters(self, message: Counters) -> None:
-        for window, counts in message.counts.items():
-            self.usage.merge(message.incarnation, window, counts)
-        if message.totals is not None:
-            self.usage.hear(message.incarnation, message.told_at, message.totals)
-
     def _take_reading(self, message: Reading) -> None:
         source = self._source(message.instance, message.zone)
         self.loads.hear_reading(source, message.upstream, message.tokens)
 
-    def _take_changes(self, message: Changes) -> None:
-        # A watcher tells of a removal only once it does not doubt it, so its word also
-        # counts for one that follows the store again after a cut.
-        if message.zone == self._members.own.zone:
-            self._directory.take_peer_changes(message.upstreams, message.removed)
-
     def _take_state(self, message: State) -> None:
         now = self._app.clock.monotonic()
         if not self.peers.hear(message):
@@ -444,18 +349,10 @@
     return min(MOST_FAR_PER_TICK, max(LEAST_FAR_PER_TICK, most))
 
 
-def counter_ticks(instances: int) -> int:
-    """Return after how many ticks an instance tells its usage counters."""
-    seconds = instances / COUNTERS_PER_SECOND
-    return max(1, math.ceil(seconds / TICK_SECONDS))
-
-
 def setup(app: Application) -> None:
     """Provide the gossip and start it."""
     gossip = Gossip(app)
     app.provide("gossip", gossip)
     app.add_dump_section("gossip", gossip.dump)
-    app.connect("upstreams-changed", gossip.tell_news)
-    app.connect("configuration-changed", gossip.tell_news)
     app.on_start(gossip.start)
     app.on_stop(gossip.stop)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -80,6 +80,17 @@
     removed: list[tuple[str, int]]
 
 
+class CatalogPart(msgspec.Struct, tag="p"):
+    """A part of a compressed configuration that a watcher has just learned of."""
+
+    instance: str
+    zone: str
+    version: int
+    number: int
+    parts: int
+    data: bytes
+
+
 class Question(msgspec.Struct):
     """What the sender knows already."""
 
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -5,6 +5,7 @@
 
 from camphorgate.kv.errors import KvUnavailable
 from camphorgate_platform.store import PlatformStore
+from camphorgated.serving import counters as counters_module
 from camphorgated.serving import gossip as gossip_module
 from camphorgated.serving.directory import DUTY_KEY, SETTLE_SECONDS
 from camphorgated.serving.messages import Counters
@@ -253,38 +254,38 @@
         members = app.service("members")
         counts = {f"workspace-{number}": 1 for number in range(50)}
         counters = dict.fromkeys(range(4), counts)
-        gossip._near, gossip._far = peers[:20], peers[20:]
+        gossip.near, gossip.far = peers[:20], peers[20:]
         usage = gossip.usage
+        telling = app.service("counters")
         sent = []
         self.enterContext(
-            mock.patch.object(type(gossip), "_send", lambda _, *args: sent.append(args))
+            mock.patch.object(type(gossip), "send", lambda _, *args: sent.append(args))
         )
         self.enterContext(
             mock.patch.object(type(usage), "own_recent", lambda *_: counters)
         )
         with mock.patch.object(type(members), "holder_address", lambda _: peers[70]):
             heard = set()
-            for _ in range(2 * len(peers) // gossip_module.LEAST_KEEPERS):
+            for turn in range(2 * len(peers) // counters_module.LEAST_KEEPERS):
                 sent.clear()
                 usage.count("workspace-1", gossip.true_now())
-                gossip._told_counts = {}
-                gossip._tell_counters()
-                gossip._turn += 1
+                telling._told_counts = {}
+                telling.tell(turn)
                 told = [
                     address
                     for messages, addresses in sent
                     if any(isinstance(item, Counters) for item in messages)
                     for address in addresses
                 ]
-                if gossip._turn % gossip_module.counter_ticks(81) != 1:
+                if turn % counters_module.counter_ticks(81):
                     continue
                 self.assertIn(peers[70], told)
-                self.assertLessEqual(len(told), gossip_module.LEAST_KEEPERS + 1)
+                self.assertLessEqual(len(told), counters_module.LEAST_KEEPERS + 1)
                 heard.update(told)
             self.assertEqual(heard, set(peers))
             # Few counters go to every peer of a small fleet in each tick.
             few = {1: {"north": 1, "south": 2}}
-            self.assertEqual(set(gossip._keepers(peers[:8], few, 1)), set(peers[:8]))
+            self.assertEqual(set(telling._keepers(peers[:8], few, 1)), set(peers[:8]))
 
     async def test_requests_that_end_after_the_gossip_announce_nothing(self):
         """Guards against an error in every request that outlasts a stop."""
--- a/tests/test_serving/test_relay.py
+++ b/tests/test_serving/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+import zlib
 from unittest import mock
 
 import msgspec
@@ -15,7 +16,8 @@
     WATCHERS_PER_ZONE,
     Relay,
 )
-from camphorgated.serving.messages import FORMAT, Changes
+from camphorgated.serving.messages import FORMAT, CatalogPart, Changes
+from camphorgated.serving.parts import MOST_RAW_BYTES, CatalogParts, split_catalog
 from tests.hosted import HostedCase
 from tests.hosting_builders import KEY, build_listed_upstream, build_platform_entry
 
@@ -163,6 +165,48 @@
         self.assertFalse(relay.in_touch(1.3))
 
 
+class CatalogPartTests(unittest.TestCase):
+    """A configuration in parts is put together whole, or not at all."""
+
+    def setUp(self):
+        """Cut a configuration that does not compress well."""
+        self.raw = random.Random(3).randbytes(5000)
+        self.parts = split_catalog("entry-1", "zone-a", 4, self.raw)
+
+    def test_any_order_gives_the_whole(self):
+        """Guards against parts that are taken for others."""
+        self.assertGreater(len(self.parts), 3)
+        for seed in range(20):
+            taken = CatalogParts()
+            parts = self.parts + self.parts[:2]
+            random.Random(seed).shuffle(parts)
+            wholes = [raw for part in parts if (raw := taken.take(part)) is not None]
+            self.assertEqual(wholes[:1], [self.raw])
+
+    def test_parts_of_two_versions_are_not_joined(self):
+        """Guards against a configuration that nobody wrote."""
+        newer = split_catalog("entry-1", "zone-a", 5, self.raw[::-1])
+        taken = CatalogParts()
+        for part in self.parts[:-1]:
+            self.assertIsNone(taken.take(part))
+        for part in newer[1:]:
+            self.assertIsNone(taken.take(part))
+        self.assertIsNone(taken.take(self.parts[-1]))
+        self.assertEqual(taken.take(newer[0]), self.raw[::-1])
+
+    def test_foreign_parts_are_refused(self):
+        """Guards against memory that a torn or forged part takes."""
+        taken = CatalogParts()
+        for number, parts in ((-1, 3), (3, 3), (0, 0), (0, 10**6)):
+            part = CatalogPart("entry-1", "zone-a", 4, number, parts, b"x")
+            self.assertIsNone(taken.take(part))
+        with self.assertRaises(ValueError):
+            taken.take(CatalogPart("entry-1", "zone-a", 4, 0, 1, b"no zlib"))
+        bomb = zlib.compress(b"0" * 2 * MOST_RAW_BYTES)
+        with self.assertRaises(ValueError):
+            taken.take(CatalogPart("entry-1", "zone-a", 4, 0, 1, bomb))
+
+
 class FollowerTests(HostedCase):
     """An instance that does not follow the store hears of every change in time."""
 
@@ -223,12 +267,28 @@
         self.assertEqual(reply.status, 401)
         self.assertNotEqual(KEY, "another")
 
+    async def test_configuration_reaches_followers_without_being_asked_for(self):
+        """Guards against a zone that connects to its watchers at the same moment.
+
+        Seen on further-grown trouble-1: both watchers were silent for over a second.
+        """
+        _, followers = await self.start_zone()
+        asked = mock.AsyncMock(side_effect=AssertionError)
+        with mock.patch("camphorgated.serving.knowledge.PeerKnowledge._ask", asked):
+            self.configure(7)
+            await self.eventually(
+                lambda: all(
+                    app.service("directory").catalog.version == 7 for app in followers
+                ),
+                seconds=0.25,
+            )
+
     async def test_lost_word_of_a_change_is_noticed(self):
         """Guards against a datagram whose loss leaves an old entry in use."""
         _, followers = await self.start_zone()
         table = followers[0].service("directory").table
-        gossip = type(followers[0].service("gossip"))
-        with mock.patch.object(gossip, "_take_changes", lambda *_: None):
+        handlers = followers[0].service("gossip")._handlers
+        with mock.patch.dict(handlers, {Changes: lambda _: None}):
             self.store.remove("servers/desk-1")
             await self.eventually(lambda: not table.by_id, seconds=3.0)
 
