--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -98,7 +98,6 @@
 
     __slots__ = (
         "stopping",
-        "closed",
         "ends_at",
         "_app",
         "_dialect",
@@ -115,7 +114,6 @@
     def __init__(self, app: Application) -> None:
         """Start without sockets."""
         self.stopping = False
-        self.closed = False
         # Every request has its answer by then.
         self.ends_at = math.inf
         self._app = app
@@ -325,7 +323,6 @@
         self.ends_at = last - ANSWER_SECONDS
         log_event("draining", active=self._active, connections=len(self._connections))
         await asyncio.sleep(LINGER_SECONDS)
-        self.closed = True
         for server in self._servers:
             server.close()
         # Connections that were accepted while the sockets closed are served, too.
