One bound on framing, one account of work under way, one order of engines per choice

Read again, no change of behaviour: - the order of engines for a shared part was hashed twice for each engine in each choice, for the homes and for the cost; it is worked out once; - the front counted its requests beside the map of the same requests; - both directions of connections had their own copy of the bound on framing; - the gossip built its state beside the method that does; - two docstrings said that configurations are always asked for, which they are not any more.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -8,6 +8,7 @@
 from camphorgated.serving.http1 import (
     BODILESS,
     BUFFERED_BYTES,
+    MOST_FRAMING_BYTES,
     Headers,
     find_header,
     prepare_socket,
@@ -19,9 +20,6 @@
 # The head of an answer with the interim answers before it; servers send some hundred
 # bytes.
 MOST_HEAD_BYTES = 65536
-# Bytes in a row that carry nothing of the body: sizes and extensions of chunks, and
-# trailers.
-MOST_FRAMING_BYTES = 65536
 # Bytes that are parsed before the bounds are looked at again.
 SLICE_BYTES = 16384
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -162,10 +162,7 @@
         return since is not None and now - since > seconds
 
     def lacks_news(self) -> bool:
-        """Tell whether a peer should be asked, as a change did not arrive.
-
-        Configurations are too large to be told, so they are always asked for.
-        """
+        """Tell whether a peer should be asked, as a change did not arrive."""
         if self.watches.watching:
             return False
         now = self._app.clock.monotonic()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -104,7 +104,6 @@
         "_directory",
         "_connections",
         "_work_by_connection",
-        "_active",
         "_servers",
         "_admitted",
         "_statistics",
@@ -123,7 +122,6 @@
         self._work_by_connection: dict[
             ServerConnection, tuple[asyncio.Future, Caller]
         ] = {}
-        self._active = 0
         self._servers: list[asyncio.Server] = []
         self._admitted = 0
         self._statistics = app.service("statistics")
@@ -211,7 +209,6 @@
             return False
         if request is None:
             return False
-        self._active += 1
         caller = Caller(connection, request, lambda: self.stopping)
         work = asyncio.ensure_future(self._answer(caller))
         self._work_by_connection[connection] = (work, caller)
@@ -231,7 +228,6 @@
             work.cancel()
             raise
         finally:
-            self._active -= 1
             self._work_by_connection.pop(connection, None)
         return not caller.closing and caller.ended
 
@@ -321,7 +317,11 @@
         began = clock.monotonic()
         last = began + self._app.settings.times.grace_seconds - GRACE_MARGIN_SECONDS
         self.ends_at = last - ANSWER_SECONDS
-        log_event("draining", active=self._active, connections=len(self._connections))
+        log_event(
+            "draining",
+            active=len(self._work_by_connection),
+            connections=len(self._connections),
+        )
         await asyncio.sleep(LINGER_SECONDS)
         for server in self._servers:
             server.close()
@@ -333,11 +333,13 @@
             for connection in self._connections - self._work_by_connection.keys():
                 if not connection.receiving:
                     connection.close()
-            if not self._active and not self._connections:
+            if not self._connections:
                 break
             await asyncio.sleep(0.02)
-        if self._active:
-            log_event("cut_at_stop", level="WARNING", active=self._active)
+        if self._work_by_connection:
+            log_event(
+                "cut_at_stop", level="WARNING", active=len(self._work_by_connection)
+            )
             await self._end_work()
         for connection in list(self._connections):
             connection.close()
@@ -358,7 +360,7 @@
         """Return the state for the operators."""
         return {
             "stopping": self.stopping,
-            "active": self._active,
+            "active": len(self._work_by_connection),
             "connections": len(self._connections),
         }
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -203,7 +203,7 @@
             self._turn += 1
             for part in range(PARTS_PER_TICK):
                 now = self._app.clock.monotonic()
-                state = self._state(self.loads.own_by_id)
+                state = self.state()
                 self.send([state], near_told[part::PARTS_PER_TICK])
                 if far_told:
                     state = self._state(self._zone_loads(now))
--- a/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
@@ -12,6 +12,9 @@
 PROBE_SECONDS = 1
 # Bytes that may wait for a slow reader.
 BUFFERED_BYTES = 262144
+# Bytes of a body in a row that carry nothing of it: sizes and extensions of chunks, and
+# trailers.
+MOST_FRAMING_BYTES = 65536
 
 # Headers that concern one connection only (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -1,7 +1,7 @@
 """Fetches from peers what the store does not tell this instance.
 
-The configuration and the list of upstreams must arrive whole, so they come over gRPC
-instead of datagrams, and only to instances that the store does not serve.
+What an instance lacks, because the store does not serve it or the word of a watcher was
+lost, must arrive whole, so it comes over gRPC instead of datagrams.
 """
 
 import asyncio
@@ -81,7 +81,7 @@
             await self._server.stop(STOP_SECONDS)
 
     async def _fetch(self) -> None:
-        """Fetch what this instance lacks while the store does not serve it."""
+        """Fetch what this instance lacks, for as long as the process runs."""
         failed = False
         while True:
             await self._wait_until_needed()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -8,6 +8,7 @@
 from camphorgated.serving.errors import BadRequest
 from camphorgated.serving.http1 import (
     BUFFERED_BYTES,
+    MOST_FRAMING_BYTES,
     Headers,
     find_header,
     prepare_socket,
@@ -15,9 +16,6 @@
 
 # An unacknowledged write closes the connection after this time.
 UNACKNOWLEDGED_MS = 3000
-# Bytes of a body in a row that carry nothing of it: sizes and extensions of chunks, and
-# trailers.
-MOST_FRAMING_BYTES = 65536
 
 
 class Request:
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -115,7 +115,9 @@
             item.id: self._loads.cached_tokens(item.id, prompt.parts, now)
             for item in engines
         }
-        for upstream_id in _homes(prompt, engines):
+        order = _shared_order(prompt, engines)
+        # Those that read the prompts of a shared part, of any phase.
+        for upstream_id in heapq.nsmallest(HOME_ENGINES, order, key=order.__getitem__):
             held = int(prompt.shared_tokens * HOME_HELD_PART)
             cached[upstream_id] = max(cached[upstream_id], held)
         most = max(cached.values(), default=0)
@@ -123,9 +125,7 @@
         def cost(choice: Choice) -> float:
             again = most - cached[choice.upstream.id]
             extra = again / PREFILL_TOKENS_PER_MS * READ_AGAIN_PART
-            if len(prompt.parts) > 1:
-                extra += _shared_order(prompt.parts[-2][0], choice.upstream.id)
-            return extra
+            return extra + order.get(choice.upstream.id, 0.0)
 
         def predict(item: Upstream) -> Choice:
             return self._reading(item, prompt, cached[item.id], now)
@@ -222,22 +222,22 @@
         return best
 
 
-def _homes(prompt: Prompt, engines: list[Upstream]) -> list[str]:
-    """Return the engines that read the prompts of a shared part, of any phase.
+def _shared_order(prompt: Prompt, engines: list[Upstream]) -> dict[str, float]:
+    """Return the place of each engine in the order for a prompt's shared part, ms.
 
-    The order of the engines for a part is the same on every instance, and an engine
-    that comes or goes changes it for few parts.
+    The order is the same on every instance, and an engine that comes or goes changes
+    it for few parts.
+
+    :returns: by id; empty for a prompt without a shared part.
     """
     if len(prompt.parts) < 2:
-        return []
+        return {}
     part = prompt.parts[-2][0]
-    ids = [item.id for item in engines]
-    return heapq.nsmallest(
-        HOME_ENGINES, ids, key=lambda item: _shared_order(part, item)
-    )
-
-
-def _shared_order(part: str, upstream_id: str) -> float:
-    """Return the place of an engine in the order for a prompt part, ms."""
-    digest = xxhash.xxh3_64_intdigest(f"{part}/{upstream_id}".encode())
-    return digest / 2**64 * SHARED_ORDER_MS
+    digests = {
+        item.id: xxhash.xxh3_64_intdigest(f"{part}/{item.id}".encode())
+        for item in engines
+    }
+    return {
+        upstream_id: digest / 2**64 * SHARED_ORDER_MS
+        for upstream_id, digest in digests.items()
+    }
