--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -102,6 +102,7 @@
                 request = job.request
                 job.caller.sent_once = job.route.kind is Kind.NON_IDEMPOTENT
                 exchange.send(request.method, request.target, headers, request.body)
+                upstreams.note_sent(job, upstream)
                 seconds = self._patience(job, tries, now)
                 facts = await exchange.read_head(job.facts.attempt, seconds)
                 body = await exchange.read_body(max(0.01, job.left(clock.monotonic())))
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -11,7 +11,7 @@
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Catalog, Upstream
 from camphorgate.serving.errors import CatalogError
-from camphorgate.serving.upstream_table import UpstreamTable
+from camphorgate.serving.upstream_table import Removal, UpstreamTable
 from camphorgated.serving.watches import Watches
 
 # Prefix of the keys that the instances themselves write.
@@ -112,20 +112,27 @@
     ) -> None:
         """Take the whole list of a peer that is up to date."""
         before = self.table.digest()
-        self.table.replace(upstreams, revision, self._app.clock.monotonic(), True)
+        now = self._app.clock.monotonic()
+        self._log_removals(
+            self.table.replace(upstreams, revision, now, True), revision, peer
+        )
         if self.table.digest() != before:
             log_event("upstreams_from_peer", peer=peer, revision=revision)
             self._app.emit("upstreams-changed")
 
     def take_peer_changes(
-        self, upstreams: list[Upstream], removed: list[tuple[str, int]]
+        self, upstreams: list[Upstream], removed: list[tuple[str, int]], peer: str
     ) -> None:
-        """Take changes of the list that a watcher of this zone tells."""
+        """Take changes of the list that a watcher of this zone tells.
+
+        :param peer: name of the watcher, for the log.
+        """
         now = self._app.clock.monotonic()
-        news = [self.table.put(upstream) for upstream in upstreams]
+        news = [self._put(upstream, peer) for upstream in upstreams]
         for upstream_id, revision in removed:
-            news.append(upstream_id in self.table.by_id)
-            self.table.remove(upstream_id, revision, now, True)
+            outcome = self.table.remove(upstream_id, revision, now, True)
+            self._log_removals({upstream_id: outcome}, revision, peer)
+            news.append(outcome is not Removal.STALE)
         if any(news):
             self._app.emit("upstreams-changed")
 
@@ -192,9 +199,12 @@
                 log_event("upstream_entry_skipped", error=error.message)
                 upstream_id = self._dialect.upstream_id(entry.key)
                 if not batch.complete:
-                    self.table.remove(upstream_id, entry.mod_revision, now, sound)
+                    revision = entry.mod_revision
+                    outcome = self.table.remove(upstream_id, revision, now, sound)
+                    self._log_removals({upstream_id: outcome}, revision, "store")
         if batch.complete:
-            self.table.replace(found, batch.revision, now, sound)
+            removals_by_id = self.table.replace(found, batch.revision, now, sound)
+            self._log_removals(removals_by_id, batch.revision, "store")
         else:
             self._apply(found, batch, now, sound)
         self.table.revision = max(self.table.revision, batch.revision)
@@ -207,7 +217,7 @@
     ) -> None:
         for upstream in found:
             known = self.table.by_id.get(upstream.id)
-            if self.table.put(upstream) and (
+            if self._put(upstream, "store") and (
                 known is None
                 or known.leaving != upstream.leaving
                 or known.phase != upstream.phase
@@ -225,8 +235,45 @@
                 )
         for key, revision in batch.deleted:
             upstream_id = self._dialect.upstream_id(key)
-            log_event("upstream_unlisted", upstream=upstream_id, sound=sound)
-            self.table.remove(upstream_id, revision, now, sound)
+            outcome = self.table.remove(upstream_id, revision, now, sound)
+            self._log_removals({upstream_id: outcome}, revision, "store")
+
+    def _put(self, upstream: Upstream, source: str) -> bool:
+        """Take an entry.
+
+        :returns: whether it is news.
+        """
+        doubted = self.table.doubted(upstream.id)
+        news = self.table.put(upstream)
+        if news and doubted:
+            log_event(
+                "upstream_returned",
+                upstream=upstream.id,
+                source=source,
+                revision=upstream.revision,
+            )
+        return news
+
+    def _log_removals(
+        self, removals_by_id: dict[str, Removal], revision: int, source: str
+    ) -> None:
+        """Log which entries are gone, or doubted because the watch was disturbed.
+
+        :param source: ``store``, or the peer that told of them.
+        """
+        since = self.upstreams_sound_since
+        now = self._app.clock.monotonic()
+        for upstream_id, outcome in removals_by_id.items():
+            if outcome is Removal.STALE:
+                continue
+            log_event(
+                "upstream_unlisted",
+                upstream=upstream_id,
+                outcome=outcome.value,
+                source=source,
+                revision=revision,
+                watch_sound_seconds=None if since is None else now - since,
+            )
 
     def _take_own(self, batch: WatchBatch) -> float:
         if batch.complete:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -332,6 +332,7 @@
             last_event=None if phase else generation.resume_from,
         )
         exchange.send(request.method, request.target, headers, request.body)
+        self._upstreams.note_sent(job, exchange.upstream)
 
     def _keep_handle(
         self, generation: Generation, handle: Handle | None, facts: AnswerFacts
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -68,7 +68,9 @@
         # A watcher tells of a removal only once it does not doubt it, so its word also
         # counts for one that follows the store again after a cut.
         if message.zone == self._members.own.zone:
-            self._directory.take_peer_changes(message.upstreams, message.removed)
+            self._directory.take_peer_changes(
+                message.upstreams, message.removed, message.instance
+            )
 
     def _take_catalog_part(self, message: CatalogPart) -> None:
         catalog = self._directory.catalog
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -17,6 +17,7 @@
 from camphorgated.serving.exchange import Exchange
 from camphorgated.serving.front import Job
 from camphorgated.serving.pool import USED_PART, Pool
+from camphorgated.serving.statistics import job_fields
 from camphorgated.serving.wire import AnswerFacts
 
 # At least this many connections to an upstream, however many instances there are.
@@ -140,6 +141,24 @@
             store_sound=self._directory.sound,
         )
 
+    def note_sent(self, job: Job, upstream: Upstream) -> None:
+        """Note for the log when a request left, and whether the list spoke against it.
+
+        A request may have chosen the upstream some time before.
+        """
+        table = self._directory.table
+        now = self._app.clock.monotonic()
+        job.decisions["sent_ms"] = (now - job.request.read_at) * 1000
+        known = table.by_id.get(upstream.id)
+        if known is None or known.leaving or table.doubted(upstream.id):
+            self._app.service("statistics").request_line(
+                "sent_to_unlisted",
+                upstream=upstream.id,
+                doubted=table.doubted(upstream.id),
+                **job_fields(job),
+                **job.decisions,
+            )
+
     def note_refusal(self, upstream: Upstream, facts: AnswerFacts) -> None:
         """Note that an upstream refused a request without running it."""
         now = self._app.clock.monotonic()
--- a/packages/camphorgate/src/camphorgate/serving/upstream_table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_table.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Iterable
+from enum import Enum
 
 from camphorgate.serving.catalog import Upstream
 
@@ -14,6 +15,14 @@
 MOST_REMOVALS = 500
 
 
+class Removal(Enum):
+    """What came of a removal."""
+
+    STALE = "stale"
+    DOUBTED = "doubted"
+    DROPPED = "dropped"
+
+
 class UpstreamTable:
     """Merges entries by revision; an entry never goes back to an older one.
 
@@ -61,38 +70,48 @@
         self._changed(upstream.id)
         return True
 
-    def remove(self, upstream_id: str, revision: int, now: float, sound: bool) -> None:
+    def remove(
+        self, upstream_id: str, revision: int, now: float, sound: bool
+    ) -> Removal:
         """Take a removal.
 
         :param revision: of the removal.
         :param sound: whether the list has been undisturbed lately.
+        :returns: ``STALE`` if no entry is affected.
         """
         known = self.by_id.get(upstream_id)
         if known is not None and known.revision > revision:
-            return
+            return Removal.STALE
         self.revision = max(self.revision, revision)
         if known is not None and not sound and not known.leaving:
-            self._doubtful_by_id.setdefault(upstream_id, (revision, now))
-            return
+            if upstream_id in self._doubtful_by_id:
+                return Removal.STALE
+            self._doubtful_by_id[upstream_id] = (revision, now)
+            return Removal.DOUBTED
         self._drop(upstream_id, revision)
+        return Removal.STALE if known is None else Removal.DROPPED
 
     def replace(
         self, upstreams: Iterable[Upstream], revision: int, now: float, sound: bool
-    ) -> None:
+    ) -> dict[str, Removal]:
         """Take a complete list; what is missing from it counts as removed.
 
         :param revision: at which the list was read; an older list than the table is
             ignored.
+        :returns: what came of each removal, by id.
         """
         if revision < self.revision:
-            return
+            return {}
         listed = set()
         for upstream in upstreams:
             listed.add(upstream.id)
             self.put(upstream)
-        for upstream_id in self.by_id.keys() - listed:
-            self.remove(upstream_id, revision, now, sound)
+        removals_by_id = {
+            upstream_id: self.remove(upstream_id, revision, now, sound)
+            for upstream_id in self.by_id.keys() - listed
+        }
         self.revision = max(self.revision, revision)
+        return removals_by_id
 
     def settle(self, now: float, sound_since: float | None) -> list[str]:
         """Drop doubtful entries once the list has been sound for long enough.
@@ -111,6 +130,10 @@
             self._drop(upstream_id, self._doubtful_by_id[upstream_id][0])
         return dropped
 
+    def doubted(self, upstream_id: str) -> bool:
+        """Tell whether an entry is missing from the list, but may come back."""
+        return upstream_id in self._doubtful_by_id
+
     def take_changes(self) -> tuple[list[Upstream], list[tuple[str, int]]]:
         """Return what changed since the last call, and forget it.
 
