--- a/tests/test_serving/test_upstream_table.py
+++ b/tests/test_serving/test_upstream_table.py
@@ -76,6 +76,44 @@
         self.assertNotEqual(self.table.digest(), before)
 
 
+class DoubtedUpstreamTests(unittest.TestCase):
+    """An entry that vanished around an outage yields to the others."""
+
+    def build_table(self, upstreams: int) -> UpstreamTable:
+        """Return a table of some upstreams of one service."""
+        table = UpstreamTable()
+        for number in range(upstreams):
+            table.put(build_listed_upstream(f"u{number}", revision=number + 1))
+        return table
+
+    def usable_ids(self, table: UpstreamTable) -> set[str]:
+        """Return the upstreams that take new requests."""
+        return {item.id for item in table.usable("models")}
+
+    def test_doubted_removal_takes_no_request_while_others_can(self):
+        """Guards against requests to an upstream that left during a broken watch."""
+        table = self.build_table(3)
+        table.remove("u0", 9, now=10.0, sound=False)
+        self.assertEqual(self.usable_ids(table), {"u1", "u2"})
+        self.assertIn("u0", table.by_id)
+
+    def test_mostly_vanished_list_goes_on_serving(self):
+        """Guards against a service whose entries lapsed and that refuses everyone."""
+        table = self.build_table(3)
+        table.remove("u0", 9, now=10.0, sound=False)
+        table.remove("u1", 9, now=10.0, sound=False)
+        self.assertEqual(self.usable_ids(table), {"u0", "u1", "u2"})
+        table.settle(10.0 + RETURN_SECONDS, 10.0)
+        self.assertEqual(self.usable_ids(table), {"u2"})
+
+    def test_returned_entry_takes_requests_at_once(self):
+        """Guards against capacity that stays unused after a lapse."""
+        table = self.build_table(3)
+        table.remove("u0", 9, now=10.0, sound=False)
+        table.put(build_listed_upstream("u0", revision=12))
+        self.assertEqual(self.usable_ids(table), {"u0", "u1", "u2"})
+
+
 class ToldTableTests(unittest.TestCase):
     """A table whose changes are told by two watchers, in any order."""
 
