A doubted upstream takes no requests while others can, on every instance

Cause: an entry that is missing from the first list after a broken watch was kept in use for as long as it may return, 2.0 s, which is the bound itself, and followers did not even know of the doubt. Kept is not in use: such an entry stays in the table, with its connections and what runs there, but is chosen only where more than half of its service's entries vanished together, which a lapse does and departures do not. Watchers tell doubts like other changes, whole lists carry them, and the digest shows them.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -12,6 +12,7 @@
 from camphorgate.serving.catalog import Catalog, Upstream
 from camphorgate.serving.errors import CatalogError
 from camphorgate.serving.upstream_table import Removal, UpstreamTable
+from camphorgated.serving.messages import Changes, Knowledge
 from camphorgated.serving.watches import Watches
 
 # Prefix of the keys that the instances themselves write.
@@ -107,34 +108,41 @@
         log_event("configuration_in_force", version=catalog.version, source=source)
         self._app.emit("configuration-changed")
 
-    def take_peer_upstreams(
-        self, upstreams: list[Upstream], revision: int, peer: str
-    ) -> None:
+    def take_peer_upstreams(self, knowledge: Knowledge) -> None:
         """Take the whole list of a peer that is up to date."""
-        before = self.table.digest()
         now = self._app.clock.monotonic()
-        self._log_removals(
-            self.table.replace(upstreams, revision, now, True), revision, peer
-        )
+        revision, peer = knowledge.revision, knowledge.instance
+        before = self.table.digest()
+        removals_by_id = self.table.replace(knowledge.upstreams, revision, now, True)
+        self._log_removals(removals_by_id, revision, peer)
+        self._take_removals(knowledge.doubted, peer, sound=False)
         if self.table.digest() != before:
             log_event("upstreams_from_peer", peer=peer, revision=revision)
             self._app.emit("upstreams-changed")
 
-    def take_peer_changes(
-        self, upstreams: list[Upstream], removed: list[tuple[str, int]], peer: str
-    ) -> None:
-        """Take changes of the list that a watcher of this zone tells.
+    def take_peer_changes(self, changes: Changes) -> None:
+        """Take changes of the list that a watcher of this zone tells."""
+        peer = changes.instance
+        news = [self._put(upstream, peer) for upstream in changes.upstreams]
+        news.append(self._take_removals(changes.removed, peer, sound=True))
+        news.append(self._take_removals(changes.doubted, peer, sound=False))
+        if any(news):
+            self._app.emit("upstreams-changed")
+
+    def _take_removals(
+        self, removals: list[tuple[str, int]], source: str, sound: bool
+    ) -> bool:
+        """Take removals as pairs of id and revision.
 
-        :param peer: name of the watcher, for the log.
+        :returns: whether any is news.
         """
         now = self._app.clock.monotonic()
-        news = [self._put(upstream, peer) for upstream in upstreams]
-        for upstream_id, revision in removed:
-            outcome = self.table.remove(upstream_id, revision, now, True)
-            self._log_removals({upstream_id: outcome}, revision, peer)
-            news.append(outcome is not Removal.STALE)
-        if any(news):
-            self._app.emit("upstreams-changed")
+        news = False
+        for upstream_id, revision in removals:
+            outcome = self.table.remove(upstream_id, revision, now, sound)
+            self._log_removals({upstream_id: outcome}, revision, source)
+            news = news or outcome is not Removal.STALE
+        return news
 
     def compare(self, version: int, list_revision: int, list_digest: str) -> None:
         """Note what a watcher knows.
@@ -199,22 +207,19 @@
                 log_event("upstream_entry_skipped", error=error.message)
                 upstream_id = self._dialect.upstream_id(entry.key)
                 if not batch.complete:
-                    revision = entry.mod_revision
-                    outcome = self.table.remove(upstream_id, revision, now, sound)
-                    self._log_removals({upstream_id: outcome}, revision, "store")
+                    removal = (upstream_id, entry.mod_revision)
+                    self._take_removals([removal], "store", sound)
         if batch.complete:
             removals_by_id = self.table.replace(found, batch.revision, now, sound)
             self._log_removals(removals_by_id, batch.revision, "store")
         else:
-            self._apply(found, batch, now, sound)
+            self._apply(found, batch, sound)
         self.table.revision = max(self.table.revision, batch.revision)
         if batch.entries or batch.deleted or batch.complete:
             self._app.emit("upstreams-changed")
         return self._collect_seconds()
 
-    def _apply(
-        self, found: list[Upstream], batch: WatchBatch, now: float, sound: bool
-    ) -> None:
+    def _apply(self, found: list[Upstream], batch: WatchBatch, sound: bool) -> None:
         for upstream in found:
             known = self.table.by_id.get(upstream.id)
             if self._put(upstream, "store") and (
@@ -233,10 +238,11 @@
                     cheap=upstream.cheap,
                     revision=upstream.revision,
                 )
-        for key, revision in batch.deleted:
-            upstream_id = self._dialect.upstream_id(key)
-            outcome = self.table.remove(upstream_id, revision, now, sound)
-            self._log_removals({upstream_id: outcome}, revision, "store")
+        removals = [
+            (self._dialect.upstream_id(key), revision)
+            for key, revision in batch.deleted
+        ]
+        self._take_removals(removals, "store", sound)
 
     def _put(self, upstream: Upstream, source: str) -> bool:
         """Take an entry.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -157,9 +157,7 @@
             self._directory.take_catalog(knowledge.catalog, knowledge.instance)
         watching = self._directory.watches.watching and self._directory.sound
         if knowledge.upstreams is not None and not watching:
-            self._directory.take_peer_upstreams(
-                knowledge.upstreams, knowledge.revision, knowledge.instance
-            )
+            self._directory.take_peer_upstreams(knowledge)
 
     async def _answer(self, question: Question, context) -> Knowledge:
         directory = self._directory
@@ -181,6 +179,7 @@
         if directory.sound and directory.table.digest() != question.digest:
             knowledge.upstreams = list(directory.table.by_id.values())
             knowledge.revision = directory.table.revision
+            knowledge.doubted = directory.table.doubts()
         return knowledge
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -71,13 +71,18 @@
     counts: dict[int, dict[str, int]]
 
 
-class Changes(msgspec.Struct, tag="l"):
-    """Entries of the list of upstreams that a watcher has just learned of."""
+class Changes(msgspec.Struct, omit_defaults=True, tag="l"):
+    """Entries of the list of upstreams that a watcher has just learned of.
+
+    ``removed`` and ``doubted`` are pairs of id and revision of the removal; a doubted
+    entry may have lapsed only, and return.
+    """
 
     instance: str
     zone: str
     upstreams: list[Upstream]
     removed: list[tuple[str, int]]
+    doubted: list[tuple[str, int]] = []
 
 
 class CatalogPart(msgspec.Struct, tag="p"):
@@ -107,6 +112,7 @@
     catalog: bytes = b""
     revision: int = 0
     upstreams: list[Upstream] | None = None
+    doubted: list[tuple[str, int]] = []
 
 
 def split_counters(
@@ -135,15 +141,18 @@
     zone: str,
     upstreams: list[Upstream],
     removed: list[tuple[str, int]],
+    doubted: list[tuple[str, int]],
 ) -> list[Changes]:
     """Return changes of the list in messages of a bounded size."""
-    starts = range(0, max(len(upstreams), len(removed)), MOST_ENTRIES)
+    most = max(len(upstreams), len(removed), len(doubted))
+    starts = range(0, most, MOST_ENTRIES)
     return [
         Changes(
             instance,
             zone,
             upstreams[start : start + MOST_ENTRIES],
             removed[start : start + MOST_ENTRIES],
+            doubted[start : start + MOST_ENTRIES],
         )
         for start in starts
     ]
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -35,10 +35,11 @@
     def tell_changes(self) -> None:
         """Tell the zone at once what the store has just told this instance."""
         upstreams, removed = self._directory.table.take_changes()
+        doubted = self._directory.table.take_doubts()
         if not self._directory.watches.watching or not self._gossip.near:
             return
         own = self._members.own
-        messages = split_changes(own.instance, own.zone, upstreams, removed)
+        messages = split_changes(own.instance, own.zone, upstreams, removed, doubted)
         self._tell_zone([*messages, self._gossip.state()])
 
     def tell_catalog(self) -> None:
@@ -65,12 +66,10 @@
             await asyncio.sleep(size / NEWS_BYTES_PER_SECOND)
 
     def _take_changes(self, message: Changes) -> None:
-        # A watcher tells of a removal only once it does not doubt it, so its word also
+        # A watcher tells which removals it doubts, so its word on the others also
         # counts for one that follows the store again after a cut.
         if message.zone == self._members.own.zone:
-            self._directory.take_peer_changes(
-                message.upstreams, message.removed, message.instance
-            )
+            self._directory.take_peer_changes(message)
 
     def _take_catalog_part(self, message: CatalogPart) -> None:
         catalog = self._directory.catalog
--- a/packages/camphorgate/src/camphorgate/serving/upstream_table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_table.py
@@ -8,7 +8,10 @@
 
 # Entries that lapsed in an outage return within about 2 s of its end (users' bound).
 RETURN_SECONDS = 2.0
-
+# Doubted entries take requests only where they are more than this part of a service's
+# entries. A few that vanish mostly left, and the others can carry their load; when most
+# vanish at once, they lapsed, and refusing everyone would be worse.
+DOUBTED_PART = 0.5
 
 # Removals that are remembered, so that a late message does not bring an entry back; a
 # fleet loses fewer upstreams within the time that messages take.
@@ -26,14 +29,16 @@
 class UpstreamTable:
     """Merges entries by revision; an entry never goes back to an older one.
 
-    An entry that vanishes while the list itself is disturbed is kept until the list
-    has been sound for :data:`RETURN_SECONDS`.
+    An entry that vanishes while the list itself is disturbed may have lapsed or left.
+    It is kept until the list has been sound for :data:`RETURN_SECONDS`, as it may
+    return, and takes no new requests meanwhile unless most of its service vanished.
     """
 
     __slots__ = (
         "by_id",
         "revision",
         "_doubtful_by_id",
+        "_new_doubts",
         "_removed_by_id",
         "_changed_ids",
         "_digest",
@@ -45,6 +50,7 @@
         self.by_id: dict[str, Upstream] = {}
         self.revision = 0
         self._doubtful_by_id: dict[str, tuple[int, float]] = {}
+        self._new_doubts: set[str] = set()
         self._removed_by_id: dict[str, int] = {}
         self._changed_ids: set[str] = set()
         self._digest = ""
@@ -87,7 +93,13 @@
             if upstream_id in self._doubtful_by_id:
                 return Removal.STALE
             self._doubtful_by_id[upstream_id] = (revision, now)
+            self._new_doubts.add(upstream_id)
+            self._forget_derived()
             return Removal.DOUBTED
+        if known is None and not sound:
+            # Telling it on would make a certain removal of it elsewhere.
+            self._remember_removal(upstream_id, revision)
+            return Removal.STALE
         self._drop(upstream_id, revision)
         return Removal.STALE if known is None else Removal.DROPPED
 
@@ -134,6 +146,26 @@
         """Tell whether an entry is missing from the list, but may come back."""
         return upstream_id in self._doubtful_by_id
 
+    def doubts(self) -> list[tuple[str, int]]:
+        """Return the doubted entries as pairs of id and revision of the removal."""
+        return [
+            (upstream_id, revision)
+            for upstream_id, (revision, _) in self._doubtful_by_id.items()
+        ]
+
+    def take_doubts(self) -> list[tuple[str, int]]:
+        """Return the doubts since the last call that still stand, and forget them."""
+        new, self._new_doubts = self._new_doubts, set()
+        return [pair for pair in self.doubts() if pair[0] in new]
+
+    def removals_of(self, upstream_ids: Iterable[str]) -> list[tuple[str, int]]:
+        """Return those of some upstreams that are certainly gone, with the revision."""
+        return [
+            (upstream_id, self._removed_by_id[upstream_id])
+            for upstream_id in upstream_ids
+            if upstream_id in self._removed_by_id
+        ]
+
     def take_changes(self) -> tuple[list[Upstream], list[tuple[str, int]]]:
         """Return what changed since the last call, and forget it.
 
@@ -151,7 +183,10 @@
     def digest(self) -> str:
         """Return a digest of what the table holds, for peers to compare."""
         if not self._digest:
-            rows = sorted((item.id, item.revision) for item in self.by_id.values())
+            rows = sorted(
+                (item.id, item.revision, item.id in self._doubtful_by_id)
+                for item in self.by_id.values()
+            )
             digest = hashlib.blake2b(repr(rows).encode(), digest_size=8)
             self._digest = digest.hexdigest()
         return self._digest
@@ -163,24 +198,40 @@
         """
         usable = self._usable_by_service.get(service)
         if usable is None:
-            usable = [
+            listed = [
                 upstream
                 for upstream in self.by_id.values()
                 if upstream.service == service and not upstream.leaving
             ]
+            sure = [item for item in listed if item.id not in self._doubtful_by_id]
+            mostly_doubted = len(listed) - len(sure) > DOUBTED_PART * len(listed)
+            usable = listed if mostly_doubted else sure
             self._usable_by_service[service] = usable
         return usable
 
+    def takes_requests(self, upstream: Upstream) -> bool:
+        """Tell whether a start of an upstream still takes new requests."""
+        return any(
+            item.id == upstream.id and item.started_at == upstream.started_at
+            for item in self.usable(upstream.service)
+        )
+
     def _drop(self, upstream_id: str, revision: int) -> None:
         self._doubtful_by_id.pop(upstream_id, None)
         self.by_id.pop(upstream_id, None)
+        self._remember_removal(upstream_id, revision)
+        self._changed(upstream_id)
+
+    def _remember_removal(self, upstream_id: str, revision: int) -> None:
         known = self._removed_by_id.pop(upstream_id, 0)
         self._removed_by_id[upstream_id] = max(known, revision)
         if len(self._removed_by_id) > MOST_REMOVALS:
             del self._removed_by_id[next(iter(self._removed_by_id))]
-        self._changed(upstream_id)
 
     def _changed(self, upstream_id: str) -> None:
         self._changed_ids.add(upstream_id)
+        self._forget_derived()
+
+    def _forget_derived(self) -> None:
         self._digest = ""
         self._usable_by_service.clear()
