An equal list or version of a lagging watcher no longer reassures its zone

Callers' requests reached upstreams that had left, and would be admitted with withdrawn keys, while the watches of a zone hang. Cause: a watcher of another zone told a newer list, but the own zone's hanging watchers told one equal to the instance's own, which reset the suspicion each time. Only a watcher that is as far as the newest that was heard ends it now, for configurations too. A watcher counts as behind after the time in which changes are collected plus 0.5 s instead of 2.0 s, which was the bound; it is not while it has reached the revision that was told, so steady changes do not reopen it. Watchers tell those of other zones at once that they have news, in a small state.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -12,7 +12,7 @@
 from camphorgate.serving.catalog import Catalog, Upstream
 from camphorgate.serving.errors import CatalogError
 from camphorgate.serving.upstream_table import Removal, UpstreamTable
-from camphorgated.serving.messages import Changes, Knowledge
+from camphorgated.serving.messages import Changes, Knowledge, State
 from camphorgated.serving.watches import Watches
 
 # Prefix of the keys that the instances themselves write.
@@ -26,9 +26,6 @@
 MOST_COLLECT_SECONDS = 0.5
 # A peer may be ahead by the spread of one change before the own watch is in doubt.
 BEHIND_SECONDS = 0.5
-# The same for the list of upstreams, whose changes are collected first, and of which
-# there are many while a zone's upstreams are replaced.
-LIST_BEHIND_SECONDS = MOST_COLLECT_SECONDS + 1.5
 
 
 class Directory:
@@ -44,6 +41,8 @@
         "_dialect",
         "_behind_since",
         "_list_behind_since",
+        "_ahead_version",
+        "_list_ahead_revision",
     )
 
     def __init__(self, app: Application) -> None:
@@ -63,6 +62,10 @@
         self.watches = Watches(app, handlers_by_prefix, frozenset({DUTY_KEY}))
         self._behind_since: float | None = None
         self._list_behind_since: float | None = None
+        # The newest version that a watcher told.
+        self._ahead_version = 0
+        # The newest list that a watcher told and this instance has not.
+        self._list_ahead_revision = 0
 
     @property
     def sound(self) -> bool:
@@ -144,34 +147,51 @@
             news = news or outcome is not Removal.STALE
         return news
 
-    def compare(self, version: int, list_revision: int, list_digest: str) -> None:
+    def compare(self, peer: State) -> None:
         """Note what a watcher knows.
 
         Where it is ahead for longer than a change takes to arrive, a watcher's own
         watches are opened anew; any other instance asks a peer.
-
-        :param list_revision: up to which it followed the list of upstreams.
         """
         now = self._app.clock.monotonic()
         own_version = self.catalog.version if self.catalog else 0
-        if version > own_version:
-            self._behind_since = self._behind_since or now
-        elif version == own_version:
+        self._ahead_version = max(self._ahead_version, peer.version)
+        if self._ahead_version <= own_version:
             self._behind_since = None
-        if list_digest == self.table.digest():
-            self._list_behind_since = None
-        elif list_revision >= self.table.revision + self.watches.watching:
-            # Two watchers at one revision may differ in entries that they doubt.
-            self._list_behind_since = self._list_behind_since or now
+        else:
+            self._behind_since = self._behind_since or now
+        self._compare_lists(peer, now)
         if not self.watches.watching or not self.sound:
             return
+        behind_seconds = BEHIND_SECONDS + self._collect_seconds()
         if self._longer(self._behind_since, BEHIND_SECONDS, now):
             self._behind_since = None
             self.watches.restart("a peer knows a newer version")
-        elif self._longer(self._list_behind_since, LIST_BEHIND_SECONDS, now):
+        elif self._longer(self._list_behind_since, behind_seconds, now):
             self._list_behind_since = None
             self.watches.restart("a peer knows a newer list of upstreams")
 
+    def _compare_lists(self, peer: State, now: float) -> None:
+        """Note since when a watcher knows a newer list of upstreams.
+
+        A watcher that lags like this instance proves nothing, so only one that is as
+        far as the newest that was heard ends the doubt.
+        """
+        watching, revision = self.watches.watching, self.table.revision
+        followed = watching and revision >= self._list_ahead_revision
+        same = peer.list_digest == self.table.digest()
+        if followed or (same and peer.list_revision >= self._list_ahead_revision):
+            self._list_behind_since = None
+            self._list_ahead_revision = 0
+        # The lists of two watchers at one revision may differ in what they doubt.
+        undoubted = not watching or not (peer.doubting or self.table.doubts())
+        ahead = peer.list_revision >= revision + watching
+        if not same and ahead and undoubted:
+            self._list_behind_since = self._list_behind_since or now
+            self._list_ahead_revision = max(
+                self._list_ahead_revision, peer.list_revision
+            )
+
     @staticmethod
     def _longer(since: float | None, seconds: float, now: float) -> bool:
         return since is not None and now - since > seconds
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -233,6 +233,22 @@
         """Return what a peer of the own zone is told."""
         return self._state(self.loads.own_by_id)
 
+    def tell_far_watchers(self) -> None:
+        """Tell the watchers of other zones at once how far this one has come.
+
+        One whose own watch hangs learns so that there is something to be learned.
+        """
+        own = self._members.own
+        addresses = [
+            state.gossip_address
+            for state in self.live_states()
+            if state.watching and state.zone != own.zone
+        ]
+        if addresses:
+            state = self._state(None)
+            state.parts, state.failing = [], []
+            self.send([state], addresses)
+
     def send(self, messages: list[Message], addresses: list[str]) -> None:
         """Send messages to some addresses, in one datagram each."""
         if not addresses or self._transport is None or self._transport.is_closing():
@@ -274,6 +290,7 @@
             version=directory.catalog.version if directory.catalog else 0,
             list_revision=directory.table.revision,
             list_digest=directory.table.digest(),
+            doubting=bool(directory.table.doubts()),
             holder=self._members.holder_address(),
             loads=loads,
             parts=self.loads.news(now, 2.5 * max(1, rounds) * TICK_SECONDS),
@@ -326,9 +343,7 @@
             relay.hear(message.instance, message.watching, message.sound, now)
             self._members.told_holder = message.holder or self._members.told_holder
         if message.watching and message.sound:
-            self._directory.compare(
-                message.version, message.list_revision, message.list_digest
-            )
+            self._directory.compare(message)
 
     def _source(self, instance: str, zone: str) -> str:
         """Return the name under which a peer's loads count."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -19,12 +19,13 @@
 
     ``vote`` is its vote for the time of day, in seconds since 1970. ``watching`` tells
     whether it follows the store itself and ``sound`` whether it is up to date;
-    ``list_revision`` and ``list_digest`` tell what it knows of the upstreams, and
-    ``holder`` where the holder of the duty hears datagrams. ``loads`` are its own for
-    a peer of its zone, the whole zone's for others, and ``None`` if it does not know
-    those yet. ``changing`` are the engines that the sender, as the holder of the duty,
-    is about to order to another phase or has just ordered. ``failing`` are the starts
-    of upstreams that failed for the sender just now.
+    ``list_revision`` and ``list_digest`` tell what it knows of the upstreams,
+    ``doubting`` whether it doubts the removal of some, and ``holder`` where the holder
+    of the duty hears datagrams. ``loads`` are its own for a peer of its zone, the whole
+    zone's for others, and ``None`` if it does not know those yet. ``changing`` are the
+    engines that the sender, as the holder of the duty, is about to order to another
+    phase or has just ordered. ``failing`` are the starts of upstreams that failed for
+    the sender just now.
     """
 
     instance: str
@@ -38,6 +39,7 @@
     version: int = 0
     list_revision: int = 0
     list_digest: str = ""
+    doubting: bool = False
     holder: str = ""
     loads: dict[str, Load] | None = None
     parts: list[tuple[str, str]] = []
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -53,6 +53,7 @@
 
     def _tell_zone(self, messages: list) -> None:
         """Send this watcher's share of the zone some messages."""
+        self._gossip.tell_far_watchers()
         relay = self._directory.watches.relay
         told = relay.share(self._gossip.near, self._app.clock.monotonic())
         if told:
--- a/tests/test_serving/test_relay.py
+++ b/tests/test_serving/test_relay.py
@@ -466,6 +466,18 @@
         hang.begin()
         self.assertLess(await self.obeyed_seconds(followers), DRAIN_SECONDS)
 
+    async def test_withdrawn_key_is_obeyed_while_the_watches_of_the_zone_hang(self):
+        """Guards against followers that a hanging watcher's old version reassures."""
+        hang, followers = await self.start_hanging_zone(elsewhere=2)
+        hang.begin()
+        self.configure(3, tenants=[{"name": "north", "api-keys": ["another"]}])
+        await self.eventually(
+            lambda: all(
+                app.service("directory").catalog.version == 3 for app in followers
+            ),
+            seconds=DRAIN_SECONDS,
+        )
+
     async def test_removal_is_obeyed_while_every_watch_hangs(self):
         """Guards against a fleet whose watchers all wait for a silent store."""
         hang, followers = await self.start_hanging_zone(elsewhere=0)
