Find a silent store by a small read, instead of at the end of a watch

Callers' requests reached upstreams that had left while every watch of a fleet waits at a store that is silent: a watch shows nothing until its wait of 5 s ends, and counted as sound for so long.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -59,7 +59,9 @@
             self._dialect.upstream_prefix: self._take_upstreams,
             DUTY_KEY: self._take_own,
         }
-        self.watches = Watches(app, handlers_by_prefix, frozenset({DUTY_KEY}))
+        self.watches = Watches(
+            app, handlers_by_prefix, frozenset({DUTY_KEY}), checked_key=DUTY_KEY
+        )
         self._behind_since: float | None = None
         self._list_behind_since: float | None = None
         # The newest version that a watcher told.
@@ -345,6 +347,7 @@
     app.add_event("upstreams-changed")
     app.add_event("configuration-changed")
     app.add_event("watching-begun")
+    app.add_event("store-lost")
     directory = Directory(app)
     app.provide("directory", directory)
     app.add_dump_section("directory", directory.dump)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -51,6 +51,11 @@
         parts = split_catalog(own.instance, own.zone, catalog.version, catalog.raw)
         self._tell_zone([*parts, self._gossip.state()])
 
+    def tell_state(self) -> None:
+        """Tell the zone at once that the store is lost, so that others take over."""
+        if self._directory.watches.watching:
+            self._gossip.send([self._gossip.state()], self._gossip.near)
+
     def _tell_zone(self, messages: list) -> None:
         """Send this watcher's share of the zone some messages."""
         self._gossip.tell_far_watchers()
@@ -91,3 +96,4 @@
     news = News(app)
     app.connect("upstreams-changed", news.tell_changes)
     app.connect("configuration-changed", news.tell_catalog)
+    app.connect("store-lost", news.tell_state)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -23,6 +23,12 @@
 # How long the store holds a watch. A connection that went silent unnoticed is found
 # after this time.
 WATCH_SECONDS = 5.0
+# A watch that waits shows nothing while the store is silent, so a watcher asks for
+# something else this often. Two answers that do not come in time tell of silence. A
+# slow store answers within 0.2 s (users' troubles); all three times together leave 0.8
+# s of the smallest bound on a change (2 s) to whoever takes over.
+CHECK_SECONDS = 0.4
+CHECK_ANSWER_SECONDS = 0.4
 # How often an instance looks whether it should watch.
 ROLE_SECONDS = 0.1
 # Without a list of the instances, the role is decided this long after the start.
@@ -41,6 +47,7 @@
         "_store",
         "_handlers_by_prefix",
         "_late_prefixes",
+        "_checked_key",
         "_tasks_by_prefix",
         "_sound_since_by_prefix",
         "_random",
@@ -53,12 +60,15 @@
         app: Application,
         handlers_by_prefix: dict[str, Handler],
         late_prefixes: frozenset[str],
+        checked_key: str,
     ) -> None:
         """Prepare without calling the store.
 
         :param handlers_by_prefix: each takes a batch and returns how many seconds
             further changes are collected for.
         :param late_prefixes: those that only a watcher reads.
+        :param checked_key: a small key that is asked for to see whether the store
+            answers.
         """
         self.relay = Relay(app.settings.instance_id)
         self.watching = True
@@ -66,6 +76,7 @@
         self._store = app.service("store")
         self._handlers_by_prefix = handlers_by_prefix
         self._late_prefixes = late_prefixes
+        self._checked_key = checked_key
         self._tasks_by_prefix: dict[str, asyncio.Task] = {}
         # Those that do not work are missing.
         self._sound_since_by_prefix: dict[str, float] = {}
@@ -79,6 +90,7 @@
         for prefix in self._handlers_by_prefix.keys() - self._late_prefixes:
             self._start(prefix)
         self._app.spawn(self._keep_role(), "watcher role")
+        self._app.spawn(self._check_store(), "store check")
 
     @property
     def chosen(self) -> bool:
@@ -106,10 +118,12 @@
         Until each of them works, the store counts as lost, so that peers are asked.
         """
         log_event("watches_reopened", level="WARNING", reason=reason)
+        self._vouched = False
         self._sound_since_by_prefix.clear()
         for prefix, task in list(self._tasks_by_prefix.items()):
             task.cancel()
             self._start(prefix)
+        self._app.emit("store-lost")
 
     def role_known(self) -> None:
         """Note that the instances are listed, so that the role can be decided."""
@@ -138,6 +152,29 @@
                 self._end()
             await asyncio.sleep(ROLE_SECONDS)
 
+    async def _check_store(self) -> None:
+        """Open the watches anew whenever the store falls silent for this watcher."""
+        await self._decided.wait()
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            if not self._follows() or await self._answers() or await self._answers():
+                continue
+            # Its watches may have shown the silence meanwhile.
+            if self._follows():
+                self.restart("the store does not answer")
+
+    def _follows(self) -> bool:
+        return self.watching and self.sound
+
+    async def _answers(self) -> bool:
+        """Tell whether the store answers a small call soon."""
+        try:
+            async with asyncio.timeout(CHECK_ANSWER_SECONDS):
+                await self._store.check(self._checked_key)
+        except (KvError, TimeoutError):
+            return False
+        return True
+
     def _begin(self, now: float) -> None:
         if not self.watching:
             log_event("watching", doubtful=self.relay.doubtful(now))
@@ -186,7 +223,9 @@
             log_event("store_regained")
 
     def _fails(self, prefix: str, message: str) -> None:
-        if self.sound:
-            log_event("store_lost", level="WARNING", watch=prefix, error=message)
+        lost = self.sound
         self._vouched = False
         self._sound_since_by_prefix.pop(prefix, None)
+        if lost:
+            log_event("store_lost", level="WARNING", watch=prefix, error=message)
+            self._app.emit("store-lost")
