Look once more whether an upstream takes requests before sending

Callers' requests that had chosen an upstream, and then waited for a connection, were sent though the upstream had left meanwhile (rule DRAIN). The exchange asks again once it has its connection; what it refuses has not been sent, is placed again, and says nothing of the upstream's health. A check of the store that ends late because the process itself had no processor time proves nothing.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -66,7 +66,7 @@
             except ExchangeError as error:
                 tries.failed(error.stage)
                 unsent += error.stage is Stage.NOT_SENT
-                upstreams.health.of(upstream.incarnation).failed(clock.monotonic())
+                upstreams.note_failure(upstream, error)
                 self._statistics.try_failed(job, upstream, error.cause, error.stage)
                 ran = error.stage is Stage.SENT and error.cause != "stale"
             else:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -1,6 +1,7 @@
 """One try of a request at one upstream."""
 
 import asyncio
+from collections.abc import Callable
 
 from camphorgate.serving.catalog import Stage, Upstream
 from camphorgated.serving.errors import ExchangeError
@@ -11,6 +12,8 @@
 # A whole answer of a plain call is kept in memory up to this size. It is there twice
 # while its pieces are put together, and a connection may take 4 MB in all.
 MOST_BODY_BYTES = 1_572_864
+# Cause of a try that ended as its upstream left meanwhile; nothing is wrong with it.
+LEAVING = "leaving"
 
 
 class Exchange:
@@ -26,12 +29,23 @@
         "headers",
         "_pool",
         "_dialect",
+        "_takes_requests",
         "_lease",
         "_whole",
     )
 
-    def __init__(self, pool: Pool, dialect: Dialect, upstream: Upstream) -> None:
-        """Prepare without connecting."""
+    def __init__(
+        self,
+        pool: Pool,
+        dialect: Dialect,
+        upstream: Upstream,
+        takes_requests: Callable[[Upstream], bool],
+    ) -> None:
+        """Prepare without connecting.
+
+        :param takes_requests: tells whether an upstream still takes new requests.
+        """
+        self._takes_requests = takes_requests
         self.upstream = upstream
         self.facts: AnswerFacts | None = None
         self.headers: Headers = []
@@ -56,9 +70,14 @@
     async def open(self, most: int, sure: bool) -> None:
         """Get a connection.
 
-        :raises ExchangeError: if none can be had; nothing was sent.
+        :raises ExchangeError: if none can be had, or if the upstream has left since it
+            was chosen; nothing was sent.
         """
         self._lease = await self._pool.take(self.upstream, most, sure)
+        if not self._takes_requests(self.upstream):
+            raise ExchangeError(
+                f"{self.upstream.id} takes no more requests", Stage.NOT_SENT, LEAVING
+            )
 
     def send(self, method: str, target: bytes, headers: Headers, body: bytes) -> None:
         """Send the request; from here on it may run."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -228,7 +228,7 @@
                     )
                     body = await exchange.read_body(seconds, MOST_RESULT_BYTES)
         except ExchangeError as error:
-            self._upstreams.health.of(engine.incarnation).failed(clock.monotonic())
+            self._upstreams.note_failure(engine, error)
             self._statistics.try_failed(job, engine, f"read_{error.cause}", error.stage)
             if error.stage is Stage.NOT_SENT:
                 # It does not count as a call, neither here nor in the budget.
@@ -384,9 +384,7 @@
         generation.tries.failed(error.stage)
         generation.unsent += error.stage is Stage.NOT_SENT
         engine = choice.upstream
-        self._upstreams.health.of(engine.incarnation).failed(
-            self._app.clock.monotonic()
-        )
+        self._upstreams.note_failure(engine, error)
         self._statistics.try_failed(generation.job, engine, error.cause, error.stage)
 
     def _give_up(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -14,7 +14,8 @@
 from camphorgate.serving.catalog import Service, Upstream
 from camphorgate.serving.placement import Placement
 from camphorgate.serving.tries import Tries
-from camphorgated.serving.exchange import Exchange
+from camphorgated.serving.errors import ExchangeError
+from camphorgated.serving.exchange import LEAVING, Exchange
 from camphorgated.serving.front import Job
 from camphorgated.serving.pool import USED_PART, Pool
 from camphorgated.serving.statistics import job_fields
@@ -58,7 +59,9 @@
 
     def exchange(self, upstream: Upstream) -> Exchange:
         """Return a new exchange with an upstream."""
-        return Exchange(self.pool, self._dialect, upstream)
+        return Exchange(
+            self.pool, self._dialect, upstream, self._directory.table.takes_requests
+        )
 
     def service(self, name: str) -> Service | None:
         """Return a service of the configuration in force."""
@@ -159,6 +162,12 @@
                 **job.decisions,
             )
 
+    def note_failure(self, upstream: Upstream, error: ExchangeError) -> None:
+        """Avoid an upstream after a try that failed, unless it just left."""
+        if error.cause != LEAVING:
+            now = self._app.clock.monotonic()
+            self.health.of(upstream.incarnation).failed(now)
+
     def note_refusal(self, upstream: Upstream, facts: AnswerFacts) -> None:
         """Note that an upstream refused a request without running it."""
         now = self._app.clock.monotonic()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -29,6 +29,9 @@
 # s of the smallest bound on a change (2 s) to whoever takes over.
 CHECK_SECONDS = 0.4
 CHECK_ANSWER_SECONDS = 0.4
+# A wait that ends this much too late shows that this process had no processor time, and
+# nothing of the store.
+OWN_DELAY_SECONDS = 0.05
 # How often an instance looks whether it should watch.
 ROLE_SECONDS = 0.1
 # Without a list of the instances, the role is decided this long after the start.
@@ -167,12 +170,16 @@
         return self.watching and self.sound
 
     async def _answers(self) -> bool:
-        """Tell whether the store answers a small call soon."""
+        """Tell whether the store answers a small call soon, as far as that shows."""
+        clock = self._app.clock
+        until = clock.monotonic() + CHECK_ANSWER_SECONDS
         try:
             async with asyncio.timeout(CHECK_ANSWER_SECONDS):
                 await self._store.check(self._checked_key)
-        except (KvError, TimeoutError):
+        except KvError:
             return False
+        except TimeoutError:
+            return clock.monotonic() - until > OWN_DELAY_SECONDS
         return True
 
     def _begin(self, now: float) -> None:
