End a doubt by the word of an instance whose watch was sound, in any zone

A watcher that doubts asks a sound watcher that does not, over the exchange that lists come by, and is told which of these upstreams are certainly gone, with the revision of each removal.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -125,6 +125,15 @@
             log_event("upstreams_from_peer", peer=peer, revision=revision)
             self._app.emit("upstreams-changed")
 
+    def take_certain_removals(self, knowledge: Knowledge) -> None:
+        """Take removals that a peer saw with a sound watch and this instance doubts.
+
+        The store told them while it answered that peer, so that the entries left rather
+        than lapsed, whatever zone the peer is in.
+        """
+        if self._take_removals(knowledge.removed, knowledge.instance, sound=True):
+            self._app.emit("upstreams-changed")
+
     def take_peer_changes(self, changes: Changes) -> None:
         """Take changes of the list that a watcher of this zone tells."""
         peer = changes.instance
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -88,7 +88,7 @@
             address = self._fetch_address()
             if address is None:
                 continue
-            if self._directory.sound and not self._directory.lacks_news():
+            if not self._needed():
                 continue
             try:
                 self._learn(await self._ask(address))
@@ -110,16 +110,26 @@
         Many instances lack the same at the same moment, and few have it: a watcher to
         which all of a zone connected at once was silent for a second.
         """
-        while self._directory.sound and not self._directory.lacks_news():
+        while not self._needed():
             await asyncio.sleep(LOOK_SECONDS)
         period = FETCH_PERIOD_SECONDS * self._directory.instances / PERIOD_INSTANCES
         period = min(MOST_PERIOD_SECONDS, max(FETCH_PERIOD_SECONDS, period))
         await asyncio.sleep(period * self._random.uniform(0.2, 1.0))
 
+    def _needed(self) -> bool:
+        """Tell whether a peer may know what this instance lacks or doubts."""
+        directory = self._directory
+        if not directory.sound or directory.lacks_news():
+            return True
+        return directory.watches.watching and bool(directory.table.doubts())
+
     def _fetch_address(self) -> str | None:
         """Return a peer that the store serves, or else any that may answer."""
         live = self._gossip.live_states()
         sound = [state for state in live if state.sound]
+        certain = [state for state in sound if state.watching and not state.doubting]
+        if self._directory.table.doubts() and certain:
+            return self._random.choice(certain).address
         watching = [state for state in sound if state.watching]
         if watching:
             # Whoever already knows what the watchers know can tell it.
@@ -139,8 +149,11 @@
 
     async def _ask(self, address: str) -> Knowledge:
         catalog = self._directory.catalog
+        table = self._directory.table
         question = Question(
-            catalog.version if catalog else 0, self._directory.table.digest()
+            catalog.version if catalog else 0,
+            table.digest(),
+            [upstream_id for upstream_id, _ in table.doubts()],
         )
         async with grpc.aio.insecure_channel(address, _DIAL_OPTIONS) as channel:
             call = channel.unary_unary(
@@ -155,6 +168,7 @@
         self._addresses.update(knowledge.addresses)
         if knowledge.catalog:
             self._directory.take_catalog(knowledge.catalog, knowledge.instance)
+        self._directory.take_certain_removals(knowledge)
         watching = self._directory.watches.watching and self._directory.sound
         if knowledge.upstreams is not None and not watching:
             self._directory.take_peer_upstreams(knowledge)
@@ -180,6 +194,7 @@
             knowledge.upstreams = list(directory.table.by_id.values())
             knowledge.revision = directory.table.revision
             knowledge.doubted = directory.table.doubts()
+        knowledge.removed = directory.table.removals_of(question.doubted)
         return knowledge
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -98,15 +98,20 @@
     data: bytes
 
 
-class Question(msgspec.Struct):
-    """What the sender knows already."""
+class Question(msgspec.Struct, omit_defaults=True):
+    """What the sender knows already, and the upstreams whose removal it doubts."""
 
     version: int
     digest: str
+    doubted: list[str] = []
 
 
 class Knowledge(msgspec.Struct, omit_defaults=True):
-    """What the receiver has that the sender lacks."""
+    """What the receiver has that the sender lacks.
+
+    ``removed`` and ``doubted`` are pairs of id and revision, the former of upstreams
+    that the sender doubted and that are certainly gone.
+    """
 
     instance: str
     gossip_addresses: list[str] = []
@@ -115,6 +120,7 @@
     revision: int = 0
     upstreams: list[Upstream] | None = None
     doubted: list[tuple[str, int]] = []
+    removed: list[tuple[str, int]] = []
 
 
 def split_counters(
--- a/tests/test_serving/test_relay.py
+++ b/tests/test_serving/test_relay.py
@@ -16,6 +16,7 @@
     WATCHERS_PER_ZONE,
     Relay,
 )
+from camphorgate.serving.upstream_table import RETURN_SECONDS
 from camphorgated.serving.errors import CallFailed
 from camphorgated.serving.messages import FORMAT, CatalogPart, Changes
 from camphorgated.serving.parts import MOST_RAW_BYTES, CatalogParts, split_catalog
@@ -418,7 +419,7 @@
         """Start a zone whose watchers' store hangs once :class:`Hang` is set.
 
         :param elsewhere: instances of another zone, which the store goes on serving.
-        :returns: the watchers' hang, and the followers.
+        :returns: the watchers' hang, the watchers and the followers.
         """
         for number in range(2, 5):
             await self.add_worker(f"desk-{number}")
@@ -436,7 +437,7 @@
         entry = build_platform_entry(table.by_id["desk-2"].address, sequence=2)
         self.store.put("servers/desk-2", entry)
         await asyncio.sleep(0.3)
-        return hang, followers
+        return hang, watchers, followers
 
     async def obeyed_seconds(self, apps) -> float:
         """Return how long after now nobody sends to the first worker any more."""
@@ -462,13 +463,13 @@
 
         Seen on Akmola: the store fell silent for both watchers 6 ms before a removal.
         """
-        hang, followers = await self.start_hanging_zone(elsewhere=2)
+        hang, _, followers = await self.start_hanging_zone(elsewhere=2)
         hang.begin()
         self.assertLess(await self.obeyed_seconds(followers), DRAIN_SECONDS)
 
     async def test_withdrawn_key_is_obeyed_while_the_watches_of_the_zone_hang(self):
         """Guards against followers that a hanging watcher's old version reassures."""
-        hang, followers = await self.start_hanging_zone(elsewhere=2)
+        hang, _, followers = await self.start_hanging_zone(elsewhere=2)
         hang.begin()
         self.configure(3, tenants=[{"name": "north", "api-keys": ["another"]}])
         await self.eventually(
@@ -480,7 +481,7 @@
 
     async def test_removal_is_obeyed_while_every_watch_hangs(self):
         """Guards against a fleet whose watchers all wait for a silent store."""
-        hang, followers = await self.start_hanging_zone(elsewhere=0)
+        hang, _, followers = await self.start_hanging_zone(elsewhere=0)
         hang.begin()
         self.assertLess(await self.obeyed_seconds(followers), DRAIN_SECONDS)
 
@@ -489,11 +490,25 @@
 
         Seen on Akmola: every instance of the zone read its first list after a break.
         """
-        hang, followers = await self.start_hanging_zone(elsewhere=0)
+        hang, _, followers = await self.start_hanging_zone(elsewhere=0)
         hang.begin()
         asyncio.get_running_loop().call_later(1.2, hang.end)
         self.assertLess(await self.obeyed_seconds(followers), DRAIN_SECONDS)
 
+    async def test_doubt_ends_by_the_word_of_another_zone(self):
+        """Guards against watchers that doubt what another zone has seen for certain."""
+        hang, watchers, _ = await self.start_hanging_zone(elsewhere=2)
+        tables = [app.service("directory").table for app in watchers]
+        hang.begin()
+        self.store.remove("servers/desk-1")
+        await asyncio.sleep(0.2)
+        hang.end()
+        await self.eventually(lambda: any(table.doubts() for table in tables))
+        await self.eventually(
+            lambda: not any("desk-1" in table.by_id for table in tables),
+            seconds=RETURN_SECONDS / 2,
+        )
+
     async def test_foreign_word_is_refused(self):
         """Guards against a state that is old, of another zone, or half read."""
         _, followers = await self.start_zone()
