Obey what workers say in their answers: that they leave, and for how long to pause

Leaving is taken from the head of every answer (calls, streams, readings, refusals, failures, reports, orders, releases) and makes the entry of that start a leaving one in the table of upstreams, against every ready entry of the same start, so that placement, pools, budgets and the fleet's plan obey it as they obey the list. A pause is kept by start beside the health (no failure, no circuit, no probe); paused upstreams are no candidates, and the look before a send refuses them. An answer that names another worker, and a 421 without a name, change nothing and are logged.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
@@ -1,6 +1,7 @@
 """Short calls to one outside address."""
 
 import asyncio
+from collections.abc import Callable
 
 from camphorgated.serving.client_connection import ClientConnection, connect
 from camphorgated.serving.errors import CallFailed
@@ -36,10 +37,12 @@
         body: bytes = b"",
         headers: Headers | None = None,
         timeout: float | None = None,
+        on_head: Callable[[int, Headers], None] | None = None,
     ) -> tuple[int, bytes]:
         """Send a call.
 
         :param timeout: bound on the call in seconds.
+        :param on_head: gets status and headers of the answer before its body.
         :returns: status and body.
         :raises CallFailed: without a whole answer in time.
         """
@@ -59,6 +62,8 @@
                 sent = True
                 connection.send(method, encode_head(start, lines) + body)
                 status = await connection.read_head()
+                if status and on_head is not None:
+                    on_head(status, connection.headers)
                 pieces = []
                 size = 0
                 while piece := await connection.read_piece():
--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -48,7 +48,9 @@
                 found = upstreams.candidates(job.service, tried)
                 choice = upstreams.placement.for_call(found, now)
                 if choice is None:
-                    reason = "no_upstream"
+                    if await upstreams.wait_out_pause(job):
+                        continue
+                    reason = upstreams.why_none(job.service)
             if reason is not None:
                 self._give_up(job, tries, reason)
                 return
@@ -145,7 +147,8 @@
         if tries.may_have_run:
             caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
         else:
-            caller.refuse(503, reason, job.route.target_seconds * RETURN_TARGETS)
+            seconds = job.route.target_seconds * RETURN_TARGETS
+            caller.refuse(503, reason, self._upstreams.return_seconds(job, seconds))
         self._statistics.given_up(job, reason, sends=tries.sends)
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -125,6 +125,23 @@
             log_event("upstreams_from_peer", peer=peer, revision=revision)
             self._app.emit("upstreams-changed")
 
+    def take_leaving(self, upstream: Upstream) -> bool:
+        """Take an upstream's own word that it leaves, before or without the list's.
+
+        :returns: whether it is news.
+        """
+        if not self.table.leave(upstream.incarnation):
+            return False
+        log_event(
+            "upstream_leaves_by_its_word",
+            upstream=upstream.id,
+            service=upstream.service,
+            list_revision=self.table.revision,
+            store_sound=self.sound,
+        )
+        self._app.emit("upstreams-changed")
+        return True
+
     def take_certain_removals(self, knowledge: Knowledge) -> None:
         """Take removals that a peer saw with a sound watch and this instance doubts.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -1,7 +1,7 @@
 """One try of a request at one upstream."""
 
 import asyncio
-from collections.abc import Callable
+from typing import Protocol
 
 from camphorgate.serving.catalog import Stage, Upstream
 from camphorgated.serving.errors import ExchangeError
@@ -16,6 +16,16 @@
 LEAVING = "leaving"
 
 
+class Gate(Protocol):
+    """What decides whether upstreams take requests, and learns from their answers."""
+
+    def takes_requests(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream still takes new requests."""
+
+    def hear_answer(self, upstream: Upstream, facts: AnswerFacts) -> None:
+        """Take what an upstream says of itself in the head of an answer."""
+
+
 class Exchange:
     """Sends a request and reads its answer; use it as an async context manager.
 
@@ -29,7 +39,7 @@
         "headers",
         "_pool",
         "_dialect",
-        "_takes_requests",
+        "_gate",
         "_lease",
         "_whole",
     )
@@ -39,13 +49,10 @@
         pool: Pool,
         dialect: Dialect,
         upstream: Upstream,
-        takes_requests: Callable[[Upstream], bool],
+        gate: Gate,
     ) -> None:
-        """Prepare without connecting.
-
-        :param takes_requests: tells whether an upstream still takes new requests.
-        """
-        self._takes_requests = takes_requests
+        """Prepare without connecting."""
+        self._gate = gate
         self.upstream = upstream
         self.facts: AnswerFacts | None = None
         self.headers: Headers = []
@@ -74,7 +81,7 @@
             was chosen; nothing was sent.
         """
         self._lease = await self._pool.take(self.upstream, most, sure)
-        if not self._takes_requests(self.upstream):
+        if not self._gate.takes_requests(self.upstream):
             raise ExchangeError(
                 f"{self.upstream.id} takes no more requests", Stage.NOT_SENT, LEAVING
             )
@@ -111,6 +118,7 @@
             if facts.attempt is not None or not unnamed:
                 raise self._error("the answer is of another request", "crossed")
         self.facts = facts
+        self._gate.hear_answer(self.upstream, facts)
         return facts
 
     async def read_piece(self, seconds: float) -> bytes:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -215,6 +215,9 @@
         fencing = self._members.fencing
         holder = self._members.own.instance
         upstream = order.upstream
+        if not self._app.service("upstreams").takes_requests(upstream):
+            # It leaves, or wants nothing from this instance for now.
+            return
         try:
             report = await self._dialect.read_engine(upstream)
             if report is None or report.busy or report.phase is order.phase:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -10,8 +10,6 @@
 from camphorgate.serving.catalog import EngineSpec, Phase, Stage, Upstream
 from camphorgate.serving.placement import Choice
 from camphorgate.serving.reading_queue import LONG_TOKENS, ReadingQueue, Ticket
-from camphorgate.settings import split_address
-from camphorgated.serving.call_client import CallClient
 from camphorgated.serving.errors import CallFailed, ExchangeError
 from camphorgated.serving.exchange import Exchange
 from camphorgated.serving.front import Job
@@ -35,7 +33,6 @@
 # Bounds of the time after which a refused caller returns, in seconds.
 LEAST_RETURN_SECONDS = 0.1
 MOST_RETURN_SECONDS = 2.0
-RELEASE_SECONDS = 1.0
 # A service without any engine that answers may get one back within a phase change.
 WITHOUT_ENGINES_MS = 3000.0
 # Refusals of engines that should take a handle, after which it counts as gone.
@@ -95,9 +92,13 @@
                 return
             reader, answerer = self._choose(generation, spec, now)
             if reader is None and answerer is None:
-                if await self._wait_for_engines(job):
+                if self._upstreams.pause_seconds(job.service) is not None:
+                    waited = await self._upstreams.wait_out_pause(job)
+                else:
+                    waited = await self._wait_for_engines(job)
+                if waited:
                     continue
-                self._give_up(generation, "no_upstream")
+                self._give_up(generation, self._upstreams.why_none(job.service))
                 return
             first = reader or answerer
             self._upstreams.note_inputs(job, now)
@@ -399,7 +400,7 @@
         else:
             seconds = wait_seconds - job.route.target_seconds
             seconds = min(MOST_RETURN_SECONDS, max(LEAST_RETURN_SECONDS, seconds))
-            caller.refuse(503, reason, seconds)
+            caller.refuse(503, reason, self._upstreams.return_seconds(job, seconds))
         self._statistics.given_up(
             job,
             reason,
@@ -412,13 +413,15 @@
         self._app.spawn(self._delete(handle), "release handle")
 
     async def _delete(self, handle: Handle) -> None:
-        client = CallClient(split_address(handle.engine.address), RELEASE_SECONDS)
+        if self._upstreams.pauses.paused(
+            handle.engine.incarnation, self._app.clock.monotonic()
+        ):
+            # It wants nothing; the engine frees what nobody takes by itself.
+            return
         try:
-            await client.call("DELETE", self._dialect.release_target(handle.name))
+            await self._dialect.release(handle.engine, handle.name)
         except CallFailed as error:
             log_event("handle_not_released", error=error.message)
-        finally:
-            client.close()
 
 
 def setup(app: Application) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -1,17 +1,22 @@
 """What the requests of this instance share about upstreams.
 
-Provides ``upstreams``: the connections, the health, the placement and the budget of
-repeated requests.
+Provides ``upstreams``: the connections, the health, the pauses, the placement and the
+budget of repeated requests.
 """
 
+import asyncio
 import contextlib
+import random
+from collections import Counter
 from collections.abc import Iterator
 
 import msgspec
 
 from camphorgate.application import Application
+from camphorgate.log import log_event
 from camphorgate.serving.budget import ShareOfBudget
 from camphorgate.serving.catalog import Service, Upstream
+from camphorgate.serving.pauses import RESUME_SECONDS, PauseBook
 from camphorgate.serving.placement import Placement
 from camphorgate.serving.tries import Tries
 from camphorgated.serving.errors import ExchangeError
@@ -21,6 +26,8 @@
 from camphorgated.serving.statistics import job_fields
 from camphorgated.serving.wire import AnswerFacts
 
+# A refused caller returns within this part of a pause after its end.
+RETURN_SPREAD = 0.25
 # At least this many connections to an upstream, however many instances there are.
 LEAST_CONNECTIONS = 4
 
@@ -30,6 +37,7 @@
 
     __slots__ = (
         "pool",
+        "pauses",
         "health",
         "loads",
         "placement",
@@ -38,6 +46,9 @@
         "_gossip",
         "_dialect",
         "_budgets_by_service",
+        "_resuming_by_service",
+        "_counts",
+        "_random",
     )
 
     def __init__(self, app: Application) -> None:
@@ -47,6 +58,12 @@
         self._gossip = app.service("gossip")
         self._dialect = app.service("dialect")
         self.pool = Pool(app.clock)
+        self.pauses = PauseBook()
+        # Requests that wait for the end of a pause.
+        self._resuming_by_service: Counter[str] = Counter()
+        self._counts: Counter[str] = Counter()
+        self._random = random.Random()
+        self._dialect.on_answer = self.hear_answer
         self.health = self._gossip.health
         self.loads = self._gossip.loads
         zone = app.settings.availability_zone
@@ -59,9 +76,7 @@
 
     def exchange(self, upstream: Upstream) -> Exchange:
         """Return a new exchange with an upstream."""
-        return Exchange(
-            self.pool, self._dialect, upstream, self._directory.table.takes_requests
-        )
+        return Exchange(self.pool, self._dialect, upstream, self)
 
     def service(self, name: str) -> Service | None:
         """Return a service of the configuration in force."""
@@ -76,8 +91,98 @@
         listed = self._directory.service_upstreams(service)
         changing = self._gossip.changing_engines()
         usable = [item for item in listed if item.id not in changing] or listed
+        if len(self.pauses):
+            now = self._app.clock.monotonic()
+            usable = [
+                item for item in usable if not self.pauses.paused(item.incarnation, now)
+            ]
         return [item for item in usable if item.id not in without] or usable
 
+    def takes_requests(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream still takes new requests from this instance."""
+        now = self._app.clock.monotonic()
+        return self._directory.table.takes_requests(
+            upstream
+        ) and not self.pauses.paused(upstream.incarnation, now)
+
+    def hear_answer(self, upstream: Upstream, facts: AnswerFacts) -> None:
+        """Take what an upstream says of itself in the head of an answer.
+
+        It speaks for itself only: an answer that names another upstream, or that comes
+        from another one at its address, changes nothing.
+        """
+        if not facts.leaving and not facts.pause_seconds:
+            return
+        another = facts.answered_by not in (None, upstream.id)
+        if another or (facts.wrong_upstream and facts.answered_by is None):
+            log_event(
+                "answer_of_another_upstream",
+                upstream=upstream.id,
+                answered_by=facts.answered_by,
+                status=facts.status,
+            )
+            return
+        if facts.leaving and self._directory.take_leaving(upstream):
+            self._counts["left_by_own_word"] += 1
+        if facts.pause_seconds:
+            now = self._app.clock.monotonic()
+            end = self.pauses.pause(upstream.incarnation, facts.pause_seconds, now)
+            self._counts["pauses"] += 1
+            log_event(
+                "upstream_paused",
+                upstream=upstream.id,
+                asked_seconds=facts.pause_seconds,
+                seconds=end - now,
+            )
+
+    def pause_seconds(self, service: str) -> float | None:
+        """Return after how long the first pause of a service's upstreams ends.
+
+        :returns: ``None`` if none of those that take requests pauses.
+        """
+        now = self._app.clock.monotonic()
+        listed = self._directory.service_upstreams(service)
+        end = self.pauses.first_end((item.incarnation for item in listed), now)
+        return None if end is None else end - now
+
+    def why_none(self, service: str) -> str:
+        """Return why no upstream of a service takes requests."""
+        paused = self.pause_seconds(service) is not None
+        return "upstreams_paused" if paused else "no_upstream"
+
+    async def wait_out_pause(self, job: Job) -> bool:
+        """Wait until an upstream of a request's service takes requests again.
+
+        :returns: whether to choose again; false at once if the request cannot be
+            served before its deadline, or if no pause keeps it waiting.
+        """
+        seconds = self.pause_seconds(job.service)
+        now = self._app.clock.monotonic()
+        if seconds is None or seconds + job.route.target_seconds > job.left(now):
+            return False
+        place = self._resuming_by_service[job.service]
+        self._resuming_by_service[job.service] += 1
+        try:
+            await asyncio.sleep(seconds + place * RESUME_SECONDS)
+        finally:
+            self._resuming_by_service[job.service] -= 1
+        waited = (self._app.clock.monotonic() - now) * 1000
+        job.decisions["paused_ms"] = job.decisions.get("paused_ms", 0.0) + waited
+        return True
+
+    def return_seconds(self, job: Job, otherwise: float) -> float:
+        """Return when a refused caller should come back, in seconds from now.
+
+        At the end of the first pause where one keeps it from being served, spread so
+        that callers do not return together.
+
+        :param otherwise: where there is no pause.
+        """
+        seconds = self.pause_seconds(job.service)
+        if seconds is None:
+            return otherwise
+        return seconds + self._random.uniform(0.0, RETURN_SPREAD * seconds)
+
     def most_connections(self, service: str) -> int:
         """Return this instance's part of the connections to an upstream."""
         declared = self.service(service)
@@ -153,7 +258,7 @@
         now = self._app.clock.monotonic()
         job.decisions["sent_ms"] = (now - job.request.read_at) * 1000
         known = table.by_id.get(upstream.id)
-        if known is None or known.leaving or table.doubted(upstream.id):
+        if known is None or not self.takes_requests(upstream):
             self._app.service("statistics").request_line(
                 "sent_to_unlisted",
                 upstream=upstream.id,
@@ -174,7 +279,7 @@
         health = self.health.of(upstream.incarnation)
         if facts.wrong_upstream:
             health.failed(now)
-        else:
+        elif not facts.pause_seconds and not facts.leaving:
             health.refused(now)
 
     def upstreams_changed(self) -> None:
@@ -182,13 +287,17 @@
         table = self._directory.table.by_id
         incarnations = {item.incarnation for item in table.values() if not item.leaving}
         self.pool.keep_only(incarnations)
-        self.health.keep_only({item.incarnation for item in table.values()})
+        listed = {item.incarnation for item in table.values()}
+        self.health.keep_only(listed)
+        self.pauses.keep_only(listed)
         self.loads.keep_only(set(table))
 
     def dump(self) -> dict:
         """Return the state for the operators."""
         return {
             "connections_opened": self.pool.opened,
+            **self._counts,
+            "paused": len(self.pauses),
             "own_loads": {
                 upstream_id: msgspec.structs.asdict(load)
                 for upstream_id, load in self.loads.own_by_id.items()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/wire.py
@@ -1,5 +1,6 @@
 """What requests and answers say, whatever names the platform has for it."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -32,6 +33,8 @@
     """What the head of an upstream's answer says.
 
     ``stage`` is ``REFUSED`` if the upstream states that it did not run the request.
+    ``leaving`` if it says that it leaves, ``pause_seconds`` for how long it wants no
+    requests. ``answered_by`` is the upstream's id where the answer names it.
     """
 
     status: int
@@ -40,6 +43,9 @@
     wrong_upstream: bool
     stamped: bool
     keep_seconds: float | None
+    leaving: bool = False
+    pause_seconds: float | None = None
+    answered_by: str | None = None
 
 
 class PrefillResult(msgspec.Struct, frozen=True):
@@ -66,6 +72,8 @@
     configuration_prefix: str
     configuration_key: str
     upstream_prefix: str
+    # Told of every answer that an upstream gives to a call of the dialect's own.
+    on_answer: Callable[[Upstream, AnswerFacts], None]
 
     def decode_catalog(self, raw: bytes) -> Catalog:
         """Return a routing configuration or raise ``CatalogError``."""
@@ -91,8 +99,8 @@
     def read_prefill(self, body: bytes) -> PrefillResult | None:
         """Return the handle of a prompt that was read, ``None`` if there is none."""
 
-    def release_target(self, handle: str) -> str:
-        """Return the path whose DELETE frees a handle."""
+    async def release(self, upstream: Upstream, handle: str) -> None:
+        """Free a prompt that an engine keeps, or raise ``CallFailed``."""
 
     async def report_usage(
         self, holder: str, fencing: int, window: int, counts: dict[str, int]
--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
@@ -4,15 +4,19 @@
 streams. Faults: ``down``, ``silent``, ``slow``, ``lose_answers`` (it runs, no answer
 comes), ``refuse`` (503, not run), ``fail`` (500 of its own), ``break_stream`` (value:
 events before the connection breaks), ``wrong_attempt`` (an answer with another id),
-``unstamped``. ``GET /control/runs`` lists every run.
+``unstamped``, ``leave`` (every answer says that it leaves), ``pause`` (503, not run;
+value: what it sends as ``Retry-After``). ``GET /control/runs`` lists every run and what
+arrived.
 """
 
 import asyncio
 import itertools
+import time
 
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from camphorgate_standins.serving import (
     ConnectionAborted,
@@ -25,6 +29,26 @@
 TOKENS_PER_SECOND = 55_000.0
 EVENT_SECONDS = 0.005
 EVENT_TOKENS = 11
+LEAVE = "leave"
+
+
+class LeavingHeader:
+    """Says in every answer that the worker leaves, while ``leave`` is armed."""
+
+    __slots__ = ("_app", "_faults")
+
+    def __init__(self, app: ASGIApp, faults: Faults) -> None:
+        self._app = app
+        self._faults = faults
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_marked(message: Message) -> None:
+            if message["type"] == "http.response.start" and self._faults.active(LEAVE):
+                headers = [*message.get("headers", []), (b"server-leaving", b"1")]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        await self._app(scope, receive, send_marked)
 
 
 class HostingWorker:
@@ -36,6 +60,7 @@
         "phase",
         "faults",
         "runs",
+        "arrivals",
         "prefills",
         "handles",
         "cached",
@@ -52,6 +77,8 @@
         self.phase = phase
         self.faults = Faults()
         self.runs: list[dict] = []
+        # When each request came, refused ones included, and its attempt.
+        self.arrivals: list[tuple[float, str]] = []
         self.prefills: list[str] = []
         self.handles: dict[str, str] = {}
         self.cached: set[str] = set()
@@ -71,7 +98,7 @@
             Route("/v1/kv-handle/{handle}", self.release, methods=["DELETE"]),
             Route("/{path:path}", self.serve, methods=methods),
         ]
-        return build_app(routes, self.faults)
+        return LeavingHeader(build_app(routes, self.faults), self.faults)
 
     def _headers(self, request: Request) -> dict[str, str]:
         attempt = request.headers.get("x-attempt-id", "")
@@ -85,14 +112,19 @@
             headers["x-server-stamp"] = f"{self.id}.{next(self._numbers)}"
         return headers
 
-    def _not_run(self, status: int) -> Response:
-        headers = {"x-not-executed": "1", "x-instance-id": self.id}
+    def _not_run(self, status: int, **more: str) -> Response:
+        headers = {"x-not-executed": "1", "x-instance-id": self.id, **more}
         return Response(status_code=status, headers=headers)
 
     async def serve(self, request: Request) -> Response:
         """Run a request, or refuse it."""
+        attempt = request.headers.get("x-attempt-id", "")
+        self.arrivals.append((time.time(), attempt))
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return self._not_run(421)
+        if self.faults.take("pause"):
+            pause = self.faults.text("pause", "1")
+            return self._not_run(503, **{"retry-after": pause})
         if self.faults.take("refuse") or self.running >= self.slots:
             return self._not_run(503)
         body = await request.body()
@@ -203,15 +235,27 @@
 
     async def list_runs(self, request: Request) -> Response:
         """Return every run."""
-        return JSONResponse({"runs": self.runs, "prefills": self.prefills})
+        return JSONResponse(
+            {
+                "runs": self.runs,
+                "prefills": self.prefills,
+                "arrivals": self.arrivals,
+            }
+        )
 
 
 def main() -> None:
     """Run the stand-in as a program."""
     options = parse_options(
-        "Stand-in for a worker of a hosting platform.", id="worker", phase="", slots=6
+        "Stand-in for a worker of a hosting platform.",
+        id="worker",
+        phase="",
+        slots=6,
+        leave=False,
     )
     worker = HostingWorker(options.id, options.phase, options.slots)
+    if options.leave:
+        worker.faults.arm({"fault": LEAVE})
     run(worker.app(), options.address)
 
 
--- a/packages/camphorgate-standins/src/camphorgate_standins/serving.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/serving.py
@@ -60,6 +60,12 @@
         given = armed["value"] if armed else None
         return default if given is None else float(given)
 
+    def text(self, name: str, default: str) -> str:
+        """Return the value that came with a fault as text."""
+        armed = self._armed_by_name.get(name)
+        given = armed["value"] if armed else None
+        return default if given is None else str(given)
+
     def routes(self) -> list[Route]:
         """Return the control routes."""
 
--- a/packages/camphorgate/src/camphorgate/serving/upstream_table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_table.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from enum import Enum
 
+import msgspec
+
 from camphorgate.serving.catalog import Upstream
 
 # Entries that lapsed in an outage return within about 2 s of its end (users' bound).
@@ -40,9 +42,11 @@
         "_doubtful_by_id",
         "_new_doubts",
         "_removed_by_id",
+        "_left_starts_by_id",
         "_changed_ids",
         "_digest",
         "_usable_by_service",
+        "_usable_starts_by_service",
     )
 
     def __init__(self) -> None:
@@ -52,9 +56,12 @@
         self._doubtful_by_id: dict[str, tuple[int, float]] = {}
         self._new_doubts: set[str] = set()
         self._removed_by_id: dict[str, int] = {}
+        # Starts of upstreams that said in an answer that they leave.
+        self._left_starts_by_id: dict[str, int] = {}
         self._changed_ids: set[str] = set()
         self._digest = ""
         self._usable_by_service: dict[str, list[Upstream]] = {}
+        self._usable_starts_by_service: dict[str, set[tuple[str, int]]] = {}
 
     def put(self, upstream: Upstream) -> bool:
         """Take an entry.
@@ -71,6 +78,8 @@
             return False
         self._removed_by_id.pop(upstream.id, None)
         self._doubtful_by_id.pop(upstream.id, None)
+        if self._left_starts_by_id.get(upstream.id) == upstream.started_at:
+            upstream = msgspec.structs.replace(upstream, leaving=True)
         self.by_id[upstream.id] = upstream
         self.revision = max(self.revision, upstream.revision)
         self._changed(upstream.id)
@@ -103,6 +112,26 @@
         self._drop(upstream_id, revision)
         return Removal.STALE if known is None else Removal.DROPPED
 
+    def leave(self, incarnation: tuple[str, int]) -> bool:
+        """Take an upstream's own word that it leaves.
+
+        It holds against every entry of the same start, and ends with another start.
+
+        :returns: whether it is news.
+        """
+        upstream_id, started_at = incarnation
+        if self._left_starts_by_id.get(upstream_id) == started_at:
+            return False
+        self._left_starts_by_id.pop(upstream_id, None)
+        self._left_starts_by_id[upstream_id] = started_at
+        _forget_oldest(self._left_starts_by_id)
+        known = self.by_id.get(upstream_id)
+        if known is None or known.incarnation != incarnation or known.leaving:
+            return False
+        self.by_id[upstream_id] = msgspec.structs.replace(known, leaving=True)
+        self._forget_derived()
+        return True
+
     def replace(
         self, upstreams: Iterable[Upstream], revision: int, now: float, sound: bool
     ) -> dict[str, Removal]:
@@ -211,10 +240,11 @@
 
     def takes_requests(self, upstream: Upstream) -> bool:
         """Tell whether a start of an upstream still takes new requests."""
-        return any(
-            item.id == upstream.id and item.started_at == upstream.started_at
-            for item in self.usable(upstream.service)
-        )
+        starts = self._usable_starts_by_service.get(upstream.service)
+        if starts is None:
+            starts = {item.incarnation for item in self.usable(upstream.service)}
+            self._usable_starts_by_service[upstream.service] = starts
+        return upstream.incarnation in starts
 
     def _drop(self, upstream_id: str, revision: int) -> None:
         self._doubtful_by_id.pop(upstream_id, None)
@@ -225,8 +255,7 @@
     def _remember_removal(self, upstream_id: str, revision: int) -> None:
         known = self._removed_by_id.pop(upstream_id, 0)
         self._removed_by_id[upstream_id] = max(known, revision)
-        if len(self._removed_by_id) > MOST_REMOVALS:
-            del self._removed_by_id[next(iter(self._removed_by_id))]
+        _forget_oldest(self._removed_by_id)
 
     def _changed(self, upstream_id: str) -> None:
         self._changed_ids.add(upstream_id)
@@ -235,3 +264,10 @@
     def _forget_derived(self) -> None:
         self._digest = ""
         self._usable_by_service.clear()
+        self._usable_starts_by_service.clear()
+
+
+def _forget_oldest(remembered_by_id: dict[str, int]) -> None:
+    """Keep no more than :data:`MOST_REMOVALS`."""
+    if len(remembered_by_id) > MOST_REMOVALS:
+        del remembered_by_id[next(iter(remembered_by_id))]
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -258,3 +258,48 @@
         basic = [(b"authorization", b"Basic " + KEY.encode())]
         request = Request("GET", b"/", basic, b"", True)
         self.assertIsNone(headers.read_request(request).key)
+
+
+class OwnWordTests(unittest.TestCase):
+    """What an upstream says of itself in the head of an answer."""
+
+    def read(self, status: int, *pairs: tuple[bytes, bytes]):
+        """Return the facts of an answer with some headers."""
+        return headers.read_answer(status, list(pairs))
+
+    def test_leaving_is_one_and_nothing_else(self):
+        """Guards against a worker that is taken away by a header that says no."""
+        self.assertTrue(self.read(500, (b"server-leaving", b" 1 ")).leaving)
+        for value in (b"0", b"", b"true", b"11", b"1, 1"):
+            self.assertFalse(self.read(200, (b"server-leaving", value)).leaving)
+        self.assertFalse(self.read(200).leaving)
+
+    def test_retry_after_of_every_form(self):
+        """Guards against values that raise, or that pause for ever."""
+        date = (b"date", b"Fri, 04 Dec 2026 12:00:00 GMT")
+        expected_by_value = {
+            b"2": 2.0,
+            b" 0.25 ": 0.25,
+            b"0": 0.0,
+            b"1e300": 1e300,
+            b"-1": None,
+            b"nan": None,
+            b"inf": None,
+            b"1e999": None,
+            b"": None,
+            b"soon": None,
+            b"\xff\xfe": None,
+            b"Fri, 04 Dec 2026 12:00:03 GMT": 3.0,
+            b"Fri, 04 Dec 2026 11:59:00 GMT": None,
+            b"Fri, 99 Dec 2026 11:59:00 GMT": None,
+        }
+        for value, seconds in expected_by_value.items():
+            facts = self.read(503, (b"retry-after", value), date)
+            self.assertEqual(facts.pause_seconds, seconds, value)
+        undated = self.read(503, (b"retry-after", b"Fri, 04 Dec 2026 12:00:03 GMT"))
+        self.assertIsNone(undated.pause_seconds)
+
+    def test_retry_after_of_another_status_asks_for_nothing(self):
+        """Guards against pauses that a failure or a redirect did not ask for."""
+        for status in (200, 429, 500, 301):
+            self.assertIsNone(self.read(status, (b"retry-after", b"9")).pause_seconds)
