Soak workers that leave or pause by their own word

A further mix, words: workers say that they leave and start anew, or ask for a pause, beside kills, pauses and a disturbed store. Checked from what callers and workers saw: nothing sent 2 s after an instance passed the word on reaches that start, and at most two requests reach a pausing worker from 0.5 s after its 503. The callers of the soak are a module of their own.

--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
@@ -61,6 +61,7 @@
         "faults",
         "runs",
         "arrivals",
+        "pauses",
         "prefills",
         "handles",
         "cached",
@@ -79,6 +80,8 @@
         self.runs: list[dict] = []
         # When each request came, refused ones included, and its attempt.
         self.arrivals: list[tuple[float, str]] = []
+        # When it asked for a pause, in the answer to which attempt, and what it said.
+        self.pauses: list[tuple[float, str, str]] = []
         self.prefills: list[str] = []
         self.handles: dict[str, str] = {}
         self.cached: set[str] = set()
@@ -124,6 +127,7 @@
             return self._not_run(421)
         if self.faults.take("pause"):
             pause = self.faults.text("pause", "1")
+            self.pauses.append((time.time(), attempt, pause))
             return self._not_run(503, **{"retry-after": pause})
         if self.faults.take("refuse") or self.running >= self.slots:
             return self._not_run(503)
@@ -240,6 +244,7 @@
                 "runs": self.runs,
                 "prefills": self.prefills,
                 "arrivals": self.arrivals,
+                "pauses": self.pauses,
             }
         )
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,69 @@
+"""Callers of a soak, each of which sends one request after the other."""
+
+import asyncio
+import random
+import time
+
+from camphorgate.settings import split_address
+from camphorgated.serving.client_connection import connect
+from camphorgated.serving.http1 import encode_head
+from tests.hosting_builders import HOST
+from tests.soak.checks import Asked
+
+EVENTS = 8
+
+
+async def call_until_stopped(soak, number: int) -> None:
+    """Send requests one after the other, on a kept connection where it is open."""
+    generator = random.Random(soak.seed * 1000 + number)
+    connection = None
+    count = 0
+    while not soak.stopping:
+        count += 1
+        kind = generator.choice(("read", "book", "book", "chat", "draft"))
+        key = generator.choice(list(soak.keys))
+        attempt = f"s{soak.seed}-{number}-{count}"
+        item = Asked(attempt, kind, key, time.monotonic())
+        try:
+            if connection is None or not connection.usable:
+                address = generator.choice(soak.caller_addresses)
+                connection = await connect(*split_address(address), 1.0)
+            item.entry = address
+            soak.asked.append(item)
+            async with asyncio.timeout(generator.choice((0.2, 4.0, 4.0, 4.0))):
+                await _ask(connection, item)
+        except (OSError, TimeoutError):
+            item.left = True
+        if connection is not None and not (item.whole and connection.finish()):
+            connection.close()
+            connection = None
+        await asyncio.sleep(generator.uniform(0.0, 0.03))
+    if connection is not None:
+        connection.close()
+
+
+async def _ask(connection, item: Asked) -> None:
+    body = item.attempt.encode()
+    lines = [
+        (b"host", HOST.encode()),
+        (b"x-attempt-id", body),
+        (b"x-deadline", b"3000"),
+        (b"authorization", b"Bearer " + item.key.encode()),
+        (b"x-model", b"m"),
+        (b"x-token-count", b"900,%d" % (EVENTS * 11)),
+        (b"x-prompt-prefix", b"common:400,%s:500" % body),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    start = f"POST /{item.kind}/x HTTP/1.1".encode()
+    connection.send("POST", encode_head(start, lines) + body)
+    item.status = await connection.read_head()
+    item.answered_at = time.time()
+    headers = dict(connection.headers)
+    if headers.get(b"server-leaving") == b"1":
+        stamp = headers.get(b"x-server-stamp", b"").decode()
+        item.left_worker = stamp.partition(".")[0]
+    pieces = []
+    while piece := await connection.read_piece():
+        pieces.append(piece)
+    item.body = b"".join(pieces)
+    item.whole = piece is not None and item.status != 0
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """What must hold, from what callers, workers and the platform's stand-in saw."""
 
+import time
 from collections import Counter
 
 # Answers that promise that the request has not run and never will.
@@ -21,9 +22,29 @@
 class Asked:
     """One request as its caller saw it."""
 
-    __slots__ = ("attempt", "kind", "key", "sent_at", "status", "body", "whole", "left")
+    __slots__ = (
+        "attempt",
+        "kind",
+        "key",
+        "sent_at",
+        "status",
+        "body",
+        "whole",
+        "left",
+        "entry",
+        "began_at",
+        "answered_at",
+        "left_worker",
+    )
 
     def __init__(self, attempt: str, kind: str, key: str, sent_at: float):
+        # Address of the instance that was asked.
+        self.entry = ""
+        # Seconds since 1970, to compare with what workers note.
+        self.began_at = time.time()
+        self.answered_at = 0.0
+        # The worker that said in the answer that it leaves.
+        self.left_worker = ""
         self.attempt = attempt
         self.kind = kind
         self.key = key
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -25,10 +25,25 @@
 )
 # Faults that are planned work: they may cut nothing.
 PLANNED = ("stop_daemon", "withdraw_key", "drain_worker")
+# Workers that leave or pause by their own word, beside what could undo the word.
+WORDS = (
+    "worker_leave",
+    "worker_leave",
+    "worker_pause",
+    "worker_pause",
+    "kill_daemon",
+    "pause_daemon",
+    "store_silent",
+    "store_delay",
+    "store_refuse",
+    "worker_reset",
+    "drain_worker",
+)
 # What a soak injects, by its name. ``mixed`` stays as it is, as its seeds are kept.
 FAULTS_BY_MIX = {
     "mixed": FAULTS,
     "planned": PLANNED,
+    "words": WORDS,
     "clocks": (*FAULTS, "step_clock", "step_clock", "step_clock"),
 }
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,15 +20,13 @@
 import msgspec
 
 from camphorgated.serving.call_client import CallClient
-from camphorgated.serving.client_connection import connect
 from camphorgated.serving.errors import CallFailed
-from camphorgated.serving.http1 import encode_head
 from tests.hosted import build_hosted_settings, free_address
 from tests.hosting_builders import (
-    HOST,
     build_platform_configuration,
     build_platform_entry,
 )
+from tests.soak.callers import EVENTS, call_until_stopped
 from tests.soak.checks import (
     Asked,
     find_cuts,
@@ -37,10 +35,10 @@
 )
 from tests.soak.plan import FAULTS_BY_MIX, Step, build_plan
 from tests.soak.proxy import Proxy
+from tests.soak.words import DRAIN_SECONDS, Words
 
 DAEMONS = 3
 CALLERS = 8
-EVENTS = 8
 KEYS = {"key-north": "north", "key-south": "south"}
 START_SECONDS = 15.0
 RESTART_SECONDS = 0.3
@@ -64,6 +62,7 @@
         self.seconds = seconds
         self.folder = folder
         self.mix = mix
+        self.keys = KEYS
         self.began_at = time.time()
         self.random = random.Random(seed + 1)
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -78,6 +77,7 @@
         self.withdrawn_at_by_key: dict[str, float] = {}
         self.version = 1
         self.draining: set[int] = set()
+        self.words = Words()
         self.stopping = False
 
     async def run(self) -> list[str]:
@@ -86,7 +86,8 @@
             stack.push_async_callback(self._end_processes)
             await self._start()
             callers = [
-                asyncio.create_task(self._call(number)) for number in range(CALLERS)
+                asyncio.create_task(call_until_stopped(self, number))
+                for number in range(CALLERS)
             ]
             began = time.monotonic()
             faults = []
@@ -188,59 +189,12 @@
     async def _list_worker(self, number: int, state: str = "ready") -> None:
         worker_id, service, phase = WORKERS[number]
         changes = {"phase": phase} if phase else {}
+        changes["born"] = self.words.born_by_worker[worker_id]
         entry = build_platform_entry(
             self.worker_proxies[number].address, service=service, state=state, **changes
         )
         await self._put(f"servers/{worker_id}", entry)
 
-    async def _call(self, number: int) -> None:
-        """Send requests one after the other, on a kept connection where it is open."""
-        generator = random.Random(self.seed * 1000 + number)
-        connection = None
-        count = 0
-        while not self.stopping:
-            count += 1
-            kind = generator.choice(("read", "book", "book", "chat", "draft"))
-            key = generator.choice(list(KEYS))
-            attempt = f"s{self.seed}-{number}-{count}"
-            item = Asked(attempt, kind, key, time.monotonic())
-            try:
-                if connection is None or not connection.usable:
-                    address = generator.choice(self.caller_addresses)
-                    connection = await connect(*_split(address), 1.0)
-                self.asked.append(item)
-                async with asyncio.timeout(generator.choice((0.2, 4.0, 4.0, 4.0))):
-                    await self._ask(connection, item)
-            except (OSError, TimeoutError):
-                item.left = True
-            if connection is not None and not (item.whole and connection.finish()):
-                connection.close()
-                connection = None
-            await asyncio.sleep(generator.uniform(0.0, 0.03))
-        if connection is not None:
-            connection.close()
-
-    async def _ask(self, connection, item: Asked) -> None:
-        body = item.attempt.encode()
-        lines = [
-            (b"host", HOST.encode()),
-            (b"x-attempt-id", body),
-            (b"x-deadline", b"3000"),
-            (b"authorization", b"Bearer " + item.key.encode()),
-            (b"x-model", b"m"),
-            (b"x-token-count", b"900,%d" % (EVENTS * 11)),
-            (b"x-prompt-prefix", b"common:400,%s:500" % body),
-            (b"content-length", b"%d" % len(body)),
-        ]
-        start = f"POST /{item.kind}/x HTTP/1.1".encode()
-        connection.send("POST", encode_head(start, lines) + body)
-        item.status = await connection.read_head()
-        pieces = []
-        while piece := await connection.read_piece():
-            pieces.append(piece)
-        item.body = b"".join(pieces)
-        item.whole = piece is not None and item.status != 0
-
     async def _inject(self, step: Step) -> None:
         kind, _, rest = step.fault.partition("_")
         if kind in ("kill", "pause", "stop"):
@@ -258,6 +212,8 @@
                 proxy.reset()
             else:
                 await self._disturb(proxy, rest, step.seconds)
+        elif step.fault == "worker_leave":
+            await self._leave(step)
         elif kind == "worker":
             address = self.worker_addresses[step.target % len(WORKERS)]
             client = CallClient(_split(address), 2.0)
@@ -268,15 +224,33 @@
         else:
             await self._drain(step)
 
+    async def _leave(self, step: Step) -> None:
+        """Let a worker say that it leaves, and then start anew."""
+        number = step.target % len(WORKERS)
+        if WORKERS[number][2] == "prefill":
+            # Its answers do not reach callers, who could tell nothing.
+            number = 0
+        worker_id, address = WORKERS[number][0], self.worker_addresses[number]
+        client = CallClient(_split(address), 2.0)
+        await self._arm(client, "leave", 60.0, 1_000_000)
+        await asyncio.sleep(DRAIN_SECONDS + step.seconds)
+        await self._arm(client, "none", 0.0, 0)
+        client.close()
+        self.words.start(worker_id)
+        await self._list_worker(number)
+
     async def _signal(self, kind: str, name: str, seconds: float) -> None:
         process = self.processes[name]
         if process.returncode is not None:
             return
+        entry = self.caller_addresses[int(name.partition("-")[2])]
+        self.words.disturb(entry)
         with contextlib.suppress(ProcessLookupError):
             if kind == "pause":
                 process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(seconds)
                 process.send_signal(signal.SIGCONT)
+                self.words.disturb(entry)
                 return
             process.send_signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
         # A paused process takes its SIGTERM when it goes on.
@@ -326,11 +300,15 @@
 
     async def _check(self) -> list[str]:
         runs = []
-        for address in self.worker_addresses:
+        reports_by_worker = {}
+        for (worker_id, _, _), address in zip(
+            WORKERS, self.worker_addresses, strict=True
+        ):
             client = CallClient(_split(address), 5.0)
             _, body = await client.call("GET", "/control/runs")
             client.close()
-            runs += json.loads(body)["runs"]
+            reports_by_worker[worker_id] = json.loads(body)
+            runs += reports_by_worker[worker_id]["runs"]
         _, body = await self.store.call("GET", "/control/reports")
         reports = json.loads(body)["reports"]
         served = sum(1 for item in self.asked if item.status == 200 and item.whole)
@@ -341,6 +319,7 @@
         found += find_wrong_windows(
             reports, self.began_at / WINDOW_SECONDS, time.time() / WINDOW_SECONDS
         )
+        found += self.words.find_late(self.asked, reports_by_worker)
         if self.mix == "planned":
             found += find_cuts(self.asked, runs)
         if served < len(self.asked) * LEAST_SERVED_PART:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 )
 from tests.soak.plan import build_plan
 from tests.soak.run import run_seed
+from tests.soak.words import Words
 
 SHORT_SECONDS = 10.0
 # Seeds that failed once: the length of the run, and the cause.
@@ -98,6 +99,24 @@
         found = find_wrong_windows(reports, 100.5, 110.5)
         self.assertEqual(len(found), 3)
 
+    def test_request_against_a_workers_word_is_found(self):
+        """Guards against checks of leaving and pausing workers that cannot fail."""
+        asked = [build_asked(name, "read", 200) for name in "abcdefg"]
+        for number, item in enumerate(asked):
+            item.entry, item.began_at = "entry", 10.0 + number
+        asked[0].left_worker, asked[0].answered_at = "w1", 10.0
+        arrivals = [(item.began_at, item.attempt) for item in asked]
+        report = {"arrivals": arrivals, "pauses": [(12.0, "c", "3.5")]}
+        found = Words().find_late(asked, {"w1": report})
+        left = [line for line in found if "had left" in line]
+        self.assertEqual([line[0] for line in left], ["d", "e", "f", "g"])
+        self.assertEqual(len(found), 5)
+        excused = Words()
+        excused.start("w1")
+        excused.starts_by_worker["w1"] = [11.0]
+        excused._disturbed_by_entry["entry"] = [12.4]
+        self.assertEqual(excused.find_late(asked, {"w1": report}), [])
+
     def test_plan_repeats_for_a_seed(self):
         """Guards against a seed that cannot be played again."""
         self.assertEqual(build_plan(7, 20.0), build_plan(7, 20.0))
@@ -119,6 +138,10 @@
         """Guards against windows that follow one machine's time of day."""
         self.assertEqual(run_seed(13, SHORT_SECONDS, mix="clocks"), [])
 
+    def test_workers_that_leave_or_pause_are_left_alone(self):
+        """Guards against instances that forget what a worker said of itself."""
+        self.assertEqual(run_seed(14, SHORT_SECONDS, mix="words"), [])
+
     def test_seeds_that_failed_once_pass(self):
         """Guards against the return of a fault that a soak has found."""
         for seed, (seconds, cause) in REGRESSION_SEEDS.items():
