Reopen watches after a check shows that open connections went silent

Callers' requests reached upstreams that had left while the store goes on answering new connections but those that are open are silent for good: the check's second call took a new connection, worked, and the watches went on waiting for up to 6 s.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -56,6 +56,7 @@
         "_random",
         "_decided",
         "_vouched",
+        "_reopened_at",
     )
 
     def __init__(
@@ -87,6 +88,7 @@
         self._decided = asyncio.Event()
         # The list was followed by the watchers until this instance took over.
         self._vouched = False
+        self._reopened_at = float("-inf")
 
     async def start(self) -> None:
         """Read the prefixes, and follow them for as long as that is needed."""
@@ -121,6 +123,7 @@
         Until each of them works, the store counts as lost, so that peers are asked.
         """
         log_event("watches_reopened", level="WARNING", reason=reason)
+        self._reopened_at = self._app.clock.monotonic()
         self._vouched = False
         self._sound_since_by_prefix.clear()
         for prefix, task in list(self._tasks_by_prefix.items()):
@@ -160,11 +163,17 @@
         await self._decided.wait()
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            if not self._follows() or await self._answers() or await self._answers():
+            if not self._follows() or await self._answers():
                 continue
+            reason = "the store does not answer"
+            if await self._answers():
+                # A new connection works, so those that wait may be silent for good.
+                reason = "a connection to the store went silent"
+                if self._app.clock.monotonic() < self._reopened_at + WATCH_SECONDS:
+                    continue
             # Its watches may have shown the silence meanwhile.
             if self._follows():
-                self.restart("the store does not answer")
+                self.restart(reason)
 
     def _follows(self) -> bool:
         return self.watching and self.sound
--- a/tests/test_serving/test_hanging_store.py
+++ b/tests/test_serving/test_hanging_store.py
@@ -18,6 +18,8 @@
         """Start with a store that answers."""
         self._hanging = False
         self._over = asyncio.Event()
+        # Connections of another generation are silent for good.
+        self.generation = 0
 
     def hold(self, store) -> None:
         """Put this between a store's client and its connections."""
@@ -28,6 +30,10 @@
         """Answer nothing from now on."""
         self._hanging = True
 
+    def silence_connections(self) -> None:
+        """Answer nothing on the connections that are open now; new ones work."""
+        self.generation += 1
+
     def end(self) -> None:
         """Break off what waits, and answer again."""
         self._hanging = False
@@ -50,16 +56,22 @@
         """Keep both."""
         self._client = client
         self._hang = hang
+        self._generation = hang.generation
 
     async def call(self, method, target, body=b"", headers=None, timeout=None):
         """Call, and wait while the store hangs."""
         seconds = timeout or self._client._timeout
+        # The first call after the silence takes the idle connection.
+        silent = self._generation != self._hang.generation
+        generation = self._generation = self._hang.generation
         try:
             async with asyncio.timeout(seconds):
                 await self._hang.wait()
                 answer = await self._client.call(
                     method, target, body, headers, timeout=timeout
                 )
+                if silent or generation != self._hang.generation:
+                    await asyncio.Event().wait()
                 await self._hang.wait()
         except TimeoutError:
             raise CallFailed(f"{method} {target}: no answer", True) from None
@@ -137,6 +149,12 @@
             seconds=DRAIN_SECONDS,
         )
 
+    async def test_removal_is_obeyed_after_connections_went_silent(self):
+        """Guards against watches that wait on connections which are silent for good."""
+        hang, _, followers = await self.start_hanging_zone(elsewhere=0)
+        hang.silence_connections()
+        self.assertLess(await self.obeyed_seconds(followers), DRAIN_SECONDS)
+
     async def test_removal_is_obeyed_while_every_watch_hangs(self):
         """Guards against a fleet whose watchers all wait for a silent store."""
         hang, _, followers = await self.start_hanging_zone(elsewhere=0)
