Start one process after two signals to the same daemon in the soak

A daemon of the soak was left running after a test: a kill and a stop that both waited for the same process each started another one, of which only the last was ended.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -78,6 +78,7 @@
         self.version = 1
         self.draining: set[int] = set()
         self.words = Words()
+        self.restarting: set[str] = set()
         self.stopping = False
 
     async def run(self) -> list[str]:
@@ -255,9 +256,12 @@
             process.send_signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
         # A paused process takes its SIGTERM when it goes on.
         await process.wait()
-        if self.processes[name] is process:
+        if self.processes[name] is process and name not in self.restarting:
+            # Another signal may have been waiting for the same end.
+            self.restarting.add(name)
             await asyncio.sleep(RESTART_SECONDS)
             await self._spawn(name)
+            self.restarting.discard(name)
 
     async def _step_clock(self, name: str, step: Step) -> None:
         """Let the time of day of a process jump, and back after a while."""
