--- /dev/null
+++ b/packages/camphorgate-cli/src/camphorgate_cli/explaining.py
@@ -0,0 +1,153 @@
+"""Gathers from the logs of many instances what happened to one request."""
+
+import re
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+from typing import Any
+
+# Fields that name a request: of hosted daemons, and of the product's own interface.
+ID_FIELDS = ("attempt", "request", "id")
+# Fields that name the upstreams of a request.
+UPSTREAM_FIELDS = ("upstream", "answerer", "reader")
+# Events that tell what an instance itself could rely on.
+DEPENDENCY_EVENTS = frozenset(
+    {
+        "started",
+        "draining",
+        "stopped",
+        "store_lost",
+        "store_regained",
+        "watches_reopened",
+        "watching",
+        "watching_ended",
+        "configuration_in_force",
+        "duty_taken",
+        "duty_lost",
+    }
+)
+# How long before its first line what happened to its upstreams and instances counts.
+BEFORE_SECONDS = 5.0
+_PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+_START = re.compile(r"\btime=\S+ level=")
+
+
+class LogLine:
+    """One event: when, where, and its fields."""
+
+    __slots__ = ("at", "source", "event", "fields")
+
+    def __init__(self, at: datetime, source: str, fields: dict[str, str]) -> None:
+        """Take the event's name from its fields."""
+        self.at = at
+        self.source = source
+        self.event = fields.pop("event", "")
+        self.fields = fields
+
+    def names(self, request_id: str) -> bool:
+        """Tell whether the event is about a request."""
+        return any(self.fields.get(name) == request_id for name in ID_FIELDS)
+
+    def upstreams(self) -> set[str]:
+        """Return the upstreams that the event names."""
+        return {self.fields[name] for name in UPSTREAM_FIELDS if name in self.fields}
+
+
+def parse_line(text: str, source: str) -> LogLine | None:
+    """Return the event of a line, ``None`` if it holds none.
+
+    :param source: where the line comes from, unless a word before the time names it.
+    """
+    start = _START.search(text)
+    if start is None:
+        return None
+    words = text[: start.start()].split()
+    fields = {
+        name: _unquote(value) for name, value in _PAIR.findall(text[start.start() :])
+    }
+    try:
+        at = datetime.fromisoformat(fields.pop("time"))
+    except ValueError:
+        return None
+    fields.pop("level", None)
+    return LogLine(at, words[-1] if words else source, fields)
+
+
+def _unquote(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return re.sub(r"\\(.)", lambda m: "\n" if m[1] == "n" else m[1], value[1:-1])
+
+
+def explain(lines: Iterable[LogLine], request_id: str) -> dict[str, Any]:
+    """Return what the logs tell of a request, in the order of time.
+
+    Beside its own lines: what was believed of its upstreams by any instance, and what
+    the instances that handled it lost and regained, from :data:`BEFORE_SECONDS` before
+    its first line to its last.
+
+    :returns: ``found`` tells whether any line names the request.
+    """
+    known = sorted(lines, key=lambda line: line.at)
+    own = [line for line in known if line.names(request_id)]
+    if not own:
+        return {"request": request_id, "found": False, "events": []}
+    first, last = own[0].at, own[-1].at
+    since = first - timedelta(seconds=BEFORE_SECONDS)
+    sources = {line.source for line in own}
+    upstreams = set().union(*(line.upstreams() for line in own))
+    events = []
+    for line in known:
+        mine = line.names(request_id)
+        if not mine and not since <= line.at <= last:
+            continue
+        about_upstream = line.event.startswith("upstream") and (
+            line.upstreams() & upstreams
+        )
+        dependency = line.event in DEPENDENCY_EVENTS and line.source in sources
+        if mine or about_upstream or dependency:
+            events.append(
+                {
+                    "seconds": round((line.at - first).total_seconds(), 4),
+                    "instance": line.source,
+                    "event": line.event,
+                    "request": mine,
+                    "fields": line.fields,
+                }
+            )
+    return {
+        "request": request_id,
+        "found": True,
+        "began": first.isoformat(),
+        "instances": sorted(sources),
+        "upstreams": sorted(upstreams),
+        "outcome": _outcome(own),
+        "events": events,
+    }
+
+
+def _outcome(own: list[LogLine]) -> dict[str, str]:
+    """Return how the request ended, and why where the system gave it up."""
+    outcome: dict[str, str] = {}
+    for line in own:
+        for name in ("status", "reason", "outcome", "seconds"):
+            if name in line.fields and line.event != "try_failed":
+                outcome[name] = line.fields[name]
+    return outcome
+
+
+def format_explanation(found: dict[str, Any]) -> str:
+    """Return the events as lines; those of the request itself are marked."""
+    rows = [
+        f"request {found['request']} at {', '.join(found['instances'])}, "
+        f"first line {found['began']}"
+    ]
+    for event in found["events"]:
+        fields = " ".join(f"{name}={value}" for name, value in event["fields"].items())
+        mark = "*" if event["request"] else " "
+        rows.append(
+            f"{mark} {event['seconds']:+9.4f} s  {event['instance']}  "
+            f"{event['event']}  {fields}"
+        )
+    ending = " ".join(f"{name}={value}" for name, value in found["outcome"].items())
+    rows.append(f"outcome: {ending or 'no line tells; it may be under way'}")
+    return "\n".join(rows)
--- a/packages/camphorgate-cli/src/camphorgate_cli/main.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/main.py
@@ -5,6 +5,7 @@
 import os
 import sys
 import time
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,12 @@
 from camphorgate_cli import output
 from camphorgate_cli.client import AdminClient
 from camphorgate_cli.errors import CommandError, NotInForceError
+from camphorgate_cli.explaining import (
+    LogLine,
+    explain,
+    format_explanation,
+    parse_line,
+)
 
 DEFAULT_ADDRESS = "127.0.0.1:18102"
 ADDRESS_VARIABLE = "CAMPHORGATE_ADDRESS"
@@ -91,6 +98,21 @@
         answer = asyncio.run(client.get("/admin/dump"))
         self._print(answer, output.format_tree(answer))
 
+    def explain(self, request_id: str, *files: str) -> None:
+        """Show what the logs of any instances tell of one request, in order.
+
+        :param request_id: the id in the lines' attempt or request field.
+        :param files: logs; the standard input if none are named.
+        """
+        found = explain(_read_logs([str(path) for path in files]), str(request_id))
+        if not found["found"]:
+            raise CommandError(
+                f"no line names the request {request_id}; lines about single requests "
+                "are bounded to 50 a second an instance (suppressed_lines in its dump)",
+                found,
+            )
+        self._print(found, format_explanation(found))
+
     def _submit(
         self, text: str, base_version: int | None, wait_seconds: int
     ) -> dict[str, Any]:
@@ -130,6 +152,25 @@
     raise NotInForceError(text, answer)
 
 
+def _read_logs(paths: list[str]) -> Iterator[LogLine]:
+    """Yield the events of some logs, or of the standard input.
+
+    :raises CommandError: if a log cannot be read.
+    """
+    if not paths:
+        yield from _parse_log(sys.stdin, "stdin")
+    for path in paths:
+        try:
+            with Path(path).open(encoding="utf-8", errors="replace") as log:
+                yield from _parse_log(log, Path(path).stem)
+        except OSError as error:
+            raise CommandError(f"cannot read {path}: {error}") from None
+
+
+def _parse_log(log: Iterable[str], source: str) -> Iterator[LogLine]:
+    return filter(None, (parse_line(line, source) for line in log))
+
+
 def _read(path: str) -> str:
     try:
         return Path(str(path)).read_text(encoding="utf-8")
