Keep doubts and late words from becoming certainties

Found by reading the change again. A process that did not know an upstream remembered a peer's doubt of its removal like a certain one, and would have vouched for it to those who ask; after a lapse of most of a service that would have taken the rest away. And a late answer of an earlier start replaced the word of the present one, so that a ready entry revived it. Both tests failed before.

--- a/packages/camphorgate/src/camphorgate/serving/upstream_table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_table.py
@@ -42,6 +42,7 @@
         "_doubtful_by_id",
         "_new_doubts",
         "_removed_by_id",
+        "_unsure_ids",
         "_left_starts_by_id",
         "_changed_ids",
         "_digest",
@@ -56,6 +57,8 @@
         self._doubtful_by_id: dict[str, tuple[int, float]] = {}
         self._new_doubts: set[str] = set()
         self._removed_by_id: dict[str, int] = {}
+        # Those of them that only a peer that doubted them told of.
+        self._unsure_ids: set[str] = set()
         # Starts of upstreams that said in an answer that they leave.
         self._left_starts_by_id: dict[str, int] = {}
         self._changed_ids: set[str] = set()
@@ -77,6 +80,7 @@
         if self._removed_by_id.get(upstream.id, 0) >= upstream.revision:
             return False
         self._removed_by_id.pop(upstream.id, None)
+        self._unsure_ids.discard(upstream.id)
         self._doubtful_by_id.pop(upstream.id, None)
         if self._left_starts_by_id.get(upstream.id) == upstream.started_at:
             upstream = msgspec.structs.replace(upstream, leaving=True)
@@ -106,7 +110,9 @@
             self._forget_derived()
             return Removal.DOUBTED
         if known is None and not sound:
-            # Telling it on would make a certain removal of it elsewhere.
+            # An older entry may still arrive, but nobody may take this for certain.
+            if upstream_id not in self._removed_by_id:
+                self._unsure_ids.add(upstream_id)
             self._remember_removal(upstream_id, revision)
             return Removal.STALE
         self._drop(upstream_id, revision)
@@ -120,7 +126,7 @@
         :returns: whether it is news.
         """
         upstream_id, started_at = incarnation
-        if self._left_starts_by_id.get(upstream_id) == started_at:
+        if self._left_starts_by_id.get(upstream_id, -1) >= started_at:
             return False
         self._left_starts_by_id.pop(upstream_id, None)
         self._left_starts_by_id[upstream_id] = started_at
@@ -193,6 +199,7 @@
             (upstream_id, self._removed_by_id[upstream_id])
             for upstream_id in upstream_ids
             if upstream_id in self._removed_by_id
+            and upstream_id not in self._unsure_ids
         ]
 
     def take_changes(self) -> tuple[list[Upstream], list[tuple[str, int]]]:
@@ -249,6 +256,7 @@
     def _drop(self, upstream_id: str, revision: int) -> None:
         self._doubtful_by_id.pop(upstream_id, None)
         self.by_id.pop(upstream_id, None)
+        self._unsure_ids.discard(upstream_id)
         self._remember_removal(upstream_id, revision)
         self._changed(upstream_id)
 
@@ -256,6 +264,8 @@
         known = self._removed_by_id.pop(upstream_id, 0)
         self._removed_by_id[upstream_id] = max(known, revision)
         _forget_oldest(self._removed_by_id)
+        if len(self._unsure_ids) > MOST_REMOVALS:
+            self._unsure_ids &= self._removed_by_id.keys()
 
     def _changed(self, upstream_id: str) -> None:
         self._changed_ids.add(upstream_id)
--- a/tests/test_serving/test_own_word.py
+++ b/tests/test_serving/test_own_word.py
@@ -111,6 +111,15 @@
         instance.play(("restart", "u1"))
         self.assertIn(("u1", instance.starts_by_id["u1"]), instance.chosen())
 
+    def test_late_word_of_an_earlier_start_undoes_nothing(self):
+        """Guards against an old stream's answer that revives the present start."""
+        instance = Instance()
+        instance.play(("restart", "u1"))
+        instance.play(("leave", "u1"))
+        instance.table.leave(("u1", 1))
+        instance.play(("write", "u1"))
+        self.assertNotIn("u1", {name for name, _ in instance.chosen()})
+
 
 class PauseBookTests(unittest.TestCase):
     """Ends of pauses."""
--- a/tests/test_serving/test_upstream_table.py
+++ b/tests/test_serving/test_upstream_table.py
@@ -106,6 +106,17 @@
         table.settle(10.0 + RETURN_SECONDS, 10.0)
         self.assertEqual(self.usable_ids(table), {"u2"})
 
+    def test_doubt_about_an_unknown_entry_makes_nobody_certain(self):
+        """Guards against a new process that turns the doubt of others to certainty."""
+        table = self.build_table(1)
+        table.take_changes()
+        table.remove("u9", 9, now=10.0, sound=False)
+        self.assertEqual(table.removals_of(["u9"]), [])
+        self.assertEqual(table.take_changes(), ([], []))
+        self.assertFalse(table.put(build_listed_upstream("u9", revision=8)))
+        table.remove("u9", 10, now=11.0, sound=True)
+        self.assertEqual(table.removals_of(["u9"]), [("u9", 10)])
+
     def test_returned_entry_takes_requests_at_once(self):
         """Guards against capacity that stays unused after a lapse."""
         table = self.build_table(3)
