A pause of a reading engine leaves its health as it is

A 503 with Retry-After to the reading of a prompt still counted as a refusal, so that the engine was avoided beyond its pause, up to 1.2 s after refusals in a row. The test of paused readers now looks at it and failed before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -245,7 +245,8 @@
         )
         health = self._upstreams.health.of(engine.incarnation)
         if result is None:
-            health.refused(clock.monotonic())
+            if not facts.pause_seconds and not facts.leaving:
+                health.refused(clock.monotonic())
             self._statistics.try_failed(
                 job, engine, f"read_refused_{facts.status}", Stage.REFUSED
             )
--- a/tests/test_serving/test_departures.py
+++ b/tests/test_serving/test_departures.py
@@ -257,3 +257,6 @@
             await self.ask(self.app, "/chat/a", method="POST", headers=headers)
         self.assertLessEqual(self.arrivals("p1"), 1)
         self.assertLessEqual(self.arrivals("p2"), 1)
+        book = self.app.service("upstreams").health
+        refusals = [book.of((name, 1000)).refusals for name in ("p1", "p2")]
+        self.assertEqual(refusals, [0, 0])
