A pause ends with the worker's start in the soak's check, too

Traced in its logs: desk-1 was listed with a new start at 13.364, and all twelve came after it; a pause is dropped with the start that asked for it. The check ends it there, and the test of the check plays both sides.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -116,6 +116,14 @@
         excused.starts_by_worker["w1"] = [11.0]
         excused._disturbed_by_entry["entry"] = [12.4]
         self.assertEqual(excused.find_late(asked, {"w1": report}), [])
+        # A pause ends with the start that asked for it.
+        restarted = Words()
+        restarted.starts_by_worker["w1"] = [13.0]
+        paused = {"arrivals": arrivals, "pauses": [(12.0, "c", "9.0")]}
+        found = restarted.find_late(asked[1:], {"w1": paused})
+        self.assertEqual(found, [])
+        restarted.starts_by_worker["w1"] = [16.5]
+        self.assertEqual(len(restarted.find_late(asked[1:], {"w1": paused})), 1)
 
     def test_plan_repeats_for_a_seed(self):
         """Guards against a seed that cannot be played again."""
--- a/tests/soak/words.py
+++ b/tests/soak/words.py
@@ -82,6 +82,10 @@
 
     def _in_pause(self, worker_id, arrivals, entry, at, seconds) -> list[str]:
         began, end = at + SETTLED_SECONDS, at + seconds - SLACK_SECONDS
+        # A pause ends with the start of the worker that asked for it.
+        end = min(
+            [end, *(start for start in self.starts_by_worker[worker_id] if start > at)]
+        )
         late = [
             item.attempt
             for arrived_at, item in arrivals
