--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -57,6 +57,7 @@
 
 def main() -> int:
     """Run the tests and return the exit code."""
+    faulthandler.enable()
     faulthandler.dump_traceback_later(RUN_SECONDS, exit=True)
     sys.path.insert(0, str(ROOT))
     _quieten()
