Never start the exchange with peers while the daemon stops, or after that

By gdb, three times out of three, the crash is the first step of grpc.aio's AioServer main loop: the exchange loads 1 s after the start, and a stop that came between the start of its server and that step freed what the step runs on. Start and stop now hold one lock, and nothing starts after a stop.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -41,6 +41,8 @@
         "_server",
         "_addresses",
         "_random",
+        "_changing",
+        "_stopped",
     )
 
     def __init__(self, app: Application) -> None:
@@ -53,12 +55,22 @@
         # Peers of which others told, beside those that were heard.
         self._addresses: set[str] = set()
         self._random = random.Random()
+        # Held while the server starts or stops.
+        self._changing = asyncio.Lock()
+        self._stopped = False
 
     async def start(self) -> None:
         """Listen for peers and start asking them when needed.
 
         :raises ListenError: if the address cannot be used.
         """
+        async with self._changing:
+            if self._stopped:
+                return
+            await self._listen()
+        self._app.spawn(self._fetch(), "knowledge of peers")
+
+    async def _listen(self) -> None:
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
         handler = grpc.unary_unary_rpc_method_handler(
             self._answer,
@@ -73,12 +85,17 @@
         except RuntimeError as error:
             raise ListenError(f"cannot listen for peers: {error}") from None
         await self._server.start()
-        self._app.spawn(self._fetch(), "knowledge of peers")
 
     async def stop(self) -> None:
-        """Stop answering."""
-        if self._server is not None:
-            await self._server.stop(STOP_SECONDS)
+        """Stop answering.
+
+        This extension starts late. A server of grpc.aio that starts while the daemon
+        stops, or after that, runs on freed memory and crashes the process.
+        """
+        self._stopped = True
+        async with self._changing:
+            if self._server is not None:
+                await self._server.stop(STOP_SECONDS)
 
     async def _fetch(self) -> None:
         """Fetch what this instance lacks, for as long as the process runs."""
--- a/tests/test_serving/test_relay.py
+++ b/tests/test_serving/test_relay.py
@@ -16,9 +16,13 @@
     WATCHERS_PER_ZONE,
     Relay,
 )
+from camphorgate.settings import split_address
+from camphorgated.serving import daemon
+from camphorgated.serving.client_connection import connect
+from camphorgated.serving.knowledge import PeerKnowledge
 from camphorgated.serving.messages import FORMAT, CatalogPart, Changes
 from camphorgated.serving.parts import MOST_RAW_BYTES, CatalogParts, split_catalog
-from tests.hosted import HostedCase
+from tests.hosted import HostedCase, build_hosted_settings
 from tests.hosting_builders import KEY, build_listed_upstream, build_platform_entry
 
 STEP_SECONDS = 0.1
@@ -375,3 +379,33 @@
         self.assertEqual(list(table.by_id), ["desk-1"])
         self.assertFalse(table.by_id["desk-1"].leaving)
         self.assertEqual(gossip.dump()["unreadable_datagrams"], 4)
+
+
+class LateKnowledgeTests(HostedCase):
+    """The exchange with peers starts late, and never after the daemon has stopped."""
+
+    async def test_nothing_listens_after_the_stop(self):
+        """Guards against a server that starts while the daemon stops, and crashes it.
+
+        Seen beside load: .ci/run ended by a segmentation fault within grpc.aio.
+        """
+        app = daemon.build(build_hosted_settings(self.store_address))
+        knowledge = PeerKnowledge(app)
+        await knowledge.stop()
+        await knowledge.start()
+        host, port = split_address(app.settings.peer_address)
+        with self.assertRaises(OSError):
+            await connect(host, port, 1.0)
+
+    async def test_stop_waits_for_the_start(self):
+        """Guards against a stop that overtakes the start of the server."""
+        app = daemon.build(build_hosted_settings(self.store_address))
+        knowledge = PeerKnowledge(app)
+        start = asyncio.ensure_future(knowledge.start())
+        await asyncio.sleep(0)
+        await knowledge.stop()
+        self.assertTrue(start.done())
+        host, port = split_address(app.settings.peer_address)
+        with self.assertRaises(OSError):
+            await connect(host, port, 1.0)
+        await app.stop()
