Name a pause's end only to callers that pauses alone refuse

Found by reading the change again: a caller refused for another reason, such as the deadline or the budget, was told to return at the end of any one worker's pause, 34.5 s in the new test where the other worker was merely full. The pause's end now goes with the reason that every upstream pauses.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -148,7 +148,8 @@
             caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
         else:
             seconds = job.route.target_seconds * RETURN_TARGETS
-            caller.refuse(503, reason, self._upstreams.return_seconds(job, seconds))
+            seconds = self._upstreams.return_seconds(job, reason, seconds)
+            caller.refuse(503, reason, seconds)
         self._statistics.given_up(job, reason, sends=tries.sends)
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -401,7 +401,8 @@
         else:
             seconds = wait_seconds - job.route.target_seconds
             seconds = min(MOST_RETURN_SECONDS, max(LEAST_RETURN_SECONDS, seconds))
-            caller.refuse(503, reason, self._upstreams.return_seconds(job, seconds))
+            seconds = self._upstreams.return_seconds(job, reason, seconds)
+            caller.refuse(503, reason, seconds)
         self._statistics.given_up(
             job,
             reason,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -26,6 +26,8 @@
 from camphorgated.serving.statistics import job_fields
 from camphorgated.serving.wire import AnswerFacts
 
+# Reason of a refusal where every upstream of a service wants a pause.
+PAUSED = "upstreams_paused"
 # A refused caller returns within this part of a pause after its end.
 RETURN_SPREAD = 0.25
 # At least this many connections to an upstream, however many instances there are.
@@ -148,7 +150,7 @@
     def why_none(self, service: str) -> str:
         """Return why no upstream of a service takes requests."""
         paused = self.pause_seconds(service) is not None
-        return "upstreams_paused" if paused else "no_upstream"
+        return PAUSED if paused else "no_upstream"
 
     async def wait_out_pause(self, job: Job) -> bool:
         """Wait until an upstream of a request's service takes requests again.
@@ -170,16 +172,17 @@
         job.decisions["paused_ms"] = job.decisions.get("paused_ms", 0.0) + waited
         return True
 
-    def return_seconds(self, job: Job, otherwise: float) -> float:
+    def return_seconds(self, job: Job, reason: str, otherwise: float) -> float:
         """Return when a refused caller should come back, in seconds from now.
 
-        At the end of the first pause where one keeps it from being served, spread so
-        that callers do not return together.
+        At the end of the first pause where pauses alone keep it from being served,
+        spread so that callers do not return together.
 
-        :param otherwise: where there is no pause.
+        :param reason: of the refusal, as :meth:`why_none` tells it.
+        :param otherwise: for every other reason.
         """
         seconds = self.pause_seconds(job.service)
-        if seconds is None:
+        if reason != PAUSED or seconds is None:
             return otherwise
         return seconds + self._random.uniform(0.0, RETURN_SPREAD * seconds)
 
--- a/tests/test_serving/test_departures.py
+++ b/tests/test_serving/test_departures.py
@@ -14,11 +14,11 @@
 }
 
 
-class ChosenBeforeTests(HostedCase):
-    """A request that chose an upstream, and is sent only after that has left."""
+class WorkersCase(HostedCase):
+    """Two workers of each kind, and a daemon."""
 
     async def asyncSetUp(self):
-        """Start workers of both kinds and a daemon."""
+        """Start them."""
         await super().asyncSetUp()
         self.configure()
         for number in (1, 2):
@@ -26,6 +26,11 @@
             await self.add_worker(f"p{number}", "models", phase="prefill")
             await self.add_worker(f"d{number}", "models", phase="decode")
         self.app = await self.start_ready()
+        self.table = self.app.service("directory").table
+
+
+class ChosenBeforeTests(WorkersCase):
+    """A request that chose an upstream, and is sent only after that has left."""
 
     def leave_while_connecting(self, prefix: str) -> list[str]:
         """Remove the first worker of a kind whose connection is asked for.
@@ -34,7 +39,7 @@
         """
         left = []
         take = Pool.take
-        table = self.app.service("directory").table
+        table = self.table
 
         async def slow_take(pool, upstream, most, sure):
             lease = await take(pool, upstream, most, sure)
@@ -71,19 +76,8 @@
         self.assertEqual(self.workers[left[0]].runs, [])
 
 
-class OwnWordCase(HostedCase):
-    """Two workers of each kind, and a daemon."""
-
-    async def asyncSetUp(self):
-        """Start them."""
-        await super().asyncSetUp()
-        self.configure()
-        for number in (1, 2):
-            await self.add_worker(f"desk-{number}")
-            await self.add_worker(f"p{number}", "models", phase="prefill")
-            await self.add_worker(f"d{number}", "models", phase="decode")
-        self.app = await self.start_ready()
-        self.table = self.app.service("directory").table
+class OwnWordCase(WorkersCase):
+    """Workers that say something of themselves."""
 
     def arm(self, prefix: str, fault: str, **options) -> None:
         """Arm a fault at the workers whose ids begin so."""
@@ -234,6 +228,15 @@
         self.assertGreater(min(seconds), 25.0)
         self.assertEqual(len(set(seconds)), 5)
 
+    async def test_pause_of_one_worker_sends_no_caller_away_for_so_long(self):
+        """Guards against refusals for another reason that name a pause's end."""
+        self.arm("desk-1", "pause", value="30", count=1)
+        await self.ask_together(6)
+        self.arm("desk-2", "refuse")
+        reply = await self.ask(self.app, "/read/a")
+        self.assertEqual(reply.status, 503)
+        self.assertLess(float(reply.headers[b"retry-after"]), 5.0)
+
     async def test_waiting_requests_resume_one_after_the_other(self):
         """Guards against a worker that gets everything at the end of its pause."""
         self.arm("desk", "pause", value="0.5", count=1)
