Log how a configuration spreads

Cause: the lines of a play did not tell whether an instance took a late version from its datagrams or by a fetch, when it first heard of it, and how long a watcher sends.

Change: events configuration_behind, configuration_broadcast and configuration_fetched; configuration_in_force tells size and the time since the version was first heard of.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -113,7 +113,18 @@
         if self.catalog is not None and catalog.version <= self.catalog.version:
             return
         self.catalog = catalog
-        log_event("configuration_in_force", version=catalog.version, source=source)
+        behind_since = self._behind_since
+        log_event(
+            "configuration_in_force",
+            version=catalog.version,
+            source=source,
+            bytes=len(raw),
+            behind_seconds=(
+                None
+                if behind_since is None
+                else self._app.clock.monotonic() - behind_since
+            ),
+        )
         self._app.emit("configuration-changed")
 
     def apply_peer_upstreams(self, knowledge: FetchResponse) -> None:
@@ -192,8 +203,14 @@
         self._ahead_version = max(self._ahead_version, peer.version)
         if self._ahead_version <= own_version:
             self._behind_since = None
-        else:
-            self._behind_since = self._behind_since or now
+        elif self._behind_since is None:
+            self._behind_since = now
+            log_event(
+                "configuration_behind",
+                version=own_version,
+                newer=peer.version,
+                peer=peer.instance,
+            )
         self._compare_lists(peer, now)
         if not self.watches.watching or not self.sound:
             return
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -107,8 +107,17 @@
                 continue
             if not self._needed():
                 continue
+            began = self._app.clock.monotonic()
             try:
-                self._apply_knowledge(await self._ask(address))
+                knowledge = await self._ask(address)
+                if knowledge.catalog:
+                    log_event(
+                        "configuration_fetched",
+                        peer=knowledge.instance,
+                        bytes=len(knowledge.catalog),
+                        seconds=self._app.clock.monotonic() - began,
+                    )
+                self._apply_knowledge(knowledge)
                 failed = False
             except grpc.RpcError as error:
                 self._addresses.discard(address)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphorgate.application import Application
+from camphorgate.log import log_event
 from camphorgated.serving.catalog_parts import CatalogParts, split_catalog
 from camphorgated.serving.messages import CatalogPart, Changes, split_changes
 
@@ -69,9 +70,19 @@
     async def _send_paced(self, messages: list, addresses: list[str]) -> None:
         """Send to one address at a time, so that a slow link drops no datagram."""
         size = sum(len(msgspec.msgpack.encode(message)) for message in messages)
+        began = self._app.clock.monotonic()
         for address in addresses:
             self._gossip.send(messages, [address])
             await asyncio.sleep(size / BROADCAST_BYTES_PER_SECOND)
+        if isinstance(messages[0], CatalogPart):
+            log_event(
+                "configuration_broadcast",
+                version=messages[0].version,
+                parts=messages[0].parts,
+                bytes=size,
+                receivers=len(addresses),
+                seconds=self._app.clock.monotonic() - began,
+            )
 
     def _receive_changes(self, message: Changes) -> None:
         # A watcher marks the removals that it doubts, so the others are also valid for
