--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -4,6 +4,7 @@
 import signal
 
 from camphorgate.application import Application
+from camphorgate.clock import Clock
 from camphorgate.errors import CamphorgateError
 from camphorgate.log import configure_standard_output, log_event
 from camphorgate.serving.settings import HostedSettings
@@ -38,9 +39,12 @@
 POLL_SECONDS = 0.05
 
 
-def build(settings: HostedSettings) -> Application:
-    """Return the application with the extensions of the adapter and of serving."""
-    app = Application(settings)
+def build(settings: HostedSettings, clock: Clock | None = None) -> Application:
+    """Return the application with the extensions of the adapter and of serving.
+
+    :param clock: source of time; the system clock by default.
+    """
+    app = Application(settings, clock)
     app.setup_extension(f"{settings.adapter}.extension")
     for name in _EXTENSIONS:
         app.setup_extension(f"{_PACKAGE}.{name}")
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -175,21 +175,24 @@
         candidates = addresses or sorted(known)
         return self._random.choice(candidates) if candidates else None
 
-    async def _ask(self, address: str) -> FetchResponse:
+    def request(self) -> FetchRequest:
+        """Return the request for what this instance lacks now."""
         catalog = self._directory.catalog
         table = self._directory.table
-        question = FetchRequest(
+        return FetchRequest(
             catalog.version if catalog else 0,
             table.digest(),
             [upstream_id for upstream_id, _ in table.doubted_entries()],
         )
+
+    async def _ask(self, address: str) -> FetchResponse:
         async with grpc.aio.insecure_channel(address, _DIAL_OPTIONS) as channel:
             call = channel.unary_unary(
                 METHOD,
                 request_serializer=msgspec.msgpack.encode,
                 response_deserializer=msgspec.msgpack.Decoder(FetchResponse).decode,
             )
-            return await call(question, timeout=FETCH_TIMEOUT_SECONDS)
+            return await call(self.request(), timeout=FETCH_TIMEOUT_SECONDS)
 
     def _apply_knowledge(self, knowledge: FetchResponse) -> None:
         self._gossip.note_addresses(knowledge.gossip_addresses)
@@ -227,7 +230,8 @@
 
 
 def setup(app: Application) -> None:
-    """Start answering and sending fetch requests."""
+    """Provide the exchange with peers, and start it."""
     knowledge = PeerKnowledge(app)
+    app.provide("knowledge", knowledge)
     app.on_start(knowledge.start)
     app.on_stop(knowledge.stop)
