Send a change of the configuration as a patch of the version before it

Cause: each version was sent whole, to one peer after the other, so that a change of one route cost the size of the configuration times the instances of the zone; above 64 kB compressed it was not sent at all, and each instance fetched it uncompressed.

Change: a version is encoded by zstandard as a patch of the version before it, for datagrams and for fetches (complete where the receiver has another version). Patches that arrive early wait for their base. The datagram format is 3; a fetch by an older release is answered as before. Frames carry a checksum, so a patch of another base is refused. The first configuration that an instance reads at its start is not broadcast, as all read it.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -10,6 +10,8 @@
 from camphorgate.kv.records import WatchBatch
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Catalog, Upstream
+from camphorgate.serving.catalog_encoding import EncodedCatalog
+from camphorgate.serving.catalog_history import CatalogHistory
 from camphorgate.serving.errors import CatalogError
 from camphorgate.serving.upstream_table import Removal, UpstreamTable
 from camphorgated.serving.messages import Changes, FetchResponse, State
@@ -36,6 +38,7 @@
 
     __slots__ = (
         "catalog",
+        "history",
         "table",
         "instance_entries_by_key",
         "instances",
@@ -51,6 +54,7 @@
     def __init__(self, app: Application) -> None:
         """Start without a configuration or upstreams."""
         self.catalog: Catalog | None = None
+        self.history = CatalogHistory()
         self.table = UpstreamTable()
         self.instance_entries_by_key: dict = {}
         # How many instances there are; kept up to date by the members.
@@ -125,7 +129,26 @@
                 else self._app.clock.monotonic() - behind_since
             ),
         )
+        self.history.add(catalog.version, raw)
         self._app.emit("configuration-changed")
+        following = self.history.pop_waiting()
+        if following is not None:
+            self.apply_encoded_catalog(following, source)
+
+    def apply_encoded_catalog(self, encoded: EncodedCatalog, source: str) -> None:
+        """Apply a configuration of a peer if it is newer than the one in force.
+
+        :param source: the peer, for the log.
+        """
+        if encoded.version <= self.history.version:
+            return
+        try:
+            raw = self.history.decode(encoded)
+        except ValueError as error:
+            log_event("configuration_unreadable", level="ERROR", error=str(error))
+            return
+        if raw is not None:
+            self.apply_catalog(raw, source)
 
     def apply_peer_upstreams(self, knowledge: FetchResponse) -> None:
         """Replace the list of upstreams by that of a peer that is up to date."""
@@ -199,7 +222,7 @@
         soon as :meth:`missed_changes` is true.
         """
         now = self._app.clock.monotonic()
-        own_version = self.catalog.version if self.catalog else 0
+        own_version = self.history.version
         self._ahead_version = max(self._ahead_version, peer.version)
         if self._ahead_version <= own_version:
             self._behind_since = None
@@ -377,7 +400,7 @@
     def dump(self) -> dict:
         """Return the state for the dump."""
         return {
-            "version": self.catalog.version if self.catalog else None,
+            "version": self.history.version or None,
             "sound": self.sound,
             "watching": self.watches.watching,
             "revision": self.table.revision,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -294,7 +294,7 @@
             vote=self.synchronized_clock.vote(now),
             watching=directory.watches.watching,
             sound=directory.sound,
-            version=directory.catalog.version if directory.catalog else 0,
+            version=directory.history.version,
             list_revision=directory.table.revision,
             list_digest=directory.table.digest(),
             doubting=bool(directory.table.doubted_entries()),
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -110,14 +110,7 @@
             began = self._app.clock.monotonic()
             try:
                 knowledge = await self._ask(address)
-                if knowledge.catalog:
-                    log_event(
-                        "configuration_fetched",
-                        peer=knowledge.instance,
-                        bytes=len(knowledge.catalog),
-                        seconds=self._app.clock.monotonic() - began,
-                    )
-                self._apply_knowledge(knowledge)
+                self._apply_knowledge(knowledge, self._app.clock.monotonic() - began)
                 failed = False
             except grpc.RpcError as error:
                 self._addresses.discard(address)
@@ -177,12 +170,12 @@
 
     def request(self) -> FetchRequest:
         """Return the request for what this instance lacks now."""
-        catalog = self._directory.catalog
         table = self._directory.table
         return FetchRequest(
-            catalog.version if catalog else 0,
+            self._directory.history.version,
             table.digest(),
             [upstream_id for upstream_id, _ in table.doubted_entries()],
+            accepts_encoded=True,
         )
 
     async def _ask(self, address: str) -> FetchResponse:
@@ -194,19 +187,33 @@
             )
             return await call(self.request(), timeout=FETCH_TIMEOUT_SECONDS)
 
-    def _apply_knowledge(self, knowledge: FetchResponse) -> None:
+    def _apply_knowledge(self, knowledge: FetchResponse, seconds: float) -> None:
         self._gossip.note_addresses(knowledge.gossip_addresses)
         self._addresses.update(knowledge.addresses)
-        if knowledge.catalog:
-            self._directory.apply_catalog(knowledge.catalog, knowledge.instance)
+        self._apply_configuration(knowledge, seconds)
         self._directory.apply_confirmed_removals(knowledge)
         watching = self._directory.watches.watching and self._directory.sound
         if knowledge.upstreams is not None and not watching:
             self._directory.apply_peer_upstreams(knowledge)
 
+    def _apply_configuration(self, knowledge: FetchResponse, seconds: float) -> None:
+        encoded, raw = knowledge.encoded_catalog, knowledge.catalog
+        if encoded is None and not raw:
+            return
+        log_event(
+            "configuration_fetched",
+            peer=knowledge.instance,
+            bytes=len(raw if encoded is None else encoded.data),
+            seconds=seconds,
+        )
+        if encoded is None:
+            self._directory.apply_catalog(raw, knowledge.instance)
+        else:
+            self._directory.apply_encoded_catalog(encoded, knowledge.instance)
+
     async def _answer(self, question: FetchRequest, context) -> FetchResponse:
         directory = self._directory
-        catalog = directory.catalog
+        history = directory.history
         members = self._members.by_instance().values()
         live = self._gossip.live_states()
         knowledge = FetchResponse(
@@ -219,8 +226,11 @@
                 | {item.address for item in live}
             ),
         )
-        if catalog is not None and catalog.version > question.version:
-            knowledge.catalog = catalog.raw
+        if history.version > question.version:
+            if question.accepts_encoded:
+                knowledge.encoded_catalog = history.encode(question.version)
+            else:
+                knowledge.catalog = directory.catalog.raw
         if directory.sound and directory.table.digest() != question.digest:
             knowledge.upstreams = list(directory.table.by_id.values())
             knowledge.revision = directory.table.revision
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from camphorgate.serving.catalog import Upstream
+from camphorgate.serving.catalog_encoding import EncodedCatalog
 from camphorgate.serving.loads import Load
 
 # Keeps a datagram of counters below the size at which links fragment it.
@@ -11,7 +12,7 @@
 MAX_ENTRIES_PER_DATAGRAM = 10
 # First byte of every datagram. Datagrams of another format are rejected; instances of
 # different formats then share state through the store alone.
-FORMAT = b"\x02"
+FORMAT = b"\x03"
 
 
 class State(msgspec.Struct, omit_defaults=True, tag="s"):
@@ -88,11 +89,15 @@
 
 
 class CatalogPart(msgspec.Struct, tag="p"):
-    """A part of a compressed configuration that a watcher has just learned of."""
+    """A part of an encoded configuration that a watcher has just learned of.
+
+    ``base`` is the version that the encoding is a patch of; 0 if it is complete.
+    """
 
     instance: str
     zone: str
     version: int
+    base: int
     number: int
     parts: int
     data: bytes
@@ -102,19 +107,22 @@
     """A request for what the sender lacks.
 
     ``version`` and ``digest`` tell what it has, ``doubted`` are the upstreams whose
-    removal it doubts.
+    removal it doubts. ``accepts_encoded`` tells whether it can decode a configuration;
+    instances of older releases cannot.
     """
 
     version: int
     digest: str
     doubted: list[str] = []
+    accepts_encoded: bool = False
 
 
 class FetchResponse(msgspec.Struct, omit_defaults=True):
     """Answer to a :class:`FetchRequest`: what its sender lacks and the receiver has.
 
     ``removed`` and ``doubted`` are pairs of id and revision, the former of upstreams
-    that the sender doubted and that are certainly gone.
+    that the sender doubted and that are certainly gone. A receiver that accepts it gets
+    the configuration as ``encoded_catalog``, any other as ``catalog``.
     """
 
     instance: str
@@ -125,6 +133,7 @@
     upstreams: list[Upstream] | None = None
     doubted: list[tuple[str, int]] = []
     removed: list[tuple[str, int]] = []
+    encoded_catalog: EncodedCatalog | None = None
 
 
 def split_counters(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -45,11 +45,13 @@
 
     def broadcast_catalog(self) -> None:
         """Broadcast a new configuration as soon as it is read."""
-        catalog = self._directory.catalog
-        if not self._directory.watches.watching or not self._gossip.near:
+        self._catalog_parts.drop_older(self._directory.history.version)
+        # What an instance reads at its start, the others read as well.
+        if not self._directory.watches.chosen or not self._gossip.near:
             return
         own = self._members.own
-        parts = split_catalog(own.instance, own.zone, catalog.version, catalog.raw)
+        encoded = self._directory.history.encode_change()
+        parts = split_catalog(own.instance, own.zone, encoded)
         self._broadcast_to_zone([*parts, self._gossip.state()])
 
     def broadcast_state(self) -> None:
@@ -91,17 +93,12 @@
             self._directory.apply_peer_changes(message)
 
     def _receive_catalog_part(self, message: CatalogPart) -> None:
-        catalog = self._directory.catalog
-        known = catalog.version if catalog else 0
+        known = self._directory.history.version
         if message.zone != self._members.own.zone or message.version <= known:
             return
-        try:
-            raw = self._catalog_parts.take(message)
-        except ValueError as error:
-            self._gossip.record_unreadable(str(error))
-            return
-        if raw is not None:
-            self._directory.apply_catalog(raw, message.instance)
+        encoded = self._catalog_parts.take(message)
+        if encoded is not None:
+            self._directory.apply_encoded_catalog(encoded, message.instance)
 
 
 def setup(app: Application) -> None:
