Let the instances of a zone forward the parts of a large configuration

Cause: a watcher sent all parts of a large version to one peer after the other, so the time grew with size times peers. Every broadcast had its own pace, so several at a time exceeded the rate that the slowest link bears. An instance also broadcast what it had just read at its start, which all others read themselves.

Change: both watchers send a short broadcast to every peer themselves, and each part of a long one to one peer, the relay of that part, which forwards it; the two choose different relays (camphorgate.serving.broadcast_plan). One paced sender an instance keeps the rate, urgent datagrams first. What was read at the start is not broadcast.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/catalog_parts.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/catalog_parts.py
@@ -1,7 +1,7 @@
 """Splits an encoded configuration into datagrams and reassembles it."""
 
 from camphorgate.serving.catalog_encoding import MAX_ENCODED_BYTES, EncodedCatalog
-from camphorgated.serving.messages import CatalogPart
+from camphorgated.serving.messages import CatalogPart, MissingParts
 
 # Keeps the datagram of a part below the size at which links fragment it.
 PART_BYTES = 1100
@@ -38,6 +38,11 @@
         # By version, base and number of parts.
         self._pieces_by_encoding: dict[tuple[int, int, int], dict[int, bytes]] = {}
 
+    def lacks(self, part: CatalogPart) -> bool:
+        """Return whether a part has not been received before."""
+        encoding = (part.version, part.base, part.parts)
+        return part.number not in self._pieces_by_encoding.get(encoding, {})
+
     def take(self, part: CatalogPart) -> EncodedCatalog | None:
         """Add a received part.
 
@@ -56,6 +61,21 @@
             del self._pieces_by_encoding[min(self._pieces_by_encoding)]
         return None
 
+    def missing(self) -> MissingParts | None:
+        """Return what the newest incomplete configuration lacks.
+
+        :returns: ``None`` if there is none, or if most of it is missing, so that
+            another encoding may be smaller.
+        """
+        if not self._pieces_by_encoding:
+            return None
+        version, base, parts = encoding = max(self._pieces_by_encoding)
+        pieces = self._pieces_by_encoding[encoding]
+        numbers = [number for number in range(parts) if number not in pieces]
+        if 2 * len(numbers) > parts:
+            return None
+        return MissingParts(version, base, parts, numbers)
+
     def drop_older(self, version: int) -> None:
         """Drop the parts of a version and of all before it."""
         for encoding in list(self._pieces_by_encoding):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -14,7 +14,13 @@
 from camphorgate.serving.catalog_history import CatalogHistory
 from camphorgate.serving.errors import CatalogError
 from camphorgate.serving.upstream_table import Removal, UpstreamTable
-from camphorgated.serving.messages import Changes, FetchResponse, State
+from camphorgated.serving.catalog_parts import CatalogParts
+from camphorgated.serving.messages import (
+    CatalogPart,
+    Changes,
+    FetchResponse,
+    State,
+)
 from camphorgated.serving.watches import Watches
 
 # Prefix of the keys that instances write.
@@ -28,6 +34,8 @@
 # each batch is sent to every instance.
 COLLECT_SECONDS_PER_INSTANCE = 0.005
 MAX_COLLECT_SECONDS = 0.5
+# A configuration of which a part arrived within this time is still arriving.
+ARRIVAL_GAP_SECONDS = 0.3
 # A peer may be ahead for this long, the time in which a change spreads, before this
 # instance assumes that it missed a change.
 BEHIND_SECONDS = 0.5
@@ -38,7 +46,9 @@
 
     __slots__ = (
         "catalog",
+        "catalog_is_initial",
         "history",
+        "arriving",
         "table",
         "instance_entries_by_key",
         "instances",
@@ -48,13 +58,17 @@
         "_behind_since",
         "_list_behind_since",
         "_ahead_version",
+        "_part_arrived_at",
         "_list_ahead_revision",
     )
 
     def __init__(self, app: Application) -> None:
         """Start without a configuration or upstreams."""
         self.catalog: Catalog | None = None
+        # Whether it was read at the start, as every instance does.
+        self.catalog_is_initial = False
         self.history = CatalogHistory()
+        self.arriving = CatalogParts()
         self.table = UpstreamTable()
         self.instance_entries_by_key: dict = {}
         # How many instances there are; kept up to date by the members.
@@ -73,6 +87,8 @@
         self._list_behind_since: float | None = None
         # The newest version that a watcher reported.
         self._ahead_version = 0
+        # When the last new part of a newer configuration arrived.
+        self._part_arrived_at = float("-inf")
         # The newest list that a watcher reported and this instance lacks.
         self._list_ahead_revision = 0
 
@@ -104,10 +120,11 @@
         """Return the upstreams of a service that take new requests."""
         return self.table.usable(service)
 
-    def apply_catalog(self, raw: bytes, source: str) -> None:
+    def apply_catalog(self, raw: bytes, source: str, initial: bool = False) -> None:
         """Apply a configuration if it is newer than the one in force.
 
         :param source: where it comes from, for the log.
+        :param initial: whether it is part of the first list from the store.
         """
         try:
             catalog = self._platform.decode_catalog(raw)
@@ -117,6 +134,7 @@
         if self.catalog is not None and catalog.version <= self.catalog.version:
             return
         self.catalog = catalog
+        self.catalog_is_initial = initial
         behind_since = self._behind_since
         log_event(
             "configuration_in_force",
@@ -130,6 +148,7 @@
             ),
         )
         self.history.add(catalog.version, raw)
+        self.arriving.drop_older(catalog.version)
         self._app.emit("configuration-changed")
         following = self.history.pop_waiting()
         if following is not None:
@@ -150,6 +169,16 @@
         if raw is not None:
             self.apply_catalog(raw, source)
 
+    def receive_catalog_part(self, part: CatalogPart) -> None:
+        """Add a part of a configuration, and apply it once it is complete."""
+        if part.version <= self.history.version:
+            return
+        if self.arriving.lacks(part):
+            self._part_arrived_at = self._app.clock.monotonic()
+        encoded = self.arriving.take(part)
+        if encoded is not None:
+            self.apply_encoded_catalog(encoded, part.instance)
+
     def apply_peer_upstreams(self, knowledge: FetchResponse) -> None:
         """Replace the list of upstreams by that of a peer that is up to date."""
         now = self._app.clock.monotonic()
@@ -277,17 +306,20 @@
         if self.watches.watching:
             return False
         now = self._app.clock.monotonic()
-        late = self._exceeds(self._list_behind_since, BEHIND_SECONDS, now)
-        return late or self._behind_since is not None
+        if self._exceeds(self._list_behind_since, BEHIND_SECONDS, now):
+            return True
+        arriving = now - self._part_arrived_at < ARRIVAL_GAP_SECONDS
+        return self._behind_since is not None and not arriving
 
     def _collect_seconds(self) -> float:
         seconds = self.instances * COLLECT_SECONDS_PER_INSTANCE
         return min(MAX_COLLECT_SECONDS, seconds)
 
     def _apply_configuration(self, batch: WatchBatch) -> float:
+        initial = batch.complete and self.catalog is None
         for entry in batch.entries:
             if entry.key == self._platform.configuration_key:
-                self.apply_catalog(entry.value, "store")
+                self.apply_catalog(entry.value, "store", initial)
         return 0.0
 
     def _apply_upstreams(self, batch: WatchBatch) -> float:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -260,11 +260,16 @@
         """Send messages to some addresses, in one datagram each."""
         if not addresses or self._transport is None or self._transport.is_closing():
             return
-        datagrams = [FORMAT + msgspec.msgpack.encode(message) for message in messages]
+        datagrams = [encode_datagram(message) for message in messages]
         for address in map(split_address, addresses):
             for datagram in datagrams:
                 self._transport.sendto(datagram, address)
 
+    def send_datagram(self, datagram: bytes, address: str) -> None:
+        """Send an encoded message to an address."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(datagram, split_address(address))
+
     def broadcast_prefill(self, upstream: Upstream, tokens: int) -> None:
         """Announce the prefill of a prompt to peers at once, if it is a long one.
 
@@ -371,6 +376,11 @@
         }
 
 
+def encode_datagram(message: Message) -> bytes:
+    """Encode a message as a datagram."""
+    return FORMAT + msgspec.msgpack.encode(message)
+
+
 def far_peers_per_tick(instances: int) -> int:
     """Return how many peers of other zones an instance sends to per tick."""
     share = FAR_PEERS_PER_TICK_OF_ALL // instances
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -88,10 +88,11 @@
     doubted: list[tuple[str, int]] = []
 
 
-class CatalogPart(msgspec.Struct, tag="p"):
+class CatalogPart(msgspec.Struct, omit_defaults=True, tag="p"):
     """A part of an encoded configuration that a watcher has just learned of.
 
-    ``base`` is the version that the encoding is a patch of; 0 if it is complete.
+    ``base`` is the version that the encoding is a patch of; 0 if it is complete. A
+    ``relayed`` part is forwarded by its receiver to all others of the zone.
     """
 
     instance: str
@@ -101,6 +102,19 @@
     number: int
     parts: int
     data: bytes
+    relayed: bool = False
+
+
+class MissingParts(msgspec.Struct):
+    """The parts that the sender lacks of a configuration that it has in part.
+
+    ``version``, ``base`` and ``parts`` are those of the received parts.
+    """
+
+    version: int
+    base: int
+    parts: int
+    numbers: list[int]
 
 
 class FetchRequest(msgspec.Struct, omit_defaults=True):
@@ -108,13 +122,15 @@
 
     ``version`` and ``digest`` tell what it has, ``doubted`` are the upstreams whose
     removal it doubts. ``accepts_encoded`` tells whether it can decode a configuration;
-    instances of older releases cannot.
+    instances of older releases cannot. ``missing`` is set if parts of a newer one have
+    arrived.
     """
 
     version: int
     digest: str
     doubted: list[str] = []
     accepts_encoded: bool = False
+    missing: MissingParts | None = None
 
 
 class FetchResponse(msgspec.Struct, omit_defaults=True):
@@ -122,7 +138,8 @@
 
     ``removed`` and ``doubted`` are pairs of id and revision, the former of upstreams
     that the sender doubted and that are certainly gone. A receiver that accepts it gets
-    the configuration as ``encoded_catalog``, any other as ``catalog``.
+    the configuration as ``parts`` that it lacks or as ``encoded_catalog``, any other as
+    ``catalog``. A ``busy`` sender has a newer one but is sending it to others.
     """
 
     instance: str
@@ -134,6 +151,8 @@
     doubted: list[tuple[str, int]] = []
     removed: list[tuple[str, int]] = []
     encoded_catalog: EncodedCatalog | None = None
+    parts: list[CatalogPart] = []
+    busy: bool = False
 
 
 def split_counters(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -1,18 +1,24 @@
 """Broadcasts changes that this watcher reads from the store to its zone.
 
-Changes of the upstream list and new configurations are sent as datagrams; each watcher
-covers its share of the zone. A receiver detects a lost datagram by the states that
-watchers send periodically, and fetches what it lacks, see ``knowledge``.
+Changes of the upstream list and new configurations are sent as datagrams. Each watcher
+sends changes of the list to its share of the zone, and configurations to all of it, in
+part through relays, see :mod:`camphorgate.serving.broadcast_plan`. A receiver detects a
+lost datagram by the states that watchers send periodically, and fetches what it lacks,
+see ``knowledge``.
 """
 
-import asyncio
+from bisect import bisect
 
 import msgspec
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
-from camphorgated.serving.catalog_parts import CatalogParts, split_catalog
+from camphorgate.serving.broadcast_plan import plan_broadcast
+from camphorgate.serving.watcher_selection import WATCHERS_PER_ZONE
+from camphorgated.serving.catalog_parts import split_catalog
+from camphorgated.serving.gossip import encode_datagram
 from camphorgated.serving.messages import CatalogPart, Changes, split_changes
+from camphorgated.serving.paced_sender import PacedSender
 
 # Rate limit of a broadcast: two thirds of the slowest supported link (5 Mbit/s).
 BROADCAST_BYTES_PER_SECOND = 400_000.0
@@ -21,7 +27,13 @@
 class ChangeBroadcaster:
     """Sends changes to the own zone and applies those that other watchers send."""
 
-    __slots__ = ("_app", "_directory", "_members", "_gossip", "_catalog_parts")
+    __slots__ = (
+        "_app",
+        "_directory",
+        "_members",
+        "_gossip",
+        "_sender",
+    )
 
     def __init__(self, app: Application) -> None:
         """Register the handlers for messages of other watchers."""
@@ -29,7 +41,9 @@
         self._directory = app.service("directory")
         self._members = app.service("members")
         self._gossip = app.service("gossip")
-        self._catalog_parts = CatalogParts()
+        self._sender = PacedSender(
+            app, self._gossip.send_datagram, BROADCAST_BYTES_PER_SECOND
+        )
         self._gossip.add_handler(Changes, self._receive_changes)
         self._gossip.add_handler(CatalogPart, self._receive_catalog_part)
 
@@ -39,52 +53,71 @@
         doubted = self._directory.table.pop_new_doubts()
         if not self._directory.watches.watching or not self._gossip.near:
             return
+        self._gossip.send_to_far_watchers()
         own = self._members.own
         messages = split_changes(own.instance, own.zone, upstreams, removed, doubted)
-        self._broadcast_to_zone([*messages, self._gossip.state()])
+        datagrams = [encode_datagram(message) for message in messages]
+        datagrams.append(encode_datagram(self._gossip.state()))
+        selection = self._directory.watches.watcher_selection
+        receivers = selection.assigned_peers(
+            self._gossip.near, self._app.clock.monotonic()
+        )
+        self._sender.enqueue(
+            ((datagram, receiver) for receiver in receivers for datagram in datagrams),
+            urgent=True,
+        )
 
     def broadcast_catalog(self) -> None:
         """Broadcast a new configuration as soon as it is read."""
-        self._catalog_parts.drop_older(self._directory.history.version)
-        # What an instance reads at its start, the others read as well.
-        if not self._directory.watches.chosen or not self._gossip.near:
+        directory = self._directory
+        if not directory.watches.chosen or directory.catalog_is_initial:
+            return
+        if not self._gossip.near:
             return
+        self._gossip.send_to_far_watchers()
         own = self._members.own
         encoded = self._directory.history.encode_change()
         parts = split_catalog(own.instance, own.zone, encoded)
-        self._broadcast_to_zone([*parts, self._gossip.state()])
+        plan = list(
+            plan_broadcast(
+                len(parts), self._gossip.near, self._live_near(), own.instance
+            )
+        )
+        if not plan:
+            return
+        relayed = plan[0].relayed
+        datagrams = [
+            encode_datagram(msgspec.structs.replace(part, relayed=relayed))
+            for part in parts
+        ]
+        # The parts of all watchers reach a peer at the same time.
+        self._sender.enqueue(
+            ((datagrams[item.part], item.receiver) for item in plan),
+            urgent=not relayed,
+            rate_share=1 / WATCHERS_PER_ZONE if relayed else 1.0,
+        )
+        log_event(
+            "configuration_broadcast",
+            version=encoded.version,
+            base=encoded.base,
+            bytes=len(encoded.data),
+            parts=len(parts),
+            datagrams=len(plan),
+            relayed=relayed,
+        )
 
     def broadcast_state(self) -> None:
         """Broadcast the loss of the store, so that other instances take over."""
         if self._directory.watches.watching:
             self._gossip.send([self._gossip.state()], self._gossip.near)
 
-    def _broadcast_to_zone(self, messages: list) -> None:
-        """Send messages to this watcher's share of the zone."""
-        self._gossip.send_to_far_watchers()
-        selection = self._directory.watches.watcher_selection
-        receivers = selection.assigned_peers(
-            self._gossip.near, self._app.clock.monotonic()
-        )
-        if receivers:
-            self._app.spawn(self._send_paced(messages, receivers), "news")
-
-    async def _send_paced(self, messages: list, addresses: list[str]) -> None:
-        """Send to one address at a time, so that a slow link drops no datagram."""
-        size = sum(len(msgspec.msgpack.encode(message)) for message in messages)
-        began = self._app.clock.monotonic()
-        for address in addresses:
-            self._gossip.send(messages, [address])
-            await asyncio.sleep(size / BROADCAST_BYTES_PER_SECOND)
-        if isinstance(messages[0], CatalogPart):
-            log_event(
-                "configuration_broadcast",
-                version=messages[0].version,
-                parts=messages[0].parts,
-                bytes=size,
-                receivers=len(addresses),
-                seconds=self._app.clock.monotonic() - began,
-            )
+    def _live_near(self) -> list[str]:
+        """Return the addresses of the peers of the zone that sent a state lately."""
+        return [
+            state.gossip_address
+            for state in self._gossip.live_states()
+            if state.zone == self._members.own.zone
+        ]
 
     def _receive_changes(self, message: Changes) -> None:
         # A watcher marks the removals that it doubts, so the others are also valid for
@@ -93,12 +126,21 @@
             self._directory.apply_peer_changes(message)
 
     def _receive_catalog_part(self, message: CatalogPart) -> None:
-        known = self._directory.history.version
-        if message.zone != self._members.own.zone or message.version <= known:
+        if message.zone != self._members.own.zone:
             return
-        encoded = self._catalog_parts.take(message)
-        if encoded is not None:
-            self._directory.apply_encoded_catalog(encoded, message.instance)
+        if message.relayed:
+            self._forward(message)
+        self._directory.receive_catalog_part(message)
+
+    def _forward(self, part: CatalogPart) -> None:
+        """Forward a part to the zone, also if this instance does not need it."""
+        datagram = encode_datagram(msgspec.structs.replace(part, relayed=False))
+        # Relays that send in the same order overload one receiver after the other.
+        near = self._gossip.near
+        start = bisect(near, self._members.own.gossip_address)
+        self._sender.enqueue(
+            (datagram, address) for address in near[start:] + near[:start]
+        )
 
 
 def setup(app: Application) -> None:
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -27,6 +27,8 @@
 LINK_SECONDS = 0.0005
 # Datagrams that would wait longer for a link are dropped.
 MAX_LINK_QUEUE_SECONDS = 0.1
+# A stream has at most this many bytes on the link at a time.
+STREAM_WINDOW_BYTES = 16_384
 STORE_SECONDS = 0.004
 CONFIGURATION_KEY = "op/config"
 
@@ -276,8 +278,13 @@
             self.apps[receiver].service("gossip")._receive(data)
 
     async def _transfer_on(self, link: Link, size: int) -> None:
-        passed_at = link.enqueue(size, self.loop.time(), may_drop=False)
-        await asyncio.sleep(passed_at - self.loop.time())
+        """Send a stream of bytes, beside the other streams on the link."""
+        while size > 0:
+            passed_at = link.enqueue(
+                min(size, STREAM_WINDOW_BYTES), self.loop.time(), may_drop=False
+            )
+            size -= STREAM_WINDOW_BYTES
+            await asyncio.sleep(passed_at - self.loop.time())
 
     async def _ask(self, asking: PeerKnowledge, address: str) -> FetchResponse:
         """Fetch from a peer, with the time limit of the real call."""
