Do not fetch a configuration whose parts are arriving, and fetch only what is missing

Cause: the states of watchers tell of a new version before its parts arrive, so nearly every instance fetched the whole of it as well (52.7 MB in a zone of 33 for three versions), from the few that had it. These links then delayed the datagrams of the watchers, which looked silent, and answers came after the 0.6 s in which the asking instance waits for them.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -13,8 +13,15 @@
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.peers.service import CHANNEL_OPTIONS
+from camphorgate.serving.transfer_budget import TransferBudget
 from camphorgated.errors import ListenError
-from camphorgated.serving.messages import FetchRequest, FetchResponse
+from camphorgated.serving.catalog_parts import split_catalog
+from camphorgated.serving.messages import (
+    CatalogPart,
+    FetchRequest,
+    FetchResponse,
+    MissingParts,
+)
 
 SERVICE = "camphorgate.serving.Knowledge"
 METHOD = f"/{SERVICE}/Fetch"
@@ -26,6 +33,10 @@
 MAX_FETCH_PERIOD_SECONDS = 1.2
 POLL_SECONDS = 0.1
 STOP_TIMEOUT_SECONDS = 0.2
+# Configurations in answers: two thirds of the slowest supported link (5 Mbit/s), and
+# half of the time in which a peer waits for the answer.
+ANSWER_BYTES_PER_SECOND = 400_000.0
+MAX_ANSWER_QUEUE_SECONDS = FETCH_TIMEOUT_SECONDS / 2
 # Every channel opens a new connection, as a shared one may have gone silent.
 _DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
 
@@ -41,6 +52,7 @@
         "_server",
         "_addresses",
         "_random",
+        "_budget",
         "_changing",
         "_stopped",
     )
@@ -55,6 +67,7 @@
         # Addresses reported by peers, besides those of peers that sent a state.
         self._addresses: set[str] = set()
         self._random = random.Random()
+        self._budget = TransferBudget(ANSWER_BYTES_PER_SECOND, MAX_ANSWER_QUEUE_SECONDS)
         # Held while the server starts or stops.
         self._changing = asyncio.Lock()
         self._stopped = False
@@ -176,6 +189,7 @@
             table.digest(),
             [upstream_id for upstream_id, _ in table.doubted_entries()],
             accepts_encoded=True,
+            missing=self._directory.arriving.missing(),
         )
 
     async def _ask(self, address: str) -> FetchResponse:
@@ -198,18 +212,24 @@
 
     def _apply_configuration(self, knowledge: FetchResponse, seconds: float) -> None:
         encoded, raw = knowledge.encoded_catalog, knowledge.catalog
-        if encoded is None and not raw:
+        pieces = [part.data for part in knowledge.parts]
+        size = len(encoded.data if encoded else raw) + sum(map(len, pieces))
+        if not size and not knowledge.busy:
             return
         log_event(
             "configuration_fetched",
             peer=knowledge.instance,
-            bytes=len(raw if encoded is None else encoded.data),
+            bytes=size,
+            parts=len(pieces),
+            busy=knowledge.busy,
             seconds=seconds,
         )
-        if encoded is None:
-            self._directory.apply_catalog(raw, knowledge.instance)
-        else:
+        for part in knowledge.parts:
+            self._directory.receive_catalog_part(part)
+        if encoded is not None:
             self._directory.apply_encoded_catalog(encoded, knowledge.instance)
+        elif raw:
+            self._directory.apply_catalog(raw, knowledge.instance)
 
     async def _answer(self, question: FetchRequest, context) -> FetchResponse:
         directory = self._directory
@@ -227,10 +247,7 @@
             ),
         )
         if history.version > question.version:
-            if question.accepts_encoded:
-                knowledge.encoded_catalog = history.encode(question.version)
-            else:
-                knowledge.catalog = directory.catalog.raw
+            self._add_configuration(knowledge, question)
         if directory.sound and directory.table.digest() != question.digest:
             knowledge.upstreams = list(directory.table.by_id.values())
             knowledge.revision = directory.table.revision
@@ -238,6 +255,41 @@
         knowledge.removed = directory.table.confirmed_removals(question.doubted)
         return knowledge
 
+    def _add_configuration(
+        self, knowledge: FetchResponse, question: FetchRequest
+    ) -> None:
+        """Add the configuration, unless the link is busy with others' answers."""
+        catalog = self._directory.catalog
+        if not question.accepts_encoded:
+            if self._reserve(knowledge, len(catalog.raw)):
+                knowledge.catalog = catalog.raw
+            return
+        parts = self._missing_parts(question.missing)
+        if parts:
+            if self._reserve(knowledge, sum(len(part.data) for part in parts)):
+                knowledge.parts = parts
+            return
+        encoded = self._directory.history.encode(question.version)
+        if self._reserve(knowledge, len(encoded.data)):
+            knowledge.encoded_catalog = encoded
+
+    def _reserve(self, knowledge: FetchResponse, size: int) -> bool:
+        now = self._app.clock.monotonic()
+        knowledge.busy = not self._budget.try_reserve(size, now)
+        return not knowledge.busy
+
+    def _missing_parts(self, missing: MissingParts | None) -> list[CatalogPart]:
+        """Return parts that a peer lacks, or none if this instance has other parts."""
+        history = self._directory.history
+        if missing is None or missing.version != history.version:
+            return []
+        own = self._members.own
+        encoded = history.encode(missing.base)
+        parts = split_catalog(own.instance, own.zone, encoded)
+        if (encoded.base, len(parts)) != (missing.base, missing.parts):
+            return []
+        return [parts[number] for number in missing.numbers if number < len(parts)]
+
 
 def setup(app: Application) -> None:
     """Provide the exchange with peers, and start it."""
