Do not take a watch that receives a large value for one that is silent

Cause: a watcher that heard of a newer version for 0.5 s reopened its watches, and two reads that took over 0.4 s each did the same. A value of 2,810 routes takes 0.75 s on a link of 10 Mbit/s, so watchers aborted the very reading that they waited for, counted as out of touch, and others took over, who read the value in turn.

Change: while part of a response has arrived within 0.5 s, the watch is not behind, and within 0.4 s the store is not silent. A response that stops arriving is found as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
@@ -14,7 +14,13 @@
 class CallClient:
     """Makes short calls to one address over pooled keep-alive connections."""
 
-    __slots__ = ("_host", "_port", "_idle", "_timeout")
+    __slots__ = (
+        "_host",
+        "_port",
+        "_idle",
+        "_timeout",
+        "_received_at_by_connection",
+    )
 
     # An idle connection is not reused after this time.
     IDLE_SECONDS = 10.0
@@ -29,6 +35,16 @@
         self._host, self._port = address
         self._idle: list[ClientConnection] = []
         self._timeout = timeout_seconds
+        # When the last bytes of each response arrived that is not complete yet.
+        self._received_at_by_connection: dict[ClientConnection, float] = {}
+
+    def receiving(self, seconds: float) -> bool:
+        """Return whether part of a response arrived within the last seconds."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            now - received_at < seconds
+            for received_at in self._received_at_by_connection.values()
+        )
 
     async def call(
         self,
@@ -73,6 +89,8 @@
                             f"{method} {target}: the response is too large", True
                         )
                     pieces.append(piece)
+                    now = asyncio.get_running_loop().time()
+                    self._received_at_by_connection[connection] = now
                 if not status or piece is None:
                     raise CallFailed(
                         f"{method} {target}: the response was truncated", True
@@ -85,6 +103,8 @@
             if connection is not None:
                 connection.close()
             raise
+        finally:
+            self._received_at_by_connection.pop(connection, None)
         if connection.finish() and len(self._idle) < self.MAX_IDLE_CONNECTIONS:
             connection.idle_since = asyncio.get_running_loop().time()
             self._idle.append(connection)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -266,6 +266,8 @@
         self._compare_lists(peer, now)
         if not self.watches.watching or not self.sound:
             return
+        if self.watches.receiving(BEHIND_SECONDS):
+            return
         behind_seconds = BEHIND_SECONDS + self._collect_seconds()
         if self._exceeds(self._behind_since, BEHIND_SECONDS, now):
             self._behind_since = None
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -131,6 +131,14 @@
             self._start(prefix)
         self._app.emit("store-lost")
 
+    def receiving(self, seconds: float) -> bool:
+        """Return whether the store sent part of a response within the last seconds.
+
+        A large value takes a second or more on a slow link. Until it is complete, its
+        watch is not behind and the store is not silent.
+        """
+        return self._store.receiving(seconds)
+
     def note_members_listed(self) -> None:
         """Record that the members are listed, so that the role can be decided."""
         self._decided.set()
@@ -169,6 +177,8 @@
             await asyncio.sleep(CHECK_SECONDS)
             if not self._is_following() or await self._store_answers():
                 continue
+            if self.receiving(CHECK_ANSWER_SECONDS):
+                continue
             reason = "the store does not answer"
             if await self._store_answers():
                 # A new connection works, so those of the open watches may be dead.
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -7,7 +7,7 @@
 import asyncio
 import base64
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from datetime import UTC, datetime, timedelta
 from unittest import mock
 
@@ -70,8 +70,9 @@
 class Link:
     """One direction of an instance's network link, which sends in order."""
 
-    def __init__(self) -> None:
+    def __init__(self, bytes_per_second: float) -> None:
         """Start with an idle link."""
+        self._bytes_per_second = bytes_per_second
         self._free_at = 0.0
 
     def enqueue(self, size: int, now: float, may_drop: bool) -> float | None:
@@ -81,7 +82,7 @@
         """
         if may_drop and self._free_at - now > MAX_LINK_QUEUE_SECONDS:
             return None
-        self._free_at = max(self._free_at, now) + size / LINK_BYTES_PER_SECOND
+        self._free_at = max(self._free_at, now) + size / self._bytes_per_second
         return self._free_at
 
 
@@ -92,6 +93,7 @@
         """Answer one instance."""
         self._zone = zone
         self._name = name
+        self._received_at = float("-inf")
 
     async def watch(self, prefix: str, seconds: Callable[[], float]):
         """Yield every entry with a prefix, then its changes."""
@@ -102,15 +104,23 @@
             revision, value = self._zone.revision, self._zone.value
             entries = ()
             if CONFIGURATION_KEY.startswith(prefix) and value:
-                await self._zone.receive_from_store(
-                    self._name, len(base64.b64encode(value))
-                )
+                await self._receive(len(base64.b64encode(value)))
                 entries = (KvEntry(CONFIGURATION_KEY, value, "", 1, revision, 0),)
             yield WatchBatch(entries, (), max(0, revision), complete)
 
     async def check(self, key: str) -> None:
         """Answer a small read."""
-        await self._zone.receive_from_store(self._name, 200)
+        await self._receive(200)
+
+    def receiving(self, seconds: float) -> bool:
+        """Return whether part of a response arrived within the last seconds."""
+        return self._zone.loop.time() - self._received_at < seconds
+
+    async def _receive(self, size: int) -> None:
+        await asyncio.sleep(STORE_SECONDS)
+        async for _ in self._zone.stream(self._name, "in", size):
+            self._received_at = self._zone.loop.time()
+        self._received_at = float("-inf")
 
 
 class _Transport:
@@ -131,15 +141,25 @@
 
 
 class SimulatedZone:
-    """The daemons of one zone and the network between them.
+    """The daemons of one zone, or of a few, and the network between them.
 
     :param instances: how many instances the daemons count in all zones.
+    :param link_rates: bytes per second of the instances' links, in turn.
+    :param zones: number of zones, which the instances belong to in turn.
     """
 
     def __init__(
-        self, size: int, instances: int, loss: float = 0.0, seed: int = 1
+        self,
+        size: int,
+        instances: int,
+        loss: float = 0.0,
+        seed: int = 1,
+        link_rates: tuple[int, ...] = (LINK_BYTES_PER_SECOND,),
+        zones: int = 1,
     ) -> None:
         """Build the daemons without starting them."""
+        self._link_rates = link_rates
+        self._zones = zones
         self.loss = loss
         self.random = random.Random(seed)
         self.loop = VirtualTimeLoop()
@@ -147,6 +167,8 @@
         self.dead: set[str] = set()
         self.revision, self.value = 0, b""
         self.fetched_bytes = 0
+        # How often an instance that did not watch the store began to.
+        self.takeovers = 0
         self.in_force_at: dict[tuple[str, int], float] = {}
         self.apps: dict[str, Application] = {}
         self._changed: asyncio.Event | None = None
@@ -187,6 +209,7 @@
         settings = build_hosted_settings(
             "127.0.0.1:1",
             instance_id=name,
+            availability_zone=f"zone-{number % self._zones}",
             gossip_address=gossip_address,
             peer_address=peer_address,
         )
@@ -199,19 +222,25 @@
         directory.watches._random = random.Random(self.random.random())
         app.service("knowledge")._random = random.Random(self.random.random())
         app.connect("configuration-changed", lambda: self._record(name))
+        app.connect("watching-begun", self._count_takeover)
         self.apps[name] = app
         host, _, port = gossip_address.rpartition(":")
         self._names_by_gossip_address[host, int(port)] = name
         self._names_by_peer_address[peer_address] = name
 
     def _introduce(self, app: Application, members: dict[str, Member]) -> None:
-        own = app.service("members").own.instance
-        others = {name: item for name, item in members.items() if name != own}
+        own = app.service("members").own
+        others = {name: item for name, item in members.items() if name != own.instance}
         app.service("members")._listed_by_instance = others
         watches = app.service("directory").watches
-        watches.watcher_selection.set_listed(others)
+        watches.watcher_selection.set_listed(
+            name for name, item in others.items() if item.zone == own.zone
+        )
         watches.note_members_listed()
 
+    def _count_takeover(self) -> None:
+        self.takeovers += 1
+
     def _record(self, name: str) -> None:
         version = self.apps[name].service("directory").catalog.version
         self.in_force_at.setdefault((name, version), self.loop.time())
@@ -230,11 +259,6 @@
         while self.revision <= revision:
             await self._changed.wait()
 
-    async def receive_from_store(self, name: str, size: int) -> None:
-        """Wait until an instance has received an answer of the store."""
-        await asyncio.sleep(STORE_SECONDS)
-        await self._transfer_on(self._link(name, "in"), size)
-
     def watchers(self) -> list[str]:
         """Return the names of the live instances that watch the store."""
         return [
@@ -256,7 +280,8 @@
         )
 
     def _link(self, name: str, direction: str) -> Link:
-        return self._links.setdefault((name, direction), Link())
+        rate = self._link_rates[list(self.apps).index(name) % len(self._link_rates)]
+        return self._links.setdefault((name, direction), Link(rate))
 
     def send_datagram(self, sender: str, data: bytes, address: tuple[str, int]) -> None:
         """Deliver a datagram after its time on both links, or drop it."""
@@ -277,14 +302,15 @@
         if receiver not in self.dead:
             self.apps[receiver].service("gossip")._receive(data)
 
-    async def _transfer_on(self, link: Link, size: int) -> None:
-        """Send a stream of bytes, beside the other streams on the link."""
+    async def stream(self, name: str, direction: str, size: int) -> AsyncIterator[None]:
+        """Send a stream of bytes beside the others on a link; yield with each piece."""
+        link = self._link(name, direction)
         while size > 0:
-            passed_at = link.enqueue(
-                min(size, STREAM_WINDOW_BYTES), self.loop.time(), may_drop=False
-            )
-            size -= STREAM_WINDOW_BYTES
+            piece = min(size, STREAM_WINDOW_BYTES)
+            passed_at = link.enqueue(piece, self.loop.time(), may_drop=False)
+            size -= piece
             await asyncio.sleep(passed_at - self.loop.time())
+            yield
 
     async def _ask(self, asking: PeerKnowledge, address: str) -> FetchResponse:
         """Fetch from a peer, with the time limit of the real call."""
@@ -299,8 +325,9 @@
                 await asyncio.sleep(4 * LINK_SECONDS)
                 data = msgspec.msgpack.encode(await knowledge._answer(question, None))
                 self.fetched_bytes += len(data)
-                await self._transfer_on(self._link(peer, "out"), len(data))
-                await self._transfer_on(self._link(name, "in"), len(data))
+                for instance, direction in ((peer, "out"), (name, "in")):
+                    async for _ in self.stream(instance, direction, len(data)):
+                        pass
         except TimeoutError:
             raise SimulatedDeadlineExceeded from None
         return msgspec.msgpack.decode(data, type=FetchResponse)
--- a/tests/test_serving/test_configuration_spread.py
+++ b/tests/test_serving/test_configuration_spread.py
@@ -9,7 +9,7 @@
     build_platform_configuration,
     build_platform_route,
 )
-from tests.simulated_zone import SimulatedZone
+from tests.simulated_zone import LINK_BYTES_PER_SECOND, SimulatedZone
 
 # The users' bound on a change at 195 instances in 6 zones, and at the target size.
 BOUND_SECONDS = 4.0
@@ -136,3 +136,26 @@
 
         zone.run(scenario)
         self.assertLessEqual(longest[0], BOUND_SECONDS)
+
+    def test_reading_a_large_value_is_not_taken_for_a_silent_store(self):
+        """Guards against watchers that abort their reading, and takeovers by others.
+
+        In one zone of two, every link is ten times as fast as in the other.
+        """
+        rates = (LINK_BYTES_PER_SECOND, 10 * LINK_BYTES_PER_SECOND)
+        zone = SimulatedZone(40, ALL_INSTANCES, link_rates=rates, zones=2)
+        configuration = build_configuration(2, ROUTES, WORKSPACES)
+        takeovers = []
+
+        async def scenario(zone: SimulatedZone) -> None:
+            zone.configure(encode(build_configuration(1, 10, WORKSPACES)))
+            await asyncio.sleep(START_SECONDS)
+            before = zone.takeovers
+            confirmed_at = zone.configure(encode(configuration))
+            await asyncio.sleep(BOUND_SECONDS)
+            takeovers.append(zone.takeovers - before)
+            takeovers.append(zone.spread_seconds(2, confirmed_at)[-1])
+
+        zone.run(scenario)
+        self.assertEqual(takeovers[0], 0)
+        self.assertLessEqual(takeovers[1], ROOM * BOUND_SECONDS)
--- a/tests/test_serving/test_hanging_store.py
+++ b/tests/test_serving/test_hanging_store.py
@@ -78,6 +78,10 @@
             raise CallFailed(f"{method} {target}: no response", True) from None
         return answer
 
+    def receiving(self, seconds: float) -> bool:
+        """Return whether part of a response arrived within the last seconds."""
+        return self._client.receiving(seconds)
+
     def close(self) -> None:
         """Close the connections."""
         self._client.close()
