Give a large value of the store the time that a slow link needs

Cause: a read of the store ended after 1.0 s in all. A value of 1 MB is 1.4 MB encoded, which takes 1.1 s on 10 Mbit/s; all 195 instances that start together share the store's own link.

A body that stops, or never ends, fails as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
@@ -19,6 +19,7 @@
         "_port",
         "_idle",
         "_timeout",
+        "_max_body_seconds",
         "_received_at_by_connection",
     )
 
@@ -27,14 +28,22 @@
     MAX_IDLE_CONNECTIONS = 4
     CONNECT_SECONDS = 1.0
 
-    def __init__(self, address: tuple[str, int], timeout_seconds: float) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        timeout_seconds: float,
+        max_body_seconds: float = 0.0,
+    ) -> None:
         """Prepare without connecting.
 
         :param timeout_seconds: default timeout of a call.
+        :param max_body_seconds: how much longer a response may take whose body arrives
+            without a pause of that length or of the timeout.
         """
         self._host, self._port = address
         self._idle: list[ClientConnection] = []
         self._timeout = timeout_seconds
+        self._max_body_seconds = max_body_seconds
         # When the last bytes of each response arrived that is not complete yet.
         self._received_at_by_connection: dict[ClientConnection, float] = {}
 
@@ -64,8 +73,10 @@
         """
         sent = False
         connection = None
+        timeout = timeout or self._timeout
+        last = asyncio.get_running_loop().time() + timeout + self._max_body_seconds
         try:
-            async with asyncio.timeout(timeout or self._timeout):
+            async with asyncio.timeout(timeout) as limit:
                 connection = await self._take()
                 lines = [
                     (b"host", f"{self._host}:{self._port}".encode()),
@@ -91,6 +102,9 @@
                     pieces.append(piece)
                     now = asyncio.get_running_loop().time()
                     self._received_at_by_connection[connection] = now
+                    if self._max_body_seconds:
+                        pause = min(timeout, self._max_body_seconds)
+                        limit.reschedule(min(last, now + pause))
                 if not status or piece is None:
                     raise CallFailed(
                         f"{method} {target}: the response was truncated", True
