Find a route by the lengths of prefixes, not by trying each prefix

Cause: a lookup tried each prefix of the host in turn.

Change: a table by prefix, tried for each length of prefix that the host has.

--- a/packages/camphorgate/src/camphorgate/serving/catalog.py
+++ b/packages/camphorgate/src/camphorgate/serving/catalog.py
@@ -141,6 +141,36 @@
         return self.id, self.started_at
 
 
+class _RouteTable:
+    """The routes of a host, found by the length of their prefixes.
+
+    There are few lengths, so that the time of a lookup does not follow from the number
+    of routes.
+    """
+
+    __slots__ = ("_route_by_prefix", "_lengths")
+
+    def __init__(self) -> None:
+        self._route_by_prefix: dict[str, Route] = {}
+        # In descending order.
+        self._lengths: list[int] = []
+
+    def add(self, route: Route) -> None:
+        """Add a route; of two with the same prefix, the first one counts."""
+        self._route_by_prefix.setdefault(route.prefix, route)
+        if len(route.prefix) not in self._lengths:
+            self._lengths.append(len(route.prefix))
+            self._lengths.sort(reverse=True)
+
+    def match(self, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        for length in self._lengths:
+            route = self._route_by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 class Catalog:
     """One version of the routing configuration, indexed for request lookup."""
 
@@ -150,8 +180,8 @@
         "limits",
         "services_by_name",
         "workspaces_by_key",
-        "routes_by_host",
         "keyed",
+        "_tables_by_host",
     )
 
     def __init__(
@@ -176,11 +206,10 @@
         self.workspaces_by_key = {
             key: workspace for workspace in workspaces or () for key in workspace.keys
         }
-        self.routes_by_host: dict[str, list[Route]] = {}
+        self._tables_by_host: dict[str, _RouteTable] = {}
         for route in routes:
-            self.routes_by_host.setdefault(route.host.lower(), []).append(route)
-        for found in self.routes_by_host.values():
-            found.sort(key=lambda route: len(route.prefix), reverse=True)
+            table = self._tables_by_host.setdefault(route.host.lower(), _RouteTable())
+            table.add(route)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path.
@@ -189,10 +218,8 @@
         :param path: path without the query string.
         """
         name = host.partition(":")[0].lower()
-        for route in self.routes_by_host.get(name, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        table = self._tables_by_host.get(name)
+        return None if table is None else table.match(path)
 
     def rank(self, route: Route, workspace: Workspace | None) -> int:
         """Return the priority of a request; 0 is the most urgent."""
