--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from datetime import UTC, datetime, timedelta
@@ -15,7 +16,9 @@
 import msgspec
 
 from camphorgate.application import Application
+from camphorgate.kv.errors import KvUnavailable
 from camphorgate.kv.records import KvEntry, WatchBatch
+from camphorgate_platform.store import CALL_TIMEOUT_SECONDS, MAX_BODY_SECONDS
 from camphorgated.serving import daemon
 from camphorgated.serving.knowledge import FETCH_TIMEOUT_SECONDS, PeerKnowledge
 from camphorgated.serving.members import Member
@@ -30,6 +33,11 @@
 # A stream has at most this many bytes on the link at a time.
 STREAM_WINDOW_BYTES = 16_384
 STORE_SECONDS = 0.004
+SMALL_RESPONSE_BYTES = 200
+# Datagrams that a lossy link loses.
+LOSSY_SHARE = 0.3
+# A disconnected instance notices at this interval that its path is back.
+RECONNECT_SECONDS = 0.05
 CONFIGURATION_KEY = "op/config"
 
 
@@ -100,25 +108,31 @@
         revision = -1
         while True:
             complete = revision < 0
-            await self._zone.store_changed(revision)
-            revision, value = self._zone.revision, self._zone.value
-            entries = ()
-            if CONFIGURATION_KEY.startswith(prefix) and value:
-                await self._receive(len(base64.b64encode(value)))
-                entries = (KvEntry(CONFIGURATION_KEY, value, "", 1, revision, 0),)
+            timeout = CALL_TIMEOUT_SECONDS if complete else seconds() + 1.0
+            try:
+                async with asyncio.timeout(timeout + MAX_BODY_SECONDS):
+                    await self._zone.store_changed(revision, timeout)
+                    changed = self._zone.revision > revision
+                    revision, value = self._zone.revision, self._zone.value
+                    entries, size = (), SMALL_RESPONSE_BYTES
+                    if changed and value and CONFIGURATION_KEY.startswith(prefix):
+                        entry = KvEntry(CONFIGURATION_KEY, value, "", 1, revision, 0)
+                        entries, size = (entry,), len(base64.b64encode(value))
+                    await self._receive(size)
+            except TimeoutError:
+                raise KvUnavailable("no response from the store") from None
             yield WatchBatch(entries, (), max(0, revision), complete)
 
     async def check(self, key: str) -> None:
         """Answer a small read."""
-        await self._receive(200)
+        await self._receive(SMALL_RESPONSE_BYTES)
 
     def receiving(self, seconds: float) -> bool:
         """Return whether part of a response arrived within the last seconds."""
         return self._zone.loop.time() - self._received_at < seconds
 
     async def _receive(self, size: int) -> None:
-        await asyncio.sleep(STORE_SECONDS)
-        async for _ in self._zone.stream(self._name, "in", size):
+        async for _ in self._zone.stream_from_store(self._name, size):
             self._received_at = self._zone.loop.time()
         self._received_at = float("-inf")
 
@@ -169,17 +183,23 @@
         self.fetched_bytes = 0
         # How often an instance that did not watch the store began to.
         self.takeovers = 0
-        self.in_force_at: dict[tuple[str, int], float] = {}
+        # The versions that came into force at each instance, with their times; a
+        # restart adds version 0.
+        self.versions: dict[str, list[tuple[float, int]]] = {}
+        # Instances without any network, without the store, and with lossy links.
+        self.isolated: set[str] = set()
+        self.without_store: set[str] = set()
+        self.lossy: set[str] = set()
+        self._instances = instances
         self.apps: dict[str, Application] = {}
         self._changed: asyncio.Event | None = None
         self._links: dict[tuple[str, str], Link] = {}
         self._names_by_gossip_address: dict[tuple[str, int], str] = {}
         self._names_by_peer_address: dict[str, str] = {}
         for number in range(size):
-            self._build(f"entry-{number}", number, instances)
-        members = {name: app.service("members").own for name, app in self.apps.items()}
+            self._build(f"entry-{number}", number)
         for app in self.apps.values():
-            self._introduce(app, members)
+            self._introduce(app)
 
     def run(self, scenario: Callable[["SimulatedZone"], Awaitable[None]]) -> None:
         """Start the daemons and run a scenario in virtual time."""
@@ -194,16 +214,19 @@
     async def _run(self, scenario) -> None:
         self._changed = asyncio.Event()
         for app in self.apps.values():
-            await app.service("directory").start()
-            app.spawn(app.service("gossip")._broadcast_periodically(), "gossip")
-            app.spawn(app.service("knowledge")._fetch(), "knowledge of peers")
+            await self._start(app)
         try:
             await scenario(self)
         finally:
             for app in self.apps.values():
                 await app.stop()
 
-    def _build(self, name: str, number: int, instances: int) -> None:
+    async def _start(self, app: Application) -> None:
+        await app.service("directory").start()
+        app.spawn(app.service("gossip")._broadcast_periodically(), "gossip")
+        app.spawn(app.service("knowledge")._fetch(), "knowledge of peers")
+
+    def _build(self, name: str, number: int) -> None:
         gossip_address = f"10.0.0.{number + 1}:7780"
         peer_address = f"10.0.0.{number + 1}:7781"
         settings = build_hosted_settings(
@@ -217,7 +240,7 @@
         app.setup_extension("camphorgated.serving.knowledge")
         app.service("gossip")._transport = _Transport(self, name)
         directory = app.service("directory")
-        directory.instances = instances
+        directory.instances = self._instances
         directory.watches._store = SimulatedStore(self, name)
         directory.watches._random = random.Random(self.random.random())
         app.service("knowledge")._random = random.Random(self.random.random())
@@ -228,9 +251,13 @@
         self._names_by_gossip_address[host, int(port)] = name
         self._names_by_peer_address[peer_address] = name
 
-    def _introduce(self, app: Application, members: dict[str, Member]) -> None:
+    def _introduce(self, app: Application) -> None:
         own = app.service("members").own
-        others = {name: item for name, item in members.items() if name != own.instance}
+        others: dict[str, Member] = {
+            name: other.service("members").own
+            for name, other in self.apps.items()
+            if name != own.instance
+        }
         app.service("members")._listed_by_instance = others
         watches = app.service("directory").watches
         watches.watcher_selection.set_listed(
@@ -242,8 +269,8 @@
         self.takeovers += 1
 
     def _record(self, name: str) -> None:
-        version = self.apps[name].service("directory").catalog.version
-        self.in_force_at.setdefault((name, version), self.loop.time())
+        version = self.apps[name].service("directory").history.version
+        self.versions.setdefault(name, []).append((self.loop.time(), version))
 
     def configure(self, value: bytes) -> float:
         """Write a configuration to the store and return the time."""
@@ -253,11 +280,21 @@
         self._changed = asyncio.Event()
         return self.loop.time()
 
-    async def store_changed(self, revision: int) -> None:
-        """Wait until the store has a newer revision."""
+    async def store_changed(self, revision: int, timeout: float) -> None:
+        """Wait until the store has a newer revision, or for a time."""
         await asyncio.sleep(STORE_SECONDS)
-        while self.revision <= revision:
-            await self._changed.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while self.revision <= revision:
+                    await self._changed.wait()
+
+    async def stream_from_store(self, name: str, size: int) -> AsyncIterator[None]:
+        """Send a response of the store; it waits while the instance is cut off."""
+        await asyncio.sleep(STORE_SECONDS)
+        async for _ in self.stream(name, "in", size):
+            while name in self.dead | self.isolated | self.without_store:
+                await asyncio.sleep(RECONNECT_SECONDS)
+            yield
 
     def watchers(self) -> list[str]:
         """Return the names of the live instances that watch the store."""
@@ -271,14 +308,32 @@
         """Cut an instance off for good."""
         self.dead.add(name)
 
+    async def restart(self, name: str) -> None:
+        """Stop an instance and start it again at the same addresses."""
+        await self.apps[name].stop()
+        self.versions.setdefault(name, []).append((self.loop.time(), 0))
+        self._build(name, int(name.rpartition("-")[2]))
+        self._introduce(self.apps[name])
+        await self._start(self.apps[name])
+
+    def in_force_at(self, name: str, version: int) -> float:
+        """Return when an instance first had a version or a newer one, or ``inf``."""
+        times = [at for at, known in self.versions.get(name, ()) if known >= version]
+        return min(times, default=float("inf"))
+
     def spread_seconds(self, version: int, confirmed_at: float) -> list[float]:
-        """Return when the live instances had a version, ``inf`` for those without."""
+        """Return after how long the live instances had a version, or a newer one."""
         return sorted(
-            self.in_force_at.get((name, version), float("inf")) - confirmed_at
+            self.in_force_at(name, version) - confirmed_at
             for name in self.apps
             if name not in self.dead
         )
 
+    def _loss_between(self, sender: str, receiver: str) -> float:
+        if {sender, receiver} & (self.dead | self.isolated):
+            return 1.0
+        return LOSSY_SHARE if {sender, receiver} & self.lossy else self.loss
+
     def _link(self, name: str, direction: str) -> Link:
         rate = self._link_rates[list(self.apps).index(name) % len(self._link_rates)]
         return self._links.setdefault((name, direction), Link(rate))
@@ -288,7 +343,9 @@
         receiver = self._names_by_gossip_address[address]
         now = self.loop.time()
         sent_at = self._link(sender, "out").enqueue(len(data), now, may_drop=True)
-        if sent_at is None or sender in self.dead or self.random.random() < self.loss:
+        if sent_at is None:
+            return
+        if self.random.random() < self._loss_between(sender, receiver):
             return
         self.loop.call_at(sent_at + LINK_SECONDS, self._arrive, receiver, data)
 
@@ -299,7 +356,7 @@
             self.loop.call_at(received_at, self._receive, receiver, data)
 
     def _receive(self, receiver: str, data: bytes) -> None:
-        if receiver not in self.dead:
+        if receiver not in self.dead | self.isolated:
             self.apps[receiver].service("gossip")._receive(data)
 
     async def stream(self, name: str, direction: str, size: int) -> AsyncIterator[None]:
@@ -320,7 +377,7 @@
         question = asking.request()
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_SECONDS):
-                if peer in self.dead:
+                if {name, peer} & (self.dead | self.isolated):
                     await asyncio.sleep(FETCH_TIMEOUT_SECONDS)
                 await asyncio.sleep(4 * LINK_SECONDS)
                 data = msgspec.msgpack.encode(await knowledge._answer(question, None))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
     find_unexpected_windows,
     find_violations,
 )
+from tests.soak.configurations import ConfigurationSoak, Disturbance
 from tests.soak.plan import build_plan
 from tests.soak.run import run_seed
 from tests.soak.worker_notices import WorkerNotices
@@ -172,3 +173,31 @@
         for seed, (seconds, cause) in REGRESSION_SEEDS.items():
             with self.subTest(seed=seed, cause=cause):
                 self.assertEqual(run_seed(seed, seconds), [])
+
+
+class ConfigurationSoakTests(unittest.TestCase):
+    """Undisturbed instances have each version in time, and none goes back."""
+
+    def test_short_runs_find_no_violation(self):
+        """Guards against versions that are late or older beside faults of others."""
+        for seed in range(1, 5):
+            soak = ConfigurationSoak(seed, seconds=8.0, size=12)
+            self.assertEqual(soak.run(), [], seed)
+            self.assertGreater(len(soak.disturbances), 2, seed)
+
+    def test_late_and_older_versions_are_found(self):
+        """Guards against checks that never report a violation."""
+        soak = ConfigurationSoak(1, seconds=0.0, size=6)
+        soak.confirmed_at_by_version = {2: 10.0, 3: 20.0}
+        soak.zone.versions = {name: [(10.5, 2), (20.5, 3)] for name in soak.zone.apps}
+        self.assertEqual([*soak._find_late(), *soak._find_older()], [])
+        soak.zone.versions["entry-0"] = [(10.5, 2), (24.5, 3)]
+        soak.zone.versions["entry-1"] = [(10.5, 2), (20.5, 3), (21.0, 2)]
+        soak.zone.versions["entry-2"] = [(10.5, 2), (12.0, 0), (24.5, 3)]
+        soak.disturbances = [Disturbance("entry-2", 12.0, 18.0)]
+        self.assertEqual(
+            [item.partition(":")[0] for item in soak._find_late()], ["entry-0"]
+        )
+        self.assertEqual(
+            [item.partition(":")[0] for item in soak._find_older()], ["entry-1"]
+        )
