--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -10,17 +10,10 @@
 from camphorgate.kv.records import WatchBatch
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Catalog, Upstream
-from camphorgate.serving.catalog_encoding import EncodedCatalog
-from camphorgate.serving.catalog_history import CatalogHistory
 from camphorgate.serving.errors import CatalogError
 from camphorgate.serving.upstream_table import Removal, UpstreamTable
-from camphorgated.serving.catalog_parts import CatalogParts
-from camphorgated.serving.messages import (
-    CatalogPart,
-    Changes,
-    FetchResponse,
-    State,
-)
+from camphorgated.serving.catalog_state import CatalogState
+from camphorgated.serving.messages import Changes, FetchResponse, State
 from camphorgated.serving.watches import Watches
 
 # Prefix of the keys that instances write.
@@ -34,8 +27,6 @@
 # each batch is sent to every instance.
 COLLECT_SECONDS_PER_INSTANCE = 0.005
 MAX_COLLECT_SECONDS = 0.5
-# A configuration of which a part arrived within this time is still arriving.
-ARRIVAL_GAP_SECONDS = 0.3
 # A peer may be ahead for this long, the time in which a change spreads, before this
 # instance assumes that it missed a change.
 BEHIND_SECONDS = 0.5
@@ -45,30 +36,20 @@
     """The configuration in force and the upstreams, as this instance knows them."""
 
     __slots__ = (
-        "catalog",
-        "catalog_is_initial",
-        "history",
-        "arriving",
+        "configuration",
         "table",
         "instance_entries_by_key",
         "instances",
         "watches",
         "_app",
         "_platform",
-        "_behind_since",
         "_list_behind_since",
-        "_ahead_version",
-        "_part_arrived_at",
         "_list_ahead_revision",
     )
 
     def __init__(self, app: Application) -> None:
         """Start without a configuration or upstreams."""
-        self.catalog: Catalog | None = None
-        # Whether it was read at the start, as every instance does.
-        self.catalog_is_initial = False
-        self.history = CatalogHistory()
-        self.arriving = CatalogParts()
+        self.configuration = CatalogState(app)
         self.table = UpstreamTable()
         self.instance_entries_by_key: dict = {}
         # How many instances there are; kept up to date by the members.
@@ -83,15 +64,15 @@
         self.watches = Watches(
             app, handlers_by_prefix, frozenset({DUTY_KEY}), probe_key=DUTY_KEY
         )
-        self._behind_since: float | None = None
         self._list_behind_since: float | None = None
-        # The newest version that a watcher reported.
-        self._ahead_version = 0
-        # When the last new part of a newer configuration arrived.
-        self._part_arrived_at = float("-inf")
         # The newest list that a watcher reported and this instance lacks.
         self._list_ahead_revision = 0
 
+    @property
+    def catalog(self) -> Catalog | None:
+        """Return the configuration in force."""
+        return self.configuration.catalog
+
     @property
     def sound(self) -> bool:
         """Return whether the state of this instance is up to date."""
@@ -120,65 +101,6 @@
         """Return the upstreams of a service that take new requests."""
         return self.table.usable(service)
 
-    def apply_catalog(self, raw: bytes, source: str, initial: bool = False) -> None:
-        """Apply a configuration if it is newer than the one in force.
-
-        :param source: where it comes from, for the log.
-        :param initial: whether it is part of the first list from the store.
-        """
-        try:
-            catalog = self._platform.decode_catalog(raw)
-        except CatalogError as error:
-            log_event("configuration_unreadable", level="ERROR", error=error.message)
-            return
-        if self.catalog is not None and catalog.version <= self.catalog.version:
-            return
-        self.catalog = catalog
-        self.catalog_is_initial = initial
-        behind_since = self._behind_since
-        log_event(
-            "configuration_in_force",
-            version=catalog.version,
-            source=source,
-            bytes=len(raw),
-            behind_seconds=(
-                None
-                if behind_since is None
-                else self._app.clock.monotonic() - behind_since
-            ),
-        )
-        self.history.add(catalog.version, raw)
-        self.arriving.drop_older(catalog.version)
-        self._app.emit("configuration-changed")
-        following = self.history.pop_waiting()
-        if following is not None:
-            self.apply_encoded_catalog(following, source)
-
-    def apply_encoded_catalog(self, encoded: EncodedCatalog, source: str) -> None:
-        """Apply a configuration of a peer if it is newer than the one in force.
-
-        :param source: the peer, for the log.
-        """
-        if encoded.version <= self.history.version:
-            return
-        try:
-            raw = self.history.decode(encoded)
-        except ValueError as error:
-            log_event("configuration_unreadable", level="ERROR", error=str(error))
-            return
-        if raw is not None:
-            self.apply_catalog(raw, source)
-
-    def receive_catalog_part(self, part: CatalogPart) -> None:
-        """Add a part of a configuration, and apply it once it is complete."""
-        if part.version <= self.history.version:
-            return
-        if self.arriving.lacks(part):
-            self._part_arrived_at = self._app.clock.monotonic()
-        encoded = self.arriving.take(part)
-        if encoded is not None:
-            self.apply_encoded_catalog(encoded, part.instance)
-
     def apply_peer_upstreams(self, knowledge: FetchResponse) -> None:
         """Replace the list of upstreams by that of a peer that is up to date."""
         now = self._app.clock.monotonic()
@@ -251,26 +173,15 @@
         soon as :meth:`missed_changes` is true.
         """
         now = self._app.clock.monotonic()
-        own_version = self.history.version
-        self._ahead_version = max(self._ahead_version, peer.version)
-        if self._ahead_version <= own_version:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
-            log_event(
-                "configuration_behind",
-                version=own_version,
-                newer=peer.version,
-                peer=peer.instance,
-            )
+        self.configuration.record_report(peer.version, peer.instance)
         self._compare_lists(peer, now)
         if not self.watches.watching or not self.sound:
             return
         if self.watches.receiving(BEHIND_SECONDS):
             return
         behind_seconds = BEHIND_SECONDS + self._collect_seconds()
-        if self._exceeds(self._behind_since, BEHIND_SECONDS, now):
-            self._behind_since = None
+        if (self.configuration.behind_seconds() or 0.0) > BEHIND_SECONDS:
+            self.configuration.restart_behind()
             self.watches.restart("a peer knows a newer version")
         elif self._exceeds(self._list_behind_since, behind_seconds, now):
             self._list_behind_since = None
@@ -308,10 +219,8 @@
         if self.watches.watching:
             return False
         now = self._app.clock.monotonic()
-        if self._exceeds(self._list_behind_since, BEHIND_SECONDS, now):
-            return True
-        arriving = now - self._part_arrived_at < ARRIVAL_GAP_SECONDS
-        return self._behind_since is not None and not arriving
+        late = self._exceeds(self._list_behind_since, BEHIND_SECONDS, now)
+        return late or self.configuration.needs_fetch()
 
     def _collect_seconds(self) -> float:
         seconds = self.instances * COLLECT_SECONDS_PER_INSTANCE
@@ -321,7 +230,7 @@
         initial = batch.complete and self.catalog is None
         for entry in batch.entries:
             if entry.key == self._platform.configuration_key:
-                self.apply_catalog(entry.value, "store", initial)
+                self.configuration.apply(entry.value, "store", initial)
         return 0.0
 
     def _apply_upstreams(self, batch: WatchBatch) -> float:
@@ -434,7 +343,7 @@
     def dump(self) -> dict:
         """Return the state for the dump."""
         return {
-            "version": self.history.version or None,
+            "version": self.configuration.version or None,
             "sound": self.sound,
             "watching": self.watches.watching,
             "revision": self.table.revision,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -299,7 +299,7 @@
             vote=self.synchronized_clock.vote(now),
             watching=directory.watches.watching,
             sound=directory.sound,
-            version=directory.history.version,
+            version=directory.configuration.version,
             list_revision=directory.table.revision,
             list_digest=directory.table.digest(),
             doubting=bool(directory.table.doubted_entries()),
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -185,11 +185,11 @@
         """Return the request for what this instance lacks now."""
         table = self._directory.table
         return FetchRequest(
-            self._directory.history.version,
+            self._directory.configuration.version,
             table.digest(),
             [upstream_id for upstream_id, _ in table.doubted_entries()],
             accepts_encoded=True,
-            missing=self._directory.arriving.missing(),
+            missing=self._directory.configuration.missing_parts(),
         )
 
     async def _ask(self, address: str) -> FetchResponse:
@@ -225,15 +225,15 @@
             seconds=seconds,
         )
         for part in knowledge.parts:
-            self._directory.receive_catalog_part(part)
+            self._directory.configuration.receive_part(part)
         if encoded is not None:
-            self._directory.apply_encoded_catalog(encoded, knowledge.instance)
+            self._directory.configuration.apply_encoded(encoded, knowledge.instance)
         elif raw:
-            self._directory.apply_catalog(raw, knowledge.instance)
+            self._directory.configuration.apply(raw, knowledge.instance)
 
     async def _answer(self, question: FetchRequest, context) -> FetchResponse:
         directory = self._directory
-        history = directory.history
+        history = directory.configuration.history
         members = self._members.by_instance().values()
         live = self._gossip.live_states()
         knowledge = FetchResponse(
@@ -269,7 +269,7 @@
             if self._reserve(knowledge, sum(len(part.data) for part in parts)):
                 knowledge.parts = parts
             return
-        encoded = self._directory.history.encode(question.version)
+        encoded = self._directory.configuration.history.encode(question.version)
         if self._reserve(knowledge, len(encoded.data)):
             knowledge.encoded_catalog = encoded
 
@@ -280,7 +280,7 @@
 
     def _missing_parts(self, missing: MissingParts | None) -> list[CatalogPart]:
         """Return parts that a peer lacks, or none if this instance has other parts."""
-        history = self._directory.history
+        history = self._directory.configuration.history
         if missing is None or missing.version != history.version:
             return []
         own = self._members.own
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -70,13 +70,13 @@
     def broadcast_catalog(self) -> None:
         """Broadcast a new configuration as soon as it is read."""
         directory = self._directory
-        if not directory.watches.chosen or directory.catalog_is_initial:
+        if not directory.watches.chosen or directory.configuration.initial:
             return
         if not self._gossip.near:
             return
         self._gossip.send_to_far_watchers()
         own = self._members.own
-        encoded = self._directory.history.encode_change()
+        encoded = self._directory.configuration.history.encode_change()
         parts = split_catalog(own.instance, own.zone, encoded)
         plan = list(
             plan_broadcast(
@@ -130,7 +130,7 @@
             return
         if message.relayed:
             self._forward(message)
-        self._directory.receive_catalog_part(message)
+        self._directory.configuration.receive_part(message)
 
     def _forward(self, part: CatalogPart) -> None:
         """Forward a part to the zone, also if this instance does not need it."""
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -269,7 +269,7 @@
         self.takeovers += 1
 
     def _record(self, name: str) -> None:
-        version = self.apps[name].service("directory").history.version
+        version = self.apps[name].service("directory").configuration.version
         self.versions.setdefault(name, []).append((self.loop.time(), version))
 
     def configure(self, value: bytes) -> float:
