Fetch a configuration that goes on arriving without completing

Cause: parts that had been given to relays that were killed 0.6 s before were lost, as a peer counted as a relay for 3.0 s after its last state. Parts of newer versions then kept arriving, and each of them put off the fetch of what was missing, for 3.3 s.

Change: a relay was heard within 1.5 s; parts put off a fetch for 1.5 s at most.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
@@ -15,6 +15,8 @@
 
 # A configuration of which a new part arrived within this time is still arriving.
 ARRIVAL_GAP_SECONDS = 0.3
+# Parts that go on arriving for longer do not complete it, as some of them were lost.
+MAX_ARRIVAL_SECONDS = 1.5
 
 
 class CatalogState:
@@ -139,6 +141,11 @@
 
     def needs_fetch(self) -> bool:
         """Return whether there is a newer version that is not arriving by itself."""
-        now = self._app.clock.monotonic()
-        arriving = now - self._part_arrived_at < ARRIVAL_GAP_SECONDS
-        return self._behind_since is not None and not arriving
+        behind_seconds = self.behind_seconds()
+        if behind_seconds is None:
+            return False
+        silence_seconds = self._app.clock.monotonic() - self._part_arrived_at
+        return (
+            silence_seconds >= ARRIVAL_GAP_SECONDS
+            or behind_seconds >= MAX_ARRIVAL_SECONDS
+        )
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -22,6 +22,9 @@
 
 # Rate limit of a broadcast: two thirds of the slowest supported link (5 Mbit/s).
 BROADCAST_BYTES_PER_SECOND = 400_000.0
+# A peer that was silent for longer does not relay. Peers of the largest zones (44
+# instances) send a state every 1.2 s.
+MAX_RELAY_SILENCE_SECONDS = 1.5
 
 
 class ChangeBroadcaster:
@@ -80,7 +83,10 @@
         parts = split_catalog(own.instance, own.zone, encoded)
         plan = list(
             plan_broadcast(
-                len(parts), self._gossip.near, self._live_near(), own.instance
+                len(parts),
+                self._gossip.near,
+                self._gossip.near_live_addresses(MAX_RELAY_SILENCE_SECONDS),
+                own.instance,
             )
         )
         if not plan:
@@ -111,14 +117,6 @@
         if self._directory.watches.watching:
             self._gossip.send([self._gossip.state()], self._gossip.near)
 
-    def _live_near(self) -> list[str]:
-        """Return the addresses of the peers of the zone that sent a state lately."""
-        return [
-            state.gossip_address
-            for state in self._gossip.live_states()
-            if state.zone == self._members.own.zone
-        ]
-
     def _receive_changes(self, message: Changes) -> None:
         # A watcher marks the removals that it doubts, so the others are also valid for
         # an instance that follows the store again after an outage.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
@@ -80,14 +80,14 @@
         for address in gossip_addresses:
             self._known_addresses.setdefault(address, now)
 
-    def live_states(self) -> list[State]:
+    def live_states(
+        self, max_silence_seconds: float = MAX_PEER_SILENCE_SECONDS
+    ) -> list[State]:
         """Return the newest states of the peers that sent one lately."""
         now = self._clock.monotonic()
         peers = self._peers_by_instance.values()
         return [
-            peer.state
-            for peer in peers
-            if now - peer.received_at < MAX_PEER_SILENCE_SECONDS
+            peer.state for peer in peers if now - peer.received_at < max_silence_seconds
         ]
 
     def near_instances(self) -> list[str]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -185,6 +185,10 @@
             self.assertEqual(soak.run(), [], seed)
             self.assertGreater(len(soak.disturbances), 2, seed)
 
+    def test_past_failures_do_not_recur(self):
+        """Guards against lost parts that are not fetched (seed 1012)."""
+        self.assertEqual(ConfigurationSoak(1012, seconds=20.0).run(), [])
+
     def test_late_and_older_versions_are_found(self):
         """Guards against checks that never report a violation."""
         soak = ConfigurationSoak(1, seconds=0.0, size=6)
