Do not ask a peer that does not answer fetches yet

Cause: the exchange with peers starts a second or more after the daemon, but an instance told its address from the start. In the traces of failed runs, peers that doubted asked an instance of the other zone that did not listen: 'peer_not_answering error=unavailable', up to three times, with pauses of 0.3 to 0.6 s.

Change: the state has no address until the exchange listens; such a peer is not asked.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -84,6 +84,7 @@
         "synchronized_clock",
         "usage",
         "peers",
+        "answers_fetches",
         "near",
         "far",
         "_app",
@@ -114,6 +115,8 @@
             app.settings.times.usage_window_seconds, self._members.own.incarnation
         )
         self.peers = PeerTable(app.clock, self._members, len(app.settings.seeds))
+        # Whether this instance listens for the fetch requests of peers.
+        self.answers_fetches = False
         self._changing: frozenset[str] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -302,7 +305,7 @@
             instance=own.instance,
             incarnation=own.incarnation,
             zone=own.zone,
-            address=own.peer_address,
+            address=own.peer_address if self.answers_fetches else "",
             gossip_address=own.gossip_address,
             vote=self.synchronized_clock.vote(now),
             watching=directory.watches.watching,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -98,6 +98,7 @@
         except RuntimeError as error:
             raise ListenError(f"cannot listen for peers: {error}") from None
         await self._server.start()
+        self._gossip.answers_fetches = True
 
     async def stop(self) -> None:
         """Stop answering.
@@ -106,6 +107,7 @@
         stops, or after that, runs on freed memory and crashes the process.
         """
         self._stopped = True
+        self._gossip.answers_fetches = False
         async with self._changing:
             if self._server is not None:
                 await self._server.stop(STOP_TIMEOUT_SECONDS)
@@ -159,7 +161,7 @@
 
     def _fetch_address(self) -> str | None:
         """Return the address of an up-to-date peer, or else of any that may answer."""
-        live = self._gossip.live_states()
+        live = [state for state in self._gossip.live_states() if state.address]
         sound = [state for state in live if state.sound]
         certain = [state for state in sound if state.watching and not state.doubting]
         if self._directory.table.doubted_entries() and certain:
@@ -243,7 +245,7 @@
             ),
             addresses=sorted(
                 {item.peer_address for item in members}
-                | {item.address for item in live}
+                | {item.address for item in live if item.address}
             ),
         )
         if history.version > question.version:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -18,6 +18,7 @@
 class State(msgspec.Struct, omit_defaults=True, tag="s"):
     """The state that an instance sends to a peer.
 
+    ``address`` is where it answers fetch requests, empty while it does not yet.
     ``vote`` is its vote for the time of day, in seconds since 1970. ``watching`` tells
     whether it follows the store itself and ``sound`` whether it is up to date;
     ``list_revision`` and ``list_digest`` tell what it knows of the upstreams,
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -223,6 +223,7 @@
 
     async def _start(self, app: Application) -> None:
         await app.service("directory").start()
+        app.service("gossip").answers_fetches = True
         app.spawn(app.service("gossip")._broadcast_periodically(), "gossip")
         app.spawn(app.service("knowledge")._fetch(), "knowledge of peers")
 
--- a/tests/test_serving/test_watcher_selection.py
+++ b/tests/test_serving/test_watcher_selection.py
@@ -343,6 +343,21 @@
         self.assertEqual(gossip.dump()["unreadable_datagrams"], 4)
 
 
+class PeerExchangeStartTests(HostedCase):
+    """The peer exchange starts late, and peers know when."""
+
+    async def test_starting_instance_is_not_asked(self):
+        """Guards against fetches that fail as the chosen peer does not listen yet."""
+        self.configure()
+        app = await self.start_daemon()
+        gossip = app.service("gossip")
+        self.assertEqual(gossip.state().address, "")
+        await self.eventually(lambda: gossip.answers_fetches)
+        self.assertEqual(gossip.state().address, app.settings.peer_address)
+        host, port = split_address(app.settings.peer_address)
+        (await connect(host, port, 1.0)).close()
+
+
 class PeerExchangeStopTests(HostedCase):
     """The peer exchange starts late, and never after the daemon has stopped."""
 
