Drop old times of a window whenever one is added

Cause: old times were dropped only when a retry was tried or a prompt waited.

Evidence: WindowTests, 5,000 times at 10 a second: 5,000 kept before, those of one window now.

--- a/packages/camphorgate/src/camphorgate/serving/prefill_queue.py
+++ b/packages/camphorgate/src/camphorgate/serving/prefill_queue.py
@@ -67,12 +67,12 @@
 
     def record_sent(self, tokens: int, now: float) -> None:
         """Record a long prompt that was sent to an engine."""
+        self._drop_old(now)
         self._sent.append((now, tokens))
 
     def wait_seconds(self, ticket: QueuedPrompt, now: float) -> float:
         """Return the expected waiting time of a prompt at the current rate."""
-        while self._sent and now - self._sent[0][0] > RATE_WINDOW_SECONDS:
-            self._sent.popleft()
+        self._drop_old(now)
         sent = sum(tokens for _, tokens in self._sent)
         ahead = 0
         for item in self._tickets:
@@ -80,3 +80,7 @@
                 break
             ahead += item.tokens
         return ahead * RATE_WINDOW_SECONDS / max(MIN_RATE_TOKENS, sent)
+
+    def _drop_old(self, now: float) -> None:
+        while self._sent and now - self._sent[0][0] > RATE_WINDOW_SECONDS:
+            self._sent.popleft()
--- a/packages/camphorgate/src/camphorgate/serving/retry_budget.py
+++ b/packages/camphorgate/src/camphorgate/serving/retry_budget.py
@@ -32,6 +32,7 @@
 
     def record_request(self, now: float) -> None:
         """Record a request received from a caller."""
+        self._drop_old(now)
         self._requests.append(now)
 
     def try_reserve(self, now: float, instances: int) -> bool:
@@ -40,12 +41,15 @@
         :param instances: number of instances that share the slack; at least 1.
         :returns: whether the retry was reserved.
         """
-        start = now - self._window
-        for times in (self._requests, self._retries):
-            while times and times[0] <= start:
-                times.popleft()
+        self._drop_old(now)
         allowed = len(self._requests) * self._ratio + self._slack / max(1, instances)
         if len(self._retries) + 1 > allowed * USED_FRACTION:
             return False
         self._retries.append(now)
         return True
+
+    def _drop_old(self, now: float) -> None:
+        start = now - self._window
+        for times in (self._requests, self._retries):
+            while times and times[0] <= start:
+                times.popleft()
--- a/tests/test_serving/test_budget_shares.py
+++ b/tests/test_serving/test_budget_shares.py
@@ -8,6 +8,7 @@
 import unittest
 from bisect import bisect_left, bisect_right
 
+from camphorgate.serving.prefill_queue import RATE_WINDOW_SECONDS, PrefillQueue
 from camphorgate.serving.retry_budget import RetryBudgetShare
 
 # The users' large deployment: instances, zones, and requests per second to its engines.
@@ -73,6 +74,24 @@
     return bisect_right(times, end) - bisect_left(times, end - WINDOW_SECONDS)
 
 
+class WindowTests(unittest.TestCase):
+    """A window holds the times within it only, whatever is asked of it."""
+
+    def test_service_that_never_retries_keeps_one_window_of_requests(self):
+        """Guards against memory that grows with each request."""
+        share = SimulatedFleet.build_share()
+        for number in range(5000):
+            share.record_request(number * 0.1)
+        self.assertLessEqual(len(share._requests), 10 * WINDOW_SECONDS + 1)
+
+    def test_prompts_that_never_wait_are_kept_for_one_window(self):
+        """Guards against memory that grows with each prompt."""
+        queue = PrefillQueue()
+        for number in range(5000):
+            queue.record_sent(100, number * 0.1)
+        self.assertLessEqual(len(queue._sent), 10 * RATE_WINDOW_SECONDS + 1)
+
+
 class RetryBudgetShareTests(unittest.TestCase):
     """The sum of all shares stays within the bound of the fleet."""
 
