Keep the limiter of a workspace when its limits or the instances change

Cause: a change made a new limiter with a copy of the count of running requests, which ended at the old one, so the count never fell to 0. The new one also began with a full budget, so each change of the number of instances allowed another burst.

Change: the limiter changes its limits; its buckets stay as full as they are, in proportion.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/access.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/access.py
@@ -86,15 +86,10 @@
 
     def _limiter(self, workspace: Workspace) -> WorkspaceLimiter:
         instances = self._gateway.instances
-        existing = self._limiters_by_workspace.get(workspace.name)
-        if (
-            existing is not None
-            and existing.limits == workspace.limits
-            and existing.instances == instances
-        ):
-            return existing
-        limiter = WorkspaceLimiter(workspace.limits, instances)
-        if existing is not None:
-            limiter.running = existing.running
-        self._limiters_by_workspace[workspace.name] = limiter
+        limiter = self._limiters_by_workspace.get(workspace.name)
+        if limiter is None:
+            limiter = WorkspaceLimiter(workspace.limits, instances)
+            self._limiters_by_workspace[workspace.name] = limiter
+        elif (limiter.limits, limiter.instances) != (workspace.limits, instances):
+            limiter.change(workspace.limits, instances)
         return limiter
--- a/packages/camphorgate/src/camphorgate/requests/admission.py
+++ b/packages/camphorgate/src/camphorgate/requests/admission.py
@@ -110,6 +110,13 @@
         self._level = self.burst
         self._refilled_at = float("-inf")
 
+    def set_rate(self, rate: float, min_burst: float = 1.0) -> None:
+        """Change the rate; the bucket stays as full as it is, in proportion."""
+        share = self._level / self.burst
+        self.rate = rate
+        self.burst = max(rate * BURST_SECONDS, min_burst)
+        self._level = share * self.burst
+
     def seconds_until_available(self, amount: float, now: float) -> float:
         """Return the seconds until an amount may be taken, 0 if it may be taken now.
 
@@ -150,6 +157,13 @@
         self._requests = TokenBucket(limits.requests_per_second / self.instances)
         self._tokens = TokenBucket(limits.tokens_per_second / self.instances)
 
+    def change(self, limits: Limits, instances: int) -> None:
+        """Change limits or number of instances; running requests stay counted."""
+        self.limits = limits
+        self.instances = max(instances, 1)
+        self._requests.set_rate(limits.requests_per_second / self.instances)
+        self._tokens.set_rate(limits.tokens_per_second / self.instances)
+
     def admit(self, tokens: float, now: float) -> Refusal | None:
         """Admit and count a request, or return the refusal.
 
--- a/tests/test_requests/test_properties.py
+++ b/tests/test_requests/test_properties.py
@@ -156,6 +156,31 @@
         self.assertLessEqual(admitted, 8 + 4 * now + 1e-6)
 
 
+class LimiterChangeTests(unittest.TestCase):
+    """Requests that run while the limits change are counted until they end."""
+
+    def test_running_requests_are_counted_across_a_change(self):
+        """Guards against a workspace that is refused for requests that have ended."""
+        limiter = WorkspaceLimiter(Limits(concurrent_requests=2))
+        for _ in range(2):
+            self.assertIsNone(limiter.admit(0, 0.0))
+        limiter.change(Limits(concurrent_requests=4), 2)
+        self.assertIsNotNone(limiter.admit(0, 0.0))
+        for _ in range(2):
+            limiter.finish(0, 0.0)
+        self.assertEqual(limiter.running, 0)
+        self.assertIsNone(limiter.admit(0, 0.0))
+
+    def test_change_does_not_refill_the_budget(self):
+        """Guards against a workspace that gets a burst at each change of the fleet."""
+        limiter = WorkspaceLimiter(Limits(requests_per_second=10))
+        admitted = 0
+        for number in range(100):
+            limiter.change(Limits(requests_per_second=10), 1 + number % 2)
+            admitted += limiter.admit(0, 0.0) is None
+        self.assertLessEqual(admitted, 20)
+
+
 class FairnessProperties(unittest.TestCase):
     @FIXED
     @given(
