Use up the probe of the open circuit breaker only for a call that is sent

Cause: the probe was counted before the rate limit was checked; a call that then failed on the rate limit sent nothing.

Evidence: ProbeTests fails before: the next call gets 'circuit breaker open'.

--- a/packages/camphorgate/src/camphorgate/kv/rate_limit.py
+++ b/packages/camphorgate/src/camphorgate/kv/rate_limit.py
@@ -124,11 +124,15 @@
         """Return whether the breaker rejects calls other than probes."""
         return self._backoff.consecutive_failures >= self.failure_threshold
 
+    def allows_call(self, now: float) -> bool:
+        """Return whether a call may be sent now, without counting it."""
+        return not self.is_open or now >= self._next_probe_at
+
     def admits_call(self, now: float) -> bool:
         """Return whether a call may be sent; an open breaker counts it as the probe."""
         if not self.is_open:
             return True
-        if now < self._next_probe_at:
+        if not self.allows_call(now):
             return False
         # Prevents a second probe while this one is still in progress.
         self._next_probe_at = now + self._backoff.max_seconds
--- a/packages/camphorgate/src/camphorgate/kv/transport.py
+++ b/packages/camphorgate/src/camphorgate/kv/transport.py
@@ -33,6 +33,7 @@
     ConnectionRefusedError,
 )
 _TRANSPORT_ERRORS = (AiosonicError, OSError, EOFError, TimeoutError, ValueError)
+_BREAKER_OPEN = "circuit breaker open after repeated failures"
 
 
 class Transport:
@@ -142,8 +143,8 @@
 
     async def _admit_call(self, kind: str, priority: Priority) -> None:
         now = self._clock.monotonic()
-        if not self.breaker.admits_call(now):
-            raise KvUnavailable(f"{kind}: circuit breaker open after repeated failures")
+        if not self.breaker.allows_call(now):
+            raise KvUnavailable(f"{kind}: {_BREAKER_OPEN}")
         if self._waiting_calls >= MAX_WAITING_CALLS:
             raise KvUnavailable(f"{kind}: too many calls wait for the rate limit")
         deadline = now + self._timeout_seconds
@@ -159,6 +160,9 @@
                 await asyncio.sleep(wait)
         finally:
             self._waiting_calls -= 1
+        # Only a call that is sent may use up the probe.
+        if not self.breaker.admits_call(self._clock.monotonic()):
+            raise KvUnavailable(f"{kind}: {_BREAKER_OPEN}")
 
     async def _post(self, address: str, path: str, body: dict) -> tuple[int, bytes]:
         response = await self._request(address, path, body)
--- a/tests/test_kv/test_client.py
+++ b/tests/test_kv/test_client.py
@@ -32,6 +32,23 @@
         self.standin.faults.arm({"fault": fault, **options})
 
 
+class ProbeTests(ClientCase):
+    async def test_call_that_is_not_sent_does_not_use_up_the_probe(self):
+        """Guards against an outage that lasts seconds longer than the service's."""
+        transport = self.client._transport
+        clock = unittest.mock.Mock()
+        clock.monotonic.return_value = 1000.0
+        transport._clock = clock
+        while not transport.breaker.is_open:
+            transport.breaker.record_failure(990.0)
+        with unittest.mock.patch.object(transport, "budget") as budget:
+            budget.try_acquire.return_value = 60.0
+            with self.assertRaises(KvUnavailable):
+                await self.client.get("k")
+            budget.try_acquire.return_value = 0.0
+            self.assertIsNone(await self.client.get("k"))
+
+
 class WriteTests(ClientCase):
     async def test_write_faults_raise_distinct_errors(self):
         """Guards against reporting a write as not applied when that is uncertain."""
