--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -4,6 +4,7 @@
 import platform
 import sys
 import unittest
+from unittest import mock
 
 from camphorgate.kv.errors import KvOutcomeUnknown, KvRefused, KvUnavailable
 from camphorgate.kv.records import KvEntry, Put, absent
@@ -12,6 +13,7 @@
 from camphorgate.settings import split_address
 from camphorgate_platform import decoding, headers
 from camphorgate_platform.store import HistoryLost, PlatformStore
+from camphorgated.serving.call_client import CallClient
 from camphorgated.serving.server_connection import Request
 from tests.hosted import HostedCase
 from tests.hosting_builders import (
@@ -235,6 +237,17 @@
             await self.client.transact([], [Put("a/1", b"x")])
         self.assertIsNotNone(await self.client.get("a/1"))
 
+    async def test_invalid_response_to_a_write_is_an_unknown_outcome(self):
+        """Guards against treating a write as not executed that took effect."""
+        invalid = mock.AsyncMock(return_value=(200, b"{"))
+        with mock.patch.object(CallClient, "call", invalid):
+            with self.assertRaises(KvOutcomeUnknown):
+                await self.client.transact([], [Put("a/1", b"x")])
+            with self.assertRaises(KvOutcomeUnknown):
+                await self.client.grant(1.0)
+            with self.assertRaises(KvUnavailable):
+                await self.client.get("a/1")
+
     async def test_busy_store_did_not_execute_the_write(self):
         """Guards against treating a refused write as possibly executed."""
         self.store.faults.arm({"fault": "busy", "count": 1})
