Let only the first watchers of a zone broadcast configurations

Change: a watcher broadcasts if fewer than two sound watchers precede it in the zone's order.

Evidence: test_few_watchers_broadcast_when_many_watch, 30 watching instances: 2 broadcast, and 2 others once these two lost the store. test_configuration_spread passes as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -72,10 +72,7 @@
 
     def broadcast_catalog(self) -> None:
         """Broadcast a new configuration as soon as it is read."""
-        directory = self._directory
-        if not directory.watches.chosen or directory.configuration.initial:
-            return
-        if not self._gossip.near:
+        if not self._broadcasts_catalogs() or not self._gossip.near:
             return
         self._gossip.send_to_far_watchers()
         own = self._members.own
@@ -112,6 +109,13 @@
             relayed=relayed,
         )
 
+    def _broadcasts_catalogs(self) -> bool:
+        watches = self._directory.watches
+        # What an instance reads at its start, the others read as well.
+        if not watches.chosen or self._directory.configuration.initial:
+            return False
+        return watches.watcher_selection.is_first(self._app.clock.monotonic())
+
     def broadcast_state(self) -> None:
         """Broadcast the loss of the store, so that other instances take over."""
         if self._directory.watches.watching:
--- a/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
+++ b/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
@@ -91,6 +91,18 @@
             if self._own == max(watchers, key=lambda name: _order_key(f"{name}/{peer}"))
         ]
 
+    def is_first(self, now: float) -> bool:
+        """Return whether this watcher is one of the first in the zone's order.
+
+        Only these broadcast configurations: during an outage of the store many
+        instances watch it, and each would send to the whole zone.
+        """
+        own = _order_key(self._own)
+        preceding = [
+            name for name in self._sound_watchers(now) if _order_key(name) < own
+        ]
+        return len(preceding) < WATCHERS_PER_ZONE
+
     def store_lost_recently(self, now: float) -> bool:
         """Return whether a watcher recently lost the store, not just fell silent."""
         return now - self._unsound_at < MAX_PEER_SILENCE_SECONDS
--- a/tests/test_serving/test_watcher_selection.py
+++ b/tests/test_serving/test_watcher_selection.py
@@ -170,6 +170,34 @@
                 assigned.update(selection.assigned_peers(peers, 1.1))
             self.assertEqual(assigned, set(peers))
 
+    def test_few_watchers_broadcast_when_many_watch(self):
+        """Guards against a zone in which every instance broadcasts a configuration."""
+        zone = SimulatedZone(30)
+        zone.run(REPLACED_GRACE_SECONDS + 3.0)
+        self.assertEqual(len(zone.watching), WATCHERS_PER_ZONE)
+        zone.watching = set(zone.names)
+        for name in zone.names:
+            for other in zone.names:
+                if other != name:
+                    zone.selections_by_name[name].receive_state(
+                        other, True, True, zone.now
+                    )
+        first = [
+            name
+            for name, selection in zone.selections_by_name.items()
+            if selection.is_first(zone.now)
+        ]
+        self.assertEqual(len(first), WATCHERS_PER_ZONE)
+        for name in first:
+            for selection in zone.selections_by_name.values():
+                selection.receive_state(name, True, False, zone.now)
+        others = [
+            name
+            for name, selection in zone.selections_by_name.items()
+            if name not in first and selection.is_first(zone.now)
+        ]
+        self.assertEqual(len(others), WATCHERS_PER_ZONE)
+
     def test_silence_of_a_watcher_is_not_a_store_outage(self):
         """Guards against doubting removals although the store was available."""
         selection = WatcherSelection("entry-1")
