Fetch no parts that cannot be applied, and count the time behind from the last version

Parts of a patch were requested although the version that it is based on was missing, which cost a turn of up to 1.2 s. In quick succession an instance that applied version after version counted as behind since the first of them.

Evidence: test_parts_of_a_patch_without_its_base_are_not_requested failed before; the tests of the spread and the short soak pass.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
@@ -80,8 +80,8 @@
         self.catalog, self.initial = catalog, initial
         self.history.add(catalog.version, raw)
         self._parts.drop_older(catalog.version)
-        if self._newest_reported <= catalog.version:
-            self._behind_since = None
+        behind = self._newest_reported > catalog.version
+        self._behind_since = self._app.clock.monotonic() if behind else None
         self._app.emit("configuration-changed")
         following = self.history.pop_waiting()
         if following is not None:
@@ -113,8 +113,15 @@
             self.apply_encoded(encoded, part.instance)
 
     def missing_parts(self) -> MissingParts | None:
-        """Return the parts that are missing of a configuration that arrived in part."""
-        return self._parts.missing()
+        """Return the parts that are missing of a configuration that arrived in part.
+
+        :returns: ``None`` if there are none, or if they would not help without another
+            version, of which the configuration is a patch.
+        """
+        missing = self._parts.missing()
+        if missing is None or not self.history.can_decode(missing.base):
+            return None
+        return missing
 
     def record_report(self, version: int, peer: str) -> None:
         """Record the version that a watcher reports."""
--- a/packages/camphorgate/src/camphorgate/serving/catalog_history.py
+++ b/packages/camphorgate/src/camphorgate/serving/catalog_history.py
@@ -77,6 +77,10 @@
                 del self._waiting_by_base[min(self._waiting_by_base)]
         return None
 
+    def can_decode(self, base: int) -> bool:
+        """Return whether a patch of a version can be decoded; 0 is no patch."""
+        return not base or base in self._raw_by_version
+
     def pop_waiting(self) -> EncodedCatalog | None:
         """Return and forget the patch of the version in force, if it has arrived."""
         return self._waiting_by_base.pop(self.version, None)
--- a/tests/test_serving/test_catalog_state.py
+++ b/tests/test_serving/test_catalog_state.py
@@ -81,6 +81,13 @@
         missing = self.state.missing_parts()
         self.assertEqual((missing.version, missing.numbers), (3, [2, 7]))
 
+    def test_parts_of_a_patch_without_its_base_are_not_requested(self):
+        """Guards against a fetch whose answer cannot be applied."""
+        for number in range(8):
+            part = CatalogPart("entry-1", "zone-a", 9, 8, number, 9, b"x")
+            self.state.receive_part(part)
+        self.assertIsNone(self.state.missing_parts())
+
     def test_state_is_behind_until_the_newest_reported_version(self):
         """Guards against a lagging watcher that reassures the zone."""
         self.state.record_report(3, "entry-1")
