Reopen the watches after any call that a silent connection left unanswered

What callers would see: requests to an upstream 5.8 s after its removal (bound 2 s), and keys and configurations as late, after connections to the store went silent.

Cause: the check of the store finds silent connections by a probe on a pooled one. A renewal of the lease that came first took that connection out of the pool and timed out; the probe then got a new connection and an answer, and the silent watches were found at their own limit.

Evidence: test_removal_applies_after_connections_become_silent failed once beside load (5.79 s); its log has lease_renewal_failed 'no response' at all three watchers before any probe failed, and no watches_reopened.

Change: a call that was sent and got no complete response counts like a probe without one. The watches are reopened at most once in 5 s for this reason, as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -58,6 +58,7 @@
         "_decided",
         "_list_was_current",
         "_reopened_at",
+        "_known_unanswered_calls",
     )
 
     def __init__(
@@ -89,6 +90,7 @@
         # Whether other watchers followed the list until this instance took over.
         self._list_was_current = False
         self._reopened_at = float("-inf")
+        self._known_unanswered_calls = 0
 
     async def start(self) -> None:
         """Read the prefixes, and watch them as long as the role requires it."""
@@ -175,7 +177,10 @@
         await self._decided.wait()
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            if not self._is_following() or await self._store_answers():
+            if not self._is_following():
+                continue
+            answers = await self._store_answers()
+            if not self._has_unanswered_calls() and answers:
                 continue
             if self.receiving(CHECK_ANSWER_SECONDS):
                 continue
@@ -189,6 +194,16 @@
             if self._is_following():
                 self.restart(reason)
 
+    def _has_unanswered_calls(self) -> bool:
+        """Return whether calls got no response since this was called last.
+
+        Such a call used a pooled connection that went silent. The next probe uses a new
+        one, and would not show that the watches may be silent, too.
+        """
+        known = self._known_unanswered_calls
+        self._known_unanswered_calls = self._store.unanswered_calls
+        return self._known_unanswered_calls > known
+
     def _is_following(self) -> bool:
         return self.watching and self.sound
 
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -102,6 +102,7 @@
         self._zone = zone
         self._name = name
         self._received_at = float("-inf")
+        self.unanswered_calls = 0
 
     async def watch(self, prefix: str, seconds: Callable[[], float]):
         """Yield every entry with a prefix, then its changes."""
--- a/tests/test_serving/test_hanging_store.py
+++ b/tests/test_serving/test_hanging_store.py
@@ -170,6 +170,17 @@
         hang.silence_open_connections()
         self.assertLess(await self.measure_removal_seconds(followers), DRAIN_SECONDS)
 
+    async def test_removal_applies_after_a_renewal_found_the_silence(self):
+        """Guards against silent watches because the probe got a new connection."""
+        hang, watchers, followers = await self.start_hanging_zone(
+            other_zone_instances=0
+        )
+        hang.silence_open_connections()
+        calls = [app.service("store").get("camphorgate/other") for app in watchers]
+        renewals = asyncio.gather(*calls, return_exceptions=True)
+        self.assertLess(await self.measure_removal_seconds(followers), DRAIN_SECONDS)
+        await renewals
+
     async def test_removal_applies_while_every_watch_hangs(self):
         """Guards against a fleet whose watchers all wait for a silent store."""
         hang, _, followers = await self.start_hanging_zone(other_zone_instances=0)
