--- a/benchmarks/configuration_spread.py
+++ b/benchmarks/configuration_spread.py
@@ -21,7 +21,7 @@
 
 ZONE_INSTANCES = (8, 16, 33, 44, 88)
 ROUTES = (10, 1410, 2810)
-# Longest spread that is measured.
+# A version that takes longer is shown as inf.
 MAX_SECONDS = 8.0
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -22,6 +22,7 @@
     FetchResponse,
     MissingParts,
 )
+from camphorgated.serving.news import BROADCAST_BYTES_PER_SECOND
 
 SERVICE = "camphorgate.serving.Knowledge"
 METHOD = f"/{SERVICE}/Fetch"
@@ -35,9 +36,7 @@
 MAX_FETCH_PERIOD_SECONDS = 1.2
 POLL_SECONDS = 0.1
 STOP_TIMEOUT_SECONDS = 0.2
-# Configurations in answers: two thirds of the slowest supported link (5 Mbit/s), and
-# half of the time in which a peer waits for the answer.
-ANSWER_BYTES_PER_SECOND = 400_000.0
+# Configurations in answers take at most half of the time in which a peer waits for one.
 MAX_ANSWER_QUEUE_SECONDS = FETCH_TIMEOUT_SECONDS / 2
 # Every channel opens a new connection, as a shared one may have gone silent.
 _DIAL_OPTIONS = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
@@ -69,7 +68,9 @@
         # Addresses reported by peers, besides those of peers that sent a state.
         self._addresses: set[str] = set()
         self._random = random.Random()
-        self._budget = TransferBudget(ANSWER_BYTES_PER_SECOND, MAX_ANSWER_QUEUE_SECONDS)
+        self._budget = TransferBudget(
+            BROADCAST_BYTES_PER_SECOND, MAX_ANSWER_QUEUE_SECONDS
+        )
         # Held while the server starts or stops.
         self._changing = asyncio.Lock()
         self._stopped = False
--- a/packages/camphorgate/src/camphorgate/kv/rate_limit.py
+++ b/packages/camphorgate/src/camphorgate/kv/rate_limit.py
@@ -130,12 +130,11 @@
 
     def admits_call(self, now: float) -> bool:
         """Return whether a call may be sent; an open breaker counts it as the probe."""
-        if not self.is_open:
-            return True
         if not self.allows_call(now):
             return False
-        # Prevents a second probe while this one is still in progress.
-        self._next_probe_at = now + self._backoff.max_seconds
+        if self.is_open:
+            # Prevents a second probe while this one is still in progress.
+            self._next_probe_at = now + self._backoff.max_seconds
         return True
 
     def record_failure(self, now: float) -> None:
