Wait for the counts of the request's own window in the test of counters

Cause: the test asked for counts of the current window or the one before. The windows of the tests last 1 s, so a request at the end of one was looked for during 1 to 2 s only, while the sender hears of its peer from the list of members, which it reads 0.7 s after its start, and sends at its next tick. Measured: counters arrive up to 0.83 s after the request on a machine with some load. With the first list delayed to 2.2 s the old test fails each time, with the same trace, although the counts are there, in an older window.

Change: the test waits for exactly the counts of the one request, in the window that the sender counted it in, and checks its status. This is stricter: any count of any workspace passed before. The late list is a test of its own.

Conclusion: a fault of the test; usage is reported up to 10 s after a window.

--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -7,6 +7,7 @@
 from camphorgate_platform.store import PlatformStore
 from camphorgated.serving import counters as counters_module
 from camphorgated.serving import gossip as gossip_module
+from camphorgated.serving import members as members_module
 from camphorgated.serving.directory import DUTY_KEY, SETTLE_SECONDS
 from camphorgated.serving.messages import Counters
 from tests.hosted import HostedCase, free_address
@@ -179,14 +180,27 @@
         await self.add_worker("desk-1")
         first = await self.start_ready()
         second = await self.start_ready(instance_id="entry-2")
-        await self.request(second, "/read/a")
-        usage = first.service("gossip").usage
-
-        def has_counts():
-            window = usage.window_at(first.service("gossip").synchronized_now())
-            return any(usage.totals(item) for item in (window - 1, window))
+        await self._check_counts_arrive(second, first)
 
-        await self.eventually(has_counts)
+    async def test_counts_reach_an_instance_that_is_listed_late(self):
+        """Guards against counts that are not sent as their window has ended."""
+        self.configure()
+        await self.add_worker("desk-1")
+        first = await self.start_ready()
+        with mock.patch.object(members_module, "FIRST_LIST_SECONDS", 2.2):
+            second = await self.start_ready(instance_id="entry-2")
+            await self._check_counts_arrive(second, first)
+
+    async def _check_counts_arrive(self, sender, receiver):
+        """Check that exactly the counts of one request reach another instance."""
+        self.assertEqual((await self.request(sender, "/read/a")).status, 200)
+        gossip = sender.service("gossip")
+        now = gossip.synchronized_now
+        await self.eventually(lambda: gossip.usage.own_open_counts(now()))
+        ((window, counts),) = gossip.usage.own_open_counts(now()).items()
+        self.assertEqual(counts, {"north": 1})
+        received = receiver.service("gossip").usage
+        await self.eventually(lambda: received.totals(window) == {"north": 1})
 
     async def test_counts_of_a_killed_instance_reach_a_new_one(self):
         """Guards against a new holder that freezes a window without these counts."""
