Log the soak of configurations in virtual time, with the instance of each line

The log of a seed told neither when in virtual time a line was written, nor by which of the instances, nor which faults were played, so a trace needed a script of one's own.

--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -14,6 +14,7 @@
 
 import grpc
 import msgspec
+from loguru import logger
 
 from camphorgate.application import Application
 from camphorgate.kv.errors import KvUnavailable
@@ -223,10 +224,11 @@
                 await app.stop()
 
     async def _start(self, app: Application) -> None:
-        await app.service("directory").start()
-        app.service("gossip").answers_fetches = True
-        app.spawn(app.service("gossip")._broadcast_periodically(), "gossip")
-        app.spawn(app.service("knowledge")._fetch(), "knowledge of peers")
+        with logger.contextualize(instance=app.settings.instance_id):
+            await app.service("directory").start()
+            app.service("gossip").answers_fetches = True
+            app.spawn(app.service("gossip")._broadcast_periodically(), "gossip")
+            app.spawn(app.service("knowledge")._fetch(), "knowledge of peers")
 
     def _build(self, name: str, number: int) -> None:
         gossip_address = f"10.0.0.{number + 1}:7780"
@@ -358,7 +360,9 @@
             self.loop.call_at(received_at, self._receive, receiver, data)
 
     def _receive(self, receiver: str, data: bytes) -> None:
-        if receiver not in self.dead | self.isolated:
+        if receiver in self.dead | self.isolated:
+            return
+        with logger.contextualize(instance=receiver):
             self.apps[receiver].service("gossip")._receive(data)
 
     async def stream(self, name: str, direction: str, size: int) -> AsyncIterator[None]:
--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -15,6 +15,7 @@
 import msgspec
 from loguru import logger
 
+from camphorgate.log import log_event
 from tests.hosting_builders import build_platform_configuration, build_platform_route
 from tests.simulated_zone import LINK_BYTES_PER_SECOND, SimulatedZone
 
@@ -91,6 +92,7 @@
         self._version += self.random.randrange(1, 5)
         configuration = build_platform_configuration(self._version, routes=self._routes)
         value = json.dumps(configuration, separators=(",", ":")).encode()
+        log_event("confirmed", version=self._version, bytes=len(value))
         self.confirmed_at_by_version[self._version] = self.zone.configure(value)
 
     async def _change_until(self, end: float) -> None:
@@ -122,6 +124,7 @@
 
     async def _disturb(self, fault: str, name: str, seconds: float) -> None:
         zone, now = self.zone, self.zone.loop.time()
+        log_event("fault", fault=fault, target=name, duration_seconds=seconds)
         affected_by_fault = {
             "isolate": zone.isolated,
             "cut_store": zone.without_store,
@@ -175,6 +178,17 @@
         return found
 
 
+def _log_in_virtual_time(zone: SimulatedZone) -> None:
+    """Write each event with its virtual time and its instance."""
+    logger.remove()
+    logger.configure(
+        extra={"instance": "-"},
+        patcher=lambda record: record["extra"].update(seconds=zone.loop.time()),
+    )
+    line = "seconds={extra[seconds]:.3f} instance={extra[instance]} {message}"
+    logger.add(sys.stdout, format=line)
+
+
 def main() -> int:
     """Run the soak of each seed and return the exit code."""
     parser = argparse.ArgumentParser(description="Soak the spread of configurations.")
@@ -190,6 +204,8 @@
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         soak = ConfigurationSoak(seed, options.seconds, options.size)
+        if options.log:
+            _log_in_virtual_time(soak.zone)
         violations = soak.run()
         failed += bool(violations)
         print(
