Do not wait for the turn of dead instances that are still listed

Cause: instances replace silent watchers in turn, 0.15 s apiece, by their place among the listed and the heard instances. The list keeps a killed instance until its lease has ended and the list is read again, up to half a minute in a large fleet, so each earlier kill costs the next takeover 0.15 s.

Change: an instance that was heard before and is silent for 3 s has no turn. If most others are silent, this instance is the one that hears nobody, and the list counts as before, so that isolated or paused fleets do not rush to the store.

Tests: test_instances_that_died_before_do_not_delay_a_takeover failed before (six losses of both watchers in 20 zones); test_isolated_instances_take_over_in_turn passed before and after.

--- a/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
+++ b/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
@@ -148,15 +148,24 @@
 
     def _preceding(self, now: float) -> set[str]:
         """Return the instances of the zone that precede this one in its order."""
-        recently_received = {
+        own = _order_key(self._own)
+        return {name for name in self._present(now) if _order_key(name) < own}
+
+    def _present(self, now: float) -> set[str]:
+        """Return the instances that are heard, or listed and not known to be gone.
+
+        The list still has an instance for many seconds after it was killed. One that
+        was heard before and is silent now is gone, unless most of the others are silent
+        as well: then it is this instance that hears nobody.
+        """
+        heard = {
             instance
             for instance, received_at in self._received_at_by_instance.items()
             if now - received_at < MAX_PEER_SILENCE_SECONDS
         }
-        own = _order_key(self._own)
-        return {
-            name for name in self._listed | recently_received if _order_key(name) < own
-        }
+        if 2 * len(heard) < len(self._listed - {self._own}):
+            return self._listed | heard
+        return self._listed - self._received_at_by_instance.keys() | heard
 
 
 def _order_key(instance: str) -> int:
--- a/tests/test_serving/test_catalog_state.py
+++ b/tests/test_serving/test_catalog_state.py
@@ -68,6 +68,14 @@
             self.clock.advance(STEP_SECONDS)
         self.assertTrue(self.state.needs_fetch())
 
+    def test_patches_without_their_base_do_not_delay_the_fetch(self):
+        """Guards against waiting for parts that cannot bring a version into force."""
+        self.state.record_report(9, "entry-1")
+        self.receive_first_of(9)
+        self.clock.advance(ARRIVAL_GAP_SECONDS)
+        self.state.receive_part(CatalogPart("entry-1", "zone-a", 9, 8, 0, 2, b"x"))
+        self.assertTrue(self.state.needs_fetch())
+
     def test_only_missing_parts_are_requested(self):
         """Guards against one lost datagram that costs a whole configuration."""
         self.assertIsNone(self.state.missing_parts())
--- a/tests/test_serving/test_watcher_selection.py
+++ b/tests/test_serving/test_watcher_selection.py
@@ -39,6 +39,8 @@
         self.selections_by_name = {name: WatcherSelection(name) for name in self.names}
         self.watching = set()
         self.dead = set()
+        # Instances that hear nobody.
+        self.isolated = set()
         self.store_failed = set()
         self.now = 10.0
         self._loss = loss
@@ -69,7 +71,9 @@
         step = round(self.now / STEP_SECONDS)
         for number, (other, selection) in enumerate(self.selections_by_name.items()):
             receives = (step + number) % period == 0
-            if other != name and receives and self._random.random() >= self._loss:
+            if other == name or other in self.isolated:
+                continue
+            if receives and self._random.random() >= self._loss:
                 selection.receive_state(name, watching, sound, self.now)
 
     def sound_watchers(self) -> set[str]:
@@ -115,6 +119,27 @@
             self.assertEqual(zone.out_of_contact(), [], seed)
             self.assertLessEqual(len(zone.watching), WATCHERS_PER_ZONE + 1, seed)
 
+    def test_instances_that_died_before_do_not_delay_a_takeover(self):
+        """Guards against waiting for the turn of instances that are only listed."""
+        for seed in range(20):
+            zone = SimulatedZone(40, loss=0.03, seed=seed)
+            for _ in range(6):
+                zone.run(REPLACED_GRACE_SECONDS + 3.0)
+                zone.dead |= zone.watching
+                zone.watching.clear()
+                zone.run(MAX_WATCHER_SILENCE_SECONDS + 4 * TAKEOVER_INTERVAL_SECONDS)
+                self.assertTrue(zone.sound_watchers(), seed)
+
+    def test_isolated_instances_take_over_in_turn(self):
+        """Guards against a rush to the store by all instances that hear nobody."""
+        zone = SimulatedZone(40)
+        zone.run(REPLACED_GRACE_SECONDS + 3.0)
+        zone.isolated |= set(zone.names)
+        zone.run(MAX_PEER_SILENCE_SECONDS + TAKEOVER_INTERVAL_SECONDS)
+        elapsed = MAX_PEER_SILENCE_SECONDS - MAX_WATCHER_SILENCE_SECONDS
+        turns = elapsed / TAKEOVER_INTERVAL_SECONDS + 3
+        self.assertLessEqual(len(zone.watching), WATCHERS_PER_ZONE + turns)
+
     def test_watchers_that_the_store_refuses_are_replaced(self):
         """Guards against a zone without updates because two watchers fail."""
         zone = SimulatedZone(40, loss=0.03)
