Do not take parts of a patch without its base for an arriving version

Cause: parts that arrive put off the fetch for up to 1.5 s. The patches of the versions after the missing one arrived one after the other, each a new part, but none could be decoded without the missing base; the fetch began only at the end of the 1.5 s.

Change: a part counts as progress only if its base is here. Parts of the base itself still do.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
@@ -13,7 +13,8 @@
 from camphorgated.serving.catalog_parts import CatalogParts
 from camphorgated.serving.messages import CatalogPart, MissingParts
 
-# A configuration of which a new part arrived within this time is still arriving.
+# A configuration of which a new part arrived within this time is still arriving, if it
+# can be decoded here.
 ARRIVAL_GAP_SECONDS = 0.3
 # Parts that go on arriving for longer do not complete it, as some of them were lost.
 MAX_ARRIVAL_SECONDS = 1.5
@@ -106,7 +107,9 @@
         """Add a part of a configuration, and apply it once it is complete."""
         if part.version <= self.version:
             return
-        if self._parts.lacks(part):
+        # A patch of a version that is not here cannot be applied, however soon it is
+        # complete.
+        if self._parts.lacks(part) and self.history.can_decode(part.base):
             self._part_arrived_at = self._app.clock.monotonic()
         encoded = self._parts.take(part)
         if encoded is not None:
