Let later watchers broadcast a configuration if the first ones have not

What callers would see: a zone waits for a configuration that one of its instances already has from the store.

Cause: only the first two sound watchers of a zone's order broadcast, as in an outage many instances watch. If both have slow links, or reopen their watches, a third watcher (the holder of the duty, or one that is about to stop) has the version and keeps it.

Change: the first two broadcast at once as before, each later watcher 0.1 s after the one before it, unless a part of this version or of a newer one arrived from another watcher by then. An outage thus still has two to a few broadcasts.

Test: test_slow_links_of_the_first_watchers_do_not_delay_the_zone (both elected watchers at 5 Mbit/s, the holder at 10) failed before: the others got the version after the slow watchers had read it. The test of few broadcasts asks for turns that are all different now, besides the two first.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -1,12 +1,13 @@
 """Broadcasts changes that this watcher reads from the store to its zone.
 
 Changes of the upstream list and new configurations are sent as datagrams. Each watcher
-sends changes of the list to its share of the zone, and configurations to all of it, in
-part through relays, see :mod:`camphorgate.serving.broadcast_plan`. A receiver detects a
-lost datagram by the states that watchers send periodically, and fetches what it lacks,
-see ``knowledge``.
+sends changes of the list to its share of the zone, and configurations in its turn to
+all of it, in part through relays, see :mod:`camphorgate.serving.broadcast_plan`. A
+receiver detects a lost datagram by the states that watchers send periodically, and
+fetches what it lacks, see ``knowledge``.
 """
 
+import asyncio
 from bisect import bisect
 
 import msgspec
@@ -22,6 +23,9 @@
 
 # Rate limit of a broadcast: two thirds of the slowest supported link (5 Mbit/s).
 BROADCAST_BYTES_PER_SECOND = 400_000.0
+# Watchers after the first ones broadcast a configuration one by one at this interval. A
+# part of a broadcast that has begun reaches them sooner, also on the slowest link.
+BROADCAST_TURN_SECONDS = 0.1
 # A peer that was silent for longer does not relay. Peers of the largest zones (44
 # instances) send a state every 1.2 s.
 MAX_RELAY_SILENCE_SECONDS = 1.5
@@ -36,6 +40,7 @@
         "_members",
         "_gossip",
         "_sender",
+        "_heard_version",
     )
 
     def __init__(self, app: Application) -> None:
@@ -47,6 +52,8 @@
         self._sender = PacedSender(
             app, self._gossip.send_datagram, BROADCAST_BYTES_PER_SECOND
         )
+        # The newest configuration that another watcher of the zone broadcast.
+        self._heard_version = 0
         self._gossip.add_handler(Changes, self._receive_changes)
         self._gossip.add_handler(CatalogPart, self._receive_catalog_part)
 
@@ -71,8 +78,30 @@
         )
 
     def broadcast_catalog(self) -> None:
-        """Broadcast a new configuration as soon as it is read."""
-        if not self._broadcasts_catalogs() or not self._gossip.near:
+        """Broadcast a new configuration in this watcher's turn."""
+        watches = self._directory.watches
+        # What an instance reads at its start, the others read as well.
+        if not watches.chosen or self._directory.configuration.initial:
+            return
+        turn = watches.watcher_selection.broadcast_turn(self._app.clock.monotonic())
+        if turn == 0:
+            self._broadcast_catalog()
+        else:
+            self._app.spawn(self._broadcast_in_turn(turn), "configuration broadcast")
+
+    async def _broadcast_in_turn(self, turn: int) -> None:
+        """Broadcast the configuration unless another watcher has begun to.
+
+        The watchers that precede this one may have slower links to the store.
+        """
+        version = self._directory.configuration.version
+        await asyncio.sleep(turn * BROADCAST_TURN_SECONDS)
+        superseded = self._directory.configuration.version > version
+        if self._heard_version < version and not superseded:
+            self._broadcast_catalog()
+
+    def _broadcast_catalog(self) -> None:
+        if not self._gossip.near:
             return
         self._gossip.send_to_far_watchers()
         own = self._members.own
@@ -109,13 +138,6 @@
             relayed=relayed,
         )
 
-    def _broadcasts_catalogs(self) -> bool:
-        watches = self._directory.watches
-        # What an instance reads at its start, the others read as well.
-        if not watches.chosen or self._directory.configuration.initial:
-            return False
-        return watches.watcher_selection.is_first(self._app.clock.monotonic())
-
     def broadcast_state(self) -> None:
         """Broadcast the loss of the store, so that other instances take over."""
         if self._directory.watches.watching:
@@ -130,6 +152,7 @@
     def _receive_catalog_part(self, message: CatalogPart) -> None:
         if message.zone != self._members.own.zone:
             return
+        self._heard_version = max(self._heard_version, message.version)
         if message.relayed:
             self._forward(message)
         self._directory.configuration.receive_part(message)
--- a/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
+++ b/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
@@ -91,17 +91,18 @@
             if self._own == max(watchers, key=lambda name: _order_key(f"{name}/{peer}"))
         ]
 
-    def is_first(self, now: float) -> bool:
-        """Return whether this watcher is one of the first in the zone's order.
+    def broadcast_turn(self, now: float) -> int:
+        """Return the turn in which this watcher broadcasts a configuration.
 
-        Only these broadcast configurations: during an outage of the store many
-        instances watch it, and each would send to the whole zone.
+        The first watchers of the zone's order have turn 0. The others take one turn
+        each, as many instances watch the store during an outage, and each would send to
+        the whole zone.
         """
         own = _order_key(self._own)
         preceding = [
             name for name in self._sound_watchers(now) if _order_key(name) < own
         ]
-        return len(preceding) < WATCHERS_PER_ZONE
+        return max(0, len(preceding) - WATCHERS_PER_ZONE + 1)
 
     def store_lost_recently(self, now: float) -> bool:
         """Return whether a watcher recently lost the store, not just fell silent."""
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -342,6 +342,11 @@
         rate = self._link_rates[list(self.apps).index(name) % len(self._link_rates)]
         return self._links.setdefault((name, direction), Link(rate))
 
+    def set_link_rate(self, name: str, bytes_per_second: float) -> None:
+        """Replace the links of an instance by idle ones of another rate."""
+        for direction in ("in", "out"):
+            self._links[name, direction] = Link(bytes_per_second)
+
     def send_datagram(self, sender: str, data: bytes, address: tuple[str, int]) -> None:
         """Deliver a datagram after its time on both links, or drop it."""
         receiver = self._names_by_gossip_address[address]
--- a/tests/test_serving/test_configuration_spread.py
+++ b/tests/test_serving/test_configuration_spread.py
@@ -1,6 +1,7 @@
 """Tests of how long a new configuration takes to reach every instance of a zone."""
 
 import asyncio
+import base64
 import json
 import random
 import unittest
@@ -19,6 +20,8 @@
 # Part of the bound that a spread without faults may take.
 ROOM = 0.5
 ROUTES, WORKSPACES = 2810, 140
+# The slowest supported link (5 Mbit/s).
+SLOW_LINK_BYTES_PER_SECOND = 625_000
 TARGET_ROUTES, TARGET_WORKSPACES = 400, 6600
 # Within this time the instances have started and few of them watch the store.
 START_SECONDS = 6.0
@@ -109,6 +112,33 @@
         longest = self.spread(zone, changes, TARGET_BOUND_SECONDS)
         self.assertLessEqual(max(longest), BOUND_SECONDS, longest)
 
+    def test_slow_links_of_the_first_watchers_do_not_delay_the_zone(self):
+        """Guards against a watcher that leaves the zone without a version it has."""
+        zone = SimulatedZone(ZONE_INSTANCES, ALL_INSTANCES)
+        value = encode(build_configuration(2, ROUTES, WORKSPACES))
+        slow_seconds = len(base64.b64encode(value)) / SLOW_LINK_BYTES_PER_SECOND
+        confirmed_at, slow = 0.0, []
+
+        async def scenario(zone: SimulatedZone) -> None:
+            nonlocal confirmed_at
+            zone.configure(encode(build_configuration(1, 10, WORKSPACES)))
+            await asyncio.sleep(START_SECONDS)
+            slow.extend(zone.watchers())
+            holder = next(name for name in zone.apps if name not in slow)
+            # The holder of the duty watches the store, too.
+            zone.apps[holder].service("members").fencing = 1
+            await asyncio.sleep(1.0)
+            for name in slow:
+                zone.set_link_rate(name, SLOW_LINK_BYTES_PER_SECOND)
+            confirmed_at = zone.configure(value)
+            await asyncio.sleep(TARGET_BOUND_SECONDS)
+
+        zone.run(scenario)
+        for name in zone.apps:
+            seconds = zone.in_force_at(name, 2) - confirmed_at
+            bound = BOUND_SECONDS if name in slow else slow_seconds
+            self.assertLessEqual(seconds, bound, name)
+
     def test_large_configurations_in_quick_succession_spread_in_time(self):
         """Guards against a version that waits behind the ones before it."""
         zone = SimulatedZone(ZONE_INSTANCES, ALL_INSTANCES)
--- a/tests/test_serving/test_watcher_selection.py
+++ b/tests/test_serving/test_watcher_selection.py
@@ -210,16 +210,21 @@
         first = [
             name
             for name, selection in zone.selections_by_name.items()
-            if selection.is_first(zone.now)
+            if selection.broadcast_turn(zone.now) == 0
         ]
         self.assertEqual(len(first), WATCHERS_PER_ZONE)
+        turns = [
+            selection.broadcast_turn(zone.now)
+            for selection in zone.selections_by_name.values()
+        ]
+        self.assertEqual(sorted(turns), [0, *range(len(turns) - 1)])
         for name in first:
             for selection in zone.selections_by_name.values():
                 selection.receive_state(name, True, False, zone.now)
         others = [
             name
             for name, selection in zone.selections_by_name.items()
-            if name not in first and selection.is_first(zone.now)
+            if name not in first and selection.broadcast_turn(zone.now) == 0
         ]
         self.assertEqual(len(others), WATCHERS_PER_ZONE)
 
