--- a/packages/camphorgate-cli/src/camphorgate_cli/client.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/client.py
@@ -46,14 +46,14 @@
         return await self._call("GET", path)
 
     async def submit(
-        self, text: str, base_version: int | None, wait_seconds: int
+        self, text: str, base_version: int | None, wait_seconds: int | None
     ) -> dict[str, Any]:
         """Submit a manifest.
 
         :param base_version: the version that the manifest replaces; the newest one
             that the daemon knows by default.
         :param wait_seconds: how long the daemon waits until it is in force on every
-            instance; 0 for the daemon's short default.
+            instance; ``None`` for the daemon's short default.
         :raises ConflictError: if the base version is not the newest one.
         :raises CommandError: if the manifest is refused.
         """
@@ -62,7 +62,7 @@
             name: value for name, value in options.items() if value is not None
         }
         path = f"/admin/manifest?{urlencode(parameters)}"
-        timeout_seconds = wait_seconds + RESPONSE_TIMEOUT_SECONDS
+        timeout_seconds = (wait_seconds or 0) + RESPONSE_TIMEOUT_SECONDS
         return await self._call("POST", path, text.encode(), timeout_seconds)
 
     async def _call(
--- a/packages/camphorgate-cli/src/camphorgate_cli/main.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/main.py
@@ -59,7 +59,7 @@
         text = _read_text_file(manifest)
         try:
             _parse_manifest(text, manifest)
-            answer = self._submit(text, base_version, round(timeout) if wait else 0)
+            answer = self._submit(text, base_version, round(timeout) if wait else None)
             _check_in_force(answer, wait)
         except CommandError as error:
             error.message = _format_error(error, manifest)
@@ -117,7 +117,7 @@
         self._print(explanation, format_explanation(explanation))
 
     def _submit(
-        self, text: str, base_version: int | None, wait_seconds: int
+        self, text: str, base_version: int | None, wait_seconds: int | None
     ) -> dict[str, Any]:
         client = AdminClient(self._address)
         started = time.monotonic()
--- a/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/admin.py
@@ -124,7 +124,9 @@
             base_version = _integer_parameter(request, "base_version")
             if base_version is None:
                 base_version = configuration.highest_known
-            wait = _integer_parameter(request, "wait_seconds") or DEFAULT_WAIT_SECONDS
+            wait = _integer_parameter(request, "wait_seconds")
+            if wait is None:
+                wait = DEFAULT_WAIT_SECONDS
             result = await configuration.submit(text, base_version, wait)
         except CamphorgateError as error:
             log_event("manifest_refused", code=error.code, error=error.message)
