End a prefill that stalls after its head at the deadline

Cause: one figure, the time left when the request was sent, bounded the wait for the head of the prefill's response and then, again in full, the wait for its body.

Change: the bound for the body is taken after the head has arrived. The other reads of the daemon were gone through: plain calls, answers and streams take the time left anew at each wait; a connection attempt may exceed it by 0.25 s, within the 0.5 s of the rule.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -241,13 +241,14 @@
                     await exchange.open(self._max_connections(context), False)
                     sent_at = clock.monotonic()
                     self._send(generation, exchange, phase=Phase.PREFILL)
-                    seconds = min(
-                        timeout, max(0.01, context.seconds_left(clock.monotonic()))
-                    )
                     facts = await exchange.read_head(
-                        context.facts.attempt, seconds, require_id=False
+                        context.facts.attempt,
+                        min(timeout, self._wait(context)),
+                        require_id=False,
+                    )
+                    body = await exchange.read_body(
+                        min(timeout, self._wait(context)), MAX_PREFILL_RESULT_BYTES
                     )
-                    body = await exchange.read_body(seconds, MAX_PREFILL_RESULT_BYTES)
         except ExchangeError as error:
             self._upstreams.note_failure(engine, error)
             self._statistics.try_failed(
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -12,6 +12,8 @@
 MAX_UNBOUNDED_BYTES = 64 * 2**20
 # Pause between two events of a slow but healthy stream.
 SLOW_PAUSE_SECONDS = 1.5
+# Delay of a response head that uses up most of a deadline.
+LATE_HEAD_SECONDS = 0.9
 # SO_LINGER with a timeout of zero: closing the socket resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -218,6 +220,13 @@
         self.record_run()
         await asyncio.sleep(3.0)
 
+    async def act_stall_after_late_head(self):
+        """Execute, send the head of the response late, and nothing after it."""
+        self.record_run()
+        await asyncio.sleep(LATE_HEAD_SECONDS)
+        await self.send(self.build_head(200, "Content-Length: 10"))
+        await asyncio.sleep(3.0)
+
     async def act_truncate_head(self):
         """Execute, and close within the head of the response."""
         self.record_run()
--- a/tests/test_serving/test_faulty_upstreams.py
+++ b/tests/test_serving/test_faulty_upstreams.py
@@ -24,7 +24,12 @@
     build_platform_configuration,
     build_platform_entry,
 )
-from tests.scripted_worker import EVENTS, ScriptedWorker, build_event
+from tests.scripted_worker import (
+    EVENTS,
+    LATE_HEAD_SECONDS,
+    ScriptedWorker,
+    build_event,
+)
 from tests.test_serving.test_http1 import FakeTransport
 
 # Bounds from the users' issue on unbounded responses.
@@ -232,6 +237,35 @@
         self.assertEqual(sum(len(item.runs) for item in workers), 1)
 
 
+class DeadlineTests(ScriptedWorkerCase):
+    """A caller has an answer by its deadline, whatever the upstream does."""
+
+    # The users' bound on an answer after the timeout.
+    LATE_SECONDS = 0.5
+
+    async def test_prefill_that_stalls_after_its_head_ends_at_the_deadline(self):
+        """Guards against an answer up to twice the timeout after the request."""
+        prefill = ScriptedWorker("p1", ["stall_after_late_head"] * 8)
+        await prefill.start()
+        self.stack.push_async_callback(prefill.stop)
+        entry = build_platform_entry(prefill.address, service="models", phase="prefill")
+        self.store.put("servers/p1", entry)
+        app, _ = await self.start_scripted([], engine=True)
+        await self.eventually(lambda: len(app.service("directory").table.by_id) == 3)
+        timeout_seconds = LATE_HEAD_SECONDS + 0.1
+        headers = {
+            b"x-model": b"m",
+            b"x-token-count": b"14600,88",
+            b"x-prompt-prefix": b"a:14600",
+            b"x-deadline": b"%d" % (timeout_seconds * 1000),
+        }
+        started_at = time.monotonic()
+        await self.request(app, "/draft/a", method="POST", headers=headers)
+        self.assertEqual(len(prefill.runs), 1)
+        elapsed = time.monotonic() - started_at
+        self.assertLess(elapsed, timeout_seconds + self.LATE_SECONDS)
+
+
 class CompleteResponseTests(ScriptedWorkerCase):
     """A success that a caller receives is complete and belongs to its request."""
 
