Count the turn after a pause in whether a request can wait for it

Cause: a waiting request resumes 0.02 s after the one before it. Whether its deadline allowed the wait was decided by the end of the pause alone, without its turn; 1,000 waiting requests meant 20 s.

Change: the time until one more request may resume decides, and is the base of the Retry-After of those that cannot wait, as callers who return earlier would compete with the ones that wait.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -151,23 +151,32 @@
         paused = self.pause_seconds(service) is not None
         return PAUSED if paused else "no_upstream"
 
+    def _resume_seconds(self, service: str) -> float | None:
+        """Return the seconds until one more waiting request may resume.
+
+        :returns: ``None`` if no upstream is paused.
+        """
+        seconds = self.pause_seconds(service)
+        if seconds is None:
+            return None
+        return seconds + self._resuming_by_service[service] * RESUME_INTERVAL_SECONDS
+
     async def wait_for_pause_end(self, context: RequestContext) -> bool:
-        """Wait until the first pause of the service's upstreams ends.
+        """Wait for this request's turn after the first pause of its upstreams.
 
         :returns: whether to choose again; false at once if the request cannot be
             served before its deadline, or if no upstream is paused.
         """
-        seconds = self.pause_seconds(context.service)
+        seconds = self._resume_seconds(context.service)
         now = self._app.clock.monotonic()
         if (
             seconds is None
             or seconds + context.route.target_seconds > context.seconds_left(now)
         ):
             return False
-        place = self._resuming_by_service[context.service]
         self._resuming_by_service[context.service] += 1
         try:
-            await asyncio.sleep(seconds + place * RESUME_INTERVAL_SECONDS)
+            await asyncio.sleep(seconds)
         finally:
             self._resuming_by_service[context.service] -= 1
         waited = (self._app.clock.monotonic() - now) * 1000
@@ -181,13 +190,14 @@
     ) -> float:
         """Return the seconds after which a refused caller should retry.
 
-        If only pauses prevent the request from being served, this is the end of the
-        first pause plus jitter, so that callers do not retry simultaneously.
+        If only pauses prevent the request from being served, this is when the requests
+        that wait for the end of the first one have resumed, plus jitter, so that
+        callers do not retry simultaneously.
 
         :param reason: refusal reason, as :meth:`no_upstream_reason` returns it.
         :param otherwise: value for every other reason.
         """
-        seconds = self.pause_seconds(context.service)
+        seconds = self._resume_seconds(context.service)
         if reason != PAUSED or seconds is None:
             return otherwise
         return seconds + self._random.uniform(0.0, RETRY_AFTER_JITTER * seconds)
--- a/tests/test_serving/test_departures.py
+++ b/tests/test_serving/test_departures.py
@@ -242,6 +242,20 @@
         self.assertGreater(min(seconds), 25.0)
         self.assertEqual(len(set(seconds)), 5)
 
+    async def test_request_with_a_late_turn_after_a_pause_is_refused_at_once(self):
+        """Guards against answers after the timeout when many wait for a pause."""
+        self.arm("desk", "pause", value="0.5")
+        await self.request(self.app, "/read/a")
+        # So many wait that the last resumes after 20 s; the timeout is 2 s.
+        upstreams = self.app.service("upstreams")
+        with mock.patch.dict(upstreams._resuming_by_service, {"desk": 1000}):
+            started_at = asyncio.get_running_loop().time()
+            response = await self.request(self.app, "/read/a")
+        self.assertLess(asyncio.get_running_loop().time() - started_at, 0.3)
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"not_run", response.body)
+        self.assertGreater(float(response.headers[b"retry-after"]), 10.0)
+
     async def test_pause_of_one_worker_does_not_extend_retry_after(self):
         """Guards against ``Retry-After`` from a pause unrelated to the refusal."""
         self.arm("desk-1", "pause", value="30", count=1)
