--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -186,8 +186,9 @@
             self.assertGreater(len(soak.disturbances), 2, seed)
 
     def test_past_failures_do_not_recur(self):
-        """Guards against lost parts that are not fetched (seed 1012)."""
-        self.assertEqual(ConfigurationSoak(1012, seconds=20.0).run(), [])
+        """Guards against lost parts that are not fetched, and late takeovers."""
+        for seed in (1012, 4006, 4031):
+            self.assertEqual(ConfigurationSoak(seed, seconds=20.0).run(), [], seed)
 
     def test_late_and_older_versions_are_found(self):
         """Guards against checks that never report a violation."""
