--- a/packages/camphorgate-daemon/src/camphorgated/serving/catalog_parts.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/catalog_parts.py
@@ -40,8 +40,7 @@
 
     def lacks(self, part: CatalogPart) -> bool:
         """Return whether a part has not been received before."""
-        encoding = (part.version, part.base, part.parts)
-        return part.number not in self._pieces_by_encoding.get(encoding, {})
+        return part.number not in self._pieces_by_encoding.get(_encoding(part), {})
 
     def take(self, part: CatalogPart) -> EncodedCatalog | None:
         """Add a received part.
@@ -50,7 +49,7 @@
         """
         if not 0 <= part.number < part.parts <= MAX_PARTS:
             return None
-        encoding = (part.version, part.base, part.parts)
+        encoding = _encoding(part)
         pieces = self._pieces_by_encoding.setdefault(encoding, {})
         pieces[part.number] = part.data
         if len(pieces) == part.parts:
@@ -81,3 +80,8 @@
         for encoding in list(self._pieces_by_encoding):
             if encoding[0] <= version:
                 del self._pieces_by_encoding[encoding]
+
+
+def _encoding(part: CatalogPart) -> tuple[int, int, int]:
+    """Return what the parts of one encoded configuration have in common."""
+    return part.version, part.base, part.parts
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -147,14 +147,6 @@
         """Return the newest states of the peers that sent one lately."""
         return self.peers.live_states()
 
-    def near_live_addresses(self, max_silence_seconds: float) -> list[str]:
-        """Return the addresses of the zone's peers that sent a state lately."""
-        return [
-            state.gossip_address
-            for state in self.peers.live_states(max_silence_seconds)
-            if state.zone == self._members.own.zone
-        ]
-
     def note_addresses(self, gossip_addresses: list[str]) -> None:
         """Add gossip addresses that a peer reported."""
         self.peers.note_addresses(gossip_addresses)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -111,7 +111,7 @@
             plan_broadcast(
                 len(parts),
                 self._gossip.near,
-                self._gossip.near_live_addresses(MAX_RELAY_SILENCE_SECONDS),
+                self._gossip.peers.near_live_addresses(MAX_RELAY_SILENCE_SECONDS),
                 own.instance,
             )
         )
--- a/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
@@ -90,6 +90,14 @@
             peer.state for peer in peers if now - peer.received_at < max_silence_seconds
         ]
 
+    def near_live_addresses(self, max_silence_seconds: float) -> list[str]:
+        """Return the addresses of the zone's peers that sent a state lately."""
+        return [
+            state.gossip_address
+            for state in self.live_states(max_silence_seconds)
+            if state.zone == self._members.own.zone
+        ]
+
     def near_instances(self) -> list[str]:
         """Return the instances of the own zone that ever sent a state."""
         own = self._members.own.zone
--- a/tests/test_serving/test_hanging_store.py
+++ b/tests/test_serving/test_hanging_store.py
@@ -5,7 +5,7 @@
 from camphorgate.serving.upstream_table import LAPSED_ENTRY_GRACE_SECONDS
 from camphorgated.serving.errors import CallFailed
 from tests.hosting_builders import build_platform_entry
-from tests.test_serving.test_watcher_selection import ZoneCase
+from tests.test_serving.test_followers import ZoneCase
 
 # No instance may send to an upstream this long after its removal (``drain-ms`` of
 # Akmola).
