--- a/packages/camphorgate-daemon/src/camphorgated/serving/news.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/news.py
@@ -23,8 +23,8 @@
 
 # Rate limit of a broadcast: two thirds of the slowest supported link (5 Mbit/s).
 BROADCAST_BYTES_PER_SECOND = 400_000.0
-# Watchers after the first ones broadcast a configuration one by one at this interval. A
-# part of a broadcast that has begun reaches them sooner, also on the slowest link.
+# Watchers after the first ones broadcast a configuration one by one at this interval.
+# One that a broadcast reaches later than that repeats it, which only costs bytes.
 BROADCAST_TURN_SECONDS = 0.1
 # A peer that was silent for longer does not relay. Peers of the largest zones (44
 # instances) send a state every 1.2 s.
@@ -87,17 +87,19 @@
         if turn == 0:
             self._broadcast_catalog()
         else:
-            self._app.spawn(self._broadcast_in_turn(turn), "configuration broadcast")
+            version = self._directory.configuration.version
+            self._app.spawn(
+                self._broadcast_in_turn(version, turn), "configuration broadcast"
+            )
 
-    async def _broadcast_in_turn(self, turn: int) -> None:
-        """Broadcast the configuration unless another watcher has begun to.
+    async def _broadcast_in_turn(self, version: int, turn: int) -> None:
+        """Broadcast a version unless another watcher has begun to, or it is replaced.
 
         The watchers that precede this one may have slower links to the store.
         """
-        version = self._directory.configuration.version
         await asyncio.sleep(turn * BROADCAST_TURN_SECONDS)
-        superseded = self._directory.configuration.version > version
-        if self._heard_version < version and not superseded:
+        replaced = self._directory.configuration.version != version
+        if not replaced and self._heard_version < version:
             self._broadcast_catalog()
 
     def _broadcast_catalog(self) -> None:
