Read the change again: share, split and skip what was done twice

- A watcher decoded the whole configuration from the store again after another one's broadcast had brought it; the same bytes are now skipped before decoding.
- Which instances precede this one was computed in two places of WatcherSelection.
- Gossip.record_unreadable has had no caller outside since parts are decoded in CatalogState, so it is private.
Two tests of CallClient share how a call is made to fail.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/catalog_state.py
@@ -64,6 +64,9 @@
         :param source: where it comes from, for the log.
         :param initial: whether it is in the first list from the store.
         """
+        # A watcher reads from the store what another one's broadcast has brought.
+        if self.catalog is not None and raw == self.catalog.raw:
+            return
         try:
             catalog = self._platform.decode_catalog(raw)
         except CatalogError as error:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -321,13 +321,13 @@
                 raise msgspec.DecodeError(f"format {data[:1].hex()} is not supported")
             message = self._decoder.decode(memoryview(data)[1:])
         except msgspec.DecodeError as error:
-            self.record_unreadable(str(error))
+            self._record_unreadable(str(error))
             return
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(message)
 
-    def record_unreadable(self, error: str) -> None:
+    def _record_unreadable(self, error: str) -> None:
         """Count an unreadable message, and log it unless one was logged lately."""
         self._unreadable += 1
         now = self._app.clock.monotonic()
--- a/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
+++ b/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
@@ -98,10 +98,7 @@
         each, as many instances watch the store during an outage, and each would send to
         the whole zone.
         """
-        own = _order_key(self._own)
-        preceding = [
-            name for name in self._sound_watchers(now) if _order_key(name) < own
-        ]
+        preceding = self._before_own(self._sound_watchers(now))
         return max(0, len(preceding) - WATCHERS_PER_ZONE + 1)
 
     def store_lost_recently(self, now: float) -> bool:
@@ -149,8 +146,12 @@
 
     def _preceding(self, now: float) -> set[str]:
         """Return the instances of the zone that precede this one in its order."""
+        return self._before_own(self._present(now))
+
+    def _before_own(self, names: set[str]) -> set[str]:
+        """Return those of some instances that precede this one in the zone's order."""
         own = _order_key(self._own)
-        return {name for name in self._present(now) if _order_key(name) < own}
+        return {name for name in names if _order_key(name) < own}
 
     def _present(self, now: float) -> set[str]:
         """Return the instances that are heard, or listed and not known to be gone.
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -9,7 +9,6 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
-from datetime import UTC, datetime, timedelta
 from unittest import mock
 
 import grpc
@@ -25,6 +24,7 @@
 from camphorgated.serving.members import Member
 from camphorgated.serving.messages import FetchResponse
 from tests.hosted import build_hosted_settings
+from tests.virtual_time import VirtualClock, VirtualTimeLoop
 
 # The smallest links of the users' large deployment (10 Mbit/s) and their delay.
 LINK_BYTES_PER_SECOND = 1_250_000
@@ -42,40 +42,6 @@
 CONFIGURATION_KEY = "op/config"
 
 
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer instead of waiting."""
-
-    def __init__(self) -> None:
-        """Start the clock at zero."""
-        super().__init__()
-        self._virtual_now = 0.0
-
-    def time(self) -> float:
-        """Return the virtual time in seconds."""
-        return self._virtual_now
-
-    def _run_once(self) -> None:
-        if not self._ready and self._scheduled:
-            self._virtual_now = max(self._virtual_now, self._scheduled[0].when())
-        super()._run_once()
-
-
-class VirtualClock:
-    """The clock of the daemons, which shows the time of the loop."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Read the time of a loop."""
-        self._loop = loop
-
-    def now(self) -> datetime:
-        """Return the wall-clock time in UTC."""
-        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=self._loop.time())
-
-    def monotonic(self) -> float:
-        """Return the virtual time in seconds."""
-        return self._loop.time()
-
-
 class Link:
     """One direction of an instance's network link, which sends in order."""
 
--- a/tests/test_serving/test_call_client.py
+++ b/tests/test_serving/test_call_client.py
@@ -59,23 +59,23 @@
         self.assertEqual((status, len(body)), (200, self.pieces * len(PIECE)))
         self.assertFalse(client.receiving(TIMEOUT_SECONDS))
 
+    async def fail_call(self, client: CallClient) -> float:
+        """Make a call that has to fail; return how many seconds it took."""
+        began = asyncio.get_running_loop().time()
+        with self.assertRaises(CallFailed):
+            await client.call("GET", "/")
+        return asyncio.get_running_loop().time() - began
+
     async def test_response_that_stops_arriving_fails_in_time(self):
         """Guards against a call that waits for a store that fell silent."""
         self.pause_after = 4
         client = self.build_client()
-        began = asyncio.get_running_loop().time()
-        with self.assertRaises(CallFailed):
-            await client.call("GET", "/")
-        seconds = asyncio.get_running_loop().time() - began
+        seconds = await self.fail_call(client)
         self.assertLess(seconds, 4 * PIECE_SECONDS + 2 * TIMEOUT_SECONDS)
         self.assertFalse(client.receiving(TIMEOUT_SECONDS))
 
     async def test_endless_response_fails_in_time(self):
         """Guards against a response that arrives slowly for ever."""
         self.pieces = 1000
-        client = self.build_client()
-        began = asyncio.get_running_loop().time()
-        with self.assertRaises(CallFailed):
-            await client.call("GET", "/")
-        seconds = asyncio.get_running_loop().time() - began
+        seconds = await self.fail_call(self.build_client())
         self.assertLess(seconds, 2 * (TIMEOUT_SECONDS + MAX_BODY_SECONDS))
