Log which prompt parts were on an upstream that ended

The lines of a request that was cut named the upstream and the attempt, but not the parts of its prompt.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -14,6 +14,8 @@
 MAX_BODY_BYTES = 1_572_864
 # Cause of an attempt that ended because its upstream is shutting down, not failing.
 LEAVING = "leaving"
+# Cause of an attempt whose connection ended while the upstream worked on it.
+CUT = "cut"
 
 
 class Gate(Protocol):
@@ -170,7 +172,7 @@
         connection = self._lease.connection
         if connection.bounds_exceeded:
             return "endless"
-        return "stale" if self._lease.reused and not connection.received else "cut"
+        return "stale" if self._lease.reused and not connection.received else CUT
 
     @property
     def framed(self) -> bool:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -15,7 +15,7 @@
     QueuedPrompt,
 )
 from camphorgated.serving.errors import CallFailed, ExchangeError
-from camphorgated.serving.exchange import Exchange
+from camphorgated.serving.exchange import CUT, Exchange
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.platform_protocol import ResponseFacts
@@ -423,6 +423,10 @@
         self._statistics.try_failed(
             generation.context, engine, error.cause, error.stage
         )
+        if error.cause == CUT:
+            self._statistics.answer_cut(
+                generation.context, engine, generation.stream.progress
+            )
 
     def _give_up(
         self, generation: Generation, reason: str, wait_seconds: float = 0.0
--- a/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -106,6 +106,20 @@
             **context.decisions,
         )
 
+    def answer_cut(self, context, upstream: Upstream, events: int) -> None:
+        """Log what ran on an upstream whose connection ended before the answer did.
+
+        :param events: events that the upstream sent of this answer.
+        """
+        self.request_line(
+            "answer_cut",
+            upstream=upstream.id,
+            started_at=upstream.started_at,
+            parts=",".join(name for name, _ in context.facts.parts[:-1]),
+            events=events,
+            **job_fields(context),
+        )
+
     def request_line(self, event: str, **fields) -> None:
         """Log a line about a single request, subject to the rate limit."""
         if self._lines.take(self._app.clock.monotonic()):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
@@ -14,7 +14,7 @@
 from camphorgate.serving.health import Health
 from camphorgated.serving.errors import EventTooLarge, ExchangeError
 from camphorgated.serving.events import EventStream
-from camphorgated.serving.exchange import Exchange
+from camphorgated.serving.exchange import CUT, Exchange
 from camphorgated.serving.generation import Generation
 
 # A stream is stalled after this many times its route's longest declared gap without an
@@ -61,7 +61,7 @@
                     await asyncio.sleep(0)
         if events.rest and not exchange.framed:
             # The connection ended in the middle of an event.
-            raise ExchangeError("the last event is truncated", Stage.SENT, "cut")
+            raise ExchangeError("the last event is truncated", Stage.SENT, CUT)
         self._begin(generation, exchange)
         if events.rest:
             generation.context.caller.stream(events.rest)
