Block a prompt part that ends one upstream after the other

Cause: no memory of what ended an upstream. A failure was charged to the upstream (HealthTable) and to the single request (SendAttempts), so the part was tried until no upstream was left, also by retries and resumption; and each instance saw only its share of the ends.

Change: instances record which unanswered parts were on an upstream that ended, and exchange that evidence by datagrams. A part is blocked after three ends of different upstreams under different requests since its last answer anywhere; ends that come at once, as those of a rack, count once up to three. An end that a blocked part explains is held against no other part. An upstream that responds later has not ended. A request that was on an ended upstream is not sent again while one of its parts is one end short of a block.

Why it works: the evidence merges in any order and the block follows from it, so any instance derives it within a tick of the last piece. Refusals are 503 before anything is sent, with the time of the next test as retry-after.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -9,6 +9,7 @@
 from camphorgate.serving.catalog import Kind, Stage, Upstream
 from camphorgate.serving.send_attempts import SendAttempts
 from camphorgated.serving.errors import ExchangeError
+from camphorgated.serving.exchange import STALE
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.upstream_wait import wait_for_upstream
 
@@ -75,7 +76,7 @@
                 unsent += error.stage is Stage.NOT_SENT
                 upstreams.note_failure(upstream, error)
                 self._statistics.try_failed(context, upstream, error.cause, error.stage)
-                ran = error.stage is Stage.SENT and error.cause != "stale"
+                ran = error.stage is Stage.SENT and error.cause != STALE
             else:
                 ran = attempts.may_have_run
                 if done:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -16,6 +16,7 @@
     "news",
     "counters",
     "statistics",
+    "quarantine",
     "upstreams",
     "calls",
     "generations",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -16,6 +16,11 @@
 LEAVING = "leaving"
 # Cause of an attempt whose connection ended while the upstream worked on it.
 CUT = "cut"
+# The same on a connection that carried requests before; its upstream may also have
+# closed it for being idle.
+STALE = "stale"
+# Causes that show that the upstream may have ended.
+ENDED_CAUSES = frozenset({CUT, STALE})
 
 
 class Gate(Protocol):
@@ -172,7 +177,7 @@
         connection = self._lease.connection
         if connection.bounds_exceeded:
             return "endless"
-        return "stale" if self._lease.reused and not connection.received else CUT
+        return STALE if self._lease.reused and not connection.received else CUT
 
     @property
     def framed(self) -> bool:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
@@ -6,6 +6,7 @@
 from camphorgate.serving.send_attempts import SendAttempts
 from camphorgated.serving.events import EventStream
 from camphorgated.serving.front import RequestContext
+from camphorgated.serving.quarantine import part_keys
 
 # Engine urgency steps per route rank; urgencies range from 0, the most urgent, to 9.
 URGENCY_PER_RANK = 3
@@ -47,6 +48,10 @@
         "passed_at",
         "progress_seen",
         "progressed_at",
+        "part_keys",
+        "answering_since",
+        "upstream_ended",
+        "is_trial",
     )
 
     def __init__(self, context: RequestContext) -> None:
@@ -67,6 +72,13 @@
         self.passed_at: float | None = None
         self.progress_seen = 0
         self.progressed_at = 0.0
+        self.part_keys = part_keys(context)
+        # When the present engine began to answer.
+        self.answering_since: float | None = None
+        # Whether an engine ended while it worked on this request.
+        self.upstream_ended = False
+        # Whether this request tests whether a blocked part still ends engines.
+        self.is_trial = False
         self.urgency = min(LOWEST_URGENCY, context.rank * URGENCY_PER_RANK)
 
     @property
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -14,11 +14,13 @@
     PrefillQueue,
     QueuedPrompt,
 )
+from camphorgate.serving.quarantine import Block
 from camphorgated.serving.errors import CallFailed, ExchangeError
-from camphorgated.serving.exchange import CUT, Exchange
+from camphorgated.serving.exchange import ENDED_CAUSES, Exchange
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.platform_protocol import ResponseFacts
+from camphorgated.serving.quarantine import BLOCKED, SUSPECTED
 from camphorgated.serving.streaming import Streaming
 from camphorgated.serving.upstream_wait import UPSTREAM_POLL_SECONDS, wait_for_upstream
 
@@ -58,6 +60,7 @@
         "_statistics",
         "_queue",
         "_streaming",
+        "_quarantine",
     )
 
     def __init__(self, app: Application) -> None:
@@ -66,6 +69,7 @@
         self._platform = app.service("dialect")
         self._upstreams = app.service("upstreams")
         self._statistics = app.service("statistics")
+        self._quarantine = app.service("quarantine")
         self._queue = PrefillQueue()
         self._streaming = Streaming(app)
         app.add_dump_section("reading_queue", lambda: {"waiting": len(self._queue)})
@@ -91,6 +95,10 @@
         clock = self._app.clock
         while True:
             now = clock.monotonic()
+            block = self._quarantine.find_block(generation.part_keys)
+            if block is not None and not await self._may_test(generation, block):
+                self._refuse_blocked(generation, block)
+                return
             reason = self._refusal_reason(generation)
             if reason is not None:
                 self._give_up(generation, reason)
@@ -132,6 +140,22 @@
             except ExchangeError as error:
                 self._note_failure(generation, error, answerer)
 
+    async def _may_test(self, generation: Generation, block: Block) -> bool:
+        """Return whether a request is the one that tests whether a block is needed."""
+        if generation.attempts.sends:
+            return False
+        if not generation.is_trial:
+            generation.is_trial = await self._quarantine.try_trial(
+                generation.context, block
+            )
+        return generation.is_trial
+
+    def _refuse_blocked(self, generation: Generation, block: Block) -> None:
+        self._quarantine.refuse(generation.context, block)
+        self._give_up(
+            generation, BLOCKED, retry_after=self._quarantine.retry_after_seconds(block)
+        )
+
     async def _wait_to_read(self, generation: Generation, choice: Choice) -> bool:
         """Queue a long prompt while the engines prefill others.
 
@@ -182,6 +206,9 @@
 
     def _refusal_reason(self, generation: Generation) -> str | None:
         """Return why the request may not be sent or retried."""
+        ended = generation.upstream_ended
+        if ended and self._quarantine.table.suspected(generation.part_keys):
+            return SUSPECTED
         return self._upstreams.refusal_reason(
             generation.context,
             generation.attempts,
@@ -300,6 +327,7 @@
                 generation.attempts.record_send()
                 self._send(generation, exchange, handle=handle)
                 generation.handle = None
+                generation.answering_since = None
                 context.decisions.update(
                     answerer=engine.id,
                     direct=handle is None,
@@ -317,7 +345,9 @@
                     engine.id, generation.prompt.parts, clock.monotonic()
                 )
                 generation.progressed_at = clock.monotonic()
+                generation.answering_since = generation.progressed_at
                 await self._streaming.pass_on(generation, exchange)
+                self._quarantine.record_answer(generation.part_keys)
                 self._upstreams.health.of(engine.incarnation).record_success(
                     clock.monotonic()
                 )
@@ -423,14 +453,35 @@
         self._statistics.try_failed(
             generation.context, engine, error.cause, error.stage
         )
-        if error.cause == CUT:
-            self._statistics.answer_cut(
-                generation.context, engine, generation.stream.progress
-            )
+        if error.cause in ENDED_CAUSES:
+            self._record_end(generation, engine)
+
+    def _record_end(self, generation: Generation, engine: Upstream) -> None:
+        context = generation.context
+        self._statistics.answer_cut(context, engine, generation.stream.progress)
+        generation.upstream_ended = True
+        begun_at = generation.answering_since
+        now = self._app.clock.monotonic()
+        self._quarantine.record_end(
+            context,
+            engine,
+            generation.part_keys,
+            0.0 if begun_at is None else now - begun_at,
+        )
 
     def _give_up(
-        self, generation: Generation, reason: str, wait_seconds: float = 0.0
+        self,
+        generation: Generation,
+        reason: str,
+        wait_seconds: float = 0.0,
+        retry_after: float | None = None,
     ) -> None:
+        """End a request that is not sent again.
+
+        :param wait_seconds: predicted wait for an engine, for the log.
+        :param retry_after: seconds after which a refused caller may retry; by default
+            they follow from the wait.
+        """
         context = generation.context
         caller = context.caller
         if caller.begun:
@@ -443,7 +494,7 @@
                 MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds)
             )
             seconds = self._upstreams.retry_after_seconds(context, reason, seconds)
-            caller.refuse(503, reason, seconds)
+            caller.refuse(503, reason, seconds if retry_after is None else retry_after)
         self._statistics.given_up(
             context,
             reason,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -26,6 +26,7 @@
     Changes,
     Counters,
     PrefillNotice,
+    QuarantineNews,
     State,
 )
 from camphorgated.serving.peers import PeerTable, select_in_rotation
@@ -60,7 +61,7 @@
 # Unreadable datagrams are logged at most this often.
 UNREADABLE_LOG_SECONDS = 1.0
 
-Message = State | PrefillNotice | Counters | Changes | CatalogPart
+Message = State | PrefillNotice | Counters | Changes | CatalogPart | QuarantineNews
 
 
 class _Datagrams(asyncio.DatagramProtocol):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -5,6 +5,7 @@
 from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.catalog_encoding import EncodedCatalog
 from camphorgate.serving.loads import Load
+from camphorgate.serving.quarantine import Block, Evidence
 
 # Keeps a datagram of counters below the size at which links fragment it.
 MAX_COUNTERS_PER_DATAGRAM = 50
@@ -75,6 +76,19 @@
     counts: dict[int, dict[str, int]]
 
 
+class QuarantineNews(msgspec.Struct, omit_defaults=True, tag="q"):
+    """What the sender knows of parts that end upstreams, or a part of it.
+
+    ``cleared`` are pairs of a part and the true time of an answer to it. ``survivors``
+    are upstreams that responded after a connection to them had ended.
+    """
+
+    evidence: list[Evidence] = []
+    cleared: list[tuple[str, float]] = []
+    blocks: list[Block] = []
+    survivors: list[tuple[str, int]] = []
+
+
 class Changes(msgspec.Struct, omit_defaults=True, tag="l"):
     """Entries of the list of upstreams that a watcher has just learned of.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -44,22 +44,22 @@
 class Statistics:
     """Request statistics since the start of the process."""
 
-    __slots__ = ("_app", "_counts", "_lines", "_answers", "_latency", "_registry")
+    __slots__ = ("_app", "_counts", "_lines", "_answers", "_latency", "registry")
 
     def __init__(self, app: Application) -> None:
         """Initialize counters and metrics."""
         self._app = app
         self._counts: Counter[str] = Counter()
         self._lines = LogRateLimiter()
-        self._registry = Registry()
+        self.registry = Registry()
         self._answers = PrometheusCounter(
-            "camphorgate_answers", "Answers by status.", registry=self._registry
+            "camphorgate_answers", "Answers by status.", registry=self.registry
         )
         self._latency = Histogram(
             "camphorgate_answer_seconds",
             "Time to the end of an answer.",
             buckets=LATENCY_BUCKETS,
-            registry=self._registry,
+            registry=self.registry,
         )
 
     def finished(self, context, seconds: float) -> None:
@@ -131,7 +131,7 @@
 
     def render(self) -> tuple[str, bytes]:
         """Return the content type and the text of the metrics."""
-        body, headers = render(self._registry, [])
+        body, headers = render(self.registry, [])
         return headers.get("Content-Type", "text/plain"), body
 
     def dump(self) -> dict:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -46,6 +46,7 @@
         "_directory",
         "_gossip",
         "_platform",
+        "_quarantine",
         "_budgets_by_service",
         "_resuming_by_service",
         "_counts",
@@ -58,6 +59,7 @@
         self._directory = app.service("directory")
         self._gossip = app.service("gossip")
         self._platform = app.service("dialect")
+        self._quarantine = app.service("quarantine")
         self.pool = Pool(app.clock)
         self.pauses = PauseTable()
         # Number of requests that wait for the end of a pause.
@@ -112,9 +114,11 @@
         An upstream reports only its own state: a response that names another upstream,
         or comes from another one at the same address, is ignored.
         """
+        another = facts.answered_by not in (None, upstream.id)
+        if not another and not facts.wrong_upstream:
+            self._quarantine.record_response(upstream)
         if not facts.leaving and not facts.pause_seconds:
             return
-        another = facts.answered_by not in (None, upstream.id)
         if another or (facts.wrong_upstream and facts.answered_by is None):
             log_event(
                 "answer_of_another_upstream",
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/quarantine.py
@@ -0,0 +1,403 @@
+"""Quarantine of prompt parts that end the upstreams which answer them.
+
+Handles traffic in which one prompt part crashes every engine that begins to answer it,
+while sound requests share the caller, the route and the other parts. Evidence is the
+set of requests whose connection ended together with their upstream. It merges in any
+order, so that all instances derive the same result from what each of them saw.
+
+A part is blamed only for ends after its last complete answer on any instance, and an
+end that a blocked part explains is not held against other parts. The keys need not be
+prompt parts: plain calls use a hash of the request.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+Incarnation = tuple[str, int]
+
+# Ends of different upstreams, under different requests, that block a part. The users
+# allow five.
+BLOCKING_ENDS = 3
+# Further ends that are waited for while the evidence fits several parts equally well.
+MAX_AMBIGUOUS_ENDS = 5
+# Ends within this time count once, as a failing rack ends many upstreams at once.
+INCIDENT_SECONDS = 0.5
+# Ends that count even so if they come at once, beyond this many: requests that end
+# every upstream within a moment leave no time between the ends.
+UNCOUNTED_BURST_ENDS = 3
+# Evidence counts after this time, in which answers on other instances become known.
+SETTLE_SECONDS = 0.3
+# An upstream that responds this long after a connection ended has not ended itself.
+SURVIVAL_SECONDS = 0.25
+# A part that was answered here within this time is not reported.
+PROVEN_SECONDS = 2.0
+# An answer that has been arriving for longer shows that its parts end no upstream.
+MAX_ONSET_SECONDS = 1.0
+# A blocked part is tried again after this time, which grows by the factor with each
+# trial that fails, up to the maximum.
+TRIAL_SECONDS = 60.0
+TRIAL_FACTOR = 4
+MAX_TRIAL_SECONDS = 3600.0
+# A block that no request tests is removed after this time.
+MAX_BLOCK_SECONDS = 2 * MAX_TRIAL_SECONDS
+# Evidence that has not led to a block is removed after this time, and evidence that a
+# block explains after this one.
+MAX_EVIDENCE_SECONDS = 900.0
+MAX_EXPLAINED_SECONDS = 30.0
+# Bounds on the memory of the table; the oldest entries are removed first.
+MAX_EVIDENCE = 512
+MAX_BLOCKS = 64
+MAX_ANSWERED_PARTS = 4096
+MAX_CLEARED_PARTS = 512
+MAX_SURVIVORS = 128
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """A request whose connection ended together with its upstream.
+
+    ``at`` is the true time in seconds since 1970. ``parts`` are the request's parts
+    that had not been answered lately.
+    """
+
+    upstream: Incarnation
+    request: str
+    at: float
+    parts: tuple[str, ...]
+
+
+class Block(msgspec.Struct, frozen=True, array_like=True):
+    """A block of requests that hold all of some parts.
+
+    ``since`` is the true time at which it began or at which its last trial was sent,
+    ``trials`` the number of these. ``ends`` is the number of ends that led to it.
+    """
+
+    parts: tuple[str, ...]
+    since: float
+    trials: int = 0
+    ends: int = 0
+
+    def trial_at(self) -> float:
+        """Return the true time from which one request may test the block."""
+        return self.since + min(
+            MAX_TRIAL_SECONDS, TRIAL_SECONDS * TRIAL_FACTOR**self.trials
+        )
+
+
+class QuarantineTable:
+    """Evidence, answers and blocks as one instance knows them.
+
+    The methods that begin with ``merge`` take what a peer knows and return whether it
+    was news. All times are true times in seconds since 1970.
+    """
+
+    __slots__ = (
+        "evidence_by_id",
+        "blocks_by_parts",
+        "cleared_at_by_part",
+        "survivors",
+        "_answered_at_by_part",
+        "_suspects",
+    )
+
+    def __init__(self) -> None:
+        """Initialize without evidence."""
+        self.evidence_by_id: OrderedDict[tuple, Evidence] = OrderedDict()
+        self.blocks_by_parts: OrderedDict[tuple[str, ...], Block] = OrderedDict()
+        # Times of the last known answers of parts that were suspected.
+        self.cleared_at_by_part: OrderedDict[str, float] = OrderedDict()
+        # Upstreams that responded after a connection to them had ended.
+        self.survivors: OrderedDict[Incarnation, None] = OrderedDict()
+        self._answered_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._suspects: set[str] = set()
+
+    def __len__(self) -> int:
+        """Return the number of pieces of evidence and blocks."""
+        return len(self.evidence_by_id) + len(self.blocks_by_parts)
+
+    def record_end(
+        self, upstream: Incarnation, request: str, parts: Iterable[str], now: float
+    ) -> Evidence | None:
+        """Record a request whose connection ended together with its upstream.
+
+        :param request: id of the request.
+        :returns: the evidence, or ``None`` if all its parts were answered lately.
+        """
+        suspected = tuple(
+            part
+            for part in dict.fromkeys(parts)
+            if now - self._answered_at_by_part.get(part, 0.0) > PROVEN_SECONDS
+        )
+        evidence = Evidence(upstream, request, now, suspected)
+        return evidence if self.merge_evidence(evidence, now) else None
+
+    def merge_evidence(self, evidence: Evidence, now: float) -> bool:
+        """Add evidence, unless all its parts were answered since."""
+        key = (evidence.upstream, evidence.request)
+        if key in self.evidence_by_id or evidence.upstream in self.survivors:
+            return False
+        suspected = self._suspected_parts(evidence)
+        if not suspected or self._is_old(evidence, now):
+            return False
+        self.evidence_by_id[key] = evidence
+        self._suspects.update(suspected)
+        if len(self.evidence_by_id) > MAX_EVIDENCE:
+            self.evidence_by_id.popitem(last=False)
+        return True
+
+    def _suspected_parts(self, evidence: Evidence) -> list[str]:
+        """Return the parts that were not answered after the end of the upstream."""
+        return [
+            part
+            for part in evidence.parts
+            if evidence.at > self.cleared_at_by_part.get(part, 0.0)
+        ]
+
+    def _is_old(self, evidence: Evidence, now: float) -> bool:
+        age = now - evidence.at
+        explained = age > MAX_EXPLAINED_SECONDS and self.find_block(evidence.parts)
+        return bool(explained) or age > MAX_EVIDENCE_SECONDS
+
+    def record_answer(self, parts: Iterable[str], now: float) -> list[str]:
+        """Record a complete answer.
+
+        :returns: the suspected parts that it clears.
+        """
+        cleared = []
+        for part in parts:
+            self._answered_at_by_part[part] = now
+            self._answered_at_by_part.move_to_end(part)
+            if part in self._suspects and self.merge_cleared(part, now):
+                cleared.append(part)
+        while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
+            self._answered_at_by_part.popitem(last=False)
+        return cleared
+
+    def answered_since(self, parts: Iterable[str], at: float) -> list[str]:
+        """Clear the parts that this instance saw answered after a time.
+
+        :returns: the cleared parts.
+        """
+        return [
+            part
+            for part in parts
+            if (answered_at := self._answered_at_by_part.get(part, 0.0)) > at
+            and self.merge_cleared(part, answered_at)
+        ]
+
+    def merge_cleared(self, part: str, at: float) -> bool:
+        """Clear a part of everything before a time."""
+        if at <= self.cleared_at_by_part.get(part, 0.0):
+            return False
+        self.cleared_at_by_part[part] = at
+        self.cleared_at_by_part.move_to_end(part)
+        if len(self.cleared_at_by_part) > MAX_CLEARED_PARTS:
+            self.cleared_at_by_part.popitem(last=False)
+        self._drop_evidence(lambda item: not self._suspected_parts(item))
+        self._apply_clearances()
+        self._collect_suspects()
+        return True
+
+    def merge_block(self, block: Block) -> bool:
+        """Add a block, or take over its trials."""
+        block = self._without_cleared(block)
+        if not block.parts:
+            return False
+        known = self.blocks_by_parts.get(block.parts)
+        news = (block.trials, block.since)
+        if known is not None and news <= (known.trials, known.since):
+            return False
+        self.blocks_by_parts[block.parts] = block
+        self.blocks_by_parts.move_to_end(block.parts)
+        self._suspects.update(block.parts)
+        if len(self.blocks_by_parts) > MAX_BLOCKS:
+            self.blocks_by_parts.popitem(last=False)
+        return True
+
+    def record_response(self, upstream: Incarnation, now: float) -> bool:
+        """Record a response, which refutes earlier evidence of the upstream's end.
+
+        :returns: whether there was such evidence.
+        """
+        ended = [
+            item.at
+            for item in self.evidence_by_id.values()
+            if item.upstream == upstream
+        ]
+        if not ended or now - max(ended) < SURVIVAL_SECONDS:
+            return False
+        return self.merge_survivor(upstream)
+
+    def merge_survivor(self, upstream: Incarnation) -> bool:
+        """Drop the evidence of the end of an upstream that is alive."""
+        if upstream in self.survivors:
+            return False
+        self.survivors[upstream] = None
+        if len(self.survivors) > MAX_SURVIVORS:
+            self.survivors.popitem(last=False)
+        self._drop_evidence(lambda item: item.upstream == upstream)
+        self._collect_suspects()
+        return True
+
+    def derive_blocks(self, now: float) -> list[Block]:
+        """Add the blocks that the evidence now requires, and return them."""
+        found = []
+        while blocks := self._next_blocks(now):
+            for block in blocks:
+                self.merge_block(block)
+            found += blocks
+        return found
+
+    def _next_blocks(self, now: float) -> list[Block]:
+        evidence_by_part: dict[str, list[Evidence]] = {}
+        for item in self._unexplained_evidence(now - SETTLE_SECONDS):
+            for part in self._suspected_parts(item):
+                evidence_by_part.setdefault(part, []).append(item)
+        ends_by_part = {
+            part: count_ends(items)
+            for part, items in evidence_by_part.items()
+            if len(items) >= BLOCKING_ENDS
+        }
+        most = max(ends_by_part.values(), default=0)
+        if most < BLOCKING_ENDS:
+            return []
+        # Parts that only occur together are blocked together.
+        parts_by_evidence: dict[frozenset, list[str]] = {}
+        for part, ends in ends_by_part.items():
+            if ends == most:
+                ids = frozenset(
+                    (item.upstream, item.request) for item in evidence_by_part[part]
+                )
+                parts_by_evidence.setdefault(ids, []).append(part)
+        if len(parts_by_evidence) > 1 and most < MAX_AMBIGUOUS_ENDS:
+            return []
+        return [
+            Block(tuple(sorted(parts)), now, 0, most)
+            for parts in parts_by_evidence.values()
+        ]
+
+    def _unexplained_evidence(self, until: float) -> list[Evidence]:
+        """Return evidence of ends that no blocked part explains."""
+        explained = self._explained_upstreams()
+        return [
+            item
+            for item in self.evidence_by_id.values()
+            if item.upstream not in explained and item.at <= until
+        ]
+
+    def _explained_upstreams(self) -> set[Incarnation]:
+        """Return the upstreams that ended under a request with a blocked part."""
+        return {
+            item.upstream
+            for item in self.evidence_by_id.values()
+            if self.find_block(item.parts) is not None
+        }
+
+    def suspected(self, parts: Iterable[str]) -> bool:
+        """Return whether one of the parts lacks a single further end to be blocked."""
+        suspects = [part for part in parts if part in self._suspects]
+        if not suspects:
+            return False
+        evidence = list(self.evidence_by_id.values())
+        return any(
+            count_ends(item for item in evidence if part in self._suspected_parts(item))
+            >= BLOCKING_ENDS - 1
+            for part in suspects
+        )
+
+    def find_block(self, parts: Iterable[str]) -> Block | None:
+        """Return a block of a request with these parts."""
+        if not self.blocks_by_parts:
+            return None
+        held = set(parts)
+        for block in self.blocks_by_parts.values():
+            if held.issuperset(block.parts):
+                return block
+        return None
+
+    def begin_trial(self, block: Block, now: float) -> Block:
+        """Record that a request is about to test a block."""
+        tried = Block(block.parts, now, block.trials + 1, block.ends)
+        self.merge_block(tried)
+        return tried
+
+    def expire(self, now: float) -> list[Block]:
+        """Remove old evidence and blocks.
+
+        :returns: the removed blocks.
+        """
+        explained = self._explained_upstreams()
+        if self._drop_evidence(
+            lambda item: (
+                now - item.at
+                > (
+                    MAX_EXPLAINED_SECONDS
+                    if item.upstream in explained
+                    else MAX_EVIDENCE_SECONDS
+                )
+            )
+        ):
+            self._collect_suspects()
+        expired = [
+            block
+            for block in self.blocks_by_parts.values()
+            if now - block.since > MAX_BLOCK_SECONDS
+        ]
+        for block in expired:
+            del self.blocks_by_parts[block.parts]
+        return expired
+
+    def _drop_evidence(self, dropped: Callable[[Evidence], bool]) -> bool:
+        """Drop the evidence for which a condition holds; return whether there was."""
+        keys = [key for key, item in self.evidence_by_id.items() if dropped(item)]
+        for key in keys:
+            del self.evidence_by_id[key]
+        return bool(keys)
+
+    def _without_cleared(self, block: Block) -> Block:
+        """Return a block without the parts that were answered since it began."""
+        parts = tuple(
+            part
+            for part in block.parts
+            if self.cleared_at_by_part.get(part, 0.0) <= block.since
+        )
+        return block if parts == block.parts else Block(parts, block.since, 0, 0)
+
+    def _apply_clearances(self) -> None:
+        for block in list(self.blocks_by_parts.values()):
+            remaining = self._without_cleared(block)
+            if remaining.parts != block.parts:
+                del self.blocks_by_parts[block.parts]
+                self.merge_block(remaining)
+
+    def _collect_suspects(self) -> None:
+        self._suspects = {
+            part
+            for item in self.evidence_by_id.values()
+            for part in self._suspected_parts(item)
+        }
+        for parts in self.blocks_by_parts:
+            self._suspects.update(parts)
+
+
+def count_ends(evidence: Iterable[Evidence]) -> int:
+    """Return how many ends the evidence shows that are independent of each other.
+
+    They have different upstreams and requests. Those that come at once count once, up
+    to :data:`UNCOUNTED_BURST_ENDS`.
+    """
+    upstreams: set[Incarnation] = set()
+    requests: set[str] = set()
+    incidents = 0
+    last_at = float("-inf")
+    for item in sorted(evidence, key=lambda item: item.at):
+        if item.upstream in upstreams or item.request in requests:
+            continue
+        upstreams.add(item.upstream)
+        requests.add(item.request)
+        if item.at - last_at >= INCIDENT_SECONDS:
+            incidents += 1
+            last_at = item.at
+    return max(incidents, len(upstreams) - UNCOUNTED_BURST_ENDS)
