Pass on nothing but whole events of a stream

What callers would see: after a stream broke off, the text of the next upstream's error as the last bytes of a stream that seemed complete, or the head of an error in its middle; and a stream that ended within an event, as complete, where its response was framed.

Cause: an event was any block that ends with an empty line, the rest of a framed response was passed on as it was, and only an unframed response was asked whether it ended within an event.

Change: each line of an event has to be a field of an event or a comment, and a response that ends within an event, framed or not, is a failed attempt, which resumes elsewhere or breaks the caller's stream off.

Evidence: test_misplaced_bytes, ForeignStreamBytesTests: all four failed before (bytes of the error and of its head at the caller, a complete stream with a truncated event), and pass. TruncatedHeadTests show that a head that is cut is not taken for an answer; they passed before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
@@ -48,3 +48,9 @@
     """An upstream sent an event that exceeds the size limit."""
 
     code = "endless_event"
+
+
+class MalformedEvent(CamphorgateError):
+    """An upstream sent bytes in a stream that are no event."""
+
+    code = "malformed_event"
--- a/packages/camphorgate-daemon/src/camphorgated/serving/events.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/events.py
@@ -2,7 +2,7 @@
 
 import re
 
-from camphorgated.serving.errors import EventTooLarge
+from camphorgated.serving.errors import EventTooLarge, MalformedEvent
 
 # Bound on the size of an event; a larger one is considered endless. Events of engines
 # have a few hundred bytes.
@@ -10,6 +10,10 @@
 _END = re.compile(rb"\r?\n\r?\n")
 # Maximum length of the event delimiter, which may be split across reads.
 _END_BYTES = 4
+# The fields of an event, those that the platform adds, and comments. Anything else is
+# not of the stream, such as the head of another response.
+_FIELD = re.compile(rb":|(?:id|data|event|retry|x-[a-z0-9-]+)(?::|\Z)")
+_LINE_END = re.compile(rb"\r?\n")
 _ID = re.compile(rb"^id: ?(\d{1,18})\b", re.MULTILINE)
 
 
@@ -36,6 +40,7 @@
         """Return the events that the bytes complete, without duplicates.
 
         :raises EventTooLarge: if an event exceeds the size limit.
+        :raises MalformedEvent: if the bytes are no event.
         """
         searched = max(0, len(self._rest) - _END_BYTES)
         self._rest += data
@@ -52,7 +57,13 @@
         return b"".join(whole)
 
     def _passes(self, event: bytes) -> bool:
-        """Count an event and return whether it is forwarded."""
+        """Count an event and return whether it is forwarded.
+
+        :raises MalformedEvent: if it has a line that is no field of an event.
+        """
+        for line in _LINE_END.split(event):
+            if line and _FIELD.match(line) is None:
+                raise MalformedEvent(f"{line[:40]!r} is no field of an event")
         self.progress += not event.startswith((b":", b"\n", b"\r"))
         found = _ID.search(event)
         if found is None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
@@ -12,7 +12,7 @@
 from camphorgate.application import Application
 from camphorgate.serving.catalog import Stage
 from camphorgate.serving.health import Health
-from camphorgated.serving.errors import EventTooLarge, ExchangeError
+from camphorgated.serving.errors import EventTooLarge, ExchangeError, MalformedEvent
 from camphorgated.serving.events import EventStream
 from camphorgated.serving.exchange import CUT, Exchange
 from camphorgated.serving.generation import Generation
@@ -27,6 +27,8 @@
 # Body data is processed in slices of this size, so that a large piece does not delay
 # other requests.
 SLICE_BYTES = 16_384
+# Cause of an attempt whose response was complete but ended within an event.
+TRUNCATED = "truncated"
 
 
 class Streaming:
@@ -54,17 +56,17 @@
                     whole = events.feed(piece[start : start + SLICE_BYTES])
                 except EventTooLarge as error:
                     raise ExchangeError(error.message, Stage.SENT, "endless") from None
+                except MalformedEvent as error:
+                    raise ExchangeError(error.message, Stage.SENT, "garbled") from None
                 if whole:
                     self._pass(generation, exchange, whole)
                     await generation.context.caller.drain()
                 if start:
                     await asyncio.sleep(0)
-        if events.rest and not exchange.framed:
-            # The connection ended in the middle of an event.
-            raise ExchangeError("the last event is truncated", Stage.SENT, CUT)
-        self._begin(generation, exchange)
         if events.rest:
-            generation.context.caller.stream(events.rest)
+            cause = TRUNCATED if exchange.framed else CUT
+            raise ExchangeError("the last event is truncated", Stage.SENT, cause)
+        self._begin(generation, exchange)
         generation.context.caller.end_stream()
 
     async def _next_piece(self, generation: Generation, exchange: Exchange) -> bytes:
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -41,6 +41,7 @@
         self.unbounded_bytes = 0
         self.unbounded_sent = False
         self.last_attempt = ""
+        self.refusal_by_writer: dict[asyncio.StreamWriter, bytes] = {}
         self.address = free_address()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -347,6 +348,64 @@
         self.record_run()
         await self.send(self.build_head(200) + self.build_body()[:-3])
 
+    def build_refusal(self, *lines: str) -> bytes:
+        """Return the response of a worker that has not executed the request."""
+        rows = ["HTTP/1.1 503 Said", "X-Not-Executed: 1", "Content-Length: 0", *lines]
+        return "\r\n".join([*rows, "", ""]).encode()
+
+    async def act_refuse_and_keep(self):
+        """Refuse, and keep the refusal for a later request on this connection."""
+        refusal = self.build_refusal(f"X-Attempt-Id: {self.attempt}")
+        self.worker.refusal_by_writer[self.writer] = refusal
+        await self.send(refusal)
+        return True
+
+    async def act_run_after_repeated_refusal(self):
+        """Execute, send this connection's earlier refusal again, and respond."""
+        self.record_run()
+        await self.send(self.worker.refusal_by_writer.get(self.writer, b""))
+        await self.send_response()
+        return True
+
+    async def act_run_after_unnamed_refusal(self):
+        """Execute, send a refusal without an attempt id, and respond."""
+        self.record_run()
+        await self.send(self.build_refusal())
+        await self.send_response()
+        return True
+
+    async def act_respond_with_text(self):
+        """Execute, and send a body that is no event."""
+        self.record_run()
+        body = b"error"
+        head = self.build_head(200, f"Content-Length: {len(body)}")
+        await self.send(head + body)
+        return True
+
+    async def act_respond_with_second_head(self):
+        """Execute, and send the head of an error within an unframed response."""
+        self.record_run()
+        error = self.build_head(500, "Content-Length: 6") + b"failed"
+        await self.send(self.build_head(200) + error)
+
+    async def act_end_framed_within_event(self):
+        """Execute, and complete the framing of a response within an event."""
+        self.record_run()
+        body = self.build_body()[:-3]
+        head = self.build_head(200, f"Content-Length: {len(body)}")
+        await self.send(head + body)
+        return True
+
+    async def act_truncate_head_between_lines(self):
+        """Execute, and close after a line of the response's head."""
+        self.record_run()
+        await self.send(b"HTTP/1.1 200 Said\r\nX-Attempt-Id: attempt-1\r\n")
+
+    async def act_truncate_head_before_its_end(self):
+        """Execute, and close before the last byte of the response's head."""
+        self.record_run()
+        await self.send(self.build_head(200, "Content-Length: 0")[:-1])
+
     async def act_repeat_last_response(self):
         """Send the worker's previous response again, then the correct one."""
         self.record_run()
@@ -369,6 +428,12 @@
     "respond_slowly",
     "repeat_last_response",
     "end_unframed_within_event",
+    "end_framed_within_event",
+    "refuse_and_keep",
+    "run_after_repeated_refusal",
+    "run_after_unnamed_refusal",
+    "respond_with_text",
+    "respond_with_second_head",
 }
 BEHAVIOURS = tuple(
     sorted(
