Believe a refusal only if it answers the send that waits for it

What callers would see: a booking that runs twice, or 'not run' for one that a worker runs.

Cause: the attempt id does not tell two sends of one attempt apart, and a prefill call and the answer share it. A request that was refused could go to the same upstream again on the same connection, where a repeated refusal was believed. And a refusal without an id was taken as the refusal of whatever waited on the connection, also one that had carried other requests.

Change: a connection carries a request or its prefill call once. A refusal without an id is believed on a connection's first request only; elsewhere the outcome is unknown.

Refusals without an id on new connections are still believed.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -8,6 +8,7 @@
 from camphorgate.application import Application
 from camphorgate.serving.catalog import Kind, Stage, Upstream
 from camphorgate.serving.send_attempts import SendAttempts
+from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.exchange import STALE
 from camphorgated.serving.front import RequestContext
@@ -43,6 +44,7 @@
         attempts = SendAttempts(context.route.repeatable(), context.route.attempts)
         upstreams.budget(context.service).record_request(clock.monotonic())
         tried: set[str] = set()
+        carried: set[ClientConnection] = set()
         unsent = 0
         counted = False
         while True:
@@ -70,7 +72,7 @@
             upstreams.health.of(upstream.incarnation).record_attempt(now)
             tried.add(upstream.id)
             try:
-                done = await self._try(context, attempts, upstream)
+                done = await self._try(context, attempts, upstream, carried)
             except ExchangeError as error:
                 attempts.record_failure(error.stage)
                 unsent += error.stage is Stage.NOT_SENT
@@ -93,10 +95,16 @@
             )
 
     async def _try(
-        self, context: RequestContext, attempts: SendAttempts, upstream: Upstream
+        self,
+        context: RequestContext,
+        attempts: SendAttempts,
+        upstream: Upstream,
+        carried: set[ClientConnection],
     ) -> bool:
         """Send the request to one upstream.
 
+        :param carried: connections that carried the request before.
+
         :returns: whether the caller has been sent a response.
         """
         clock = self._app.clock
@@ -105,7 +113,7 @@
         max_connections = upstreams.max_connections(context.service)
         with upstreams.count_in_flight(upstream, 0):
             async with upstreams.exchange(upstream) as exchange:
-                await exchange.open(max_connections, recently_used)
+                await exchange.open(max_connections, recently_used, carried)
                 now = clock.monotonic()
                 headers = self._platform.upstream_headers(
                     context.request,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from camphorgate.serving.catalog import Stage, Upstream
+from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.http1 import Headers, encode_head
 from camphorgated.serving.platform_protocol import PlatformProtocol, ResponseFacts
@@ -81,18 +82,27 @@
         else:
             self._pool.discard(lease)
 
-    async def open(self, max_connections: int, recently_used: bool) -> None:
+    async def open(
+        self,
+        max_connections: int,
+        recently_used: bool,
+        carried: set[ClientConnection],
+    ) -> None:
         """Acquire a connection.
 
         :param max_connections: bound on this instance's connections to the upstream.
         :param recently_used: for non-repeatable requests; reuse only recent
             connections.
+        :param carried: connections that carried this request before. The acquired one
+            is added: the attempt id does not tell a repeated response to an earlier
+            send from the response to this one.
         :raises ExchangeError: if none is available, or if the upstream stopped
             accepting requests since it was chosen; nothing was sent.
         """
         self._lease = await self._pool.take(
-            self.upstream, max_connections, recently_used
+            self.upstream, max_connections, recently_used, carried
         )
+        carried.add(self._lease.connection)
         if not self._gate.takes_requests(self.upstream):
             raise ExchangeError(
                 f"{self.upstream.id} accepts no more requests", Stage.NOT_SENT, LEAVING
@@ -110,8 +120,8 @@
 
         :param attempt: the attempt id that the response must carry.
         :param seconds: how long to wait.
-        :param require_id: whether the response must carry an attempt id at all, unless
-            it is a refusal.
+        :param require_id: whether the response must carry an attempt id at all. A
+            refusal need not on a new connection, where it can answer nothing else.
         :raises ExchangeError: if no acceptable head arrives in time.
         """
         connection = self._lease.connection
@@ -127,7 +137,8 @@
         self.headers = connection.headers
         facts = self._platform.read_answer(status, connection.headers)
         if facts.attempt != attempt:
-            unnamed = not require_id or facts.stage is Stage.REFUSED
+            refused = facts.stage is Stage.REFUSED and not self._lease.reused
+            unnamed = not require_id or refused
             if facts.attempt is not None or not unnamed:
                 raise self._error("the response belongs to another request", "crossed")
         self.facts = facts
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
@@ -4,6 +4,7 @@
 from camphorgate.serving.placement import Prompt
 from camphorgate.serving.prefill_queue import QueuedPrompt
 from camphorgate.serving.send_attempts import SendAttempts
+from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.events import EventStream
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.quarantine import part_keys
@@ -48,6 +49,7 @@
         "passed_at",
         "progress_seen",
         "progressed_at",
+        "carried",
         "part_keys",
         "answering_since",
         "upstream_ended",
@@ -73,6 +75,8 @@
         self.progress_seen = 0
         self.progressed_at = 0.0
         self.part_keys = part_keys(context)
+        # Connections that carried the request or its prefill call.
+        self.carried: set[ClientConnection] = set()
         # When the present engine began to answer.
         self.answering_since: float | None = None
         # Whether an engine ended while it worked on this request.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -265,7 +265,9 @@
         try:
             with self._upstreams.count_in_flight(engine, choice.uncached):
                 async with self._upstreams.exchange(engine) as exchange:
-                    await exchange.open(self._max_connections(context), False)
+                    await exchange.open(
+                        self._max_connections(context), False, generation.carried
+                    )
                     sent_at = clock.monotonic()
                     self._send(generation, exchange, phase=Phase.PREFILL)
                     facts = await exchange.read_head(
@@ -320,7 +322,9 @@
         with self._upstreams.count_in_flight(engine, reading):
             async with self._upstreams.exchange(engine) as exchange:
                 await exchange.open(
-                    self._max_connections(context), not context.route.repeatable()
+                    self._max_connections(context),
+                    not context.route.repeatable(),
+                    generation.carried,
                 )
                 if context.caller.disconnected:
                     return True
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Set
 
 from camphorgate.clock import Clock
 from camphorgate.serving.catalog import Stage, Upstream
@@ -57,13 +58,19 @@
         self._keep_by_incarnation: dict[tuple, float] = {}
 
     async def take(
-        self, upstream: Upstream, max_connections: int, recently_used: bool
+        self,
+        upstream: Upstream,
+        max_connections: int,
+        recently_used: bool,
+        carried: Set[ClientConnection] = frozenset(),
     ) -> Lease:
         """Return a connection for one exchange.
 
         :param max_connections: bound on this instance's connections to the upstream.
         :param recently_used: for non-repeatable requests; reuse only recent
             connections.
+        :param carried: connections that carried the same request before and are not
+            reused for it.
         :raises ExchangeError: if none is available; nothing was sent.
         """
         incarnation = upstream.incarnation
@@ -73,6 +80,9 @@
         limit = min(keep, MAX_IDLE_NON_REPEATABLE_SECONDS) if recently_used else keep
         while idle:
             connection = idle[-1]
+            if connection in carried:
+                idle.pop().close()
+                continue
             if connection.usable and now - connection.idle_since < limit:
                 idle.pop()
                 self._used_by_incarnation[incarnation] = (
--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
@@ -118,8 +118,15 @@
             headers["x-server-stamp"] = f"{self.id}.{next(self._sequence_numbers)}"
         return headers
 
-    def _reject_unexecuted(self, status: int, **extra_headers: str) -> Response:
-        headers = {"x-not-executed": "1", "x-instance-id": self.id, **extra_headers}
+    def _reject_unexecuted(
+        self, request: Request, status: int, **extra_headers: str
+    ) -> Response:
+        headers = {
+            "x-attempt-id": request.headers.get("x-attempt-id", ""),
+            "x-not-executed": "1",
+            "x-instance-id": self.id,
+            **extra_headers,
+        }
         return Response(status_code=status, headers=headers)
 
     async def serve(self, request: Request) -> Response:
@@ -127,17 +134,17 @@
         attempt = request.headers.get("x-attempt-id", "")
         self.arrivals.append((time.time(), attempt))
         if request.headers.get("x-expect-instance", self.id) != self.id:
-            return self._reject_unexecuted(421)
+            return self._reject_unexecuted(request, 421)
         if self.faults.consume("pause"):
             pause = self.faults.text_value("pause", "1")
             self.pauses.append((time.time(), attempt, pause))
-            return self._reject_unexecuted(503, **{"retry-after": pause})
+            return self._reject_unexecuted(request, 503, **{"retry-after": pause})
         if self.faults.consume("refuse") or self.running >= self.slots:
-            return self._reject_unexecuted(503)
+            return self._reject_unexecuted(request, 503)
         body = await request.body()
         prefill = request.headers.get("x-phase") == "prefill"
         if prefill != (self.phase == "prefill"):
-            return self._reject_unexecuted(421)
+            return self._reject_unexecuted(request, 421)
         self.running += 1
         try:
             if prefill:
--- a/tests/test_serving/test_faulty_upstreams.py
+++ b/tests/test_serving/test_faulty_upstreams.py
@@ -300,7 +300,7 @@
         upstream = app.service("directory").table.by_id["w1"]
         for attempt in ("a-1", "a-2"):
             async with upstreams.exchange(upstream) as exchange:
-                await exchange.open(4, False)
+                await exchange.open(4, False, set())
                 lines = [
                     (b"host", HOST.encode()),
                     (b"x-attempt-id", attempt.encode()),
