Tell rare and cleared parts from crashing ones at every size of fleet

Change: evidence settles for a second, in which instances tell of the answers that they saw; a part with known answers needs five successive ends; an end is independent if its request was sent after the end before; news of one tick are the latest first, and evidence that answers have refuted is dropped; an instance that contributed evidence writes the block whoever derived it; an instance derives nothing in its first two seconds. A request with an unanswered part goes to two upstreams that end at most. Plain calls are kept the same way, by a hash of what their server executes.

A test of the trial by one request of all instances, and of a call that ends its servers.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -7,11 +7,13 @@
 
 from camphorgate.application import Application
 from camphorgate.serving.catalog import Kind, Stage, Upstream
+from camphorgate.serving.quarantine import Block
 from camphorgate.serving.send_attempts import SendAttempts
 from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
-from camphorgated.serving.exchange import STALE
+from camphorgated.serving.exchange import ENDED_CAUSES, STALE
 from camphorgated.serving.front import RequestContext
+from camphorgated.serving.quarantine import BLOCKED, call_keys
 from camphorgated.serving.upstream_wait import wait_for_upstream
 
 # A repeatable request is retried on another upstream after this multiple of its route's
@@ -27,7 +29,14 @@
 class Calls:
     """Sends requests of plain services to upstreams and returns the responses."""
 
-    __slots__ = ("_app", "_platform", "_upstreams", "_gossip", "_statistics")
+    __slots__ = (
+        "_app",
+        "_platform",
+        "_upstreams",
+        "_gossip",
+        "_statistics",
+        "_quarantine",
+    )
 
     def __init__(self, app: Application) -> None:
         """Use the shared state of the upstreams."""
@@ -36,6 +45,7 @@
         self._upstreams = app.service("upstreams")
         self._gossip = app.service("gossip")
         self._statistics = app.service("statistics")
+        self._quarantine = app.service("quarantine")
 
     async def run(self, context: RequestContext) -> None:
         """Handle a request, retrying it on other upstreams where allowed."""
@@ -47,8 +57,15 @@
         carried: set[ClientConnection] = set()
         unsent = 0
         counted = False
+        keys = call_keys(context)
         while True:
             now = clock.monotonic()
+            block = self._quarantine.find_block(keys)
+            if block is not None and (
+                attempts.sends or not await self._quarantine.try_trial(context, block)
+            ):
+                self._refuse_blocked(context, attempts, block)
+                return
             reason = upstreams.refusal_reason(
                 context, attempts, unsent, MAX_UNSENT_ATTEMPTS
             )
@@ -71,6 +88,7 @@
             context.decisions.update(answerer=upstream.id, predicted_ms=choice.wait_ms)
             upstreams.health.of(upstream.incarnation).record_attempt(now)
             tried.add(upstream.id)
+            sent_at = clock.monotonic()
             try:
                 done = await self._try(context, attempts, upstream, carried)
             except ExchangeError as error:
@@ -78,9 +96,14 @@
                 unsent += error.stage is Stage.NOT_SENT
                 upstreams.note_failure(upstream, error)
                 self._statistics.try_failed(context, upstream, error.cause, error.stage)
+                if error.stage is Stage.SENT and error.cause in ENDED_CAUSES:
+                    seconds = clock.monotonic() - sent_at
+                    self._quarantine.record_end(context, upstream, keys, seconds)
                 ran = error.stage is Stage.SENT and error.cause != STALE
             else:
                 ran = attempts.may_have_run
+                if ran:
+                    self._quarantine.record_answer(keys)
                 if done:
                     self._count(context, counted)
                     return
@@ -88,6 +111,13 @@
                 self._count(context, counted)
                 counted = True
 
+    def _refuse_blocked(
+        self, context: RequestContext, attempts: SendAttempts, block: Block
+    ) -> None:
+        self._quarantine.refuse(context, block)
+        seconds = self._quarantine.retry_after_seconds(block)
+        self._give_up(context, attempts, BLOCKED, seconds)
+
     def _count(self, context: RequestContext, counted: bool) -> None:
         if context.workspace is not None and not counted:
             self._gossip.usage.count(
@@ -171,7 +201,11 @@
         return min(left, max(MIN_ATTEMPT_TIMEOUT_SECONDS, timeout))
 
     def _give_up(
-        self, context: RequestContext, attempts: SendAttempts, reason: str
+        self,
+        context: RequestContext,
+        attempts: SendAttempts,
+        reason: str,
+        retry_after: float | None = None,
     ) -> None:
         caller = context.caller
         if caller.begun:
@@ -181,7 +215,7 @@
         else:
             seconds = context.route.target_seconds * RETRY_AFTER_TARGETS
             seconds = self._upstreams.retry_after_seconds(context, reason, seconds)
-            caller.refuse(503, reason, seconds)
+            caller.refuse(503, reason, seconds if retry_after is None else retry_after)
         self._statistics.given_up(context, reason, sends=attempts.sends)
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
@@ -52,7 +52,8 @@
         "carried",
         "part_keys",
         "answering_since",
-        "upstream_ended",
+        "sent_at",
+        "upstream_ends",
         "is_trial",
     )
 
@@ -74,13 +75,14 @@
         self.passed_at: float | None = None
         self.progress_seen = 0
         self.progressed_at = 0.0
-        self.part_keys = part_keys(context)
         # Connections that carried the request or its prefill call.
         self.carried: set[ClientConnection] = set()
+        self.part_keys = part_keys(context)
         # When the present engine began to answer.
         self.answering_since: float | None = None
-        # Whether an engine ended while it worked on this request.
-        self.upstream_ended = False
+        # When the request was last sent, and how many engines ended under it.
+        self.sent_at = 0.0
+        self.upstream_ends = 0
         # Whether this request tests whether a blocked part still ends engines.
         self.is_trial = False
         self.urgency = min(LOWEST_URGENCY, context.rank * URGENCY_PER_RANK)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -206,8 +206,9 @@
 
     def _refusal_reason(self, generation: Generation) -> str | None:
         """Return why the request may not be sent or retried."""
-        ended = generation.upstream_ended
-        if ended and self._quarantine.table.suspected(generation.part_keys):
+        if not self._quarantine.table.may_send_again(
+            generation.part_keys, generation.upstream_ends
+        ):
             return SUSPECTED
         return self._upstreams.refusal_reason(
             generation.context,
@@ -396,6 +397,7 @@
             cache_source=handle.source if handle else None,
             last_event=None if phase else generation.resume_from,
         )
+        generation.sent_at = self._app.clock.monotonic()
         exchange.send(request.method, request.target, headers, request.body)
         self._upstreams.note_sent(context, exchange.upstream)
 
@@ -463,13 +465,14 @@
     def _record_end(self, generation: Generation, engine: Upstream) -> None:
         context = generation.context
         self._statistics.answer_cut(context, engine, generation.stream.progress)
-        generation.upstream_ended = True
+        generation.upstream_ends += 1
         begun_at = generation.answering_since
         now = self._app.clock.monotonic()
         self._quarantine.record_end(
             context,
             engine,
             generation.part_keys,
+            now - generation.sent_at,
             0.0 if begun_at is None else now - begun_at,
         )
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
@@ -40,10 +40,12 @@
 NEWS_PEERS_PER_TICK = 4
 # Ticks for which an instance sends what it has learned.
 NEWS_TICKS = 8
-# Bounds on a datagram; entries have up to about 80 bytes, and links pass 1,400.
-MAX_EVIDENCE_PER_DATAGRAM = 10
-MAX_CLEARED_PER_DATAGRAM = 10
+# Bounds on a datagram, so that links do not fragment it: evidence has about 70 bytes,
+# an answer and an upstream 20, and a block 40.
+MAX_EVIDENCE_PER_DATAGRAM = 8
+MAX_CLEARED_PER_DATAGRAM = 24
 MAX_BLOCKS_PER_DATAGRAM = 4
+MAX_SURVIVORS_PER_DATAGRAM = 4
 # Longer ids of parts are replaced by a hash, as callers choose them.
 MAX_PART_CHARACTERS = 32
 # The blocks are read this long after the start, and again by the holder of the duty.
@@ -52,6 +54,8 @@
 READ_RETRY_SECONDS = 0.5
 # A write that failed, and the trial of a block, are attempted at this interval.
 WRITE_RETRY_SECONDS = 1.0
+# An instance has heard of the answers to suspected parts this long after its start.
+LEARNING_SECONDS = 2.0
 # Lower bound of the retry-after of refused callers.
 MIN_RETRY_AFTER_SECONDS = 1.0
 
@@ -72,6 +76,7 @@
         "_removed",
         "_trial_tried_at",
         "_random",
+        "_started_at",
         "_ends",
         "_refusals",
         "_blocks",
@@ -94,6 +99,7 @@
         self._removed: set[tuple[str, ...]] = set()
         self._trial_tried_at: dict[tuple[str, ...], float] = {}
         self._random = random.Random()
+        self._started_at = app.clock.monotonic()
         registry = self._statistics.registry
         self._ends = PrometheusCounter(
             "camphorgate_upstream_ends",
@@ -130,10 +136,12 @@
         context: RequestContext,
         upstream: Upstream,
         parts: tuple[str, ...],
+        sent_seconds: float,
         answered_seconds: float = 0.0,
     ) -> None:
         """Record a request whose connection ended before its answer.
 
+        :param sent_seconds: how long ago it was sent to the upstream.
         :param answered_seconds: for how long the answer had been arriving.
         """
         if upstream.leaving or answered_seconds > MAX_ONSET_SECONDS:
@@ -141,11 +149,14 @@
         self._ends.inc({"service": upstream.service})
         request = xxhash.xxh3_64_hexdigest(context.facts.attempt.encode())
         now = self._gossip.synchronized_now()
-        evidence = self.table.record_end(upstream.incarnation, request, parts, now)
+        evidence = self.table.record_end(
+            upstream.incarnation, request, parts, now - sent_seconds, now
+        )
         if evidence is None:
             return
         self._own_requests.add(request)
         self._announce("evidence", (evidence.upstream, evidence.request))
+        self._report_answers(evidence)
         self._statistics.request_line(
             "upstream_ended",
             upstream=upstream.id,
@@ -228,25 +239,21 @@
         )
 
     def _announce(self, field: str, key: object) -> None:
+        """Send an entry at the next ticks, ahead of earlier ones."""
+        self._news.pop((field, key), None)
         self._news[field, key] = NEWS_TICKS
 
     def _tick(self, turn: int) -> None:
         now = self._gossip.synchronized_now()
-        for block in self.table.derive_blocks(now):
+        for block in self._derive_blocks(now):
             self._announce("blocks", block.parts)
-            requests = [
-                item.request
-                for item in self.table.evidence_by_id.values()
-                if set(block.parts) <= set(item.parts)
-            ]
-            if self._own_requests.intersection(requests):
-                self._unwritten[block.parts] = block
+            self._write_later(block)
             log_event(
                 "prompt_part_blocked",
                 level="WARNING",
                 parts=",".join(block.parts),
                 ends=block.ends,
-                requests=len(requests),
+                source="evidence",
             )
         for block in self.table.expire(now):
             self._removed.add(block.parts)
@@ -254,6 +261,12 @@
         self._blocks.set({}, len(self.table.blocks_by_parts))
         self._send(self._gossip.near + self._gossip.far)
 
+    def _derive_blocks(self, now: float) -> list[Block]:
+        """Return new blocks, none while this instance may not know of answers yet."""
+        if self._app.clock.monotonic() - self._started_at < LEARNING_SECONDS:
+            return []
+        return self.table.derive_blocks(now)
+
     def _send(self, peers: list[str]) -> None:
         if not peers or not (self._news or len(self.table)):
             return
@@ -270,29 +283,34 @@
             "evidence": MAX_EVIDENCE_PER_DATAGRAM,
             "cleared": MAX_CLEARED_PER_DATAGRAM,
             "blocks": MAX_BLOCKS_PER_DATAGRAM,
-            "survivors": MAX_CLEARED_PER_DATAGRAM,
+            "survivors": MAX_SURVIVORS_PER_DATAGRAM,
         }
         for field, key in reversed(list(self._news)):
             if not room_by_field[field]:
                 continue
-            room_by_field[field] -= 1
             self._news[field, key] -= 1
-            if not self._news[field, key]:
+            added = self._add(news, field, key)
+            room_by_field[field] -= added
+            if not added or not self._news[field, key]:
                 del self._news[field, key]
-            self._add(news, field, key)
         return news if _is_news(news) else None
 
-    def _add(self, news: QuarantineNews, field: str, key) -> None:
-        """Add an entry, unless it has been removed meanwhile."""
+    def _add(self, news: QuarantineNews, field: str, key) -> bool:
+        """Add an entry and return whether the table still has it."""
         table = self.table
-        if field == "evidence" and key in table.evidence_by_id:
-            news.evidence.append(table.evidence_by_id[key])
-        elif field == "cleared" and key in table.cleared_at_by_part:
-            news.cleared.append((key, table.cleared_at_by_part[key]))
-        elif field == "blocks" and key in table.blocks_by_parts:
-            news.blocks.append(table.blocks_by_parts[key])
-        elif field == "survivors":
+        if field == "survivors":
             news.survivors.append(key)
+            return True
+        entries = {
+            "evidence": table.evidence_by_id,
+            "cleared": table.cleared_at_by_part,
+            "blocks": table.blocks_by_parts,
+        }[field]
+        if key not in entries:
+            return False
+        entry = entries[key]
+        getattr(news, field).append((key, entry) if field == "cleared" else entry)
+        return True
 
     def _sample(self) -> QuarantineNews:
         """Return a random part of the table that fits into a datagram."""
@@ -316,7 +334,7 @@
         for evidence in news.evidence:
             if self.table.merge_evidence(evidence, now):
                 self._announce("evidence", (evidence.upstream, evidence.request))
-                self._clear_answered(evidence)
+                self._report_answers(evidence)
         for block in news.blocks:
             self._merge_block(block, "peer")
         for part, at in news.cleared:
@@ -324,9 +342,9 @@
                 self._announce("cleared", part)
         self._note_lifted(before, "peer")
 
-    def _clear_answered(self, evidence: Evidence) -> None:
-        """Report answers that this instance saw after the end of an upstream."""
-        for part in self.table.answered_since(evidence.parts, evidence.at):
+    def _report_answers(self, evidence: Evidence) -> None:
+        """Tell peers of the answers that this instance saw to suspected parts."""
+        for part in self.table.report_answers(evidence):
             self._announce("cleared", part)
 
     def _merge_block(self, block: Block, source: str) -> None:
@@ -335,6 +353,8 @@
             return
         self._announce("blocks", block.parts)
         if not known:
+            if source == "peer":
+                self._write_later(block)
             log_event(
                 "prompt_part_blocked",
                 level="WARNING",
@@ -343,6 +363,17 @@
                 source=source,
             )
 
+    def _write_later(self, block: Block) -> None:
+        """Write a block to the store if this instance contributed evidence for it.
+
+        These are a few of all instances; one of their writes takes effect.
+        """
+        if any(
+            item.request in self._own_requests and set(block.parts) <= set(item.parts)
+            for item in self.table.evidence_by_id.values()
+        ):
+            self._unwritten[block.parts] = block
+
     def _note_lifted(self, before: set[tuple[str, ...]], by: str) -> None:
         for parts in before - self.table.blocks_by_parts.keys():
             if by != "peer":
--- a/packages/camphorgate/src/camphorgate/serving/quarantine.py
+++ b/packages/camphorgate/src/camphorgate/serving/quarantine.py
@@ -5,8 +5,9 @@
 set of requests whose connection ended together with their upstream. It merges in any
 order, so that all instances derive the same result from what each of them saw.
 
-A part is blamed only for ends after its last complete answer on any instance, and an
-end that a blocked part explains is not held against other parts. The keys need not be
+A part is blamed only for ends after its last complete answer on any instance. A part
+that was ever answered needs more evidence than one that was not, and an end that a
+blocked part explains is not held against other parts. The keys need not be
 prompt parts: plain calls use a hash of the request.
 """
 
@@ -17,18 +18,21 @@
 
 Incarnation = tuple[str, int]
 
-# Ends of different upstreams, under different requests, that block a part. The users
-# allow five.
+# Ends of different upstreams, under different requests, that block a part without any
+# known answer. The users allow five.
 BLOCKING_ENDS = 3
-# Further ends that are waited for while the evidence fits several parts equally well.
-MAX_AMBIGUOUS_ENDS = 5
-# Ends within this time count once, as a failing rack ends many upstreams at once.
-INCIDENT_SECONDS = 0.5
-# Ends that count even so if they come at once, beyond this many: requests that end
-# every upstream within a moment leave no time between the ends.
+# Ends that block a part with earlier answers, or several parts that the evidence fits
+# equally well.
+CERTAIN_ENDS = 5
+# Ends of one moment that count once, as a failing rack ends many upstreams; further
+# ones count each, as many requests may end every upstream within a moment.
 UNCOUNTED_BURST_ENDS = 3
-# Evidence counts after this time, in which answers on other instances become known.
-SETTLE_SECONDS = 0.3
+# Ends of one request after which it is not sent again, if it has a part without any
+# known answer.
+MAX_ENDS_OF_REQUEST = 2
+# Evidence counts after this time, in which it reaches all instances and the news of
+# earlier answers comes back.
+SETTLE_SECONDS = 1.0
 # An upstream that responds this long after a connection ended has not ended itself.
 SURVIVAL_SECONDS = 0.25
 # A part that was answered here within this time is not reported.
@@ -57,12 +61,13 @@
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """A request whose connection ended together with its upstream.
 
-    ``at`` is the true time in seconds since 1970. ``parts`` are the request's parts
-    that had not been answered lately.
+    ``sent_at`` and ``at`` are the true times of its sending and of the end, in seconds
+    since 1970. ``parts`` are the request's parts that had not been answered lately.
     """
 
     upstream: Incarnation
     request: str
+    sent_at: float
     at: float
     parts: tuple[str, ...]
 
@@ -106,7 +111,8 @@
         """Initialize without evidence."""
         self.evidence_by_id: OrderedDict[tuple, Evidence] = OrderedDict()
         self.blocks_by_parts: OrderedDict[tuple[str, ...], Block] = OrderedDict()
-        # Times of the last known answers of parts that were suspected.
+        # Times of the last known answers of parts that have been suspected, also of
+        # answers before that.
         self.cleared_at_by_part: OrderedDict[str, float] = OrderedDict()
         # Upstreams that responded after a connection to them had ended.
         self.survivors: OrderedDict[Incarnation, None] = OrderedDict()
@@ -118,11 +124,17 @@
         return len(self.evidence_by_id) + len(self.blocks_by_parts)
 
     def record_end(
-        self, upstream: Incarnation, request: str, parts: Iterable[str], now: float
+        self,
+        upstream: Incarnation,
+        request: str,
+        parts: Iterable[str],
+        sent_at: float,
+        now: float,
     ) -> Evidence | None:
         """Record a request whose connection ended together with its upstream.
 
         :param request: id of the request.
+        :param sent_at: when it was sent there.
         :returns: the evidence, or ``None`` if all its parts were answered lately.
         """
         suspected = tuple(
@@ -130,7 +142,7 @@
             for part in dict.fromkeys(parts)
             if now - self._answered_at_by_part.get(part, 0.0) > PROVEN_SECONDS
         )
-        evidence = Evidence(upstream, request, now, suspected)
+        evidence = Evidence(upstream, request, sent_at, now, suspected)
         return evidence if self.merge_evidence(evidence, now) else None
 
     def merge_evidence(self, evidence: Evidence, now: float) -> bool:
@@ -175,16 +187,16 @@
             self._answered_at_by_part.popitem(last=False)
         return cleared
 
-    def answered_since(self, parts: Iterable[str], at: float) -> list[str]:
-        """Clear the parts that this instance saw answered after a time.
+    def report_answers(self, evidence: Evidence) -> list[str]:
+        """Take over what this instance knows of answers to suspected parts.
 
-        :returns: the cleared parts.
+        :returns: the parts whose last answer was not known from others.
         """
         return [
             part
-            for part in parts
-            if (answered_at := self._answered_at_by_part.get(part, 0.0)) > at
-            and self.merge_cleared(part, answered_at)
+            for part in evidence.parts
+            if part in self._answered_at_by_part
+            and self.merge_cleared(part, self._answered_at_by_part[part])
         ]
 
     def merge_cleared(self, part: str, at: float) -> bool:
@@ -256,13 +268,21 @@
             for part in self._suspected_parts(item):
                 evidence_by_part.setdefault(part, []).append(item)
         ends_by_part = {
-            part: count_ends(items)
+            part: count_ends(items) for part, items in evidence_by_part.items()
+        }
+        unanswered = {
+            part: ends
+            for part, ends in ends_by_part.items()
+            if ends >= BLOCKING_ENDS and part not in self.cleared_at_by_part
+        }
+        answered = {
+            part: ends
             for part, items in evidence_by_part.items()
-            if len(items) >= BLOCKING_ENDS
+            if part in self.cleared_at_by_part
+            and (ends := count_ends(items, bursts=False)) >= CERTAIN_ENDS
         }
+        ends_by_part = unanswered or answered
         most = max(ends_by_part.values(), default=0)
-        if most < BLOCKING_ENDS:
-            return []
         # Parts that only occur together are blocked together.
         parts_by_evidence: dict[frozenset, list[str]] = {}
         for part, ends in ends_by_part.items():
@@ -271,7 +291,7 @@
                     (item.upstream, item.request) for item in evidence_by_part[part]
                 )
                 parts_by_evidence.setdefault(ids, []).append(part)
-        if len(parts_by_evidence) > 1 and most < MAX_AMBIGUOUS_ENDS:
+        if len(parts_by_evidence) > 1 and most < CERTAIN_ENDS:
             return []
         return [
             Block(tuple(sorted(parts)), now, 0, most)
@@ -295,16 +315,28 @@
             if self.find_block(item.parts) is not None
         }
 
-    def suspected(self, parts: Iterable[str]) -> bool:
-        """Return whether one of the parts lacks a single further end to be blocked."""
-        suspects = [part for part in parts if part in self._suspects]
-        if not suspects:
-            return False
-        evidence = list(self.evidence_by_id.values())
-        return any(
-            count_ends(item for item in evidence if part in self._suspected_parts(item))
+    def may_send_again(self, parts: Iterable[str], ends: int) -> bool:
+        """Return whether a request may be sent again after upstreams ended under it.
+
+        It may not if it has a part without any known answer, unless this is the first
+        end under such a part.
+
+        :param ends: number of upstreams that ended under the request.
+        """
+        unanswered = [
+            part
+            for part in parts
+            if part not in self._answered_at_by_part
+            and part not in self.cleared_at_by_part
+        ]
+        if not ends or not unanswered:
+            return True
+        return ends < MAX_ENDS_OF_REQUEST and not any(
+            count_ends(
+                item for item in self.evidence_by_id.values() if part in item.parts
+            )
             >= BLOCKING_ENDS - 1
-            for part in suspects
+            for part in unanswered
         )
 
     def find_block(self, parts: Iterable[str]) -> Block | None:
@@ -382,22 +414,26 @@
             self._suspects.update(parts)
 
 
-def count_ends(evidence: Iterable[Evidence]) -> int:
+def count_ends(evidence: Iterable[Evidence], bursts: bool = True) -> int:
     """Return how many ends the evidence shows that are independent of each other.
 
-    They have different upstreams and requests. Those that come at once count once, up
-    to :data:`UNCOUNTED_BURST_ENDS`.
+    They have different upstreams and requests, and each request was sent after the end
+    before. So ends of one moment count once.
+
+    :param bursts: count those beyond :data:`UNCOUNTED_BURST_ENDS` even so.
     """
     upstreams: set[Incarnation] = set()
     requests: set[str] = set()
-    incidents = 0
+    successive = 0
     last_at = float("-inf")
     for item in sorted(evidence, key=lambda item: item.at):
         if item.upstream in upstreams or item.request in requests:
             continue
         upstreams.add(item.upstream)
         requests.add(item.request)
-        if item.at - last_at >= INCIDENT_SECONDS:
-            incidents += 1
+        if item.sent_at > last_at:
+            successive += 1
             last_at = item.at
-    return max(incidents, len(upstreams) - UNCOUNTED_BURST_ENDS)
+    if not bursts:
+        return successive
+    return max(successive, len(upstreams) - UNCOUNTED_BURST_ENDS)
--- a/tests/test_serving/test_crashing_prompts.py
+++ b/tests/test_serving/test_crashing_prompts.py
@@ -3,8 +3,12 @@
 import asyncio
 import contextlib
 
+from camphorgate.serving.quarantine import TRIAL_SECONDS, Block
+from camphorgated.serving.quarantine import BLOCKED
 from tests.crashing_engines import CRASHING_PART, CrashingFleet
 from tests.hosted import HostedCase
+from tests.hosting_builders import build_platform_entry
+from tests.scripted_worker import ScriptedWorker
 
 # The users' bound on the news of five ends (Akmola), and the sends after it.
 CONTACT_SECONDS = 3.0
@@ -126,3 +130,61 @@
     async def test_crashing_part_is_not_resumed_on_further_engines(self):
         """Guards against resumption that carries a crashing part to further engines."""
         await self.check_route("/chat/a")
+
+    async def test_blocked_part_is_refused_as_not_run_with_a_reason(self):
+        """Guards against refusals that are untrue or that nobody can explain."""
+        app = (await self.start_fleet(instances=1, engines=2))[0]
+        quarantine = app.service("quarantine")
+        now = app.service("gossip").synchronized_now()
+        quarantine.table.merge_block(Block((CRASHING_PART,), now, 0, 3))
+        answers = await self.send_at_rate(
+            [app], "/chat/a", 100.0, 0.01, "c0", CRASHING_PART
+        )
+        response = answers[0][1]
+        self.assertEqual(response.status, 503)
+        self.assertIn(BLOCKED.encode(), response.body)
+        self.assertGreater(float(response.headers[b"retry-after"]), 50.0)
+        self.assertEqual(self.fleet.arrivals, [])
+        self.assertEqual(quarantine.dump()["blocks"][0]["parts"], [CRASHING_PART])
+
+    async def test_one_request_of_all_instances_tests_a_block(self):
+        """Guards against a trial by each instance of a large fleet."""
+        apps = await self.start_fleet()
+        for app in apps:
+            since = app.service("gossip").synchronized_now() - TRIAL_SECONDS
+            block = Block((CRASHING_PART,), since, 0, 3)
+            app.service("quarantine").table.merge_block(block)
+        await self.send_at_rate(apps, "/chat/a", 20.0, 2.0, "c0", CRASHING_PART)
+        self.assertEqual(len(self.fleet.arrivals), 1)
+
+    async def test_block_of_a_part_that_is_sound_again_ends_with_its_trial(self):
+        """Guards against a part that stays blocked after its cause was mended."""
+        apps = await self.start_fleet()
+        self.fleet.crashing_part = "none"
+        for app in apps:
+            since = app.service("gossip").synchronized_now() - TRIAL_SECONDS
+            block = Block((CRASHING_PART,), since, 0, 3)
+            app.service("quarantine").table.merge_block(block)
+        await self.send_at_rate(apps, "/chat/a", 20.0, 1.5, "c0", CRASHING_PART)
+        answers = await self.send_at_rate(
+            apps, "/chat/a", 20.0, 1.5, "c0", CRASHING_PART, first=1000
+        )
+        self.assertEqual(self.served_share(answers, 0.0), 1.0)
+
+    async def test_call_that_ends_its_servers_is_blocked(self):
+        """Guards against a path and body that end one server after the other."""
+        self.configure()
+        scripted = [ScriptedWorker(f"w{n}", ["reset"] * 99) for n in range(5)]
+        for worker in scripted:
+            await worker.start()
+            self.stack.push_async_callback(worker.stop)
+            entry = build_platform_entry(worker.address)
+            self.store.put(f"servers/{worker.id}", entry)
+            self.workers[worker.id] = worker
+        app = await self.start_ready()
+        for number in range(8):
+            headers = {b"x-attempt-id": b"attempt-%d" % number}
+            response = await self.request(app, "/read/bad", headers=headers)
+            await asyncio.sleep(0.3)
+        self.assertEqual(response.status, 503)
+        self.assertIn(BLOCKED.encode(), response.body)
