--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
@@ -6,13 +6,17 @@
 (503, not executed), ``fail`` (500 from the service itself), ``break_stream`` (value:
 events before the connection is aborted), ``wrong_attempt`` (a response with another
 attempt id), ``unstamped`` (no ``x-server-stamp``), ``leave`` (every response announces
-a shutdown), ``pause`` (503, not executed; value: ``Retry-After``).
+a shutdown), ``pause`` (503, not executed; value: ``Retry-After``). With
+``--crash-part``, the process ends when it begins to answer a prompt with that part, and
+with ``--crash-log`` it first appends the time and the attempt id to a file.
 ``GET /control/runs`` lists every execution, prefill and arrival.
 """
 
 import asyncio
 import itertools
+import os
 import time
+from pathlib import Path
 
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
@@ -31,6 +35,8 @@
 EVENT_INTERVAL_SECONDS = 0.005
 TOKENS_PER_EVENT = 11
 LEAVE_FAULT = "leave"
+# Time from the arrival of a request with the crashing part to the end of the process.
+CRASH_SECONDS = 0.02
 
 
 class LeavingHeader:
@@ -71,6 +77,8 @@
         "running",
         "orders",
         "highest_fencing",
+        "crash_part",
+        "crash_log",
         "_sequence_numbers",
         "_prefill_lock",
     )
@@ -91,6 +99,9 @@
         self.running = 0
         self.orders = 0
         self.highest_fencing = 0
+        # A prompt part that ends the process, and the file that records it.
+        self.crash_part = ""
+        self.crash_log = ""
         self._sequence_numbers = itertools.count(1)
         self._prefill_lock = asyncio.Lock()
 
@@ -153,6 +164,8 @@
             if self.phase and source is None:
                 await self._prefill_uncached(request, 0.5)
             self._record_run(request, body)
+            if self.crash_part in _shared_parts(request):
+                await self._crash(attempt)
             if self.faults.consume("fail"):
                 return Response(b"failed", 500, headers=self._response_headers(request))
             if self.phase:
@@ -162,6 +175,17 @@
         finally:
             self.running -= 1
 
+    async def _crash(self, attempt: str) -> None:
+        """Record the attempt and end the process."""
+        self._log_crash(attempt)
+        await asyncio.sleep(CRASH_SECONDS)
+        os._exit(1)
+
+    def _log_crash(self, attempt: str) -> None:
+        if self.crash_log:
+            with Path(self.crash_log).open("a", encoding="utf-8") as log:
+                log.write(f"{time.time()} {self.id} {attempt}\n")
+
     async def _prefill_uncached(self, request: Request, rate_factor: float) -> int:
         """Prefill the parts of a prompt that are not cached, one prompt at a time.
 
@@ -265,6 +289,12 @@
         )
 
 
+def _shared_parts(request: Request) -> list[str]:
+    """Return the ids of the parts that a prompt shares with others."""
+    parts = request.headers.get("x-prompt-prefix", "").split(",")
+    return [item.partition(":")[0] for item in parts[:-1]]
+
+
 def main() -> None:
     """Run the stand-in as a program."""
     options = parse_options(
@@ -273,8 +303,12 @@
         phase="",
         slots=6,
         leave=False,
+        crash_part="",
+        crash_log="",
     )
     worker = HostingWorker(options.id, options.phase, options.slots)
+    worker.crash_part = options.crash_part
+    worker.crash_log = options.crash_log
     if options.leave:
         worker.faults.arm({"fault": LEAVE_FAULT})
     run(worker.app(), options.address)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,8 @@
 """Tests the checks of the soak, and runs short soaks with fixed seeds."""
 
+import tempfile
 import unittest
+from pathlib import Path
 
 from tests.soak.checks import (
     CallerRequest,
@@ -10,6 +12,8 @@
     find_violations,
 )
 from tests.soak.configurations import ConfigurationSoak, Disturbance
+from tests.soak.crashing_parts import CrashSoak
+from tests.soak.crashing_parts import run_seed as run_crash_seed
 from tests.soak.plan import build_plan
 from tests.soak.run import run_seed
 from tests.soak.worker_notices import WorkerNotices
@@ -175,6 +179,28 @@
                 self.assertEqual(run_seed(seed, seconds), [])
 
 
+class CrashSoakTests(unittest.TestCase):
+    """A part that ends engines is blocked beside faults of daemons and racks."""
+
+    def test_short_runs_find_no_violation(self):
+        """Guards against a crashing part that survives restarts, cuts and racks."""
+        for seed, daemons in ((1, 3), (2, 5)):
+            with self.subTest(seed=seed):
+                violations = run_crash_seed(seed, 14.0, daemons=daemons)
+                self.assertEqual(violations, [])
+
+    def test_late_sends_and_lost_requests_are_found(self):
+        """Guards against checks that never report a violation."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = CrashSoak(1, 0.0, Path(folder))
+            lines = [f"{100 + n} engine-{n} bad0-{n}" for n in range(12)]
+            soak.crash_log.write_text("\n".join(lines), encoding="utf-8")
+            soak.outcomes = [(200.0 + n, "entry-0", n % 2 == 0) for n in range(40)]
+            found = soak.violations()
+        self.assertEqual(len(found), 2)
+        self.assertIn("4 late sends", found[0])
+
+
 class ConfigurationSoakTests(unittest.TestCase):
     """Undisturbed instances have each version in time, and none goes back."""
 
