Show and lift blocked prompt parts: camphorgate quarantine

The operator address serves /admin/quarantine: the blocks with their parts, ends, trials, the time of the next trial and the upstreams that ended. A POST with a part lifts its blocks on every instance, and in the store. camphorgate explain shows when a part was blocked and lifted beside a request's own lines.

--- a/packages/camphorgate-cli/src/camphorgate_cli/client.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/client.py
@@ -45,6 +45,15 @@
         """
         return await self._call("GET", path)
 
+    async def lift_block(self, part: str) -> dict[str, Any]:
+        """Lift the blocks of a prompt part on every instance.
+
+        :raises CommandError: if no block has this part.
+        """
+        return await self._call(
+            "POST", f"/admin/quarantine?{urlencode({'part': part})}"
+        )
+
     async def submit(
         self, text: str, base_version: int | None, wait_seconds: int | None
     ) -> dict[str, Any]:
--- a/packages/camphorgate-cli/src/camphorgate_cli/explaining.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/explaining.py
@@ -24,6 +24,8 @@
         "configuration_in_force",
         "duty_taken",
         "duty_lost",
+        "prompt_part_blocked",
+        "prompt_part_lifted",
     }
 )
 # How long before a request's first line the events of its upstreams and instances are
--- a/packages/camphorgate-cli/src/camphorgate_cli/main.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/main.py
@@ -98,6 +98,19 @@
         answer = asyncio.run(client.get("/admin/dump"))
         self._print(answer, output.format_tree(answer))
 
+    def quarantine(self, lift: str = "") -> None:
+        """Show the prompt parts that are blocked because upstreams end under them.
+
+        The address is the operator address of a hosted daemon.
+
+        :param lift: a part whose blocks are lifted first, on every instance.
+        """
+        client = AdminClient(self._address)
+        if lift:
+            asyncio.run(client.lift_block(str(lift)))
+        answer = asyncio.run(client.get("/admin/quarantine"))
+        self._print(answer, output.format_tree(answer))
+
     def explain(self, request_id: str, *files: str) -> None:
         """Show the logged events that concern one request, in order of time.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/operator.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/operator.py
@@ -24,6 +24,22 @@
         body = msgspec.json.encode(self._app.dump())
         return Response(body, media_type="application/json")
 
+    async def quarantine(self, request: Request) -> Response:
+        """Return the blocked prompt parts; a POST lifts the blocks of one."""
+        quarantine = self._app.service("quarantine")
+        status = 200
+        answer = quarantine.dump()
+        if request.method == "POST":
+            part = request.query_params.get("part", "")
+            if quarantine.lift(part):
+                answer = quarantine.dump()
+            else:
+                status = 404
+                answer = {"error": {"message": f"no block has the part {part!r}"}}
+        return Response(
+            msgspec.json.encode(answer), status, media_type="application/json"
+        )
+
     async def metrics(self, request: Request) -> Response:
         """Return the metrics."""
         content_type, body = self._app.service("statistics").render()
@@ -35,5 +51,9 @@
     if not app.settings.operator_address:
         return
     pages = OperatorPages(app)
-    routes = [Route("/admin/dump", pages.dump), Route("/metrics", pages.metrics)]
+    routes = [
+        Route("/admin/dump", pages.dump),
+        Route("/admin/quarantine", pages.quarantine, methods=["GET", "POST"]),
+        Route("/metrics", pages.metrics),
+    ]
     serve_pages(app, Starlette(routes=routes), app.settings.operator_address)
--- a/tests/test_serving/test_crashing_prompts.py
+++ b/tests/test_serving/test_crashing_prompts.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 from camphorgate.serving.quarantine import TRIAL_SECONDS, Block
+from camphorgate_cli.client import AdminClient
+from camphorgate_cli.errors import CommandError
+from camphorgated.serving import daemon
 from camphorgated.serving.quarantine import BLOCKED
 from tests.crashing_engines import CRASHING_PART, CrashingFleet
-from tests.hosted import HostedCase
+from tests.hosted import HostedCase, free_address
 from tests.hosting_builders import build_platform_entry
 from tests.scripted_worker import ScriptedWorker
 
@@ -147,6 +151,39 @@
         self.assertEqual(self.fleet.arrivals, [])
         self.assertEqual(quarantine.dump()["blocks"][0]["parts"], [CRASHING_PART])
 
+    async def test_operator_sees_a_block_and_lifts_it_everywhere(self):
+        """Guards against a block that operators can neither see nor end."""
+        with mock.patch.object(daemon, "OPERATOR_SECONDS", 0.0):
+            self.configure()
+            apps = [
+                await self.start_daemon(
+                    instance_id=f"entry-{number}", operator_address=free_address()
+                )
+                for number in range(2)
+            ]
+            await self.eventually(
+                lambda: all(app.service("gossip").live_states() for app in apps)
+            )
+            now = apps[0].service("gossip").synchronized_now() - 1.0
+            for app in apps:
+                block = Block((CRASHING_PART,), now, 0, 3)
+                app.service("quarantine").table.merge_block(block)
+            client = AdminClient(apps[0].settings.operator_address)
+            await asyncio.sleep(2.0)
+            answer = await client.get("/admin/quarantine")
+            self.assertEqual(answer["blocks"][0]["parts"], [CRASHING_PART])
+            answer = await client.lift_block(CRASHING_PART)
+            self.assertEqual(answer["blocks"], [])
+            await self.eventually(
+                lambda: (
+                    not any(
+                        app.service("quarantine").table.blocks_by_parts for app in apps
+                    )
+                )
+            )
+            with self.assertRaises(CommandError):
+                await client.lift_block(CRASHING_PART)
+
     async def test_one_request_of_all_instances_tests_a_block(self):
         """Guards against a trial by each instance of a large fleet."""
         apps = await self.start_fleet()
