--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -110,6 +110,9 @@
                 try:
                     connection = await connect(*split_address(address), 1.0)
                 except OSError:
+                    if self.processes[name].returncode is not None:
+                        # A failing rack ended it meanwhile.
+                        return
                     await asyncio.sleep(0.05)
                     continue
                 connection.close()
