Bound what callers and clocks can do to the exchange of quarantines

Found by reading: a prompt with hundreds of parts makes evidence larger than a datagram, so that its news could not be sent. A piece of evidence has twelve parts at most, those suspected before first (test added with the bound). Answers to plain calls no longer displace remembered prompt parts, ids of requests whose evidence is gone are forgotten, and an answer that a peer dates ahead clears nothing after the present.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -103,7 +103,7 @@
             else:
                 ran = attempts.may_have_run
                 if ran:
-                    self._quarantine.record_answer(keys)
+                    self._quarantine.record_answer(keys, remember=False)
                 if done:
                     self._count(context, counted)
                     return
--- a/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
@@ -165,11 +165,14 @@
             **job_fields(context),
         )
 
-    def record_answer(self, parts: tuple[str, ...]) -> None:
-        """Record a complete answer, which clears its parts."""
+    def record_answer(self, parts: tuple[str, ...], remember: bool = True) -> None:
+        """Record a complete answer, which clears its parts.
+
+        :param remember: also remember parts that are not suspected now.
+        """
         before = set(self.table.blocks_by_parts)
         now = self._gossip.synchronized_now()
-        for part in self.table.record_answer(parts, now):
+        for part in self.table.record_answer(parts, now, remember):
             self._announce("cleared", part)
         self._note_lifted(before, "answered")
 
@@ -258,6 +261,10 @@
         for block in self.table.expire(now):
             self._removed.add(block.parts)
             log_event("prompt_part_lifted", parts=",".join(block.parts), by="age")
+        if self._own_requests:
+            self._own_requests &= {
+                item.request for item in self.table.evidence_by_id.values()
+            }
         self._blocks.set({}, len(self.table.blocks_by_parts))
         self._send(self._gossip.near + self._gossip.far)
 
@@ -338,7 +345,8 @@
         for block in news.blocks:
             self._merge_block(block, "peer")
         for part, at in news.cleared:
-            if self.table.merge_cleared(part, at):
+            # A peer's clock may be ahead; nothing is cleared for the future.
+            if self.table.merge_cleared(part, min(at, now)):
                 self._announce("cleared", part)
         self._note_lifted(before, "peer")
 
@@ -379,6 +387,7 @@
             if by != "peer":
                 self._removed.add(parts)
             self._unwritten.pop(parts, None)
+            self._trial_tried_at.pop(parts, None)
             log_event("prompt_part_lifted", parts=",".join(parts), by=by)
 
     async def _read_periodically(self) -> None:
--- a/packages/camphorgate/src/camphorgate/serving/quarantine.py
+++ b/packages/camphorgate/src/camphorgate/serving/quarantine.py
@@ -50,6 +50,8 @@
 # block explains after this one.
 MAX_EVIDENCE_SECONDS = 900.0
 MAX_EXPLAINED_SECONDS = 30.0
+# Parts in a piece of evidence, so that it fits into a datagram whatever callers send.
+MAX_EVIDENCE_PARTS = 12
 # Bounds on the memory of the table; the oldest entries are removed first.
 MAX_EVIDENCE = 512
 MAX_BLOCKS = 64
@@ -137,11 +139,14 @@
         :param sent_at: when it was sent there.
         :returns: the evidence, or ``None`` if all its parts were answered lately.
         """
-        suspected = tuple(
+        suspected = [
             part
             for part in dict.fromkeys(parts)
             if now - self._answered_at_by_part.get(part, 0.0) > PROVEN_SECONDS
-        )
+        ]
+        # Of many parts, those that have been suspected before count most.
+        suspected.sort(key=lambda part: part not in self._suspects)
+        suspected = tuple(suspected[:MAX_EVIDENCE_PARTS])
         evidence = Evidence(upstream, request, sent_at, now, suspected)
         return evidence if self.merge_evidence(evidence, now) else None
 
@@ -172,13 +177,18 @@
         explained = age > MAX_EXPLAINED_SECONDS and self.find_block(evidence.parts)
         return bool(explained) or age > MAX_EVIDENCE_SECONDS
 
-    def record_answer(self, parts: Iterable[str], now: float) -> list[str]:
+    def record_answer(
+        self, parts: Iterable[str], now: float, remember: bool = True
+    ) -> list[str]:
         """Record a complete answer.
 
+        :param remember: also remember parts that are not suspected now.
         :returns: the suspected parts that it clears.
         """
         cleared = []
         for part in parts:
+            if not remember and part not in self._suspects:
+                continue
             self._answered_at_by_part[part] = now
             self._answered_at_by_part.move_to_end(part)
             if part in self._suspects and self.merge_cleared(part, now):
--- a/tests/test_serving/test_quarantine.py
+++ b/tests/test_serving/test_quarantine.py
@@ -8,6 +8,7 @@
     MAX_ANSWERED_PARTS,
     MAX_BLOCKS,
     MAX_EVIDENCE,
+    MAX_EVIDENCE_PARTS,
     MAX_EVIDENCE_SECONDS,
     PROVEN_SECONDS,
     SETTLE_SECONDS,
@@ -166,6 +167,13 @@
         self.table.expire(self.now + MAX_EVIDENCE_SECONDS + 1.0)
         self.assertEqual(len(self.table.evidence_by_id), 0)
 
+    def test_evidence_of_a_prompt_with_many_parts_is_bounded(self):
+        """Guards against a caller whose prompts make news too large to send."""
+        self.end("bad")
+        evidence = self.end(*(f"m{number}" for number in range(500)), "bad")
+        self.assertEqual(len(evidence.parts), MAX_EVIDENCE_PARTS)
+        self.assertIn("bad", evidence.parts)
+
     def test_old_evidence_is_not_taken_over(self):
         """Guards against evidence that circulates between instances for ever."""
         evidence = Evidence(("u1", 1), "r1", NOW, NOW, ("m1",))
