--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -58,12 +58,14 @@
         unsent = 0
         counted = False
         keys = call_keys(context)
+        # Whether this request tests whether its block is still needed.
+        is_trial = False
         while True:
             now = clock.monotonic()
             block = self._quarantine.find_block(keys)
-            if block is not None and (
-                attempts.sends or not await self._quarantine.try_trial(context, block)
-            ):
+            if block is not None and not attempts.sends and not is_trial:
+                is_trial = await self._quarantine.try_trial(context, block)
+            if block is not None and (attempts.sends or not is_trial):
                 self._refuse_blocked(context, attempts, block)
                 return
             reason = upstreams.refusal_reason(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
@@ -251,13 +251,7 @@
         for block in self._derive_blocks(now):
             self._announce("blocks", block.parts)
             self._write_later(block)
-            log_event(
-                "prompt_part_blocked",
-                level="WARNING",
-                parts=",".join(block.parts),
-                ends=block.ends,
-                source="evidence",
-            )
+            _log_blocked(block, "evidence")
         for block in self.table.expire(now):
             self._removed.add(block.parts)
             log_event("prompt_part_lifted", parts=",".join(block.parts), by="age")
@@ -363,13 +357,7 @@
         if not known:
             if source == "peer":
                 self._write_later(block)
-            log_event(
-                "prompt_part_blocked",
-                level="WARNING",
-                parts=",".join(block.parts),
-                ends=block.ends,
-                source=source,
-            )
+            _log_blocked(block, source)
 
     def _write_later(self, block: Block) -> None:
         """Write a block to the store if this instance contributed evidence for it.
@@ -488,6 +476,16 @@
     return (f"call-{digest.hexdigest()}",)
 
 
+def _log_blocked(block: Block, source: str) -> None:
+    log_event(
+        "prompt_part_blocked",
+        level="WARNING",
+        parts=",".join(block.parts),
+        ends=block.ends,
+        source=source,
+    )
+
+
 def _is_news(news: QuarantineNews) -> bool:
     return bool(news.evidence or news.cleared or news.blocks or news.survivors)
 
