--- a/tests/test_serving/test_departures.py
+++ b/tests/test_serving/test_departures.py
@@ -41,8 +41,8 @@
         take = Pool.take
         table = self.table
 
-        async def take_after_removal(pool, upstream, most, recently_used):
-            lease = await take(pool, upstream, most, recently_used)
+        async def take_after_removal(pool, upstream, *options):
+            lease = await take(pool, upstream, *options)
             if not left and upstream.id.startswith(prefix):
                 left.append(upstream.id)
                 self.store.remove(f"servers/{upstream.id}")
