Log the limits that upstreams name, and count what is sent to such upstreams

Nothing is decided by it yet.

The limit is a positive decimal number; anything else counts as no header, as before (test_limit_is_a_positive_decimal_number).

--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -17,6 +17,7 @@
     "counters",
     "statistics",
     "quarantine",
+    "limits",
     "upstreams",
     "calls",
     "generations",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -13,6 +13,9 @@
 # Bound on a buffered response of a plain call. It is in memory twice while its pieces
 # are joined, and a connection may use 4 MB in total.
 MAX_BODY_BYTES = 1_572_864
+# What a request to an upstream asks for.
+ANSWER = "answer"
+PREFILL = "prefill"
 # Cause of an attempt that ended because its upstream is shutting down, not failing.
 LEAVING = "leaving"
 # Cause of an attempt whose connection ended while the upstream worked on it.
@@ -30,8 +33,19 @@
     def takes_requests(self, upstream: Upstream) -> bool:
         """Return whether an upstream still accepts new requests."""
 
-    def observe_response(self, upstream: Upstream, facts: ResponseFacts) -> None:
-        """Process the state that an upstream reports in a response head."""
+    def observe_response(
+        self, upstream: Upstream, facts: ResponseFacts, sent_at: float
+    ) -> None:
+        """Process the state that an upstream reports in a response head.
+
+        :param sent_at: steady clock time at which the request was sent.
+        """
+
+    def record_send(self, upstream: Upstream, kind: str) -> float:
+        """Record a request that is about to be sent and return the steady clock time.
+
+        :param kind: what it asks for, such as ``answer`` or ``prefill``.
+        """
 
 
 class Exchange:
@@ -50,6 +64,7 @@
         "_gate",
         "_lease",
         "_whole",
+        "_sent_at",
     )
 
     def __init__(
@@ -68,6 +83,7 @@
         self._platform = dialect
         self._lease: Lease | None = None
         self._whole = False
+        self._sent_at = 0.0
 
     async def __aenter__(self) -> "Exchange":
         return self
@@ -108,8 +124,19 @@
                 f"{self.upstream.id} accepts no more requests", Stage.NOT_SENT, LEAVING
             )
 
-    def send(self, method: str, target: bytes, headers: Headers, body: bytes) -> None:
-        """Send the request; from here on the upstream may execute it."""
+    def send(
+        self,
+        method: str,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        kind: str = ANSWER,
+    ) -> None:
+        """Send the request; from here on the upstream may execute it.
+
+        :param kind: what it asks for.
+        """
+        self._sent_at = self._gate.record_send(self.upstream, kind)
         start = b"%b %b HTTP/1.1" % (method.encode("latin-1"), target)
         self._lease.connection.send(method, encode_head(start, headers) + body)
 
@@ -142,7 +169,7 @@
             if facts.attempt is not None or not unnamed:
                 raise self._error("the response belongs to another request", "crossed")
         self.facts = facts
-        self._gate.observe_response(self.upstream, facts)
+        self._gate.observe_response(self.upstream, facts, self._sent_at)
         return facts
 
     async def read_piece(self, seconds: float) -> bytes:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -16,7 +16,7 @@
 )
 from camphorgate.serving.quarantine import Block
 from camphorgated.serving.errors import CallFailed, ExchangeError
-from camphorgated.serving.exchange import ENDED_CAUSES, Exchange
+from camphorgated.serving.exchange import ANSWER, ENDED_CAUSES, PREFILL, Exchange
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.generation import Generation, Handle
 from camphorgated.serving.platform_protocol import ResponseFacts
@@ -398,7 +398,13 @@
             last_event=None if phase else generation.resume_from,
         )
         generation.sent_at = self._app.clock.monotonic()
-        exchange.send(request.method, request.target, headers, request.body)
+        exchange.send(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            PREFILL if phase is Phase.PREFILL else ANSWER,
+        )
         self._upstreams.note_sent(context, exchange.upstream)
 
     def _keep_handle(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/platform_protocol.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/platform_protocol.py
@@ -35,6 +35,8 @@
     ``stage`` is ``REFUSED`` if the upstream states that it did not execute the request.
     ``leaving`` is set if it is shutting down; ``pause_seconds`` is how long it requests
     a pause. ``answered_by`` is the upstream's id if the response names it.
+    ``limit_per_second`` is the number of requests a second that it takes from all
+    instances together, ``None`` if it names no limit.
     """
 
     status: int
@@ -46,6 +48,7 @@
     leaving: bool = False
     pause_seconds: float | None = None
     answered_by: str | None = None
+    limit_per_second: float | None = None
 
 
 class PrefillResult(msgspec.Struct, frozen=True):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -47,6 +47,7 @@
         "_gossip",
         "_platform",
         "_quarantine",
+        "_limits",
         "_budgets_by_service",
         "_resuming_by_service",
         "_counts",
@@ -60,6 +61,7 @@
         self._gossip = app.service("gossip")
         self._platform = app.service("dialect")
         self._quarantine = app.service("quarantine")
+        self._limits = app.service("limits")
         self.pool = Pool(app.clock)
         self.pauses = PauseTable()
         # Number of requests that wait for the end of a pause.
@@ -108,15 +110,29 @@
             upstream
         ) and not self.pauses.paused(upstream.incarnation, now)
 
-    def observe_response(self, upstream: Upstream, facts: ResponseFacts) -> None:
+    def record_send(self, upstream: Upstream, kind: str) -> float:
+        """Record a request that is about to be sent and return the steady clock time.
+
+        :param kind: what it asks for.
+        """
+        self._limits.record_send(upstream, kind)
+        return self._app.clock.monotonic()
+
+    def observe_response(
+        self, upstream: Upstream, facts: ResponseFacts, sent_at: float | None = None
+    ) -> None:
         """Process the state that an upstream reports in a response head.
 
         An upstream reports only its own state: a response that names another upstream,
         or comes from another one at the same address, is ignored.
+
+        :param sent_at: steady clock time at which the request was sent, ``None`` if it
+            is unknown.
         """
         another = facts.answered_by not in (None, upstream.id)
         if not another and not facts.wrong_upstream:
             self._quarantine.record_response(upstream)
+            self._limits.record_response(upstream, facts, sent_at)
         if not facts.leaving and not facts.pause_seconds:
             return
         if another or (facts.wrong_upstream and facts.answered_by is None):
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -316,3 +316,13 @@
         """Guards against pauses from responses other than a 503."""
         for status in (200, 429, 500, 301):
             self.assertIsNone(self.read(status, (b"retry-after", b"9")).pause_seconds)
+
+    def test_limit_is_a_positive_decimal_number(self):
+        """Guards against a limit that is passed over, or one that is none."""
+        for value, limit in ((b"3.1", 3.1), (b"2", 2.0), (b" 0.5 ", 0.5)):
+            facts = self.read(200, (b"server-limit", value))
+            self.assertEqual(facts.limit_per_second, limit, value)
+        for value in (b"nan", b"-3", b"abc", b"1e999", b"", b"0", b"9" * 400, b"2,3"):
+            facts = self.read(200, (b"server-limit", value))
+            self.assertIsNone(facts.limit_per_second, value)
+        self.assertIsNone(self.read(200).limit_per_second)
