--- a/packages/camphorgate/src/camphorgate/serving/upstream_limits.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_limits.py
@@ -61,7 +61,7 @@
         self._entry_by_incarnation: dict[Incarnation, _Entry] = {}
 
     def limit(self, incarnation: Incarnation) -> float | None:
-        """Return the limit in force in requests per second, ``None`` if there is none."""
+        """Return the limit in force in requests per second, ``None`` for none."""
         entry = self._entry_by_incarnation.get(incarnation)
         if entry is None or not entry.word.per_second:
             return None
