Keep the limits that upstreams name, over all instances together

Callers and upstreams saw: an upstream in need that named N requests a second went on getting what it got before, from every instance (46 in 4 s with 3.6, 27 allowed).

Cause: the limit was not read. Class: a bound on a sum over instances that nobody counts; kept by each instance alone it would be exceeded as many times as there are instances, divided by their number it would be less than a request for most.

Change: instances exchange what upstreams say (limits); words that allow more count only if their request was sent after the known word arrived, so that answers may come in any order. One instance of the upstream's zone, chosen by a hash, grants a permit for each request (permits), a datagram and its reply; permits are spaced by the limit, at most 0.1 s ahead, and valid for 0.25 s. A lost permit is not used, so loss, restarts and cuts lead to fewer requests, not more. Placement counts the time until the next permit; a request asks three owners at most and is then refused as not run, with a time to return that follows the next permits. Prefill calls, orders and reports need permits as well; unused handles of limited engines lapse.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -13,6 +13,7 @@
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.exchange import ENDED_CAUSES, STALE
 from camphorgated.serving.front import RequestContext
+from camphorgated.serving.permits import Permit
 from camphorgated.serving.quarantine import BLOCKED, call_keys
 from camphorgated.serving.upstream_wait import wait_for_upstream
 
@@ -72,10 +73,11 @@
                 context, attempts, unsent, MAX_UNSENT_ATTEMPTS
             )
             if reason is None:
-                found = upstreams.candidates(context.service, tried)
+                patient = attempts.may_have_run
+                found = upstreams.candidates_for(context, tried, patient)
                 choice = upstreams.placement.choose_for_call(found, now)
                 if choice is None:
-                    if await upstreams.wait_for_pause_end(context):
+                    if await upstreams.wait_for_upstreams(context, patient):
                         continue
                     reason = upstreams.no_upstream_reason(context.service)
             if reason is not None:
@@ -85,6 +87,11 @@
                 return
             if await wait_for_upstream(context, choice, clock):
                 continue
+            permit = await upstreams.reserve(context, choice, found, patient)
+            if permit is None:
+                continue
+            if context.caller.disconnected:
+                return
             upstream = choice.upstream
             upstreams.note_inputs(context, now)
             context.decisions.update(answerer=upstream.id, predicted_ms=choice.wait_ms)
@@ -92,7 +99,7 @@
             tried.add(upstream.id)
             sent_at = clock.monotonic()
             try:
-                done = await self._try(context, attempts, upstream, carried)
+                done = await self._try(context, attempts, upstream, carried, permit)
             except ExchangeError as error:
                 attempts.record_failure(error.stage)
                 unsent += error.stage is Stage.NOT_SENT
@@ -132,10 +139,12 @@
         attempts: SendAttempts,
         upstream: Upstream,
         carried: set[ClientConnection],
+        permit: Permit,
     ) -> bool:
         """Send the request to one upstream.
 
         :param carried: connections that carried the request before.
+        :param permit: permit to send it if the upstream names a limit.
 
         :returns: whether the caller has been sent a response.
         """
@@ -144,7 +153,7 @@
         recently_used = not context.route.repeatable()
         max_connections = upstreams.max_connections(context.service)
         with upstreams.count_in_flight(upstream, 0):
-            async with upstreams.exchange(upstream) as exchange:
+            async with upstreams.exchange(upstream, permit) as exchange:
                 await exchange.open(max_connections, recently_used, carried)
                 now = clock.monotonic()
                 headers = self._platform.upstream_headers(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -18,6 +18,7 @@
     "statistics",
     "quarantine",
     "limits",
+    "permits",
     "upstreams",
     "calls",
     "generations",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -7,6 +7,7 @@
 from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.http1 import Headers, encode_head
+from camphorgated.serving.permits import NO_LIMIT, Permit
 from camphorgated.serving.platform_protocol import PlatformProtocol, ResponseFacts
 from camphorgated.serving.pool import Lease, Pool
 
@@ -18,6 +19,9 @@
 PREFILL = "prefill"
 # Cause of an attempt that ended because its upstream is shutting down, not failing.
 LEAVING = "leaving"
+# Cause of an attempt whose upstream has named a limit since it was chosen, or a lower
+# one, or whose permit has expired.
+NO_PERMIT = "no_permit"
 # Cause of an attempt whose connection ended while the upstream worked on it.
 CUT = "cut"
 # The same on a connection that carried requests before; its upstream may also have
@@ -33,6 +37,9 @@
     def takes_requests(self, upstream: Upstream) -> bool:
         """Return whether an upstream still accepts new requests."""
 
+    def may_send(self, upstream: Upstream, permit: Permit) -> bool:
+        """Return whether a permit is still valid under an upstream's limit."""
+
     def observe_response(
         self, upstream: Upstream, facts: ResponseFacts, sent_at: float
     ) -> None:
@@ -65,6 +72,7 @@
         "_lease",
         "_whole",
         "_sent_at",
+        "_permit",
     )
 
     def __init__(
@@ -73,8 +81,13 @@
         dialect: PlatformProtocol,
         upstream: Upstream,
         gate: Gate,
+        permit: Permit = NO_LIMIT,
     ) -> None:
-        """Initialize without connecting."""
+        """Initialize without connecting.
+
+        :param permit: permit to send to an upstream that names a limit.
+        """
+        self._permit = permit
         self._gate = gate
         self.upstream = upstream
         self.facts: ResponseFacts | None = None
@@ -123,6 +136,12 @@
             raise ExchangeError(
                 f"{self.upstream.id} accepts no more requests", Stage.NOT_SENT, LEAVING
             )
+        if not self._gate.may_send(self.upstream, self._permit):
+            raise ExchangeError(
+                f"the permit for {self.upstream.id} is not valid",
+                Stage.NOT_SENT,
+                NO_PERMIT,
+            )
 
     def send(
         self,
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -15,6 +15,7 @@
     plan_capacity,
     plan_phases,
 )
+from camphorgate.serving.permit_schedule import MAX_AHEAD_SECONDS
 from camphorgated.serving.errors import CallFailed
 
 TICK_SECONDS = 0.25
@@ -223,6 +224,11 @@
         if not self._app.service("upstreams").takes_requests(upstream):
             # It leaves, or refuses requests of this instance for now.
             return
+        permits = self._app.service("permits")
+        # The report and the order are requests within the limit of an engine.
+        for _ in range(2):
+            if await permits.request(upstream, MAX_AHEAD_SECONDS) is None:
+                return
         try:
             report = await self._platform.read_engine(upstream)
             if report is None or report.busy or report.phase is order.phase:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import math
+import random
 from collections.abc import Callable
 
 from camphorgate.application import Application
@@ -49,6 +50,9 @@
         "version",
         "deadline",
         "decisions",
+        "permit_draw",
+        "permit_requests",
+        "refused_permits",
         "_ends_at",
     )
 
@@ -81,6 +85,11 @@
         self._ends_at = ends_at
         # Routing decisions and measurements, logged with the response.
         self.decisions: dict[str, object] = {}
+        # Requests for permits to send to upstreams with a limit: a random number, how
+        # many were made, and the upstreams that had none.
+        self.permit_draw = random.random()
+        self.permit_requests = 0
+        self.refused_permits: set[str] = set()
         seconds = (
             facts.timeout_seconds
             if facts.timeout_seconds is not None
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generation.py
@@ -87,6 +87,15 @@
         self.is_trial = False
         self.urgency = min(LOWEST_URGENCY, context.rank * URGENCY_PER_RANK)
 
+    @property
+    def patient(self) -> bool:
+        """Return whether the request waits for permits until its deadline.
+
+        Refusing it would waste what engines have done for it.
+        """
+        begun = self.context.caller.begun or self.attempts.may_have_run
+        return begun or self.handle is not None
+
     @property
     def resume_from(self) -> int | None:
         """Return the id of the last event that the caller received."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -19,6 +19,7 @@
 from camphorgated.serving.exchange import ANSWER, ENDED_CAUSES, PREFILL, Exchange
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.generation import Generation, Handle
+from camphorgated.serving.permits import NO_LIMIT, Permit
 from camphorgated.serving.platform_protocol import ResponseFacts
 from camphorgated.serving.quarantine import BLOCKED, SUSPECTED
 from camphorgated.serving.streaming import Streaming
@@ -107,7 +108,10 @@
                 return
             reader, answerer = self._choose(generation, spec, now)
             if reader is None and answerer is None:
-                if self._upstreams.pause_seconds(context.service) is not None:
+                if self._upstreams.limits_block(context.service):
+                    patient = generation.patient
+                    waited = await self._upstreams.wait_for_upstreams(context, patient)
+                elif self._upstreams.pause_seconds(context.service) is not None:
                     waited = await self._upstreams.wait_for_pause_end(context)
                 else:
                     waited = await self._wait_for_engines(context)
@@ -130,16 +134,36 @@
             if reader is not None and await self._wait_to_read(generation, reader):
                 continue
             self._leave_queue(generation)
+            permit = await self._reserve(generation, first)
+            if permit is None:
+                continue
+            if context.caller.disconnected:
+                return
             self._upstreams.health.of(first.upstream.incarnation).record_attempt(now)
             try:
                 if reader is not None:
-                    await self._read(generation, reader)
+                    await self._read(generation, reader, permit)
                     continue
-                if await self._answer(generation, answerer):
+                if await self._answer(generation, answerer, permit):
                     return
             except ExchangeError as error:
                 self._note_failure(generation, error, answerer)
 
+    async def _reserve(self, generation: Generation, choice: Choice) -> Permit | None:
+        """Return a permit to send a request to an engine, ``None`` if it has none."""
+        if not self._upstreams.limited(choice.upstream):
+            return NO_LIMIT
+        context, patient = generation.context, generation.patient
+        prefills = choice.upstream.phase is Phase.PREFILL
+        others = [
+            item
+            for item in self._upstreams.candidates_for(
+                context, generation.tried, patient
+            )
+            if (item.phase is Phase.PREFILL) is prefills
+        ]
+        return await self._upstreams.reserve(context, choice, others, patient)
+
     async def _may_test(self, generation: Generation, block: Block) -> bool:
         """Return whether a request is the one that tests whether a block is needed."""
         if generation.attempts.sends:
@@ -226,12 +250,13 @@
             one is not ``None``.
         """
         placement = self._upstreams.placement
-        service = generation.context.service
-        engines = self._upstreams.candidates(service, generation.tried)
+        context, patient = generation.context, generation.patient
+        service = context.service
+        engines = self._upstreams.candidates_for(context, generation.tried, patient)
         readers = [item for item in engines if item.phase is Phase.PREFILL]
         answerers = [item for item in engines if item.phase is not Phase.PREFILL]
         if not answerers:
-            known = self._upstreams.candidates(service, set())
+            known = self._upstreams.candidates_for(context, set(), patient)
             answerers = [item for item in known if item.phase is not Phase.PREFILL]
         prompt = generation.prompt
         if generation.handle is not None:
@@ -243,6 +268,9 @@
         resuming = generation.resume_from is not None
         if resuming or not answerers or generation.reads >= MAX_PREFILL_CALLS:
             return None, direct
+        if all(self._upstreams.limited(item) for item in answerers):
+            # An engine may have no permit left once the prompt is prefilled elsewhere.
+            return None, direct
         reader = placement.choose_for_prefill(readers, prompt, now)
         if reader is None:
             return None, direct
@@ -254,7 +282,9 @@
             return None, direct
         return reader, None
 
-    async def _read(self, generation: Generation, choice: Choice) -> None:
+    async def _read(
+        self, generation: Generation, choice: Choice, permit: Permit
+    ) -> None:
         """Have an engine prefill the prompt; on failure no handle is set."""
         context, engine = generation.context, choice.upstream
         clock = self._app.clock
@@ -265,7 +295,7 @@
         timeout = self._stuck_timeout(choice)
         try:
             with self._upstreams.count_in_flight(engine, choice.uncached):
-                async with self._upstreams.exchange(engine) as exchange:
+                async with self._upstreams.exchange(engine, permit) as exchange:
                     await exchange.open(
                         self._max_connections(context), False, generation.carried
                     )
@@ -308,7 +338,9 @@
         loads.record_cached_parts(engine.id, generation.prompt.parts, clock.monotonic())
         generation.handle = Handle(engine, result.handle)
 
-    async def _answer(self, generation: Generation, choice: Choice) -> bool:
+    async def _answer(
+        self, generation: Generation, choice: Choice, permit: Permit
+    ) -> bool:
         """Have an engine generate and forward its events.
 
         :returns: whether the request is finished; otherwise it may be retried.
@@ -321,7 +353,7 @@
         handle = generation.handle
         reading = 0 if handle is not None else choice.uncached
         with self._upstreams.count_in_flight(engine, reading):
-            async with self._upstreams.exchange(engine) as exchange:
+            async with self._upstreams.exchange(engine, permit) as exchange:
                 await exchange.open(
                     self._max_connections(context),
                     not context.route.repeatable(),
@@ -520,10 +552,10 @@
         self._app.spawn(self._delete(handle), "release handle")
 
     async def _delete(self, handle: Handle) -> None:
-        if self._upstreams.pauses.paused(
+        if self._upstreams.limited(handle.engine) or self._upstreams.pauses.paused(
             handle.engine.incarnation, self._app.clock.monotonic()
         ):
-            # A paused engine gets no calls; it frees unused handles by itself.
+            # An engine in need gets no such calls; it frees unused handles by itself.
             return
         try:
             await self._platform.release(handle.engine, handle.name)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -25,6 +25,9 @@
     CatalogPart,
     Changes,
     Counters,
+    LimitNews,
+    PermitReply,
+    PermitRequest,
     PrefillNotice,
     QuarantineNews,
     State,
@@ -61,7 +64,17 @@
 # Unreadable datagrams are logged at most this often.
 UNREADABLE_LOG_SECONDS = 1.0
 
-Message = State | PrefillNotice | Counters | Changes | CatalogPart | QuarantineNews
+Message = (
+    State
+    | PrefillNotice
+    | Counters
+    | Changes
+    | CatalogPart
+    | QuarantineNews
+    | LimitNews
+    | PermitRequest
+    | PermitReply
+)
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -86,6 +99,7 @@
         "usage",
         "peers",
         "answers_fetches",
+        "grants_permits",
         "near",
         "far",
         "_app",
@@ -99,6 +113,7 @@
         "_far_by_zone",
         "_handlers",
         "_tick_listeners",
+        "_peer_listeners",
         "_started_at",
         "_logged_at",
         "_unreadable",
@@ -118,6 +133,8 @@
         self.peers = PeerTable(app.clock, self._members, len(app.settings.seeds))
         # Whether this instance listens for the fetch requests of peers.
         self.answers_fetches = False
+        # Whether this instance grants permits for upstreams with a limit.
+        self.grants_permits = False
         self._changing: frozenset[str] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -133,6 +150,7 @@
             PrefillNotice: self._receive_prefill_notice,
         }
         self._tick_listeners: list[Callable[[int], None]] = []
+        self._peer_listeners: list[Callable[[str], None]] = []
         self._started_at = app.clock.monotonic()
         self._logged_at = float("-inf")
         self._unreadable = 0
@@ -240,6 +258,10 @@
         """Add a listener that gets each tick's number before the states are sent."""
         self._tick_listeners.append(listener)
 
+    def add_peer_listener(self, listener: Callable[[str], None]) -> None:
+        """Add a listener that gets the gossip address of each peer that has started."""
+        self._peer_listeners.append(listener)
+
     def state(self) -> State:
         """Return the state that is sent to peers of the own zone."""
         return self._state(self.loads.own_by_id)
@@ -314,6 +336,7 @@
             ),
             changing=list(self._changing),
             failing=self.health.failing(now)[:MAX_FAILING_UPSTREAMS],
+            grants_permits=self.grants_permits,
         )
 
     def _receive(self, data: bytes) -> None:
@@ -347,8 +370,12 @@
 
     def _receive_state(self, message: State) -> None:
         now = self._app.clock.monotonic()
+        new = self.peers.is_new(message)
         if not self.peers.receive_state(message):
             return
+        if new:
+            for listener in self._peer_listeners:
+                listener(message.gossip_address)
         self.synchronized_clock.receive_vote(message.instance, message.vote, now)
         if message.loads is not None:
             source = self._load_source(message.instance, message.zone)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/limits.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/limits.py
@@ -1,6 +1,8 @@
-"""Keeps the limits that upstreams name in their answers.
+"""Keeps the limits that upstreams name in their answers, together with all instances.
 
-Provides ``limits``.
+Provides ``limits``. An instance that receives a new word tells some peers at once, and
+everyone who learns it repeats it for a while. A part of the whole table goes to a
+random peer every second, and to each peer that starts.
 """
 
 from aioprometheus import Counter as PrometheusCounter
@@ -10,22 +12,41 @@
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Stage, Upstream
 from camphorgate.serving.upstream_limits import LimitTable, LimitWord
+from camphorgated.serving.messages import LimitNews
 from camphorgated.serving.platform_protocol import ResponseFacts
+from camphorgated.serving.rumors import PEERS_PER_TICK, Rumors
 
-# Source of a word in the log: an answer to this instance.
+# Sources of a word in the log: an answer to this instance, or a peer.
 ANSWER = "answer"
+PEER = "peer"
+# Peers that are told of a new word at once.
+FIRST_PEERS = 24
+# Keeps a datagram below the size at which links fragment it; a word has 60 bytes.
+MAX_WORDS_PER_DATAGRAM = 16
+# A part of the table is sent to a random peer at this interval.
+SAMPLE_TICKS = 5
 
 
 class Limits:
     """The limits of upstreams as this instance knows them."""
 
-    __slots__ = ("table", "_app", "_gossip", "_limited", "_sends")
+    __slots__ = (
+        "table",
+        "_app",
+        "_gossip",
+        "_directory",
+        "_rumors",
+        "_limited",
+        "_sends",
+    )
 
     def __init__(self, app: Application) -> None:
         """Start without limits."""
         self.table = LimitTable()
         self._app = app
         self._gossip = app.service("gossip")
+        self._directory = app.service("directory")
+        self._rumors = Rumors()
         registry = app.service("statistics").registry
         self._limited = Gauge(
             "camphorgate_limited_upstreams",
@@ -38,6 +59,10 @@
             registry=registry,
         )
 
+        self._gossip.add_handler(LimitNews, self._receive)
+        self._gossip.add_tick_listener(self._tick)
+        self._gossip.add_peer_listener(self._tell_peer)
+
     def limit(self, upstream: Upstream) -> float | None:
         """Return the limit of an upstream in requests per second, if it has one."""
         return self.table.limit(upstream.incarnation)
@@ -66,6 +91,16 @@
         )
         if word is not None:
             self._log(word, ANSWER)
+            self._rumors.add(word.upstream)
+            peers = self._rumors.choose(self._peers(), FIRST_PEERS)
+            self._gossip.send([LimitNews([word])], peers)
+
+    def merge(self, word: LimitWord) -> None:
+        """Merge a word that a peer has sent."""
+        now = self._app.clock.monotonic()
+        if self.table.merge(word, now, self._gossip.synchronized_now()):
+            self._log(word, PEER)
+            self._rumors.add(word.upstream)
 
     def record_send(self, upstream: Upstream, kind: str) -> None:
         """Count a request that is sent to an upstream with a limit.
@@ -75,6 +110,39 @@
         if self.table.limit(upstream.incarnation) is not None:
             self._sends.inc({"service": upstream.service, "kind": kind})
 
+    def _receive(self, news: LimitNews) -> None:
+        for word in news.words:
+            self.merge(word)
+
+    def _peers(self) -> list[str]:
+        return self._gossip.near + self._gossip.far
+
+    def _tick(self, turn: int) -> None:
+        if not len(self.table):
+            return
+        listed = self._directory.table.by_id.values()
+        now = self._app.clock.monotonic()
+        self.table.expire((item.incarnation for item in listed), now)
+        peers = self._peers()
+        news = [
+            word
+            for key in self._rumors.take(MAX_WORDS_PER_DATAGRAM)
+            if (word := self.table.word(key)) is not None
+        ]
+        if news:
+            chosen = self._rumors.choose(peers, PEERS_PER_TICK)
+            self._gossip.send([LimitNews(news)], chosen)
+        if turn % SAMPLE_TICKS == 0:
+            for address in self._rumors.choose(peers, 1):
+                self._tell_peer(address)
+
+    def _tell_peer(self, address: str) -> None:
+        """Send a part of the table to a peer."""
+        words = self.table.words()
+        if words:
+            chosen = self._rumors.choose(words, MAX_WORDS_PER_DATAGRAM)
+            self._gossip.send([LimitNews(chosen)], [address])
+
     def _log(self, word: LimitWord, source: str) -> None:
         limited = [item for item in self.table.words() if item.per_second]
         self._limited.set({}, len(limited))
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -6,6 +6,7 @@
 from camphorgate.serving.catalog_encoding import EncodedCatalog
 from camphorgate.serving.loads import Load
 from camphorgate.serving.quarantine import Block, Evidence
+from camphorgate.serving.upstream_limits import LimitWord
 
 # Keeps a datagram of counters below the size at which links fragment it.
 MAX_COUNTERS_PER_DATAGRAM = 50
@@ -28,7 +29,9 @@
     zone's for others, and ``None`` if it does not know those yet. ``changing`` are the
     engines that the sender, as the holder of the duty, is about to order to another
     phase or has just ordered. ``failing`` are the starts of upstreams that failed for
-    the sender just now.
+    the sender just now. ``grants_permits`` tells whether it grants permits for
+    upstreams with a limit: it has run long enough to know its peers, and is not
+    shutting down.
     """
 
     instance: str
@@ -48,6 +51,7 @@
     parts: list[tuple[str, str]] = []
     changing: list[str] = []
     failing: list[tuple[str, int]] = []
+    grants_permits: bool = False
 
 
 class PrefillNotice(msgspec.Struct, tag="r"):
@@ -89,6 +93,43 @@
     survivors: list[tuple[str, int]] = []
 
 
+class LimitNews(msgspec.Struct, tag="w"):
+    """What upstreams said about their limits."""
+
+    words: list[LimitWord]
+
+
+class PermitRequest(msgspec.Struct, tag="g"):
+    """Asks for a permit to send a request to an upstream with a limit.
+
+    ``number`` and ``address``, the gossip address of the sender, identify it. ``zone``
+    is the upstream's, and ``word`` what the sender knows of its limit.
+    """
+
+    number: int
+    address: str
+    zone: str
+    word: LimitWord
+    max_wait_seconds: float
+
+
+class PermitReply(msgspec.Struct, omit_defaults=True, tag="h"):
+    """Answer to a :class:`PermitRequest`.
+
+    ``wait_seconds`` are the seconds until the permit may be used, or until the next
+    permit where none is granted, and ``return_seconds`` when a refused caller should
+    return. ``owner`` is the gossip address of the instance that grants the permits, if
+    it is not the sender. ``word`` is what the sender knows of the limit.
+    """
+
+    number: int
+    granted: bool
+    word: LimitWord
+    wait_seconds: float = 0.0
+    return_seconds: float = 0.0
+    owner: str = ""
+
+
 class Changes(msgspec.Struct, omit_defaults=True, tag="l"):
     """Entries of the list of upstreams that a watcher has just learned of.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/peers.py
@@ -52,6 +52,11 @@
         self._count = 1
         self._counted_at = float("-inf")
 
+    def is_new(self, state: State) -> bool:
+        """Return whether nothing was received from this run of an instance yet."""
+        known = self._peers_by_instance.get(state.instance)
+        return known is None or known.state.incarnation != state.incarnation
+
     def receive_state(self, state: State) -> bool:
         """Record the state that a peer sent.
 
@@ -60,8 +65,7 @@
         if state.instance == self._members.own.instance:
             return False
         now = self._clock.monotonic()
-        known = self._peers_by_instance.get(state.instance)
-        new = known is None or known.state.incarnation != state.incarnation
+        new = self.is_new(state)
         # Peers of other zones are not logged: when all instances start together, that
         # would be hundreds of lines without further information.
         if new and state.zone == self._members.own.zone:
--- /dev/null
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
@@ -0,0 +1,387 @@
+"""Grants and requests permits to send to upstreams that name a limit.
+
+Provides ``permits``. One instance at a time, the owner, grants the permits of an
+upstream: an instance of the upstream's zone, by a hash order that all compute alike.
+The others ask it by a datagram for each request. A permit that is lost is not used, so
+lost datagrams and owners never lead to more requests than the limit allows.
+"""
+
+import asyncio
+import itertools
+from collections import OrderedDict
+
+import msgspec
+from aioprometheus import Counter as PrometheusCounter
+
+from camphorgate.application import Application
+from camphorgate.log import log_event
+from camphorgate.serving.catalog import Upstream
+from camphorgate.serving.permit_owners import choose_owner, granted_share
+from camphorgate.serving.permit_schedule import MAX_AHEAD_SECONDS, PermitSchedule
+from camphorgate.serving.upstream_limits import Incarnation
+from camphorgated.serving.gossip import (
+    MAX_NEAR_PEERS_PER_TICK,
+    TICK_SECONDS,
+    WARMUP_SECONDS,
+)
+from camphorgated.serving.messages import PermitReply, PermitRequest
+
+# An owner of the own zone that was silent for this long is replaced: some of its
+# periodic messages are lost.
+MIN_OWNER_SILENCE_SECONDS = 1.5
+MAX_LOST_MESSAGES = 3
+# The same for an owner of another zone, whose messages are less frequent.
+FAR_SILENCE_SECONDS = 10.0
+# A request for a permit is repeated once if there is no reply within this time. Regions
+# are up to 100 ms apart.
+REPLY_SECONDS = 0.12
+MAX_TRIES = 2
+# An instance that does not reply is not asked again for this long.
+SILENT_SECONDS = 0.5
+# Instances that are asked one after the other, as each names the owner it knows.
+MAX_REDIRECTS = 2
+# Nobody is asked for this long after an owner was not found.
+NO_OWNER_SECONDS = 0.2
+# A permit is valid for this long after its time. Opening a connection takes as long.
+VALID_SECONDS = 0.25
+# Replies that are kept to answer repeated requests.
+MAX_KEPT_REPLIES = 2000
+
+
+class Permit(msgspec.Struct, frozen=True):
+    """Allows one request to an upstream.
+
+    ``per_second`` is the limit under which it was granted, infinite if there was none;
+    ``valid_until`` is a steady clock time.
+    """
+
+    per_second: float
+    valid_until: float
+
+
+NO_LIMIT = Permit(float("inf"), float("inf"))
+
+
+class _Estimate:
+    """When permits of an upstream are free next, by the last reply of its owner."""
+
+    __slots__ = ("free_at", "return_at")
+
+    def __init__(self, free_at: float, return_at: float) -> None:
+        self.free_at = free_at
+        self.return_at = return_at
+
+
+class Permits:
+    """The permits that this instance grants, and those it asks for."""
+
+    __slots__ = (
+        "_app",
+        "_gossip",
+        "_members",
+        "_limits",
+        "_schedule_by_incarnation",
+        "_estimate_by_incarnation",
+        "_owner_by_incarnation",
+        "_silent_until_by_address",
+        "_instances_by_zone",
+        "_reply_by_request",
+        "_future_by_number",
+        "_numbers",
+        "_started_at",
+        "_results",
+    )
+
+    def __init__(self, app: Application) -> None:
+        """Start without permits."""
+        self._app = app
+        self._gossip = app.service("gossip")
+        self._members = app.service("members")
+        self._limits = app.service("limits")
+        self._schedule_by_incarnation: dict[Incarnation, PermitSchedule] = {}
+        self._estimate_by_incarnation: dict[Incarnation, _Estimate] = {}
+        # Addresses of the owners that others named.
+        self._owner_by_incarnation: dict[Incarnation, str] = {}
+        self._silent_until_by_address: dict[str, float] = {}
+        # Gossip addresses by instance of those that may own upstreams of a zone.
+        self._instances_by_zone: dict[str, dict[str, str]] = {}
+        self._reply_by_request: OrderedDict[tuple[str, int], PermitReply] = (
+            OrderedDict()
+        )
+        self._future_by_number: dict[int, asyncio.Future] = {}
+        self._numbers = itertools.count(1)
+        self._started_at = app.clock.monotonic()
+        self._results = PrometheusCounter(
+            "camphorgate_permit_requests",
+            "Requests for permits to send to an upstream with a limit, by result.",
+            registry=app.service("statistics").registry,
+        )
+        self._gossip.add_handler(PermitRequest, self._receive_request)
+        self._gossip.add_handler(PermitReply, self._receive_reply)
+        self._gossip.add_tick_listener(self._tick)
+
+    def wait_seconds(self, upstream: Upstream) -> float:
+        """Return the seconds until an upstream has a permit, as far as is known."""
+        if not len(self._limits.table) or self._limits.limit(upstream) is None:
+            return 0.0
+        estimate = self._estimate_by_incarnation.get(upstream.incarnation)
+        if estimate is None:
+            return 0.0
+        return max(0.0, estimate.free_at - self._app.clock.monotonic())
+
+    def return_seconds(self, upstream: Upstream) -> float:
+        """Return when a refused caller should return, as far as is known."""
+        estimate = self._estimate_by_incarnation.get(upstream.incarnation)
+        now = self._app.clock.monotonic()
+        return 0.0 if estimate is None else max(0.0, estimate.return_at - now)
+
+    def may_send(self, upstream: Upstream, permit: Permit) -> bool:
+        """Return whether a request with this permit may be sent now."""
+        limit = self._limits.limit(upstream)
+        if limit is None:
+            return True
+        now = self._app.clock.monotonic()
+        return permit.per_second <= limit and now <= permit.valid_until
+
+    async def request(
+        self, upstream: Upstream, max_wait_seconds: float
+    ) -> Permit | None:
+        """Return a permit for one request and wait until it may be used.
+
+        :param max_wait_seconds: how long the request can wait for it.
+        :returns: ``None`` if there is none in time.
+        """
+        for _ in range(1 + MAX_REDIRECTS):
+            limit = self._limits.limit(upstream)
+            if limit is None:
+                return NO_LIMIT
+            reply = await self._ask_owner(upstream, max_wait_seconds)
+            if reply is None:
+                break
+            self._limits.merge(reply.word)
+            if reply.owner:
+                self._owner_by_incarnation[upstream.incarnation] = reply.owner
+                continue
+            now = self._app.clock.monotonic()
+            if not reply.granted:
+                self._record_refusal(upstream, reply, now)
+                self._count("refused")
+                return None
+            self._count("granted")
+            valid_until = now + reply.wait_seconds + VALID_SECONDS
+            self._estimate_by_incarnation.pop(upstream.incarnation, None)
+            if reply.wait_seconds:
+                await asyncio.sleep(reply.wait_seconds)
+            return Permit(min(limit, reply.word.per_second or limit), valid_until)
+        self._owner_by_incarnation.pop(upstream.incarnation, None)
+        free_at = self._app.clock.monotonic() + NO_OWNER_SECONDS + MAX_AHEAD_SECONDS
+        self._estimate_by_incarnation[upstream.incarnation] = _Estimate(
+            free_at, free_at
+        )
+        self._count("unanswered")
+        log_event("permit_owner_unknown", upstream=upstream.id, level="WARNING")
+        return None
+
+    def _record_refusal(
+        self, upstream: Upstream, reply: PermitReply, now: float
+    ) -> None:
+        self._estimate_by_incarnation[upstream.incarnation] = _Estimate(
+            now + reply.wait_seconds, now + reply.return_seconds
+        )
+
+    def _count(self, result: str) -> None:
+        self._results.inc({"result": result})
+
+    async def _ask_owner(
+        self, upstream: Upstream, max_wait_seconds: float
+    ) -> PermitReply | None:
+        """Return the reply of the instance that seems to own an upstream."""
+        address = self._owner_address(upstream)
+        word = self._limits.table.word(upstream.incarnation)
+        if not address or word is None:
+            return None
+        number = next(self._numbers)
+        own_address = self._members.own.gossip_address
+        message = PermitRequest(
+            number, own_address, upstream.zone, word, max_wait_seconds
+        )
+        if address == own_address:
+            return self._grant(message)
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_number[number] = future
+        try:
+            for _ in range(MAX_TRIES):
+                self._gossip.send([message], [address])
+                await asyncio.wait({future}, timeout=REPLY_SECONDS)
+                if future.done():
+                    return future.result()
+        finally:
+            del self._future_by_number[number]
+        until = self._app.clock.monotonic() + SILENT_SECONDS
+        self._silent_until_by_address[address] = until
+        return None
+
+    def _owner_address(self, upstream: Upstream) -> str:
+        """Return the gossip address of the instance to ask, empty if none is known."""
+        now = self._app.clock.monotonic()
+        named = self._owner_by_incarnation.get(upstream.incarnation)
+        if named and self._silent_until_by_address.get(named, 0.0) <= now:
+            return named
+        instances = self._instances(upstream.zone)
+        known = {
+            instance: address
+            for instance, address in instances.items()
+            if self._silent_until_by_address.get(address, 0.0) <= now
+        }
+        owner = choose_owner(upstream.id, known)
+        return known[owner] if owner is not None else ""
+
+    def _instances(self, zone: str) -> dict[str, str]:
+        """Return the instances that may own the upstreams of a zone.
+
+        Those of the zone that were heard lately; if the zone has none, all listed ones.
+        """
+        found = self._instances_by_zone.get(zone)
+        if found is None:
+            found = self._instances_by_zone[zone] = self._find_instances(zone)
+        return found
+
+    def _find_instances(self, zone: str) -> dict[str, str]:
+        own = self._members.own
+        near = zone == own.zone
+        states = self._gossip.peers.live_states(
+            self._near_silence_seconds() if near else FAR_SILENCE_SECONDS
+        )
+        found = {
+            state.instance: state.gossip_address
+            for state in states
+            if state.zone == zone and state.grants_permits
+        }
+        if near and self._gossip.grants_permits:
+            found[own.instance] = own.gossip_address
+        listed = self._members.by_instance().values()
+        if not found and not near:
+            found = {
+                member.instance: member.gossip_address
+                for member in listed
+                if member.zone == zone
+            }
+        if not found and not any(member.zone == zone for member in listed):
+            found = {member.instance: member.gossip_address for member in listed}
+        return found
+
+    def _near_silence_seconds(self) -> float:
+        """Return after which time an instance of the own zone counts as silent."""
+        rounds = -(-len(self._gossip.near) // MAX_NEAR_PEERS_PER_TICK)
+        return max(MIN_OWNER_SILENCE_SECONDS, MAX_LOST_MESSAGES * rounds * TICK_SECONDS)
+
+    def _share(self) -> float:
+        """Return the part of the limits that this instance may grant."""
+        own = self._members.own
+        heard = sum(
+            state.zone == own.zone
+            for state in self._gossip.peers.live_states(self._near_silence_seconds())
+        )
+        listed = sum(
+            member.zone == own.zone for member in self._members.by_instance().values()
+        )
+        return granted_share(heard + 1, listed)
+
+    def _receive_request(self, message: PermitRequest) -> None:
+        request = (message.address, message.number)
+        reply = self._reply_by_request.get(request)
+        if reply is None:
+            self._limits.merge(message.word)
+            reply = self._grant(message)
+            self._reply_by_request[request] = reply
+            if len(self._reply_by_request) > MAX_KEPT_REPLIES:
+                self._reply_by_request.popitem(last=False)
+        self._gossip.send([reply], [message.address])
+
+    def _grant(self, message: PermitRequest) -> PermitReply:
+        """Grant or refuse a permit, or name the owner of the upstream."""
+        incarnation = message.word.upstream
+        word = self._limits.table.word(incarnation) or message.word
+        limit = self._limits.table.limit(incarnation)
+        if limit is None:
+            return PermitReply(message.number, True, word)
+        instances = self._instances(message.zone)
+        owner = choose_owner(incarnation[0], instances)
+        if owner != self._members.own.instance:
+            self._schedule_by_incarnation.pop(incarnation, None)
+            if owner is not None:
+                address = instances[owner]
+                return PermitReply(message.number, False, word, owner=address)
+            wait = NO_OWNER_SECONDS + MAX_AHEAD_SECONDS
+            return PermitReply(message.number, False, word, wait, wait)
+        now = self._app.clock.monotonic()
+        per_second = limit * self._share()
+        schedule = self._schedule_by_incarnation.get(incarnation)
+        if schedule is None:
+            schedule = PermitSchedule(now, per_second)
+            self._schedule_by_incarnation[incarnation] = schedule
+            log_event(
+                "permit_owner",
+                upstream=incarnation[0],
+                per_second=per_second,
+                limit=limit,
+                instances=len(instances),
+            )
+        wait = schedule.try_grant(now, per_second, message.max_wait_seconds)
+        if wait is not None:
+            return PermitReply(message.number, True, word, wait)
+        return PermitReply(
+            message.number,
+            False,
+            word,
+            schedule.wait_seconds(now, per_second),
+            schedule.return_seconds(now, per_second),
+        )
+
+    def _receive_reply(self, reply: PermitReply) -> None:
+        future = self._future_by_number.get(reply.number)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    def _tick(self, turn: int) -> None:
+        now = self._app.clock.monotonic()
+        self._gossip.grants_permits = (
+            now - self._started_at >= WARMUP_SECONDS and not self._members.leaving
+        )
+        self._instances_by_zone.clear()
+        if not self._schedule_by_incarnation and not self._estimate_by_incarnation:
+            return
+        table = self._limits.table
+        for known in (
+            self._schedule_by_incarnation,
+            self._estimate_by_incarnation,
+            self._owner_by_incarnation,
+        ):
+            for incarnation in list(known):
+                if table.limit(incarnation) is None:
+                    del known[incarnation]
+        for address, until in list(self._silent_until_by_address.items()):
+            if until <= now:
+                del self._silent_until_by_address[address]
+
+    def dump(self) -> dict:
+        """Return the state for the operator dump."""
+        now = self._app.clock.monotonic()
+        return {
+            "grants": sorted(name for name, _ in self._schedule_by_incarnation),
+            "next_permit_seconds": {
+                name: max(0.0, estimate.free_at - now)
+                for (name, _), estimate in self._estimate_by_incarnation.items()
+            },
+            "owners": {
+                name: address
+                for (name, _), address in self._owner_by_incarnation.items()
+            },
+        }
+
+
+def setup(app: Application) -> None:
+    """Provide the permits."""
+    permits = Permits(app)
+    app.provide("permits", permits)
+    app.add_dump_section("permits", permits.dump)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -15,18 +15,28 @@
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Service, Upstream
 from camphorgate.serving.pauses import RESUME_INTERVAL_SECONDS, PauseTable
-from camphorgate.serving.placement import Placement
+from camphorgate.serving.permit_schedule import MAX_AHEAD_SECONDS, max_wait_seconds
+from camphorgate.serving.placement import Choice, Placement
 from camphorgate.serving.retry_budget import RetryBudgetShare
 from camphorgate.serving.send_attempts import SendAttempts
 from camphorgated.serving.errors import ExchangeError
-from camphorgated.serving.exchange import LEAVING, Exchange
+from camphorgated.serving.exchange import LEAVING, NO_PERMIT, Exchange
 from camphorgated.serving.front import RequestContext
+from camphorgated.serving.permits import NO_LIMIT, Permit
 from camphorgated.serving.platform_protocol import ResponseFacts
 from camphorgated.serving.pool import MAX_USED_CONNECTION_FRACTION, Pool
 from camphorgated.serving.statistics import job_fields
 
 # Refusal reason if every upstream of a service has requested a pause.
 PAUSED = "upstreams_paused"
+# Refusal reason if upstreams of a service name limits, and none has a permit in time.
+LIMITED = "upstreams_limited"
+# Longest wait for a permit if there are upstreams without a limit.
+MAX_DETOUR_SECONDS = 0.02
+# Permits that one request asks for before it is refused.
+MAX_PERMIT_REQUESTS = 3
+# Shortest pause before permits are looked for again.
+MIN_PERMIT_POLL_SECONDS = 0.01
 # Retry-after jitter, as a fraction of the remaining pause, added after its end.
 RETRY_AFTER_JITTER = 0.25
 # Minimum connections to an upstream, independent of the number of instances.
@@ -48,6 +58,7 @@
         "_platform",
         "_quarantine",
         "_limits",
+        "_permits",
         "_budgets_by_service",
         "_resuming_by_service",
         "_counts",
@@ -62,6 +73,7 @@
         self._platform = app.service("dialect")
         self._quarantine = app.service("quarantine")
         self._limits = app.service("limits")
+        self._permits = app.service("permits")
         self.pool = Pool(app.clock)
         self.pauses = PauseTable()
         # Number of requests that wait for the end of a pause.
@@ -72,16 +84,25 @@
         self.health = self._gossip.health
         self.loads = self._gossip.loads
         zone = app.settings.availability_zone
-        self.placement = Placement(self.loads, self.health, zone, self.pool.connected)
+        self.placement = Placement(
+            self.loads,
+            self.health,
+            zone,
+            self.pool.connected,
+            self._permits.wait_seconds,
+        )
         self._budgets_by_service: dict[str, RetryBudgetShare] = {}
 
     async def start(self) -> None:
         """Start the periodic removal of expired idle connections."""
         self._app.spawn(self.pool.sweep(), "upstream connections")
 
-    def exchange(self, upstream: Upstream) -> Exchange:
-        """Return a new exchange with an upstream."""
-        return Exchange(self.pool, self._platform, upstream, self)
+    def exchange(self, upstream: Upstream, permit: Permit = NO_LIMIT) -> Exchange:
+        """Return a new exchange with an upstream.
+
+        :param permit: permit to send to it if it names a limit.
+        """
+        return Exchange(self.pool, self._platform, upstream, self, permit)
 
     def service(self, name: str) -> Service | None:
         """Return a service of the active configuration."""
@@ -93,15 +114,127 @@
 
         :param without: ids to exclude, unless no other upstream is available.
         """
+        usable = self._usable(service)
+        return [item for item in usable if item.id not in without] or usable
+
+    def candidates_for(
+        self, context: RequestContext, without: set[str], patient: bool = False
+    ) -> list[Upstream]:
+        """Return the upstreams that accept a request and have a permit for it in time.
+
+        :param without: ids to exclude, unless no other upstream is available.
+        :param patient: whether the request waits for permits until its deadline.
+        """
+        if not len(self._limits.table):
+            return self.candidates(context.service, without)
+        longest = self._max_permit_wait(context, patient)
+        usable = [
+            item
+            for item in self._usable(context.service)
+            if self._permits.wait_seconds(item) <= longest or not self.limited(item)
+        ]
+        others = [item for item in usable if item.id not in context.refused_permits]
+        if self._unlimited(others):
+            usable = others
+        return [item for item in usable if item.id not in without] or usable
+
+    def _usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that neither change their phase nor pause.
+
+        If all of them change it, these are better than none.
+        """
         listed = self._directory.service_upstreams(service)
         changing = self._gossip.engines_changing_phase()
         usable = [item for item in listed if item.id not in changing] or listed
-        if len(self.pauses):
-            now = self._app.clock.monotonic()
-            usable = [
-                item for item in usable if not self.pauses.paused(item.incarnation, now)
-            ]
-        return [item for item in usable if item.id not in without] or usable
+        if not len(self.pauses):
+            return usable
+        now = self._app.clock.monotonic()
+        return [
+            item for item in usable if not self.pauses.paused(item.incarnation, now)
+        ]
+
+    def limited(self, upstream: Upstream) -> bool:
+        """Return whether an upstream names a limit."""
+        return self._limits.limit(upstream) is not None
+
+    def _unlimited(self, upstreams: list[Upstream]) -> bool:
+        """Return whether some of the upstreams name no limit."""
+        return not all(self.limited(item) for item in upstreams)
+
+    def limits_block(self, service: str) -> bool:
+        """Return whether limits of its upstreams can keep a service from being used."""
+        return len(self._limits.table) > 0 and any(
+            self.limited(item) for item in self._directory.service_upstreams(service)
+        )
+
+    def _max_permit_wait(self, context: RequestContext, patient: bool) -> float:
+        """Return how long a request may wait for a permit, in seconds.
+
+        :returns: a negative number if it may ask for no further permit.
+        """
+        if patient:
+            return MAX_AHEAD_SECONDS
+        if context.permit_requests >= MAX_PERMIT_REQUESTS:
+            return -1.0
+        target = context.request.read_at + context.route.target_seconds
+        left = target - self._app.clock.monotonic()
+        return max_wait_seconds(context.rank, context.permit_draw, left)
+
+    async def reserve(
+        self,
+        context: RequestContext,
+        choice: Choice,
+        others: list[Upstream],
+        patient: bool = False,
+    ) -> Permit | None:
+        """Return a permit to send a request to the chosen upstream.
+
+        :param others: the upstreams that could be used instead.
+        :param patient: whether the request waits for permits until its deadline.
+        :returns: ``None`` if there is no permit in time, so that another upstream has
+            to be chosen.
+        """
+        upstream = choice.upstream
+        if not self.limited(upstream):
+            return NO_LIMIT
+        longest = self._max_permit_wait(context, patient)
+        if self._unlimited(others):
+            longest = min(longest, MAX_DETOUR_SECONDS)
+        began = self._app.clock.monotonic()
+        permit = await self._permits.request(upstream, longest)
+        context.permit_requests += 1
+        context.refused_permits.discard(upstream.id)
+        if permit is None:
+            context.refused_permits.add(upstream.id)
+        waited = (self._app.clock.monotonic() - began) * 1000
+        context.decisions.update(
+            limit=self._limits.limit(upstream),
+            permit_ms=context.decisions.get("permit_ms", 0.0) + waited,
+        )
+        return permit
+
+    def _permit_seconds(self, service: str) -> float:
+        """Return the seconds until a permit of a service can be asked for."""
+        waits = [
+            self._permits.wait_seconds(item)
+            for item in self._directory.service_upstreams(service)
+            if self.limited(item)
+        ]
+        seconds = min(waits, default=0.0) - MAX_AHEAD_SECONDS
+        return max(MIN_PERMIT_POLL_SECONDS, seconds)
+
+    async def wait_for_permit(self, context: RequestContext) -> bool:
+        """Wait until a permit can be asked for.
+
+        :returns: whether to choose again; false at once if that is after the deadline.
+        """
+        seconds = self._permit_seconds(context.service)
+        if seconds > context.seconds_left(self._app.clock.monotonic()):
+            return False
+        waited = context.decisions.get("permit_ms", 0.0) + seconds * 1000
+        context.decisions["permit_ms"] = waited
+        await asyncio.sleep(seconds)
+        return True
 
     def takes_requests(self, upstream: Upstream) -> bool:
         """Return whether an upstream accepts new requests from this instance."""
@@ -110,6 +243,10 @@
             upstream
         ) and not self.pauses.paused(upstream.incarnation, now)
 
+    def may_send(self, upstream: Upstream, permit: Permit) -> bool:
+        """Return whether a request with a permit may be sent now."""
+        return self._permits.may_send(upstream, permit)
+
     def record_send(self, upstream: Upstream, kind: str) -> float:
         """Record a request that is about to be sent and return the steady clock time.
 
@@ -168,6 +305,8 @@
 
     def no_upstream_reason(self, service: str) -> str:
         """Return the reason why no upstream of a service is available."""
+        if self.limits_block(service):
+            return LIMITED
         paused = self.pause_seconds(service) is not None
         return PAUSED if paused else "no_upstream"
 
@@ -181,6 +320,16 @@
             return None
         return seconds + self._resuming_by_service[service] * RESUME_INTERVAL_SECONDS
 
+    async def wait_for_upstreams(self, context: RequestContext, patient: bool) -> bool:
+        """Wait until an upstream may be used again that is paused or has a limit.
+
+        :param patient: whether the request waits for permits until its deadline.
+        :returns: whether to choose again; false at once if the request is given up.
+        """
+        if not self.limits_block(context.service):
+            return await self.wait_for_pause_end(context)
+        return patient and await self.wait_for_permit(context)
+
     async def wait_for_pause_end(self, context: RequestContext) -> bool:
         """Wait for this request's turn after the first pause of its upstreams.
 
@@ -214,14 +363,33 @@
         that wait for the end of the first one have resumed, plus jitter, so that
         callers do not retry simultaneously.
 
+        If limits prevent it, the instances that grant permits give each refused caller
+        a time of its own.
+
         :param reason: refusal reason, as :meth:`no_upstream_reason` returns it.
         :param otherwise: value for every other reason.
         """
+        if reason == LIMITED:
+            return self._return_seconds(context.service)
         seconds = self._resume_seconds(context.service)
         if reason != PAUSED or seconds is None:
             return otherwise
         return seconds + self._random.uniform(0.0, RETRY_AFTER_JITTER * seconds)
 
+    def _return_seconds(self, service: str) -> float:
+        """Return when a caller should return that the limits leave no permit."""
+        limited = [
+            item
+            for item in self._directory.service_upstreams(service)
+            if self.limited(item)
+        ]
+        if not limited:
+            return MIN_PERMIT_POLL_SECONDS
+        first = min(map(self._permits.wait_seconds, limited))
+        last = max(first, min(map(self._permits.return_seconds, limited)))
+        turns = sum(self._limits.limit(item) for item in limited)
+        return self._random.uniform(first, max(last, first + 1.0 / turns))
+
     def max_connections(self, service: str) -> int:
         """Return this instance's share of the connections to an upstream."""
         declared = self.service(service)
@@ -311,8 +479,8 @@
             )
 
     def note_failure(self, upstream: Upstream, error: ExchangeError) -> None:
-        """Record a failed attempt, unless the upstream is shutting down."""
-        if error.cause != LEAVING:
+        """Record a failed attempt, unless the upstream itself is not the reason."""
+        if error.cause not in (LEAVING, NO_PERMIT):
             now = self._app.clock.monotonic()
             self.health.of(upstream.incarnation).record_failure(now)
 
--- a/packages/camphorgate/src/camphorgate/serving/permit_owners.py
+++ b/packages/camphorgate/src/camphorgate/serving/permit_owners.py
@@ -14,7 +14,10 @@
     """Return the first instance in the order of an upstream."""
     return max(
         instances,
-        key=lambda name: (xxhash.xxh3_64_intdigest(f"{upstream_id}/{name}"), name),
+        key=lambda name: (
+            xxhash.xxh3_64_intdigest(f"{upstream_id}/{name}".encode()),
+            name,
+        ),
         default=None,
     )
 
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -90,7 +90,7 @@
 class Placement:
     """Chooses upstreams by predicted time; stateless."""
 
-    __slots__ = ("_loads", "_health", "_zone", "_connected")
+    __slots__ = ("_loads", "_health", "_zone", "_connected", "_permit_wait_seconds")
 
     def __init__(
         self,
@@ -98,13 +98,17 @@
         health: HealthTable,
         zone: str,
         connected: Callable[[tuple[str, int]], bool] = lambda incarnation: True,
+        permit_wait_seconds: Callable[[Upstream], float] = lambda upstream: 0.0,
     ) -> None:
         """Initialize with the load and health tables of this instance.
 
         :param zone: availability zone of this instance.
         :param connected: returns whether an idle connection to an upstream is open.
+        :param permit_wait_seconds: returns the time until the limit of an upstream
+            allows a request.
         """
         self._connected = connected
+        self._permit_wait_seconds = permit_wait_seconds
         self._loads = loads
         self._health = health
         self._zone = zone
@@ -214,6 +218,7 @@
             health = self._health.of(item.incarnation)
             cost = choice.wait_ms + extra_cost(choice)
             cost += health.failure_rate * FAILING_PENALTY_MS
+            cost += self._permit_wait_seconds(item) * 1000
             if item.zone != self._zone:
                 cost += OTHER_ZONE_PENALTY_MS
             if not self._connected(item.incarnation):
