Decode data of other programs without ending the task that reads it

Shown here: an entry among those of the upstreams with a field nested 20,000 levels deep ended the task that follows the list (RecursionError, which no decoder expected), so that upstreams added later were unknown and a daemon that started then answered 503; a nested configuration did the same to its task.

Cause: two kinds of exception outside of what decoding was expected to raise. All decoders of outside data now expect RecursionError, and an address must name a host that a socket can have; an exception of connect() counts as not sent.

--- a/packages/camphorgate-cli/src/camphorgate_cli/client.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/client.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiosonic.exceptions import AiosonicError
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.settings import split_address
 from camphorgate_cli.errors import (
     CommandError,
@@ -103,7 +104,7 @@
 def _decode(status: int, data: bytes, address: str) -> dict[str, Any]:
     try:
         answer = msgspec.json.decode(data)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         answer = None
     if not isinstance(answer, dict):
         message = f"{address} does not answer like an admin interface (HTTP {status})"
--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/receivers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/receivers.py
@@ -26,7 +26,14 @@
     ConnectionPoolAcquireTimeout,
     ConnectionRefusedError,
 )
-_REQUEST_ERRORS = (AiosonicError, OSError, EOFError, TimeoutError, ValueError)
+_REQUEST_ERRORS = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    RecursionError,
+)
 
 
 class OrderUnsent(OrderUnanswered):
--- a/packages/camphorgate-daemon/src/camphorgated/ext/fleet/observing.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/fleet/observing.py
@@ -11,6 +11,7 @@
 from camphorgate.fleet.demand import DemandSample
 from camphorgate.fleet.placement import current_artifacts, served_names_by_engine
 from camphorgate.fleet.pool_state import Engine, Phase
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.http_client import build_http_client
 from camphorgate.manifest import Manifest, Pool
 
@@ -235,7 +236,7 @@
             payload = await peer.report(timeout=REPORT_TIMEOUT_SECONDS)
             sections = msgspec.msgpack.decode(payload, type=_Part).sections
             return sections["fleet"]["demand"]
-        except (CamphorgateError, msgspec.DecodeError, KeyError, TypeError):
+        except (CamphorgateError, *DECODE_ERRORS, KeyError, TypeError):
             return None
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/fleet/zones.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/fleet/zones.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphorgate.errors import CamphorgateError
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.kv.rate_limit import Priority
 from camphorgate.log import log_event
 from camphorgate.manifest import UpstreamKind
@@ -58,7 +59,7 @@
             zone = entry.key.removeprefix(ZONES_PREFIX)
             try:
                 records[zone] = msgspec.json.decode(entry.value, type=ZoneRecord)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 log_event("zone_record_unreadable", zone=zone, error=str(error))
             revisions[zone] = entry.mod_revision
         self.records_by_zone, self._revisions_by_zone = records, revisions
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completion_handler.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completion_handler.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgated.ext.gateway.access import check_key
 from camphorgated.ext.gateway.admission import Slot
 from camphorgated.ext.gateway.call import RequestContext
@@ -114,7 +115,7 @@
         return
     try:
         usage = _usage_decoder.decode(body).usage
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (*DECODE_ERRORS, UnicodeDecodeError):
         return
     if usage is not None:
         call.record.prompt_tokens = usage.prompt_tokens
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completions.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/completions.py
@@ -5,6 +5,7 @@
 import msgspec
 import xxhash
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.manifest import Adapter, ManifestIndex, Model, Pool, Workspace
 from camphorgate.requests.request_state import RoutingRequest
 from camphorgated.ext.gateway.call import RequestContext
@@ -115,7 +116,7 @@
     """
     try:
         decoded = _body_decoder.decode(body)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+    except (*DECODE_ERRORS, UnicodeDecodeError) as error:
         message = f"the body is not a completion request: {error}"
         raise GatewayError("bad_request", message) from None
     model, adapter = index.models_by_name.get(decoded.model, (None, None))
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/load.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/load.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.requests.request_state import LoadReport
 
 _FIELDS_BY_NAME = {
@@ -31,7 +32,7 @@
     """Return the report of GET /control/load, ``None`` if it is invalid."""
     try:
         data = msgspec.json.decode(body)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
     return _build_report(data, now) if isinstance(data, dict) else None
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/polling.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.requests.cache_events import CacheEvent, CacheEventTracker
 from camphorgated.ext.gateway.errors import UpstreamFault
 from camphorgated.ext.gateway.exchange import RequestHead
@@ -124,7 +125,7 @@
         try:
             status, body = await self._request("GET", target)
             response = msgspec.json.decode(body, type=_CacheEvents)
-        except (UpstreamFault, msgspec.DecodeError):
+        except (UpstreamFault, *DECODE_ERRORS):
             return
         if status != 200:
             return
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/remote_prefill.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/remote_prefill.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.requests.fairness import weighted_service
 from camphorgated.ext.gateway.admission import Slot
 from camphorgated.ext.gateway.call import RequestContext
@@ -81,7 +82,7 @@
         raise UpstreamFault(f"the prefill engine answered {response.status}")
     try:
         handle = msgspec.json.decode(body, type=_Prefilled).handle
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise UpstreamFault(f"the prefill engine sent no handle: {error}") from None
     slot.record_first_token(gateway.now())
     slot.service_received = weighted_service(plan.request.prompt_tokens, 0)
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/token_stream.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/token_stream.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgated.ext.gateway.errors import UpstreamFault
 
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -134,7 +135,7 @@
                 continue
             try:
                 decoded = _decoder.decode(event[start + len(_DATA) :])
-            except msgspec.DecodeError:
+            except DECODE_ERRORS:
                 raise UpstreamFault("an event of the stream is no JSON") from None
             for choice in decoded.choices[:1]:
                 content = choice.delta.content if choice.delta else choice.text
--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/records.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.membership.roster import Member, MemberState
 from camphorgate.peers.peers_pb2 import Hello, MemberRecord
 
@@ -44,7 +45,7 @@
     """Decode a stored entry; return ``None`` if it is corrupt."""
     try:
         return msgspec.json.decode(value, type=RosterEntry)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/report.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/report.py
@@ -11,6 +11,7 @@
 
 from camphorgate.application import Application
 from camphorgate.errors import CamphorgateError
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.log import log_event
 from camphorgate.reporting.statistics import (
     Counts,
@@ -114,7 +115,7 @@
         try:
             payload = await peer.report(timeout=PEER_TIMEOUT_SECONDS)
             return msgspec.msgpack.decode(payload, type=InstancePart)
-        except (CamphorgateError, msgspec.DecodeError) as error:
+        except (CamphorgateError, *DECODE_ERRORS) as error:
             log_event("report_part_missing", instance=instance_id, error=str(error))
             return None
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/usage/copying.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/usage/copying.py
@@ -15,6 +15,7 @@
 )
 from camphorgate.accounting.windows import UsageRecorder, split_author
 from camphorgate.clock import Clock
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.kv.errors import KvError
 from camphorgate.log import log_event
 from camphorgate.peers.peers_pb2 import UsageAck, UsageBatch
@@ -97,7 +98,7 @@
         """Store a peer's batch and acknowledge it."""
         try:
             batch = msgspec.msgpack.decode(packet.payload, type=Batch)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             log_event("usage_batch_unreadable", level="WARNING", peer=peer_id)
             return
         if split_author(batch.author)[0] != peer_id:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from camphorgate.application import Application
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.health import HealthTable
@@ -344,7 +345,7 @@
             if data[:1] != FORMAT:
                 raise msgspec.DecodeError(f"format {data[:1].hex()} is not supported")
             message = self._decoder.decode(memoryview(data)[1:])
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self._record_unreadable(str(error))
             return
         handler = self._handlers.get(type(message))
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -13,6 +13,7 @@
 
 from camphorgate.application import Application
 from camphorgate.authority.leases import Lease, LeaseRules
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.kv.errors import KvError, KvRefused
 from camphorgate.kv.records import Delete, KvEntry, Put, absent, unchanged
 from camphorgate.log import log_event
@@ -344,7 +345,7 @@
 def _decode(entry: KvEntry, kind: type):
     try:
         return msgspec.json.decode(entry.value, type=kind)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         log_event("own_entry_unreadable", key=entry.key, error=str(error))
         return None
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pool.py
@@ -107,7 +107,7 @@
         host, port = split_address(upstream.address)
         try:
             connection = await connect(host, port, CONNECT_SECONDS)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             self._release(incarnation)
             raise ExchangeError(
                 f"cannot connect to {upstream.id}: {error!r}", Stage.NOT_SENT, "connect"
--- a/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
@@ -16,6 +16,7 @@
 from aioprometheus import Gauge
 
 from camphorgate.application import Application
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.kv.errors import KvError
 from camphorgate.kv.records import Delete, KvEntry, Put, absent, unchanged
 from camphorgate.log import log_event
@@ -497,7 +498,7 @@
 def _decode(entry: KvEntry) -> Block | None:
     try:
         return msgspec.json.decode(entry.value, type=Block)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         log_event("own_entry_unreadable", key=entry.key, error=str(error))
         return None
 
--- a/packages/camphorgate/src/camphorgate/configuration/parts.py
+++ b/packages/camphorgate/src/camphorgate/configuration/parts.py
@@ -17,6 +17,7 @@
 import xxhash
 
 from camphorgate.configuration.errors import PartError
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.manifest import Manifest, Upstream, Workspace
 
 # Upper bound of the average number of items in a bucket. A bucket of 64 workspaces is
@@ -182,5 +183,5 @@
         decompressor = zlib.decompressobj()
         data = decompressor.decompress(content, MAX_UNPACKED_BYTES)
         return msgspec.json.decode(data, type=part_type)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         raise PartError(f"part {name} is damaged: {error}") from None
--- a/packages/camphorgate/src/camphorgate/configuration/versions.py
+++ b/packages/camphorgate/src/camphorgate/configuration/versions.py
@@ -11,6 +11,7 @@
     encode_digest,
     part_digest,
 )
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.manifest import Manifest, ManifestIndex
 
 ROOT_KEY = "config/root"
@@ -64,7 +65,7 @@
     """
     try:
         return msgspec.json.decode(data, type=Root)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise PartError(f"the root is damaged: {error}") from None
 
 
--- a/packages/camphorgate/src/camphorgate/fleet/demand.py
+++ b/packages/camphorgate/src/camphorgate/fleet/demand.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphorgate.fleet.pool_state import Demand
+from camphorgate.foreign_data import DECODE_ERRORS
 
 SLOTS_PER_DAY = 96
 DAY_SECONDS = 86400
@@ -291,7 +292,7 @@
     """Decode the result of :func:`encode_memory`; return ``None`` if it is invalid."""
     try:
         return msgspec.msgpack.decode(data, type=DemandMemory)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/camphorgate/src/camphorgate/kv/transport.py
+++ b/packages/camphorgate/src/camphorgate/kv/transport.py
@@ -32,7 +32,14 @@
     ConnectionPoolAcquireTimeout,
     ConnectionRefusedError,
 )
-_TRANSPORT_ERRORS = (AiosonicError, OSError, EOFError, TimeoutError, ValueError)
+_TRANSPORT_ERRORS = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    RecursionError,
+)
 _BREAKER_OPEN = "circuit breaker open after repeated failures"
 
 
--- a/packages/camphorgate/src/camphorgate/kv/watcher.py
+++ b/packages/camphorgate/src/camphorgate/kv/watcher.py
@@ -23,7 +23,14 @@
 IDLE_TIMEOUT_SECONDS = 12.0
 _INITIAL_RETRY_DELAY_SECONDS = 0.2
 _MAX_RETRY_DELAY_SECONDS = 8.0
-_STREAM_ERRORS = (AiosonicError, OSError, EOFError, TimeoutError, ValueError)
+_STREAM_ERRORS = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    RecursionError,
+)
 
 PrefixReader = Callable[[str, Priority], Awaitable[tuple[list[KvEntry], int]]]
 
--- a/packages/camphorgate/src/camphorgate/manifest_validation.py
+++ b/packages/camphorgate/src/camphorgate/manifest_validation.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from camphorgate.errors import ManifestError
+from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.manifest import Manifest
 from camphorgate.registry import Registry
 
@@ -59,7 +60,7 @@
     for candidate in (lambda: text, lambda: _to_strict_json(text)):
         try:
             return msgspec.json.decode(candidate())
-        except (msgspec.DecodeError, UnicodeEncodeError):
+        except (*DECODE_ERRORS, UnicodeEncodeError):
             continue
     return json5.loads(text)
 
--- a/packages/camphorgate/src/camphorgate/settings.py
+++ b/packages/camphorgate/src/camphorgate/settings.py
@@ -1,5 +1,6 @@
 """Settings of a daemon, read from JSON with comments and validated before start."""
 
+import re
 from pathlib import Path
 
 import json5
@@ -75,6 +76,13 @@
     seed: int = 0
 
 
+# An IP address or a name: labels of at most 63 characters (RFC 1035).
+_HOST = re.compile(
+    r"[0-9A-Fa-f:.]*:[0-9A-Fa-f:.]*(%\w{1,15})?"
+    r"|(?=.{1,253}\Z)[\w-]{1,63}(\.[\w-]{1,63})*\.?",
+    re.ASCII,
+)
+
 _ADDRESS_FIELDS = ("caller_address", "admin_address", "peer_address")
 
 
@@ -126,9 +134,14 @@
 def split_address(address: str) -> tuple[str, int]:
     """Split ``host:port`` into its parts.
 
-    :raises ValueError: if the port is missing or out of range.
+    :raises ValueError: if the port is missing or out of range, or if the host can be
+        neither an IP address nor a name.
     """
     host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
+    valid_port = len(port) <= 5 and port.isascii() and port.isdigit()
+    if not separator or not valid_port or int(port) > 65535:
         raise ValueError(f"{address!r} is not host:port")
-    return host.strip("[]"), int(port)
+    host = host.strip("[]")
+    if not _HOST.fullmatch(host):
+        raise ValueError(f"{address!r} does not name a host")
+    return host, int(port)
