Do not pass on a request that cannot end before the process does

Reported by operators of similar systems: in a planned stop, requests that came late in the grace were passed on and cut at its end. Shown here with a grace of 3 and of 1.2 s: bookings of 0.6 s on kept connections were passed on and answered 504, eight of them in each case.

Cause: requests were accepted for 2.7 s whatever the grace, and whether a request can end in the time that is left was not asked. The time of acceptance is now at most a third of the grace, and during a stop a request that has not been sent is refused as not run unless one and a half times the longest of the route's latest requests fits into what is left (for a route with fewer than three: four target latencies, at least a second). Nothing changes for a grace of 8 s and requests of up to 4.7 s.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -13,6 +13,7 @@
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Catalog, Kind, Limits, Route, Workspace
+from camphorgate.serving.route_durations import RouteDurations
 from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
 from camphorgated.serving.caller import Caller
@@ -31,6 +32,8 @@
 # that it is not ready. Requests accepted later may not complete before the platform
 # kills the process.
 DRAIN_ACCEPT_SECONDS = 2.7
+# Where the grace is short, requests are accepted for this part of it.
+MAX_ACCEPT_FRACTION = 0.34
 # Margin before the platform kills a stopping process.
 GRACE_MARGIN_SECONDS = 0.6
 BACKLOG = 512
@@ -54,6 +57,7 @@
         "permit_requests",
         "refused_permits",
         "_ends_at",
+        "_needed_seconds",
     )
 
     def __init__(
@@ -66,6 +70,7 @@
         rank: int,
         version: int,
         ends_at: Callable[[], float] = lambda: math.inf,
+        needed_seconds: Callable[[Route], float] = lambda route: 0.0,
     ) -> None:
         """Compute the deadline.
 
@@ -73,6 +78,7 @@
         :param version: version of the configuration that admitted the request.
         :param ends_at: returns the monotonic time by which requests must complete
             because this process exits.
+        :param needed_seconds: returns the time that a request of a route needs.
         """
         self.caller = caller
         self.request = caller.request
@@ -83,6 +89,7 @@
         self.rank = rank
         self.version = version
         self._ends_at = ends_at
+        self._needed_seconds = needed_seconds
         # Routing decisions and measurements, logged with the response.
         self.decisions: dict[str, object] = {}
         # Requests for permits to send to upstreams with a limit: a random number, how
@@ -102,6 +109,11 @@
         """Return the seconds until the deadline, or until this process exits."""
         return min(self.deadline, self._ends_at()) - now
 
+    def cut_by_stop(self, now: float) -> bool:
+        """Return whether this process may exit before the request can end."""
+        left = self._ends_at() - now
+        return left < math.inf and left < self._needed_seconds(self.route)
+
     @property
     def workspace_name(self) -> str | None:
         """Return the name of the workspace that owns the API key."""
@@ -123,6 +135,7 @@
         "_admitted",
         "_statistics",
         "_spread",
+        "_durations",
     )
 
     def __init__(self, app: Application) -> None:
@@ -141,6 +154,7 @@
         self._admitted = 0
         self._statistics = app.service("statistics")
         self._spread = itertools.count()
+        self._durations = RouteDurations()
 
     async def start(self) -> None:
         """Listen for callers and for the platform's readiness checks.
@@ -263,7 +277,10 @@
             worker = self._app.service("calls")
         started = self._app.clock.monotonic()
         await worker.run(context)
-        self._statistics.finished(context, self._app.clock.monotonic() - started)
+        seconds = self._app.clock.monotonic() - started
+        if caller.ended and caller.status == 200:
+            self._durations.record(context.route, seconds)
+        self._statistics.finished(context, seconds)
 
     def _admit(self, caller: Caller) -> RequestContext | None:
         """Match route and workspace, or send an error response if there is none."""
@@ -293,6 +310,7 @@
             rank,
             catalog.version,
             lambda: self.ends_at,
+            self._durations.needed_seconds,
         )
 
     def _refuse(
@@ -330,14 +348,15 @@
         self.stopping = True
         clock = self._app.clock
         began = clock.monotonic()
-        last = began + self._app.settings.times.grace_seconds - GRACE_MARGIN_SECONDS
+        grace = self._app.settings.times.grace_seconds
+        last = began + grace - GRACE_MARGIN_SECONDS
         self.ends_at = last - ANSWER_SECONDS
         log_event(
             "draining",
             active=len(self._work_by_connection),
             connections=len(self._connections),
         )
-        await asyncio.sleep(DRAIN_ACCEPT_SECONDS)
+        await asyncio.sleep(min(DRAIN_ACCEPT_SECONDS, grace * MAX_ACCEPT_FRACTION))
         for server in self._servers:
             server.close()
         # Also serve connections that were accepted while the sockets were closing.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -31,6 +31,10 @@
 PAUSED = "upstreams_paused"
 # Refusal reason if upstreams of a service name limits, and none has a permit in time.
 LIMITED = "upstreams_limited"
+# Refusal reason if this process may exit before the request can end. Callers can return
+# to another instance at once.
+STOPPING = "stopping"
+STOPPING_RETRY_SECONDS = 0.1
 # Longest wait for a permit if there are upstreams without a limit.
 MAX_DETOUR_SECONDS = 0.02
 # Permits that one request asks for before it is refused.
@@ -371,6 +375,8 @@
         """
         if reason == LIMITED:
             return self._return_seconds(context.service)
+        if reason == STOPPING:
+            return STOPPING_RETRY_SECONDS
         seconds = self._resume_seconds(context.service)
         if reason != PAUSED or seconds is None:
             return otherwise
@@ -427,7 +433,10 @@
         :param unsent: attempts that failed before any byte was sent.
         :param max_unsent: bound on ``unsent``.
         """
-        if context.seconds_left(self._app.clock.monotonic()) <= 0:
+        now = self._app.clock.monotonic()
+        if not attempts.may_have_run and context.cut_by_stop(now):
+            return STOPPING
+        if context.seconds_left(now) <= 0:
             return "deadline"
         if not attempts.may_send():
             return "attempts"
--- a/tests/limited_workers.py
+++ b/tests/limited_workers.py
@@ -25,6 +25,7 @@
         """
         super().__init__(worker_id, [], engine=phase == "decode")
         self.phase = phase
+        self.answer_seconds = ANSWER_SECONDS
         # The value of the header, ``None`` for none.
         self.limit: str | None = None
         self.named_at: float | None = None
@@ -47,8 +48,8 @@
         await reader.readexactly(int(headers.get("content-length", "0")))
         self.requests.append((time.monotonic(), start))
         request = ScriptedRequest(self, writer, headers)
-        await asyncio.sleep(ANSWER_SECONDS)
         request.record_run()
+        await asyncio.sleep(self.answer_seconds)
         if headers.get("x-phase") == "prefill":
             body = b'{"kv-handle":"h1","tokens":9,"version":1}'
         else:
