Soak upstreams that name limits beside restarts, pauses and cuts

Workers name, change and end limits while daemons are killed, stopped, paused and cut off from the store, and callers keep their connections. No window of a worker may hold more than its limits allow from undisrupted daemons, and nothing that was refused as not run may have run. The stand-in worker names a limit (fault limit).

--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
@@ -6,7 +6,8 @@
 (503, not executed), ``fail`` (500 from the service itself), ``break_stream`` (value:
 events before the connection is aborted), ``wrong_attempt`` (a response with another
 attempt id), ``unstamped`` (no ``x-server-stamp``), ``leave`` (every response announces
-a shutdown), ``pause`` (503, not executed; value: ``Retry-After``). With
+a shutdown), ``limit`` (every response names a limit; value: ``Server-Limit``),
+``pause`` (503, not executed; value: ``Retry-After``). With
 ``--crash-part``, the process ends when it begins to answer a prompt with that part, and
 with ``--crash-log`` it first appends the time and the attempt id to a file.
 ``GET /control/runs`` lists every execution, prefill and arrival.
@@ -35,12 +36,13 @@
 EVENT_INTERVAL_SECONDS = 0.005
 TOKENS_PER_EVENT = 11
 LEAVE_FAULT = "leave"
+LIMIT_FAULT = "limit"
 # Time from the arrival of a request with the crashing part to the end of the process.
 CRASH_SECONDS = 0.02
 
 
-class LeavingHeader:
-    """Adds ``server-leaving`` to every response while the fault ``leave`` is armed."""
+class AnnouncementHeaders:
+    """Adds what the faults ``leave`` and ``limit`` announce to every response."""
 
     __slots__ = ("_app", "_faults")
 
@@ -50,15 +52,22 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         async def send_with_header(message: Message) -> None:
-            if message["type"] == "http.response.start" and self._faults.is_active(
-                LEAVE_FAULT
-            ):
-                headers = [*message.get("headers", []), (b"server-leaving", b"1")]
+            if message["type"] == "http.response.start":
+                headers = [*message.get("headers", []), *self._announcements()]
                 message = {**message, "headers": headers}
             await send(message)
 
         await self._app(scope, receive, send_with_header)
 
+    def _announcements(self) -> list[tuple[bytes, bytes]]:
+        found = []
+        if self._faults.is_active(LEAVE_FAULT):
+            found.append((b"server-leaving", b"1"))
+        if self._faults.is_active(LIMIT_FAULT):
+            limit = self._faults.text_value(LIMIT_FAULT, "1")
+            found.append((b"server-limit", limit.encode()))
+        return found
+
 
 class HostingWorker:
     """Executes requests and records each execution."""
@@ -115,7 +124,7 @@
             Route("/v1/kv-handle/{handle}", self.release, methods=["DELETE"]),
             Route("/{path:path}", self.serve, methods=methods),
         ]
-        return LeavingHeader(build_app(routes, self.faults), self.faults)
+        return AnnouncementHeaders(build_app(routes, self.faults), self.faults)
 
     def _response_headers(self, request: Request) -> dict[str, str]:
         attempt = request.headers.get("x-attempt-id", "")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,8 @@
 from tests.soak.configurations import ConfigurationSoak, Disturbance
 from tests.soak.crashing_parts import CrashSoak
 from tests.soak.crashing_parts import run_seed as run_crash_seed
+from tests.soak.limited_upstreams import LimitSoak
+from tests.soak.limited_upstreams import run_seed as run_limit_seed
 from tests.soak.plan import build_plan
 from tests.soak.run import run_seed
 from tests.soak.worker_notices import WorkerNotices
@@ -201,6 +203,29 @@
         self.assertIn("4 late sends", found[0])
 
 
+class LimitSoakTests(unittest.TestCase):
+    """Limits of upstreams are kept beside faults of daemons."""
+
+    def test_short_runs_find_no_violation(self):
+        """Guards against limits that restarts, pauses and changes let slip."""
+        for seed, daemons in ((1, 3), (2, 6)):
+            with self.subTest(seed=seed):
+                self.assertEqual(run_limit_seed(seed, 16.0, daemons=daemons), [])
+
+    def test_exceeded_limits_and_untrue_refusals_are_found(self):
+        """Guards against checks that never report a violation."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = LimitSoak(1, 0.0, Path(folder))
+            soak.changes = {"w": [(100.0, 2.0)]}
+            arrivals = [(104.0 + n / 10, f"0-0-{n}") for n in range(18)]
+            run = {"headers": {"x-attempt-id": "0-0-3"}}
+            soak.reports = {"w": {"arrivals": arrivals, "runs": [run]}}
+            soak.statuses = {"0-0-3": 503, "0-0-4": 200}
+            self.assertEqual(len(soak.violations()), 2)
+            soak.disrupted_at = {"entry-0": [104.0]}
+            self.assertEqual(len(soak.violations()), 1)
+
+
 class ConfigurationSoakTests(unittest.TestCase):
     """Undisturbed instances have each version in time, and none goes back."""
 
