Test refusals, ends and planned stops around limits

Where all upstreams name limits, refusals are true (none of the refused ran), the median comes within the target latency of 100 ms, and the times to return are spread. An upstream whose limit has ended, and another process at its address, get all of the load again. Values that are no limit change nothing.

An upstream without a limit that is avoided after failures no longer shortens the wait for a permit of another one.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -162,8 +162,12 @@
         return self._limits.limit(upstream) is not None
 
     def _unlimited(self, upstreams: list[Upstream]) -> bool:
-        """Return whether some of the upstreams name no limit."""
-        return not all(self.limited(item) for item in upstreams)
+        """Return whether some of the upstreams name no limit, and are not avoided."""
+        now = self._app.clock.monotonic()
+        return any(
+            not self.limited(item) and not self.health.of(item.incarnation).avoided(now)
+            for item in upstreams
+        )
 
     def limits_block(self, service: str) -> bool:
         """Return whether limits of its upstreams can keep a service from being used."""
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -281,6 +281,13 @@
         """Note that an instance is excused for a while."""
         self.disturbed_at.setdefault(number, []).append(self.loop.time())
 
+    async def stop_and_restart(self, numbers, seconds: float) -> None:
+        """Stop instances as planned, which takes some time, and start them again."""
+        for number in numbers:
+            self.instances[number].leaving = True
+        await asyncio.sleep(seconds)
+        await self.restart(numbers)
+
     async def restart(self, numbers) -> None:
         """End instances and start them again, with nothing known."""
         self._lose(numbers)
--- a/tests/limited_workers.py
+++ b/tests/limited_workers.py
@@ -71,9 +71,9 @@
             default=0,
         )
 
-    def used_since(self, since: float) -> float:
-        """Return the arrivals a second since a time."""
-        return sum(at >= since for at, _ in self.requests) / (time.monotonic() - since)
+    def count_since(self, since: float) -> int:
+        """Return the number of arrivals since a time."""
+        return sum(at >= since for at, _ in self.requests)
 
 
 def allowed(limit: float) -> float:
--- a/tests/test_serving/test_limited_fleet.py
+++ b/tests/test_serving/test_limited_fleet.py
@@ -82,6 +82,17 @@
             with self.subTest(instances=size[0]):
                 self.check(self.play(size, restart), MIN_USED_SHARE_DISTURBED / 2)
 
+    def test_planned_stops(self):
+        """Guards against an owner that still grants, or is asked, while it stops."""
+
+        async def stop(fleet):
+            await asyncio.sleep(CONTACT_SECONDS)
+            for number in range(len(fleet.instances)):
+                await fleet.stop_and_restart([number], 0.5)
+
+        fleet = self.play(SIZES[0], stop)
+        self.check(fleet, MIN_USED_SHARE_DISTURBED)
+
     def test_restart_of_all(self):
         """Guards against a fleet that forgets the limits at once."""
 
--- a/tests/test_serving/test_upstream_limits.py
+++ b/tests/test_serving/test_upstream_limits.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+from camphorgated.serving.upstreams import LIMITED
 from tests.hosted import HostedCase
 from tests.hosting_builders import build_platform_entry
 from tests.limited_workers import CONTACT_SECONDS, LimitedWorker, allowed
@@ -15,6 +16,9 @@
 JUDGED_SECONDS = 6.0
 # Part of the limits that is used where there is demand for all of it.
 MIN_USED_SHARE = 0.9
+# The median refusal comes within the target latency of the routes.
+MAX_REFUSAL_SECONDS = 0.1
+MIN_RETURN_SPREAD_SECONDS = 0.5
 
 
 class LimitCase(HostedCase):
@@ -48,8 +52,8 @@
     async def send_load(self, path, seconds, apps=None, rate=REQUESTS_PER_SECOND):
         """Send requests at a steady rate.
 
-        :returns: triples of the time of sending, the seconds it took and the response,
-            ``None`` if there was none.
+        :returns: the attempt id, the seconds it took and the response, ``None`` if
+            there was none.
         """
         apps = apps or self.apps
         loop = asyncio.get_running_loop()
@@ -59,8 +63,9 @@
         async def send(number):
             sent_at = time.monotonic()
             response = None
+            attempt = f"attempt-{number}"
             headers = {
-                b"x-attempt-id": b"attempt-%s-%d" % (path[1:5].encode(), number),
+                b"x-attempt-id": attempt.encode(),
                 b"x-model": b"m",
                 b"x-token-count": b"120,66",
                 b"x-prompt-prefix": b"c0:60,own%d:60" % number,
@@ -74,7 +79,7 @@
                     headers=headers,
                     seconds=6.0,
                 )
-            answers.append((sent_at, time.monotonic() - sent_at, response))
+            answers.append((attempt, time.monotonic() - sent_at, response))
 
         async with asyncio.TaskGroup() as group:
             for number in range(int(rate * seconds)):
@@ -102,6 +107,19 @@
             self.assertLessEqual(found[number], allowed(limit), found)
         return answers
 
+    def check_refusals(self, answers):
+        """Check that refusals are true, come at once, and spread the returns."""
+        runs = {attempt for item in self.limited for _, attempt, _ in item.runs}
+        refused = [item for item in answers if item[2] and item[2].status == 503]
+        self.assertGreater(len(refused), 20)
+        for attempt, _, response in refused:
+            self.assertNotIn(attempt, runs)
+            self.assertIn(LIMITED.encode(), response.body)
+        seconds = sorted(taken for _, taken, _ in refused)
+        self.assertLess(seconds[len(seconds) // 2], MAX_REFUSAL_SECONDS)
+        returns = sorted(float(item.headers[b"retry-after"]) for *_, item in refused)
+        self.assertGreater(returns[-1] - returns[0], MIN_RETURN_SPREAD_SECONDS)
+
     def check_use(self, limits):
         """Check that the limits are used where there is demand for more."""
         for number, limit in limits.items():
@@ -136,15 +154,17 @@
         """Guards against limits that are kept by not being used."""
         await self.start_fleet()
         limits = dict.fromkeys(range(WORKERS), 2.0)
-        await self.play("/read/a", limits)
+        answers = await self.play("/read/a", limits)
         self.check_use(limits)
+        self.check_refusals(answers)
 
     async def test_bookings_keep_limits(self):
         """Guards against requests that run once and pass the limits by."""
         await self.start_fleet()
         limits = dict.fromkeys(range(WORKERS), 2.0)
-        await self.play("/book/a", limits)
+        answers = await self.play("/book/a", limits)
         self.check_use(limits)
+        self.check_refusals(answers)
 
     async def test_one_limited_engine(self):
         """Guards against streams that pass the limit of an engine by."""
@@ -156,10 +176,41 @@
         """Guards against resumable streams that pass the limits by."""
         await self.start_fleet(phases=("decode",))
         limits = dict.fromkeys(range(WORKERS), 2.0)
-        await self.play("/chat/a", limits)
+        answers = await self.play("/chat/a", limits)
         self.check_use(limits)
+        self.check_refusals(answers)
 
     async def test_prefill_calls_keep_limits(self):
         """Guards against prefill calls that do not count within a limit."""
         await self.start_fleet(phases=("prefill", "decode"))
         await self.play("/chat/a", dict.fromkeys(range(WORKERS), 2.0))
+
+    async def test_limit_ends_and_another_process_has_none(self):
+        """Guards against an upstream that is well again and stays unused."""
+        await self.start_fleet(workers=1)
+        worker = self.limited[0]
+        worker.name_limit("0.5")
+        await self.send_load("/read/a", 3.0)
+        worker.name_limit(None)
+        await self.send_load("/read/a", 3.0)
+        ended_at = time.monotonic()
+        await self.send_load("/read/a", 2.0)
+        sent = 2.0 * REQUESTS_PER_SECOND
+        self.assertGreaterEqual(worker.count_since(ended_at), MIN_USED_SHARE * sent)
+        worker.name_limit("0.5")
+        await self.send_load("/read/a", 2.0)
+        worker.name_limit(None)
+        entry = build_platform_entry(worker.address, slots=64, born=2000, sequence=2)
+        self.store.put(f"servers/{worker.id}", entry)
+        await asyncio.sleep(0.5)
+        started_at = time.monotonic()
+        await self.send_load("/read/a", 2.0)
+        self.assertGreaterEqual(worker.count_since(started_at), MIN_USED_SHARE * sent)
+
+    async def test_values_that_are_no_limit(self):
+        """Guards against requests that fail on a header that makes no sense."""
+        await self.start_fleet(workers=1)
+        for value in ("nan", "-3", "abc", "1e999", "", "0", "9" * 400, "2,3"):
+            self.limited[0].name_limit(value)
+            answers = await self.send_load("/read/a", 0.5)
+            self.assertTrue(all(item and item.status == 200 for *_, item in answers))
