--- a/packages/camphorgate-cli/src/camphorgate_cli/explaining.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/explaining.py
@@ -26,6 +26,8 @@
         "duty_lost",
         "prompt_part_blocked",
         "prompt_part_lifted",
+        "upstream_limit_changed",
+        "permit_owner_unknown",
     }
 )
 # How long before a request's first line the events of its upstreams and instances are
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -214,6 +214,8 @@
         context.refused_permits.discard(upstream.id)
         if permit is None:
             context.refused_permits.add(upstream.id)
+            names = ",".join(sorted(context.refused_permits))
+            context.decisions["without_permit"] = names
         waited = (self._app.clock.monotonic() - began) * 1000
         context.decisions.update(
             limit=self._limits.limit(upstream),
--- a/tests/test_reporting/test_explaining.py
+++ b/tests/test_reporting/test_explaining.py
@@ -46,6 +46,20 @@
         parsed = (parse_line(line, "a-file") for line in lines)
         return explain([line for line in parsed if line], request_id)
 
+    def test_limits_explain_a_refusal(self):
+        """Guards against a refusal for limits of upstreams that no line names."""
+        lines = (
+            build_line(9.0, "upstream_limit_changed upstream=u1 per_second=2", "e-1"),
+            build_line(9.5, "upstream_limit_changed upstream=u1 per_second=3", "e-2"),
+            build_line(10.0, "request_given_up reason=upstreams_limited attempt=a-1"),
+            build_line(10.1, "answered status=503 attempt=a-1", "e-1"),
+        )
+        events = self.explain("a-1", lines)["events"]
+        self.assertEqual(
+            [item["event"] for item in events],
+            ["upstream_limit_changed", "request_given_up", "answered"],
+        )
+
     def test_lines_of_all_instances_are_in_order(self):
         """Guards against omitting a cause that another instance logged."""
         found = self.explain("a-1", reversed(LINES))
