Do not repeat replies to requests for permits to a restarted process

A restarted daemon numbers its requests for permits from 1 again, from the same address, and the owner took them for repetitions of those of the former process: it repeated their replies, with four permits within 40 ms at 33.2 s. A process now starts at a random number.

test_replies_to_a_former_process_are_not_repeated: 11 permits in 4 s with a limit of 1 before, 6 at most now. The choice among limited upstreams moves to a module of its own; services with paused upstreams beside limited ones wait for the pauses again.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -87,7 +87,7 @@
                 return
             if await wait_for_upstream(context, choice, clock):
                 continue
-            permit = await upstreams.reserve(context, choice, found, patient)
+            permit = await upstreams.reserve(context, choice, tried, patient)
             if permit is None:
                 continue
             if context.caller.disconnected:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -19,7 +19,7 @@
 from camphorgated.serving.exchange import ANSWER, ENDED_CAUSES, PREFILL, Exchange
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.generation import Generation, Handle
-from camphorgated.serving.permits import NO_LIMIT, Permit
+from camphorgated.serving.permits import Permit
 from camphorgated.serving.platform_protocol import ResponseFacts
 from camphorgated.serving.quarantine import BLOCKED, SUSPECTED
 from camphorgated.serving.streaming import Streaming
@@ -108,7 +108,7 @@
                 return
             reader, answerer = self._choose(generation, spec, now)
             if reader is None and answerer is None:
-                if self._upstreams.limits_block(context.service):
+                if self._upstreams.limited.blocks(context.service):
                     patient = generation.patient
                     waited = await self._upstreams.wait_for_upstreams(context, patient)
                 elif self._upstreams.pause_seconds(context.service) is not None:
@@ -134,7 +134,9 @@
             if reader is not None and await self._wait_to_read(generation, reader):
                 continue
             self._leave_queue(generation)
-            permit = await self._reserve(generation, first)
+            permit = await self._upstreams.reserve(
+                context, first, generation.tried, generation.patient
+            )
             if permit is None:
                 continue
             if context.caller.disconnected:
@@ -149,21 +151,6 @@
             except ExchangeError as error:
                 self._note_failure(generation, error, answerer)
 
-    async def _reserve(self, generation: Generation, choice: Choice) -> Permit | None:
-        """Return a permit to send a request to an engine, ``None`` if it has none."""
-        if not self._upstreams.limited(choice.upstream):
-            return NO_LIMIT
-        context, patient = generation.context, generation.patient
-        prefills = choice.upstream.phase is Phase.PREFILL
-        others = [
-            item
-            for item in self._upstreams.candidates_for(
-                context, generation.tried, patient
-            )
-            if (item.phase is Phase.PREFILL) is prefills
-        ]
-        return await self._upstreams.reserve(context, choice, others, patient)
-
     async def _may_test(self, generation: Generation, block: Block) -> bool:
         """Return whether a request is the one that tests whether a block is needed."""
         if generation.attempts.sends:
@@ -268,7 +255,7 @@
         resuming = generation.resume_from is not None
         if resuming or not answerers or generation.reads >= MAX_PREFILL_CALLS:
             return None, direct
-        if all(self._upstreams.limited(item) for item in answerers):
+        if all(self._upstreams.limited.is_limited(item) for item in answerers):
             # An engine may have no permit left once the prompt is prefilled elsewhere.
             return None, direct
         reader = placement.choose_for_prefill(readers, prompt, now)
@@ -552,7 +539,9 @@
         self._app.spawn(self._delete(handle), "release handle")
 
     async def _delete(self, handle: Handle) -> None:
-        if self._upstreams.limited(handle.engine) or self._upstreams.pauses.paused(
+        if self._upstreams.limited.is_limited(
+            handle.engine
+        ) or self._upstreams.pauses.paused(
             handle.engine.incarnation, self._app.clock.monotonic()
         ):
             # An engine in need gets no such calls; it frees unused handles by itself.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import secrets
 from collections import OrderedDict
 
 import msgspec
@@ -44,6 +45,8 @@
 NO_OWNER_SECONDS = 0.2
 # A permit is valid for this long after its time. Opening a connection takes as long.
 VALID_SECONDS = 0.25
+# Size of the random number by which a process asks first.
+NUMBER_BITS = 48
 # Replies that are kept to answer repeated requests.
 MAX_KEPT_REPLIES = 2000
 
@@ -109,7 +112,8 @@
             OrderedDict()
         )
         self._future_by_number: dict[int, asyncio.Future] = {}
-        self._numbers = itertools.count(1)
+        # A restarted process has the same address, but asks by other numbers.
+        self._numbers = itertools.count(secrets.randbits(NUMBER_BITS))
         self._started_at = app.clock.monotonic()
         self._results = PrometheusCounter(
             "camphorgate_permit_requests",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -13,15 +13,15 @@
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
-from camphorgate.serving.catalog import Service, Upstream
+from camphorgate.serving.catalog import Phase, Service, Upstream
 from camphorgate.serving.pauses import RESUME_INTERVAL_SECONDS, PauseTable
-from camphorgate.serving.permit_schedule import MAX_AHEAD_SECONDS, max_wait_seconds
 from camphorgate.serving.placement import Choice, Placement
 from camphorgate.serving.retry_budget import RetryBudgetShare
 from camphorgate.serving.send_attempts import SendAttempts
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.exchange import LEAVING, NO_PERMIT, Exchange
 from camphorgated.serving.front import RequestContext
+from camphorgated.serving.limited_upstreams import LIMITED, LimitedUpstreams
 from camphorgated.serving.permits import NO_LIMIT, Permit
 from camphorgated.serving.platform_protocol import ResponseFacts
 from camphorgated.serving.pool import MAX_USED_CONNECTION_FRACTION, Pool
@@ -29,18 +29,10 @@
 
 # Refusal reason if every upstream of a service has requested a pause.
 PAUSED = "upstreams_paused"
-# Refusal reason if upstreams of a service name limits, and none has a permit in time.
-LIMITED = "upstreams_limited"
 # Refusal reason if this process may exit before the request can end. Callers can return
 # to another instance at once.
 STOPPING = "stopping"
 STOPPING_RETRY_SECONDS = 0.1
-# Longest wait for a permit if there are upstreams without a limit.
-MAX_DETOUR_SECONDS = 0.02
-# Permits that one request asks for before it is refused.
-MAX_PERMIT_REQUESTS = 3
-# Shortest pause before permits are looked for again.
-MIN_PERMIT_POLL_SECONDS = 0.01
 # Retry-after jitter, as a fraction of the remaining pause, added after its end.
 RETRY_AFTER_JITTER = 0.25
 # Minimum connections to an upstream, independent of the number of instances.
@@ -61,6 +53,7 @@
         "_gossip",
         "_platform",
         "_quarantine",
+        "limited",
         "_limits",
         "_permits",
         "_budgets_by_service",
@@ -87,6 +80,7 @@
         self._platform.on_response = self.observe_response
         self.health = self._gossip.health
         self.loads = self._gossip.loads
+        self.limited = LimitedUpstreams(app, self.health)
         zone = app.settings.availability_zone
         self.placement = Placement(
             self.loads,
@@ -129,18 +123,31 @@
         :param without: ids to exclude, unless no other upstream is available.
         :param patient: whether the request waits for permits until its deadline.
         """
-        if not len(self._limits.table):
-            return self.candidates(context.service, without)
-        longest = self._max_permit_wait(context, patient)
-        usable = [
+        usable = self._usable(context.service)
+        if self.limited:
+            usable = self.limited.choose_from(usable, context, patient)
+        return [item for item in usable if item.id not in without] or usable
+
+    async def reserve(
+        self, context: RequestContext, choice: Choice, tried: set[str], patient: bool
+    ) -> Permit | None:
+        """Return a permit to send a request to the chosen upstream.
+
+        :param tried: ids of the upstreams that are chosen last.
+        :param patient: whether the request waits for permits until its deadline.
+        :returns: ``None`` if there is no permit in time, so that another upstream has
+            to be chosen.
+        """
+        upstream = choice.upstream
+        if not self.limited.is_limited(upstream):
+            return NO_LIMIT
+        prefills = upstream.phase is Phase.PREFILL
+        others = [
             item
-            for item in self._usable(context.service)
-            if self._permits.wait_seconds(item) <= longest or not self.limited(item)
+            for item in self.candidates_for(context, tried, patient)
+            if (item.phase is Phase.PREFILL) is prefills
         ]
-        others = [item for item in usable if item.id not in context.refused_permits]
-        if self._unlimited(others):
-            usable = others
-        return [item for item in usable if item.id not in without] or usable
+        return await self.limited.reserve(context, upstream, others, patient)
 
     def _usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that neither change their phase nor pause.
@@ -157,95 +164,6 @@
             item for item in usable if not self.pauses.paused(item.incarnation, now)
         ]
 
-    def limited(self, upstream: Upstream) -> bool:
-        """Return whether an upstream names a limit."""
-        return self._limits.limit(upstream) is not None
-
-    def _unlimited(self, upstreams: list[Upstream]) -> bool:
-        """Return whether some of the upstreams name no limit, and are not avoided."""
-        now = self._app.clock.monotonic()
-        return any(
-            not self.limited(item) and not self.health.of(item.incarnation).avoided(now)
-            for item in upstreams
-        )
-
-    def limits_block(self, service: str) -> bool:
-        """Return whether limits of its upstreams can keep a service from being used."""
-        return len(self._limits.table) > 0 and any(
-            self.limited(item) for item in self._directory.service_upstreams(service)
-        )
-
-    def _max_permit_wait(self, context: RequestContext, patient: bool) -> float:
-        """Return how long a request may wait for a permit, in seconds.
-
-        :returns: a negative number if it may ask for no further permit.
-        """
-        if patient:
-            return MAX_AHEAD_SECONDS
-        if context.permit_requests >= MAX_PERMIT_REQUESTS:
-            return -1.0
-        target = context.request.read_at + context.route.target_seconds
-        left = target - self._app.clock.monotonic()
-        return max_wait_seconds(context.rank, context.permit_draw, left)
-
-    async def reserve(
-        self,
-        context: RequestContext,
-        choice: Choice,
-        others: list[Upstream],
-        patient: bool = False,
-    ) -> Permit | None:
-        """Return a permit to send a request to the chosen upstream.
-
-        :param others: the upstreams that could be used instead.
-        :param patient: whether the request waits for permits until its deadline.
-        :returns: ``None`` if there is no permit in time, so that another upstream has
-            to be chosen.
-        """
-        upstream = choice.upstream
-        if not self.limited(upstream):
-            return NO_LIMIT
-        longest = self._max_permit_wait(context, patient)
-        if self._unlimited(others):
-            longest = min(longest, MAX_DETOUR_SECONDS)
-        began = self._app.clock.monotonic()
-        permit = await self._permits.request(upstream, longest)
-        context.permit_requests += 1
-        context.refused_permits.discard(upstream.id)
-        if permit is None:
-            context.refused_permits.add(upstream.id)
-            names = ",".join(sorted(context.refused_permits))
-            context.decisions["without_permit"] = names
-        waited = (self._app.clock.monotonic() - began) * 1000
-        context.decisions.update(
-            limit=self._limits.limit(upstream),
-            permit_ms=context.decisions.get("permit_ms", 0.0) + waited,
-        )
-        return permit
-
-    def _permit_seconds(self, service: str) -> float:
-        """Return the seconds until a permit of a service can be asked for."""
-        waits = [
-            self._permits.wait_seconds(item)
-            for item in self._directory.service_upstreams(service)
-            if self.limited(item)
-        ]
-        seconds = min(waits, default=0.0) - MAX_AHEAD_SECONDS
-        return max(MIN_PERMIT_POLL_SECONDS, seconds)
-
-    async def wait_for_permit(self, context: RequestContext) -> bool:
-        """Wait until a permit can be asked for.
-
-        :returns: whether to choose again; false at once if that is after the deadline.
-        """
-        seconds = self._permit_seconds(context.service)
-        if seconds > context.seconds_left(self._app.clock.monotonic()):
-            return False
-        waited = context.decisions.get("permit_ms", 0.0) + seconds * 1000
-        context.decisions["permit_ms"] = waited
-        await asyncio.sleep(seconds)
-        return True
-
     def takes_requests(self, upstream: Upstream) -> bool:
         """Return whether an upstream accepts new requests from this instance."""
         now = self._app.clock.monotonic()
@@ -315,7 +233,7 @@
 
     def no_upstream_reason(self, service: str) -> str:
         """Return the reason why no upstream of a service is available."""
-        if self.limits_block(service):
+        if self.limited.blocks(service):
             return LIMITED
         paused = self.pause_seconds(service) is not None
         return PAUSED if paused else "no_upstream"
@@ -336,9 +254,9 @@
         :param patient: whether the request waits for permits until its deadline.
         :returns: whether to choose again; false at once if the request is given up.
         """
-        if not self.limits_block(context.service):
-            return await self.wait_for_pause_end(context)
-        return patient and await self.wait_for_permit(context)
+        if patient and self.limited.blocks(context.service):
+            return await self.limited.wait_for_permit(context)
+        return await self.wait_for_pause_end(context)
 
     async def wait_for_pause_end(self, context: RequestContext) -> bool:
         """Wait for this request's turn after the first pause of its upstreams.
@@ -380,7 +298,7 @@
         :param otherwise: value for every other reason.
         """
         if reason == LIMITED:
-            return self._return_seconds(context.service)
+            return self.limited.return_seconds(context.service)
         if reason == STOPPING:
             return STOPPING_RETRY_SECONDS
         seconds = self._resume_seconds(context.service)
@@ -388,20 +306,6 @@
             return otherwise
         return seconds + self._random.uniform(0.0, RETRY_AFTER_JITTER * seconds)
 
-    def _return_seconds(self, service: str) -> float:
-        """Return when a caller should return that the limits leave no permit."""
-        limited = [
-            item
-            for item in self._directory.service_upstreams(service)
-            if self.limited(item)
-        ]
-        if not limited:
-            return MIN_PERMIT_POLL_SECONDS
-        first = min(map(self._permits.wait_seconds, limited))
-        last = max(first, min(map(self._permits.return_seconds, limited)))
-        turns = sum(self._limits.limit(item) for item in limited)
-        return self._random.uniform(first, max(last, first + 1.0 / turns))
-
     def max_connections(self, service: str) -> int:
         """Return this instance's share of the connections to an upstream."""
         declared = self.service(service)
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -23,10 +23,10 @@
     encode_datagram,
     far_peers_per_tick,
 )
+from camphorgated.serving.limited_upstreams import MAX_PERMIT_REQUESTS
 from camphorgated.serving.limits import Limits
 from camphorgated.serving.members import Member
 from camphorgated.serving.permits import NO_LIMIT, Permits
-from camphorgated.serving.upstreams import MAX_PERMIT_REQUESTS
 from tests.hosting_builders import build_listed_upstream
 from tests.limited_workers import CONTACT_SECONDS, WINDOW_SECONDS, allowed
 from tests.virtual_time import VirtualClock, VirtualTimeLoop
--- a/tests/test_serving/test_limited_fleet.py
+++ b/tests/test_serving/test_limited_fleet.py
@@ -82,6 +82,38 @@
             with self.subTest(instances=size[0]):
                 self.check(self.play(size, restart), MIN_USED_SHARE_DISTURBED / 2)
 
+    def test_replies_to_a_former_process_are_not_repeated(self):
+        """Guards against permits that a process gets once more after its restart."""
+        granted = []
+
+        async def ask(instance, entry, until, interval):
+            clock = asyncio.get_running_loop()
+            count = 0
+            while clock.time() < until:
+                count += await instance.permits.request(entry, 0.0) is not None
+                await asyncio.sleep(interval)
+            return count
+
+        async def run():
+            fleet = LimitedFleet(4, 1, 1)
+            await asyncio.sleep(WARMUP_SECONDS)
+            entry = fleet.upstreams[0].entry
+            fleet.upstreams[0].limit = 1.0
+            for instance in fleet.instances:
+                await fleet._send(instance, fleet.upstreams[0])
+            for instance in fleet.instances:
+                now = asyncio.get_running_loop().time()
+                await ask(instance, entry, now + 8.0, 0.5)
+                await fleet.restart([instance.number])
+                while instance.limits.limit(entry) is None:
+                    await asyncio.sleep(0.05)
+                began = asyncio.get_running_loop().time()
+                granted.append(await ask(instance, entry, began + 4.0, 0.05))
+            await fleet.stop()
+
+        run_fleet(run)
+        self.assertLessEqual(max(granted), 6)
+
     def test_planned_stops(self):
         """Guards against an owner that still grants, or is asked, while it stops."""
 
--- a/tests/test_serving/test_upstream_limits.py
+++ b/tests/test_serving/test_upstream_limits.py
@@ -4,7 +4,7 @@
 import contextlib
 import time
 
-from camphorgated.serving.upstreams import LIMITED
+from camphorgated.serving.limited_upstreams import LIMITED
 from tests.hosted import HostedCase
 from tests.hosting_builders import build_platform_entry
 from tests.limited_workers import CONTACT_SECONDS, LimitedWorker, allowed
