--- a/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
@@ -45,6 +45,8 @@
 NO_OWNER_SECONDS = 0.2
 # A permit is valid for this long after its time. Opening a connection takes as long.
 VALID_SECONDS = 0.25
+# Requests without a reply whose late permits may still be used.
+MAX_LATE_NUMBERS = 1000
 # Size of the random number by which a process asks first.
 NUMBER_BITS = 48
 # Replies that are kept to answer repeated requests.
@@ -90,6 +92,8 @@
         "_instances_by_zone",
         "_reply_by_request",
         "_future_by_number",
+        "_late_numbers",
+        "_unused_by_incarnation",
         "_numbers",
         "_started_at",
         "_results",
@@ -112,6 +116,10 @@
             OrderedDict()
         )
         self._future_by_number: dict[int, asyncio.Future] = {}
+        # Numbers of the requests for permits that were given up without a reply.
+        self._late_numbers: OrderedDict[int, None] = OrderedDict()
+        # Permits that came too late for the request that asked for them.
+        self._unused_by_incarnation: dict[Incarnation, Permit] = {}
         # A restarted process has the same address, but asks by other numbers.
         self._numbers = itertools.count(secrets.randbits(NUMBER_BITS))
         self._started_at = app.clock.monotonic()
@@ -159,6 +167,9 @@
             limit = self._limits.limit(upstream)
             if limit is None:
                 return NO_LIMIT
+            unused = self._unused_by_incarnation.pop(upstream.incarnation, None)
+            if unused is not None and self.may_send(upstream, unused):
+                return unused
             reply = await self._ask_owner(upstream, max_wait_seconds)
             if reply is None:
                 break
@@ -221,6 +232,10 @@
                     return future.result()
         finally:
             del self._future_by_number[number]
+            if not future.done():
+                self._late_numbers[number] = None
+                if len(self._late_numbers) > MAX_LATE_NUMBERS:
+                    self._late_numbers.popitem(last=False)
         until = self._app.clock.monotonic() + SILENT_SECONDS
         self._silent_until_by_address[address] = until
         return None
@@ -344,9 +359,23 @@
 
     def _receive_reply(self, reply: PermitReply) -> None:
         future = self._future_by_number.get(reply.number)
-        if future is not None and not future.done():
+        if future is None:
+            self._keep_unused(reply)
+        elif not future.done():
             future.set_result(reply)
 
+    def _keep_unused(self, reply: PermitReply) -> None:
+        """Keep a permit whose request has gone, if it may be used at once.
+
+        A repeated request may get two replies, of which the first one counts.
+        """
+        if self._late_numbers.pop(reply.number, reply) is reply:
+            return
+        if reply.granted and not reply.wait_seconds and reply.word.per_second:
+            valid_until = self._app.clock.monotonic() + VALID_SECONDS
+            permit = Permit(reply.word.per_second, valid_until)
+            self._unused_by_incarnation[reply.word.upstream] = permit
+
     def _tick(self, turn: int) -> None:
         now = self._app.clock.monotonic()
         self._gossip.grants_permits = (
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -209,6 +209,8 @@
         # Outcomes of requests: time, rank, and whether they were sent.
         self.outcomes: list[tuple[float, int, bool]] = []
         self.sent_bytes = 0
+        # Factor of the delays of datagrams.
+        self.delay_factor = 1.0
         self._decoder = msgspec.msgpack.Decoder(Message)
         self.instances = [
             Instance(self, number, zone) for number, zone in enumerate(names)
--- a/tests/test_serving/test_limited_fleet.py
+++ b/tests/test_serving/test_limited_fleet.py
@@ -114,6 +114,15 @@
         run_fleet(run)
         self.assertLessEqual(max(granted), 6)
 
+    def test_late_permits_are_used_once(self):
+        """Guards against permits that are lost, or used twice, as replies are late."""
+
+        async def delay(fleet):
+            fleet.delay_factor = 150.0
+            await asyncio.sleep(0.0)
+
+        self.check(self.play(SIZES[0], delay), MIN_USED_SHARE_DISTURBED)
+
     def test_planned_stops(self):
         """Guards against an owner that still grants, or is asked, while it stops."""
 
