--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -539,11 +539,10 @@
         self._app.spawn(self._delete(handle), "release handle")
 
     async def _delete(self, handle: Handle) -> None:
-        if self._upstreams.limited.is_limited(
-            handle.engine
-        ) or self._upstreams.pauses.paused(
+        paused = self._upstreams.pauses.paused(
             handle.engine.incarnation, self._app.clock.monotonic()
-        ):
+        )
+        if paused or self._upstreams.limited.is_limited(handle.engine):
             # An engine in need gets no such calls; it frees unused handles by itself.
             return
         try:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
@@ -85,6 +85,7 @@
         "_gossip",
         "_members",
         "_limits",
+        "_statistics",
         "_schedule_by_incarnation",
         "_estimate_by_incarnation",
         "_owner_by_incarnation",
@@ -105,6 +106,7 @@
         self._gossip = app.service("gossip")
         self._members = app.service("members")
         self._limits = app.service("limits")
+        self._statistics = app.service("statistics")
         self._schedule_by_incarnation: dict[Incarnation, PermitSchedule] = {}
         self._estimate_by_incarnation: dict[Incarnation, _Estimate] = {}
         # Addresses of the owners that others named.
@@ -126,7 +128,7 @@
         self._results = PrometheusCounter(
             "camphorgate_permit_requests",
             "Requests for permits to send to an upstream with a limit, by result.",
-            registry=app.service("statistics").registry,
+            registry=self._statistics.registry,
         )
         self._gossip.add_handler(PermitRequest, self._receive_request)
         self._gossip.add_handler(PermitReply, self._receive_reply)
@@ -194,7 +196,7 @@
             free_at, free_at
         )
         self._count("unanswered")
-        log_event("permit_owner_unknown", upstream=upstream.id, level="WARNING")
+        self._statistics.request_line("permit_owner_unknown", upstream=upstream.id)
         return None
 
     def _record_refusal(
@@ -389,6 +391,7 @@
             self._schedule_by_incarnation,
             self._estimate_by_incarnation,
             self._owner_by_incarnation,
+            self._unused_by_incarnation,
         ):
             for incarnation in list(known):
                 if table.limit(incarnation) is None:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -91,7 +91,9 @@
         others = [item for item in fleet.members if item is not self.own]
         self.near = [m.gossip_address for m in others if m.zone == self.zone]
         self.far = [m.gossip_address for m in others if m.zone != self.zone]
-        statistics = SimpleNamespace(registry=Registry())
+        statistics = SimpleNamespace(
+            registry=Registry(), request_line=lambda *_, **__: None
+        )
         table = SimpleNamespace(by_id={u.entry.id: u.entry for u in fleet.upstreams})
         services = {
             "gossip": self,
