Let only limited upstreams that answer requests keep a service from being used

Read again: a limited prefill engine beside decode engines that were all lost made requests be refused at once, where they wait for an engine to come back. The gauge of limited upstreams follows entries that expire.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/limited_upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/limited_upstreams.py
@@ -10,7 +10,7 @@
 
 from camphorgate.application import Application
 from camphorgate.serving import permit_schedule
-from camphorgate.serving.catalog import Upstream
+from camphorgate.serving.catalog import Phase, Upstream
 from camphorgate.serving.health import HealthTable
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.permits import Permit
@@ -77,8 +77,15 @@
 
     def blocks(self, service: str) -> bool:
         """Return whether limits of its upstreams can keep a service from being used."""
-        listed = self._directory.service_upstreams(service)
-        return bool(self) and any(self.is_limited(item) for item in listed)
+        return bool(self) and bool(self._limited_answerers(service))
+
+    def _limited_answerers(self, service: str) -> list[Upstream]:
+        """Return the limited upstreams of a service that answer requests."""
+        return [
+            item
+            for item in self._directory.service_upstreams(service)
+            if item.phase is not Phase.PREFILL and self.is_limited(item)
+        ]
 
     def max_wait_seconds(self, context: RequestContext, patient: bool) -> float:
         """Return how long a request may wait for a permit, in seconds.
@@ -127,11 +134,7 @@
 
     def _permit_seconds(self, service: str) -> float:
         """Return the seconds until a permit of a service can be asked for."""
-        waits = [
-            self._permits.wait_seconds(item)
-            for item in self._directory.service_upstreams(service)
-            if self.is_limited(item)
-        ]
+        waits = map(self._permits.wait_seconds, self._limited_answerers(service))
         seconds = min(waits, default=0.0) - permit_schedule.MAX_AHEAD_SECONDS
         return max(MIN_PERMIT_POLL_SECONDS, seconds)
 
@@ -150,11 +153,7 @@
 
     def return_seconds(self, service: str) -> float:
         """Return when a caller should return that the limits leave no permit."""
-        limited = [
-            item
-            for item in self._directory.service_upstreams(service)
-            if self.is_limited(item)
-        ]
+        limited = self._limited_answerers(service)
         if not limited:
             return MIN_PERMIT_POLL_SECONDS
         first = min(map(self._permits.wait_seconds, limited))
--- a/packages/camphorgate-daemon/src/camphorgated/serving/limits.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/limits.py
@@ -123,6 +123,7 @@
         listed = self._directory.table.by_id.values()
         now = self._app.clock.monotonic()
         self.table.expire((item.incarnation for item in listed), now)
+        self._limited.set({}, self._limited_count())
         peers = self._peers()
         news = [
             word
@@ -143,9 +144,12 @@
             chosen = self._rumors.choose(words, MAX_WORDS_PER_DATAGRAM)
             self._gossip.send([LimitNews(chosen)], [address])
 
+    def _limited_count(self) -> int:
+        return sum(item.per_second > 0.0 for item in self.table.words())
+
     def _log(self, word: LimitWord, source: str) -> None:
-        limited = [item for item in self.table.words() if item.per_second]
-        self._limited.set({}, len(limited))
+        limited = self._limited_count()
+        self._limited.set({}, limited)
         log_event(
             "upstream_limit_changed",
             upstream=word.upstream[0],
@@ -153,7 +157,7 @@
             per_second=word.per_second,
             source=source,
             age_ms=(self._gossip.synchronized_now() - word.said_at) * 1000,
-            limited=len(limited),
+            limited=limited,
         )
 
     def dump(self) -> dict:
