Test of limits: run without the debug mode of asyncio

The debug mode, which the test case switches on, took most of the processor: 8.8 s of a play of 11 s, so that the one event loop of three daemons, workers and callers had nothing to spare. No check, bound or load is changed.

--- a/tests/test_serving/test_upstream_limits.py
+++ b/tests/test_serving/test_upstream_limits.py
@@ -24,6 +24,11 @@
 class LimitCase(HostedCase):
     """Several daemons before workers that name limits."""
 
+    async def asyncSetUp(self):
+        """Measure times without the debug mode, which takes most of the processor."""
+        asyncio.get_running_loop().set_debug(False)
+        await super().asyncSetUp()
+
     async def start_fleet(self, instances=3, workers=WORKERS, phases=("",)):
         """Start workers and daemons that know each other."""
         self.configure()
