Name the errors of a response once, and wait for engines in one place

Three modules had the same tuple of exceptions; it stands beside the HTTP client and takes what decoding can raise from foreign_data. The generations chose between three ways of waiting in the main loop; _wait_for_engines does now.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/receivers.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/receivers.py
@@ -5,7 +5,6 @@
 
 import msgspec
 from aiosonic.exceptions import (
-    AiosonicError,
     ConnectionPoolAcquireTimeout,
     ConnectTimeout,
 )
@@ -13,7 +12,7 @@
 from camphorgate.application import Application
 from camphorgate.authority.errors import OrderRefused, OrderUnanswered
 from camphorgate.authority.orders import Order
-from camphorgate.http_client import build_http_client
+from camphorgate.http_client import RESPONSE_ERRORS, build_http_client
 from camphorgate.registry import Registry
 
 # Must stay well below the drain time, which starts when an attempt times out.
@@ -26,14 +25,6 @@
     ConnectionPoolAcquireTimeout,
     ConnectionRefusedError,
 )
-_REQUEST_ERRORS = (
-    AiosonicError,
-    OSError,
-    EOFError,
-    TimeoutError,
-    ValueError,
-    RecursionError,
-)
 
 
 class OrderUnsent(OrderUnanswered):
@@ -105,7 +96,7 @@
             status, answer = await self._call(method, url, body, sender)
         except _NOT_SENT_ERRORS as error:
             raise OrderUnsent(f"{url}: {error!r}") from None
-        except _REQUEST_ERRORS as error:
+        except RESPONSE_ERRORS as error:
             raise OrderUnanswered(f"{url}: {error!r}") from None
         if status >= 400:
             code = FENCED_CODE if status == 409 else None
@@ -114,7 +105,7 @@
     async def _get(self, url: str) -> tuple[int, Any]:
         try:
             return await self._call("GET", url)
-        except _REQUEST_ERRORS:
+        except RESPONSE_ERRORS:
             return 0, None
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -19,8 +19,8 @@
 PREFILL = "prefill"
 # Cause of an attempt that ended because its upstream is shutting down, not failing.
 LEAVING = "leaving"
-# Cause of an attempt whose upstream has named a limit since it was chosen, or a lower
-# one, or whose permit has expired.
+# Cause of an attempt without a valid permit: the limit is new or lower, or the permit
+# has expired.
 NO_PERMIT = "no_permit"
 # Cause of an attempt whose connection ended while the upstream worked on it.
 CUT = "cut"
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -108,14 +108,7 @@
                 return
             reader, answerer = self._choose(generation, spec, now)
             if reader is None and answerer is None:
-                if self._upstreams.limited.blocks(context.service):
-                    patient = generation.patient
-                    waited = await self._upstreams.wait_for_upstreams(context, patient)
-                elif self._upstreams.pause_seconds(context.service) is not None:
-                    waited = await self._upstreams.wait_for_pause_end(context)
-                else:
-                    waited = await self._wait_for_engines(context)
-                if waited:
+                if await self._wait_for_engines(generation):
                     continue
                 self._give_up(
                     generation, self._upstreams.no_upstream_reason(context.service)
@@ -203,11 +196,15 @@
         if ticket is not None:
             self._queue.remove(ticket)
 
-    async def _wait_for_engines(self, context: RequestContext) -> bool:
-        """Wait one poll interval for engines to be listed again.
+    async def _wait_for_engines(self, generation: Generation) -> bool:
+        """Wait until an engine may be used again, one poll interval if none is listed.
 
-        :returns: false if the service has had none for too long.
+        :returns: whether to choose again; false if the request is given up.
         """
+        context, upstreams = generation.context, self._upstreams
+        paused = upstreams.pause_seconds(context.service) is not None
+        if paused or upstreams.limited.blocks(context.service):
+            return await upstreams.wait_for_upstreams(context, generation.patient)
         waited = context.decisions.get("without_engines_ms", 0.0)
         if waited >= MAX_WAIT_FOR_ENGINES_MS:
             return False
--- a/packages/camphorgate/src/camphorgate/http_client.py
+++ b/packages/camphorgate/src/camphorgate/http_client.py
@@ -9,9 +9,22 @@
 from aiosonic import HTTPClient
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import AiosonicError
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
+from camphorgate.foreign_data import DECODE_ERRORS
+
+# What a request, the reading of its response and its decoding can raise.
+RESPONSE_ERRORS = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    *DECODE_ERRORS,
+)
+
 
 class ExclusiveConnection(Connection):
     """A connection that is closed after any request that did not complete."""
--- a/packages/camphorgate/src/camphorgate/kv/transport.py
+++ b/packages/camphorgate/src/camphorgate/kv/transport.py
@@ -6,14 +6,13 @@
 
 import msgspec
 from aiosonic.exceptions import (
-    AiosonicError,
     ConnectionPoolAcquireTimeout,
     ConnectTimeout,
 )
 from aiosonic.timeout import Timeouts
 
 from camphorgate.clock import Clock
-from camphorgate.http_client import build_http_client
+from camphorgate.http_client import RESPONSE_ERRORS, build_http_client
 from camphorgate.kv.errors import KvOutcomeUnknown, KvRefused, KvUnavailable
 from camphorgate.kv.rate_limit import Backoff, CallRateLimiter, CircuitBreaker, Priority
 
@@ -32,14 +31,6 @@
     ConnectionPoolAcquireTimeout,
     ConnectionRefusedError,
 )
-_TRANSPORT_ERRORS = (
-    AiosonicError,
-    OSError,
-    EOFError,
-    TimeoutError,
-    ValueError,
-    RecursionError,
-)
 _BREAKER_OPEN = "circuit breaker open after repeated failures"
 
 
@@ -122,7 +113,7 @@
         except _NOT_SENT_ERRORS as error:
             self._record_failure(kind, address)
             raise KvUnavailable(f"{path}: {address}: {error!r}") from None
-        except _TRANSPORT_ERRORS as error:
+        except RESPONSE_ERRORS as error:
             self._record_failure(kind, address)
             raise KvOutcomeUnknown(f"{path}: {address}: {error!r}") from None
         self.breaker.record_success()
@@ -142,7 +133,7 @@
             if response.status_code != 200:
                 await response.aclose()
                 raise ValueError(f"status {response.status_code}")
-        except _TRANSPORT_ERRORS as error:
+        except RESPONSE_ERRORS as error:
             self._record_failure(kind, address)
             raise KvUnavailable(f"{path}: {address}: {error!r}") from None
         self.breaker.record_success()
--- a/packages/camphorgate/src/camphorgate/kv/watcher.py
+++ b/packages/camphorgate/src/camphorgate/kv/watcher.py
@@ -5,8 +5,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import msgspec
-from aiosonic.exceptions import AiosonicError
 
+from camphorgate.http_client import RESPONSE_ERRORS
 from camphorgate.kv.errors import KvRefused, KvUnavailable
 from camphorgate.kv.rate_limit import Backoff, Priority
 from camphorgate.kv.records import (
@@ -23,14 +23,6 @@
 IDLE_TIMEOUT_SECONDS = 12.0
 _INITIAL_RETRY_DELAY_SECONDS = 0.2
 _MAX_RETRY_DELAY_SECONDS = 8.0
-_STREAM_ERRORS = (
-    AiosonicError,
-    OSError,
-    EOFError,
-    TimeoutError,
-    ValueError,
-    RecursionError,
-)
 
 PrefixReader = Callable[[str, Priority], Awaitable[tuple[list[KvEntry], int]]]
 
@@ -97,7 +89,7 @@
                     return
                 if line:
                     yield _decode_line(line)
-        except _STREAM_ERRORS:
+        except RESPONSE_ERRORS:
             return
         finally:
             await lines.aclose()
