Spread the news of quarantines and of limits by the same rumors

The module for limits had copied the bookkeeping of the quarantine: keys with the ticks for which they are repeated, the latest first. Both now use Rumors, which offers the keys to a message that may have no room. Limits expire once a second, at the interval of the samples, instead of at each tick.

The quarantine draws the same random numbers as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/limits.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/limits.py
@@ -5,13 +5,16 @@
 random peer every second, and to each peer that starts.
 """
 
+import random
+from typing import TypeVar
+
 from aioprometheus import Counter as PrometheusCounter
 from aioprometheus import Gauge
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Stage, Upstream
-from camphorgate.serving.upstream_limits import LimitTable, LimitWord
+from camphorgate.serving.upstream_limits import Incarnation, LimitTable, LimitWord
 from camphorgated.serving.messages import LimitNews
 from camphorgated.serving.platform_protocol import ResponseFacts
 from camphorgated.serving.rumors import PEERS_PER_TICK, Rumors
@@ -26,6 +29,8 @@
 # A part of the table is sent to a random peer at this interval.
 SAMPLE_TICKS = 5
 
+T = TypeVar("T")
+
 
 class Limits:
     """The limits of upstreams as this instance knows them."""
@@ -36,6 +41,7 @@
         "_gossip",
         "_directory",
         "_rumors",
+        "_random",
         "_limited",
         "_sends",
     )
@@ -47,6 +53,7 @@
         self._gossip = app.service("gossip")
         self._directory = app.service("directory")
         self._rumors = Rumors()
+        self._random = random.Random()
         registry = app.service("statistics").registry
         self._limited = Gauge(
             "camphorgate_limited_upstreams",
@@ -92,7 +99,7 @@
         if word is not None:
             self._log(word, ANSWER)
             self._rumors.add(word.upstream)
-            peers = self._rumors.choose(self._peers(), FIRST_PEERS)
+            peers = self._choose(self._peers(), FIRST_PEERS)
             self._gossip.send([LimitNews([word])], peers)
 
     def merge(self, word: LimitWord) -> None:
@@ -120,28 +127,46 @@
     def _tick(self, turn: int) -> None:
         if not len(self.table):
             return
-        listed = self._directory.table.by_id.values()
-        now = self._app.clock.monotonic()
-        self.table.expire((item.incarnation for item in listed), now)
-        self._limited.set({}, self._limited_count())
         peers = self._peers()
-        news = [
-            word
-            for key in self._rumors.take(MAX_WORDS_PER_DATAGRAM)
-            if (word := self.table.word(key)) is not None
-        ]
+        news = self._take_news()
         if news:
-            chosen = self._rumors.choose(peers, PEERS_PER_TICK)
+            chosen = self._choose(peers, PEERS_PER_TICK)
             self._gossip.send([LimitNews(news)], chosen)
         if turn % SAMPLE_TICKS == 0:
-            for address in self._rumors.choose(peers, 1):
+            self._expire()
+            for address in self._choose(peers, 1):
                 self._tell_peer(address)
 
+    def _expire(self) -> None:
+        listed = self._directory.table.by_id.values()
+        now = self._app.clock.monotonic()
+        self.table.expire((item.incarnation for item in listed), now)
+        self._limited.set({}, self._limited_count())
+
+    def _take_news(self) -> list[LimitWord]:
+        """Return what has to be sent at this tick, the latest first."""
+        news: list[LimitWord] = []
+
+        def add(incarnation: Incarnation) -> bool | None:
+            if len(news) == MAX_WORDS_PER_DATAGRAM:
+                return None
+            word = self.table.word(incarnation)
+            if word is not None:
+                news.append(word)
+            return word is not None
+
+        self._rumors.collect(add)
+        return news
+
+    def _choose(self, items: list[T], most: int) -> list[T]:
+        """Return some random items."""
+        return self._random.sample(items, min(most, len(items)))
+
     def _tell_peer(self, address: str) -> None:
         """Send a part of the table to a peer."""
         words = self.table.words()
         if words:
-            chosen = self._rumors.choose(words, MAX_WORDS_PER_DATAGRAM)
+            chosen = self._choose(words, MAX_WORDS_PER_DATAGRAM)
             self._gossip.send([LimitNews(chosen)], [address])
 
     def _limited_count(self) -> int:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
@@ -30,6 +30,7 @@
 from camphorgated.serving.directory import INSTANCE_PREFIX
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.messages import QuarantineNews
+from camphorgated.serving.rumors import PEERS_PER_TICK, Rumors
 from camphorgated.serving.statistics import job_fields
 
 BLOCK_PREFIX = INSTANCE_PREFIX + "quarantine/"
@@ -37,10 +38,6 @@
 BLOCKED = "prompt_part_blocked"
 # Reason to give a request up that would end one more upstream.
 SUSPECTED = "prompt_part_suspected"
-# Peers that get news per tick from each instance that has learned of it lately.
-NEWS_PEERS_PER_TICK = 4
-# Ticks for which an instance sends what it has learned.
-NEWS_TICKS = 8
 # Bounds on a datagram, so that links do not fragment it: evidence has about 70 bytes,
 # an answer and an upstream 20, and a block 40.
 MAX_EVIDENCE_PER_DATAGRAM = 8
@@ -71,7 +68,7 @@
         "_members",
         "_store",
         "_statistics",
-        "_news",
+        "_rumors",
         "_own_requests",
         "_unwritten",
         "_removed",
@@ -91,8 +88,8 @@
         self._members = app.service("members")
         self._store = app.service("store")
         self._statistics = app.service("statistics")
-        # Entries that are sent, by the field and key, with the ticks that remain.
-        self._news: dict[tuple[str, object], int] = {}
+        # Fields and keys of the entries that are sent.
+        self._rumors = Rumors()
         # Ids of the requests with evidence from this instance.
         self._own_requests: set[str] = set()
         # Blocks that this instance has yet to write to the store or remove there.
@@ -156,7 +153,7 @@
         if evidence is None:
             return
         self._own_requests.add(request)
-        self._announce("evidence", (evidence.upstream, evidence.request))
+        self._rumors.add(("evidence", (evidence.upstream, evidence.request)))
         self._report_answers(evidence)
         self._statistics.request_line(
             "upstream_ended",
@@ -174,7 +171,7 @@
         before = set(self.table.blocks_by_parts)
         now = self._gossip.synchronized_now()
         for part in self.table.record_answer(parts, now, remember):
-            self._announce("cleared", part)
+            self._rumors.add(("cleared", part))
         self._note_lifted(before, "answered")
 
     def record_response(self, upstream: Upstream) -> None:
@@ -183,7 +180,7 @@
             return
         now = self._gossip.synchronized_now()
         if self.table.record_response(upstream.incarnation, now):
-            self._announce("survivors", upstream.incarnation)
+            self._rumors.add(("survivors", upstream.incarnation))
             log_event("upstream_survived", upstream=upstream.id)
 
     def lift(self, part: str) -> bool:
@@ -193,7 +190,7 @@
         """
         before = set(self.table.blocks_by_parts)
         if self.table.merge_cleared(part, self._gossip.synchronized_now()):
-            self._announce("cleared", part)
+            self._rumors.add(("cleared", part))
         self._note_lifted(before, "operator")
         return set(self.table.blocks_by_parts) != before
 
@@ -226,7 +223,7 @@
             return False
         if done.succeeded:
             self.table.begin_trial(block, now)
-            self._announce("blocks", block.parts)
+            self._rumors.add(("blocks", block.parts))
             log_event(
                 "quarantine_trial",
                 parts=",".join(block.parts),
@@ -242,15 +239,10 @@
             blocked_parts=",".join(block.parts), block_ends=block.ends
         )
 
-    def _announce(self, field: str, key: object) -> None:
-        """Send an entry at the next ticks, ahead of earlier ones."""
-        self._news.pop((field, key), None)
-        self._news[field, key] = NEWS_TICKS
-
     def _tick(self, turn: int) -> None:
         now = self._gossip.synchronized_now()
         for block in self._derive_blocks(now):
-            self._announce("blocks", block.parts)
+            self._rumors.add(("blocks", block.parts))
             self._write_later(block)
             _log_blocked(block, "evidence")
         for block in self.table.expire(now):
@@ -270,11 +262,11 @@
         return self.table.derive_blocks(now)
 
     def _send(self, peers: list[str]) -> None:
-        if not peers or not (self._news or len(self.table)):
+        if not peers or not (len(self._rumors) or len(self.table)):
             return
         news = self._take_news()
         if news is not None:
-            count = min(len(peers), NEWS_PEERS_PER_TICK)
+            count = min(len(peers), PEERS_PER_TICK)
             self._gossip.send([news], self._random.sample(peers, count))
         self._gossip.send([self._sample()], [self._random.choice(peers)])
 
@@ -287,14 +279,16 @@
             "blocks": MAX_BLOCKS_PER_DATAGRAM,
             "survivors": MAX_SURVIVORS_PER_DATAGRAM,
         }
-        for field, key in reversed(list(self._news)):
+
+        def add(item: tuple[str, object]) -> bool | None:
+            field, key = item
             if not room_by_field[field]:
-                continue
-            self._news[field, key] -= 1
+                return None
             added = self._add(news, field, key)
             room_by_field[field] -= added
-            if not added or not self._news[field, key]:
-                del self._news[field, key]
+            return added
+
+        self._rumors.collect(add)
         return news if _is_news(news) else None
 
     def _add(self, news: QuarantineNews, field: str, key) -> bool:
@@ -332,29 +326,29 @@
         now = self._gossip.synchronized_now()
         for upstream in news.survivors:
             if self.table.merge_survivor(upstream):
-                self._announce("survivors", upstream)
+                self._rumors.add(("survivors", upstream))
         for evidence in news.evidence:
             if self.table.merge_evidence(evidence, now):
-                self._announce("evidence", (evidence.upstream, evidence.request))
+                self._rumors.add(("evidence", (evidence.upstream, evidence.request)))
                 self._report_answers(evidence)
         for block in news.blocks:
             self._merge_block(block, "peer")
         for part, at in news.cleared:
             # A peer's clock may be ahead; nothing is cleared for the future.
             if self.table.merge_cleared(part, min(at, now)):
-                self._announce("cleared", part)
+                self._rumors.add(("cleared", part))
         self._note_lifted(before, "peer")
 
     def _report_answers(self, evidence: Evidence) -> None:
         """Tell peers of the answers that this instance saw to suspected parts."""
         for part in self.table.report_answers(evidence):
-            self._announce("cleared", part)
+            self._rumors.add(("cleared", part))
 
     def _merge_block(self, block: Block, source: str) -> None:
         known = block.parts in self.table.blocks_by_parts
         if not self.table.merge_block(block):
             return
-        self._announce("blocks", block.parts)
+        self._rumors.add(("blocks", block.parts))
         if not known:
             if source == "peer":
                 self._write_later(block)
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -103,7 +103,7 @@
         }
         app = SimpleNamespace(service=services.__getitem__, clock=fleet.clock)
         self.limits = Limits(app)
-        self.limits._rumors._random = random.Random(fleet.random.random())
+        self.limits._random = random.Random(fleet.random.random())
         services["limits"] = self.limits
         self.permits = Permits(app)
 
