Share what the soaks have in common

The soak of limits had copied from that of crashing parts the command line, the loop over seeds, the start of the store and daemons, and the disruption of daemons with its record; the first two also stood in tests.soak.run. They are in tests.soak.seeds and tests.soak.disrupted now. The sizes of fleets stand once, beside the simulation.

--- a/benchmarks/limits_spread.py
+++ b/benchmarks/limits_spread.py
@@ -8,11 +8,9 @@
 import asyncio
 
 from camphorgate.log import configure_logging
-from tests.limited_fleet import LimitedFleet, run_fleet
+from tests.limited_fleet import SIZES, LimitedFleet, run_fleet
 from tests.limited_workers import CONTACT_SECONDS
 
-# Instances, zones and requests a second.
-SIZES = ((8, 3, 60.0), (195, 7, 200.0), (750, 17, 300.0))
 UPSTREAMS = 10
 LIMIT_PER_SECOND = 2.0
 LOSS = 0.2
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -31,6 +31,9 @@
 from tests.limited_workers import CONTACT_SECONDS, WINDOW_SECONDS, allowed
 from tests.virtual_time import VirtualClock, VirtualTimeLoop
 
+# The users' deployments, and the size the design is made for: instances, zones and
+# requests a second.
+SIZES = ((8, 3, 60.0), (195, 7, 200.0), (750, 17, 300.0))
 NEAR_SECONDS = 0.0005
 FAR_SECONDS = 0.0015
 REGION_SECONDS = 0.05
--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -5,23 +5,20 @@
 Sound requests share the caller, the route and the first part with the crashing ones.
 """
 
-import argparse
 import asyncio
 import contextlib
 import itertools
-import os
 import random
 import sys
-import tempfile
 import time
-from pathlib import Path
 
 from camphorgate.settings import split_address
 from camphorgated.serving.client_connection import connect
 from camphorgated.serving.http1 import encode_head
 from tests.hosted import free_address
 from tests.hosting_builders import HOST, KEY, build_platform_entry
-from tests.soak.run import Soak
+from tests.soak.disrupted import DisruptedSoak
+from tests.soak.seeds import build_parser, run_seeds, run_soak
 
 PART = "bad0"
 # The users' rule: more than this many sends later than this after the fifth end.
@@ -39,18 +36,15 @@
 FAULTS = ("kill", "stop", "pause", "store_silent", "rack")
 
 
-class CrashSoak(Soak):
+class CrashSoak(DisruptedSoak):
     """One run with several daemons and engines."""
 
     def __init__(self, seed, seconds, folder, daemons=3, engines=6) -> None:
-        super().__init__(seed, seconds, folder)
-        self.daemon_count = daemons
+        super().__init__(seed, seconds, folder, daemons)
         self.engine_count = engines
         self.crash_log = folder / "crashes"
         self.engine_numbers = itertools.count(1)
         self.engines: dict[str, int] = {}
-        # Times of the disruptions of each daemon, and of those of racks.
-        self.disrupted_at: dict[str, list[float]] = {}
         self.outcomes: list[tuple[float, str, bool]] = []
 
     async def run(self) -> list[str]:
@@ -76,21 +70,9 @@
             await asyncio.gather(keeper, return_exceptions=True)
             return self.violations()
 
-    async def _start_all(self) -> None:
-        python = [sys.executable, "-m", "camphorgate_standins.hosting_store"]
-        self.commands["store"] = [*python, "--address", self.store_address]
-        await self._spawn("store")
-        await self._retry_until_true(
-            lambda: self._put_in_store("op/config", self._configuration())
-        )
+    async def _start_upstreams(self) -> None:
         for _ in range(self.engine_count):
             await self._start_engine()
-        for number in range(self.daemon_count):
-            await self._start_daemon(number)
-        for address in self.caller_addresses:
-            await self._retry_until_true(
-                lambda address=address: self._is_ready(address)
-            )
 
     async def _start_engine(self) -> None:
         name = f"engine-{next(self.engine_numbers)}"
@@ -136,35 +118,16 @@
             await self._start_engine()
 
     async def _inject_fault(self) -> None:
-        fault = self.random.choice(FAULTS)
-        seconds = self.random.uniform(0.3, 2.0)
-        number = self.random.randrange(self.daemon_count)
-        if fault == "rack":
-            self._disrupt("rack")
-            for name in self.random.sample(
-                list(self.engines), min(len(self.engines), self.engine_count // 3)
-            ):
-                with contextlib.suppress(ProcessLookupError):
-                    self.processes[name].kill()
+        fault, seconds, number = self._draw_fault(FAULTS)
+        if fault != "rack":
+            await self._disrupt_daemon(fault, seconds, number)
             return
-        name = f"entry-{number}"
-        self._disrupt(name)
-        if fault == "store_silent":
-            await self._inject_network_fault(
-                self.store_proxies[number], "silent", seconds
-            )
-        else:
-            await self._signal_daemon(fault, name, seconds)
-        self._disrupt(name)
-
-    def _disrupt(self, name: str) -> None:
-        self.disrupted_at.setdefault(name, []).append(time.time())
-
-    def _disrupted(self, name: str, at: float, seconds: float) -> bool:
-        """Return whether something was disrupted around a time."""
-        return any(
-            -0.1 <= at - since <= seconds for since in self.disrupted_at.get(name, ())
-        )
+        self._disrupt("rack")
+        for name in self.random.sample(
+            list(self.engines), min(len(self.engines), self.engine_count // 3)
+        ):
+            with contextlib.suppress(ProcessLookupError):
+                self.processes[name].kill()
 
     async def _load(self, rate: float, part: str) -> None:
         generator = random.Random(f"{self.seed} {part}")
@@ -273,38 +236,24 @@
 
 def run_seed(seed, seconds, folder=None, daemons=3, engines=6) -> list[str]:
     """Run one seed and return the violations; keep the logs in the folder if given."""
-    with contextlib.ExitStack() as stack:
-        if folder is None:
-            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(CrashSoak(seed, seconds, folder, daemons, engines).run())
+    return run_soak(
+        lambda path: CrashSoak(seed, seconds, path, daemons, engines), folder
+    )
 
 
 def main() -> int:
     """Run one or more seeds."""
-    parser = argparse.ArgumentParser(description="Soak the quarantine of parts.")
-    parser.add_argument("--seed", type=int, default=None)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0)
+    parser = build_parser("Soak the quarantine of parts.")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--engines", type=int, default=6)
-    parser.add_argument("--logs", default="run/soak", help="folder for the logs")
     options = parser.parse_args()
-    first = options.seed
-    if first is None:
-        first = int.from_bytes(os.urandom(3), "big")
-    failed = []
-    for seed in range(first, first + options.seeds):
-        folder = Path(options.logs) / f"crashes-{options.daemons}-{seed}"
-        violations = run_seed(
+    return run_seeds(
+        options,
+        f"crashes-{options.daemons}",
+        lambda seed, folder: run_seed(
             seed, options.seconds, folder, options.daemons, options.engines
-        )
-        for line in violations:
-            print(f"seed {seed}: {line}", flush=True)
-        if violations:
-            failed.append(seed)
-    print(f"{options.seeds - len(failed)} seeds passed, failed: {failed}")
-    return 1 if failed else 0
+        ),
+    )
 
 
 if __name__ == "__main__":
--- a/tests/soak/limited_upstreams.py
+++ b/tests/soak/limited_upstreams.py
@@ -6,16 +6,12 @@
 limit allows, and no request that a daemon refused as not run may have run.
 """
 
-import argparse
 import asyncio
 import contextlib
 import json
-import os
 import random
 import sys
-import tempfile
 import time
-from pathlib import Path
 
 from camphorgate.settings import split_address
 from camphorgated.serving.call_client import CallClient
@@ -24,7 +20,8 @@
 from tests.hosted import free_address
 from tests.hosting_builders import HOST, KEY, build_platform_entry
 from tests.limited_workers import CONTACT_SECONDS, WINDOW_SECONDS, allowed
-from tests.soak.run import Soak
+from tests.soak.disrupted import DisruptedSoak
+from tests.soak.seeds import build_parser, run_seeds, run_soak
 
 LIMITS = ("0.5", "1.5", "3.1", "8")
 # Load of all callers, in requests a second, and connections to each daemon.
@@ -38,17 +35,15 @@
 REFUSED = frozenset({408, 421, 429, 503})
 
 
-class LimitSoak(Soak):
+class LimitSoak(DisruptedSoak):
     """One run with several daemons and workers that name limits."""
 
     def __init__(self, seed, seconds, folder, daemons=3, workers=4) -> None:
-        super().__init__(seed, seconds, folder)
-        self.daemon_count = daemons
+        super().__init__(seed, seconds, folder, daemons)
         self.workers: dict[str, CallClient] = {}
         self.worker_count = workers
         # Changes of limits by worker: time and limit, 0 for none.
         self.changes: dict[str, list[tuple[float, float]]] = {}
-        self.disrupted_at: dict[str, list[float]] = {}
         self.statuses: dict[str, int] = {}
         # Reports of the workers by name, read at the end.
         self.reports: dict[str, dict] = {}
@@ -73,13 +68,7 @@
                 client.close()
             return self.violations()
 
-    async def _start_all(self) -> None:
-        python = [sys.executable, "-m", "camphorgate_standins.hosting_store"]
-        self.commands["store"] = [*python, "--address", self.store_address]
-        await self._spawn("store")
-        await self._retry_until_true(
-            lambda: self._put_in_store("op/config", self._configuration())
-        )
+    async def _start_upstreams(self) -> None:
         for number in range(self.worker_count):
             name, address = f"worker-{number}", free_address()
             self.commands[name] = [
@@ -92,12 +81,6 @@
             await self._retry_until_true(lambda name=name: self._arm(name, "none", ""))
             entry = build_platform_entry(address, slots=64)
             await self._put_in_store(f"servers/{name}", entry)
-        for number in range(self.daemon_count):
-            await self._start_daemon(number)
-        for address in self.caller_addresses:
-            await self._retry_until_true(
-                lambda address=address: self._is_ready(address)
-            )
 
     async def _arm(self, name: str, fault: str, value: str) -> bool:
         order = json.dumps({"fault": fault, "value": value}).encode()
@@ -126,21 +109,7 @@
         await asyncio.gather(*faults)
 
     async def _inject_fault(self) -> None:
-        fault = self.random.choice(FAULTS)
-        seconds = self.random.uniform(0.3, 2.0)
-        number = self.random.randrange(self.daemon_count)
-        name = f"entry-{number}"
-        self._disrupt(name)
-        if fault == "store_silent":
-            await self._inject_network_fault(
-                self.store_proxies[number], "silent", seconds
-            )
-        else:
-            await self._signal_daemon(fault, name, seconds)
-        self._disrupt(name)
-
-    def _disrupt(self, name: str) -> None:
-        self.disrupted_at.setdefault(name, []).append(time.time())
+        await self._disrupt_daemon(*self._draw_fault(FAULTS))
 
     async def _call(self, number: int, caller: int, ends_at: float) -> None:
         """Send requests one after the other on a connection until it breaks."""
@@ -165,13 +134,6 @@
                 connection.close()
                 connection = None
 
-    def _disrupted(self, name: str, at: float) -> bool:
-        """Return whether a daemon is excused at a time."""
-        return any(
-            -0.1 <= at - since <= CONTACT_SECONDS
-            for since in self.disrupted_at.get(name, ())
-        )
-
     def violations(self) -> list[str]:
         """Return what broke the rules."""
         found = []
@@ -180,7 +142,9 @@
             times = sorted(
                 at
                 for at, attempt in report["arrivals"]
-                if not self._disrupted(f"entry-{attempt.partition('-')[0]}", at)
+                if not self._disrupted(
+                    f"entry-{attempt.partition('-')[0]}", at, CONTACT_SECONDS
+                )
             )
             for begin in times:
                 limit = self._limit_of_window(name, begin)
@@ -240,38 +204,24 @@
 
 def run_seed(seed, seconds, folder=None, daemons=3, workers=4) -> list[str]:
     """Run one seed and return the violations; keep the logs in the folder if given."""
-    with contextlib.ExitStack() as stack:
-        if folder is None:
-            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(LimitSoak(seed, seconds, folder, daemons, workers).run())
+    return run_soak(
+        lambda path: LimitSoak(seed, seconds, path, daemons, workers), folder
+    )
 
 
 def main() -> int:
     """Run one or more seeds."""
-    parser = argparse.ArgumentParser(description="Soak the limits of upstreams.")
-    parser.add_argument("--seed", type=int, default=None)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0)
+    parser = build_parser("Soak the limits of upstreams.")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--workers", type=int, default=4)
-    parser.add_argument("--logs", default="run/soak", help="folder for the logs")
     options = parser.parse_args()
-    first = options.seed
-    if first is None:
-        first = int.from_bytes(os.urandom(3), "big")
-    failed = []
-    for seed in range(first, first + options.seeds):
-        folder = Path(options.logs) / f"limits-{options.daemons}-{seed}"
-        violations = run_seed(
+    return run_seeds(
+        options,
+        f"limits-{options.daemons}",
+        lambda seed, folder: run_seed(
             seed, options.seconds, folder, options.daemons, options.workers
-        )
-        for line in violations:
-            print(f"seed {seed}: {line}", flush=True)
-        if violations:
-            failed.append(seed)
-    print(f"{options.seeds - len(failed)} seeds passed, failed: {failed}")
-    return 1 if failed else 0
+        ),
+    )
 
 
 if __name__ == "__main__":
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,7 +5,6 @@
 the seed and every violation; the exit code is 1 if there was one.
 """
 
-import argparse
 import asyncio
 import contextlib
 import json
@@ -13,7 +12,6 @@
 import random
 import signal
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -35,6 +33,7 @@
 )
 from tests.soak.plan import FAULTS_BY_MIX, ScheduledFault, build_plan
 from tests.soak.proxy import Proxy
+from tests.soak.seeds import build_parser, run_seeds, run_soak
 from tests.soak.worker_notices import DRAIN_SECONDS, WorkerNotices
 
 DAEMONS = 3
@@ -376,35 +375,19 @@
     seed: int, seconds: float, folder: Path | None = None, mix: str = "mixed"
 ) -> list[str]:
     """Run one seed and return the violations; keep the logs in the folder if given."""
-    with contextlib.ExitStack() as stack:
-        if folder is None:
-            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(Soak(seed, seconds, folder, mix).run())
+    return run_soak(lambda path: Soak(seed, seconds, path, mix), folder)
 
 
 def main() -> int:
     """Run one or more seeds."""
-    parser = argparse.ArgumentParser(description="Soak hosted daemons under faults.")
-    parser.add_argument("--seed", type=int, default=None)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0)
+    parser = build_parser("Soak hosted daemons under faults.")
     parser.add_argument("--mix", choices=sorted(FAULTS_BY_MIX), default="mixed")
-    parser.add_argument("--logs", default="run/soak", help="folder for the logs")
     options = parser.parse_args()
-    first = options.seed
-    if first is None:
-        first = int.from_bytes(os.urandom(3), "big")
-    failed = []
-    for seed in range(first, first + options.seeds):
-        folder = Path(options.logs) / f"{options.mix}-{seed}"
-        violations = run_seed(seed, options.seconds, folder, options.mix)
-        for line in violations:
-            print(f"seed {seed}: {line}", flush=True)
-        if violations:
-            failed.append(seed)
-    print(f"{options.seeds - len(failed)} seeds passed, failed: {failed}")
-    return 1 if failed else 0
+    return run_seeds(
+        options,
+        options.mix,
+        lambda seed, folder: run_seed(seed, options.seconds, folder, options.mix),
+    )
 
 
 if __name__ == "__main__":
--- a/tests/test_serving/test_limited_fleet.py
+++ b/tests/test_serving/test_limited_fleet.py
@@ -4,12 +4,9 @@
 import unittest
 
 from camphorgated.serving import gossip
-from tests.limited_fleet import RESTART_SECONDS, LimitedFleet, run_fleet
+from tests.limited_fleet import RESTART_SECONDS, SIZES, LimitedFleet, run_fleet
 from tests.limited_workers import CONTACT_SECONDS
 
-# The users' deployments, and the size the design is made for: instances, zones and
-# requests a second.
-SIZES = ((8, 3, 60.0), (195, 7, 200.0), (750, 17, 300.0))
 UPSTREAMS = 10
 WARMUP_SECONDS = 4.0
 JUDGED_SECONDS = 8.0
