Separate the grants of permits from the requests for them

Decisions, bounds and messages are as before; the tests of limits pass unchanged, but that the simulation builds the new extension.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -18,6 +18,7 @@
     "statistics",
     "quarantine",
     "limits",
+    "permit_grants",
     "permits",
     "upstreams",
     "calls",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/permits.py
@@ -1,4 +1,4 @@
-"""Grants and requests permits to send to upstreams that name a limit.
+"""Asks for permits to send to upstreams that name a limit.
 
 Provides ``permits``. One instance at a time, the owner, grants the permits of an
 upstream: an instance of the upstream's zone, by a hash order that all compute alike.
@@ -15,24 +15,13 @@
 from aioprometheus import Counter as PrometheusCounter
 
 from camphorgate.application import Application
-from camphorgate.log import log_event
 from camphorgate.serving.catalog import Upstream
-from camphorgate.serving.permit_owners import choose_owner, granted_share
-from camphorgate.serving.permit_schedule import MAX_AHEAD_SECONDS, PermitSchedule
+from camphorgate.serving.permit_owners import choose_owner
+from camphorgate.serving.permit_schedule import MAX_AHEAD_SECONDS
 from camphorgate.serving.upstream_limits import Incarnation
-from camphorgated.serving.gossip import (
-    MAX_NEAR_PEERS_PER_TICK,
-    TICK_SECONDS,
-    WARMUP_SECONDS,
-)
 from camphorgated.serving.messages import PermitReply, PermitRequest
+from camphorgated.serving.permit_grants import NO_OWNER_SECONDS
 
-# An owner of the own zone that was silent for this long is replaced: some of its
-# periodic messages are lost.
-MIN_OWNER_SILENCE_SECONDS = 1.5
-MAX_LOST_MESSAGES = 3
-# The same for an owner of another zone, whose messages are less frequent.
-FAR_SILENCE_SECONDS = 10.0
 # A request for a permit is repeated once if there is no reply within this time. Regions
 # are up to 100 ms apart.
 REPLY_SECONDS = 0.12
@@ -41,16 +30,12 @@
 SILENT_SECONDS = 0.5
 # Instances that are asked one after the other, as each names the owner it knows.
 MAX_REDIRECTS = 2
-# Nobody is asked for this long after an owner was not found.
-NO_OWNER_SECONDS = 0.2
 # A permit is valid for this long after its time. Opening a connection takes as long.
 VALID_SECONDS = 0.25
 # Requests without a reply whose late permits may still be used.
 MAX_LATE_NUMBERS = 1000
 # Size of the random number by which a process asks first.
 NUMBER_BITS = 48
-# Replies that are kept to answer repeated requests.
-MAX_KEPT_REPLIES = 2000
 
 
 class Permit(msgspec.Struct, frozen=True):
@@ -78,25 +63,22 @@
 
 
 class Permits:
-    """The permits that this instance grants, and those it asks for."""
+    """The permits that this instance asks for."""
 
     __slots__ = (
         "_app",
         "_gossip",
         "_members",
         "_limits",
+        "_grants",
         "_statistics",
-        "_schedule_by_incarnation",
         "_estimate_by_incarnation",
         "_owner_by_incarnation",
         "_silent_until_by_address",
-        "_instances_by_zone",
-        "_reply_by_request",
         "_future_by_number",
         "_late_numbers",
         "_unused_by_incarnation",
         "_numbers",
-        "_started_at",
         "_results",
     )
 
@@ -106,17 +88,12 @@
         self._gossip = app.service("gossip")
         self._members = app.service("members")
         self._limits = app.service("limits")
+        self._grants = app.service("permit_grants")
         self._statistics = app.service("statistics")
-        self._schedule_by_incarnation: dict[Incarnation, PermitSchedule] = {}
         self._estimate_by_incarnation: dict[Incarnation, _Estimate] = {}
         # Addresses of the owners that others named.
         self._owner_by_incarnation: dict[Incarnation, str] = {}
         self._silent_until_by_address: dict[str, float] = {}
-        # Gossip addresses by instance of those that may own upstreams of a zone.
-        self._instances_by_zone: dict[str, dict[str, str]] = {}
-        self._reply_by_request: OrderedDict[tuple[str, int], PermitReply] = (
-            OrderedDict()
-        )
         self._future_by_number: dict[int, asyncio.Future] = {}
         # Numbers of the requests for permits that were given up without a reply.
         self._late_numbers: OrderedDict[int, None] = OrderedDict()
@@ -124,13 +101,11 @@
         self._unused_by_incarnation: dict[Incarnation, Permit] = {}
         # A restarted process has the same address, but asks by other numbers.
         self._numbers = itertools.count(secrets.randbits(NUMBER_BITS))
-        self._started_at = app.clock.monotonic()
         self._results = PrometheusCounter(
             "camphorgate_permit_requests",
             "Requests for permits to send to an upstream with a limit, by result.",
             registry=self._statistics.registry,
         )
-        self._gossip.add_handler(PermitRequest, self._receive_request)
         self._gossip.add_handler(PermitReply, self._receive_reply)
         self._gossip.add_tick_listener(self._tick)
 
@@ -179,31 +154,30 @@
             if reply.owner:
                 self._owner_by_incarnation[upstream.incarnation] = reply.owner
                 continue
-            now = self._app.clock.monotonic()
             if not reply.granted:
-                self._record_refusal(upstream, reply, now)
+                self._record_waits(upstream, reply.wait_seconds, reply.return_seconds)
                 self._count("refused")
                 return None
             self._count("granted")
+            now = self._app.clock.monotonic()
             valid_until = now + reply.wait_seconds + VALID_SECONDS
             self._estimate_by_incarnation.pop(upstream.incarnation, None)
             if reply.wait_seconds:
                 await asyncio.sleep(reply.wait_seconds)
             return Permit(min(limit, reply.word.per_second or limit), valid_until)
         self._owner_by_incarnation.pop(upstream.incarnation, None)
-        free_at = self._app.clock.monotonic() + NO_OWNER_SECONDS + MAX_AHEAD_SECONDS
-        self._estimate_by_incarnation[upstream.incarnation] = _Estimate(
-            free_at, free_at
-        )
+        wait = NO_OWNER_SECONDS + MAX_AHEAD_SECONDS
+        self._record_waits(upstream, wait, wait)
         self._count("unanswered")
         self._statistics.request_line("permit_owner_unknown", upstream=upstream.id)
         return None
 
-    def _record_refusal(
-        self, upstream: Upstream, reply: PermitReply, now: float
+    def _record_waits(
+        self, upstream: Upstream, wait_seconds: float, return_seconds: float
     ) -> None:
+        now = self._app.clock.monotonic()
         self._estimate_by_incarnation[upstream.incarnation] = _Estimate(
-            now + reply.wait_seconds, now + reply.return_seconds
+            now + wait_seconds, now + return_seconds
         )
 
     def _count(self, result: str) -> None:
@@ -223,7 +197,7 @@
             number, own_address, upstream.zone, word, max_wait_seconds
         )
         if address == own_address:
-            return self._grant(message)
+            return self._grants.grant(message)
         future = asyncio.get_running_loop().create_future()
         self._future_by_number[number] = future
         try:
@@ -248,7 +222,7 @@
         named = self._owner_by_incarnation.get(upstream.incarnation)
         if named and self._silent_until_by_address.get(named, 0.0) <= now:
             return named
-        instances = self._instances(upstream.zone)
+        instances = self._grants.candidates.by_instance(upstream.zone)
         known = {
             instance: address
             for instance, address in instances.items()
@@ -257,108 +231,6 @@
         owner = choose_owner(upstream.id, known)
         return known[owner] if owner is not None else ""
 
-    def _instances(self, zone: str) -> dict[str, str]:
-        """Return the instances that may own the upstreams of a zone.
-
-        Those of the zone that were heard lately; if the zone has none, all listed ones.
-        """
-        found = self._instances_by_zone.get(zone)
-        if found is None:
-            found = self._instances_by_zone[zone] = self._find_instances(zone)
-        return found
-
-    def _find_instances(self, zone: str) -> dict[str, str]:
-        own = self._members.own
-        near = zone == own.zone
-        states = self._gossip.peers.live_states(
-            self._near_silence_seconds() if near else FAR_SILENCE_SECONDS
-        )
-        found = {
-            state.instance: state.gossip_address
-            for state in states
-            if state.zone == zone and state.grants_permits
-        }
-        if near and self._gossip.grants_permits:
-            found[own.instance] = own.gossip_address
-        listed = self._members.by_instance().values()
-        if not found and not near:
-            found = {
-                member.instance: member.gossip_address
-                for member in listed
-                if member.zone == zone
-            }
-        if not found and not any(member.zone == zone for member in listed):
-            found = {member.instance: member.gossip_address for member in listed}
-        return found
-
-    def _near_silence_seconds(self) -> float:
-        """Return after which time an instance of the own zone counts as silent."""
-        rounds = -(-len(self._gossip.near) // MAX_NEAR_PEERS_PER_TICK)
-        return max(MIN_OWNER_SILENCE_SECONDS, MAX_LOST_MESSAGES * rounds * TICK_SECONDS)
-
-    def _share(self) -> float:
-        """Return the part of the limits that this instance may grant."""
-        own = self._members.own
-        heard = sum(
-            state.zone == own.zone
-            for state in self._gossip.peers.live_states(self._near_silence_seconds())
-        )
-        listed = sum(
-            member.zone == own.zone for member in self._members.by_instance().values()
-        )
-        return granted_share(heard + 1, listed)
-
-    def _receive_request(self, message: PermitRequest) -> None:
-        request = (message.address, message.number)
-        reply = self._reply_by_request.get(request)
-        if reply is None:
-            self._limits.merge(message.word)
-            reply = self._grant(message)
-            self._reply_by_request[request] = reply
-            if len(self._reply_by_request) > MAX_KEPT_REPLIES:
-                self._reply_by_request.popitem(last=False)
-        self._gossip.send([reply], [message.address])
-
-    def _grant(self, message: PermitRequest) -> PermitReply:
-        """Grant or refuse a permit, or name the owner of the upstream."""
-        incarnation = message.word.upstream
-        word = self._limits.table.word(incarnation) or message.word
-        limit = self._limits.table.limit(incarnation)
-        if limit is None:
-            return PermitReply(message.number, True, word)
-        instances = self._instances(message.zone)
-        owner = choose_owner(incarnation[0], instances)
-        if owner != self._members.own.instance:
-            self._schedule_by_incarnation.pop(incarnation, None)
-            if owner is not None:
-                address = instances[owner]
-                return PermitReply(message.number, False, word, owner=address)
-            wait = NO_OWNER_SECONDS + MAX_AHEAD_SECONDS
-            return PermitReply(message.number, False, word, wait, wait)
-        now = self._app.clock.monotonic()
-        per_second = limit * self._share()
-        schedule = self._schedule_by_incarnation.get(incarnation)
-        if schedule is None:
-            schedule = PermitSchedule(now, per_second)
-            self._schedule_by_incarnation[incarnation] = schedule
-            log_event(
-                "permit_owner",
-                upstream=incarnation[0],
-                per_second=per_second,
-                limit=limit,
-                instances=len(instances),
-            )
-        wait = schedule.try_grant(now, per_second, message.max_wait_seconds)
-        if wait is not None:
-            return PermitReply(message.number, True, word, wait)
-        return PermitReply(
-            message.number,
-            False,
-            word,
-            schedule.wait_seconds(now, per_second),
-            schedule.return_seconds(now, per_second),
-        )
-
     def _receive_reply(self, reply: PermitReply) -> None:
         future = self._future_by_number.get(reply.number)
         if future is None:
@@ -371,8 +243,9 @@
 
         A repeated request may get two replies, of which the first one counts.
         """
-        if self._late_numbers.pop(reply.number, reply) is reply:
+        if reply.number not in self._late_numbers:
             return
+        del self._late_numbers[reply.number]
         if reply.granted and not reply.wait_seconds and reply.word.per_second:
             valid_until = self._app.clock.monotonic() + VALID_SECONDS
             permit = Permit(reply.word.per_second, valid_until)
@@ -380,15 +253,8 @@
 
     def _tick(self, turn: int) -> None:
         now = self._app.clock.monotonic()
-        self._gossip.grants_permits = (
-            now - self._started_at >= WARMUP_SECONDS and not self._members.leaving
-        )
-        self._instances_by_zone.clear()
-        if not self._schedule_by_incarnation and not self._estimate_by_incarnation:
-            return
         table = self._limits.table
         for known in (
-            self._schedule_by_incarnation,
             self._estimate_by_incarnation,
             self._owner_by_incarnation,
             self._unused_by_incarnation,
@@ -404,7 +270,7 @@
         """Return the state for the operator dump."""
         now = self._app.clock.monotonic()
         return {
-            "grants": sorted(name for name, _ in self._schedule_by_incarnation),
+            "grants": self._grants.owned_ids(),
             "next_permit_seconds": {
                 name: max(0.0, estimate.free_at - now)
                 for (name, _), estimate in self._estimate_by_incarnation.items()
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -26,6 +26,7 @@
 from camphorgated.serving.limited_upstreams import MAX_PERMIT_REQUESTS
 from camphorgated.serving.limits import Limits
 from camphorgated.serving.members import Member
+from camphorgated.serving.permit_grants import PermitGrants
 from camphorgated.serving.permits import NO_LIMIT, Permits
 from tests.hosting_builders import build_listed_upstream
 from tests.limited_workers import CONTACT_SECONDS, WINDOW_SECONDS, allowed
@@ -108,6 +109,7 @@
         self.limits = Limits(app)
         self.limits._random = random.Random(fleet.random.random())
         services["limits"] = self.limits
+        services["permit_grants"] = PermitGrants(app)
         self.permits = Permits(app)
 
     def by_instance(self) -> dict[str, Member]:
