--- a/review/harness.py
+++ b/review/harness.py
@@ -141,7 +141,9 @@
         if not words[0].startswith("camphorgated"):
             path += os.pathsep + str(ROOT / "target" / "review")
         environment = {
-            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
         }
         environment["PYTHONPATH"] = path
         with (self.folder / f"{name}.log").open("ab") as log:
@@ -197,7 +199,9 @@
     async def put(self, key, value):
         """Write to the store as the operator or a worker does."""
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
-        reply = await self.call_http(self.store, "POST", f"/control/put?key={key}", body)
+        reply = await self.call_http(
+            self.store, "POST", f"/control/put?key={key}", body
+        )
         if reply.status != 200:
             raise NotRunError(f"the store did not take {key}: {reply.status}")
         self.note(f"the store has confirmed {key}: {body[:300].decode('latin-1')}")
@@ -287,7 +291,9 @@
 
     def log(self, name):
         """Return what a process has written."""
-        return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+        return (self.folder / f"{name}.log").read_text(
+            encoding="utf-8", errors="replace"
+        )
 
     async def stop(self):
         """End all processes that were started, and close the record."""
