--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,93 +1,74 @@
-"""Another writer's entry among the workers', then a release of a service's workers."""
+"""Wrong bytes behind an event, in a stream that another worker goes on with."""
 
 import asyncio
-import time
+import re
 from pathlib import Path
 
 import harness
-from harness import caller_headers, configuration
+from harness import NotRunError, caller_headers, configuration, route
 
 DAEMONS = ("entry-1", "entry-2")
-OLD_WORKERS = ("desk-1", "desk-2")
-NEW_WORKERS = ("desk-3", "desk-4")
-WORKER_MODULE = "camphorgate_standins.hosting_worker"
-DRAIN_SECONDS = 2.0
-# Arrivals this much later than the bound count, as processes are scheduled late.
-MARGIN_SECONDS = 0.25
-# An old worker serves on for the bound and this much longer, and then exits.
-LINGER_SECONDS = 2.0
-CALL_SECONDS = 10.0
-CALL_INTERVAL_SECONDS = 0.05
-# A whole number that no integer of 64 bits holds.
-FOREIGN_BORN = 1764950000000 * 10**12
+WORKERS = ("engine-1", "engine-2", "engine-3")
+EVENTS = 12
+SPOILED_AFTER = 5
+# About 50 answers a worker, of which one is spoiled.
+REQUESTS = 160
+CALLERS = 8
 
 
 async def case(cluster, trouble):
-    """Return the requests that reached a worker after it had drained."""
+    """Return the complete streams in which an event is missing or comes twice."""
     await cluster.start_store()
-    await cluster.put("op/config", configuration())
-    for name in OLD_WORKERS:
-        await cluster.start_worker(name, WORKER_MODULE, slots=6)
+    changes = {"kind": "streaming", "sticky": True, "resumable": True}
+    chat = route("chat", "/chat/", "models", **changes, **{"timeout-ms": 8000})
+    routes = [*configuration()["routes"], chat]
+    await cluster.put("op/config", configuration(routes=routes))
+    for name in WORKERS:
+        # One answer of one worker of three is spoiled.
+        spoiled = SPOILED_AFTER if trouble and name == WORKERS[0] else 0
+        options = {"phase": "decode", "events": EVENTS, "spoil_after": spoiled}
+        await cluster.start_worker(name, "scripted_worker", "models", **options)
     for name in DAEMONS:
         await cluster.start_daemon(name)
-    await asyncio.sleep(5.0)
-    if trouble:
-        entry = cluster.workers["desk-1"]
-        foreign = {**entry, "service": "unknown", "born": FOREIGN_BORN}
-        await cluster.put("servers/foreign", foreign)
-    await asyncio.sleep(5.0)
-    for name in NEW_WORKERS:
-        await cluster.start_worker(name, WORKER_MODULE, slots=6)
-    for name in OLD_WORKERS:
-        entry = {**cluster.workers[name], "state": "draining", "sequence": 2}
-        await cluster.put(f"servers/{name}", entry)
-    confirmed = time.time()
-    sent_at = {}
-    statuses = {}
-    calls = asyncio.create_task(call(cluster, sent_at, statuses))
-    await asyncio.sleep(DRAIN_SECONDS + LINGER_SECONDS)
-    arrivals = {name: (await cluster.runs(name))["arrivals"] for name in OLD_WORKERS}
-    for name in OLD_WORKERS:
-        await cluster.remove(f"servers/{name}")
-        await cluster.end(name)
-    ended = time.time()
-    await calls
+    await asyncio.sleep(4.0)
     broken = []
-    for name, rows in arrivals.items():
-        for at, attempt in rows:
-            seconds = at - confirmed
-            cluster.note(f"{attempt} reached {name} {seconds:.3f} s after the change")
-            if attempt in sent_at and seconds > DRAIN_SECONDS + MARGIN_SECONDS:
-                broken.append(
-                    f"DRAIN: {attempt} reached {name} {seconds:.2f} s after the "
-                    "store confirmed that it drains"
-                )
-    late = [name for name, at in sent_at.items() if at > ended]
-    served = sum(statuses[name] == 200 for name in late)
-    cluster.note(f"{served} of {len(late)} bookings sent after the exits were served")
-    for name in DAEMONS:
-        for line in cluster.log(name).splitlines():
-            if "task_failed" in line or "task=" in line:
-                cluster.note(f"{name}: {line}")
+    numbers = iter(range(REQUESTS))
+    callers = [call(cluster, numbers, broken) for _ in range(CALLERS)]
+    served = sum(await asyncio.gather(*callers))
+    cluster.note(f"{served} of {REQUESTS} streams are complete")
+    if not trouble and served < REQUESTS:
+        raise NotRunError(f"{served} of {REQUESTS} streams were served")
+    for name in WORKERS:
+        for run in (await cluster.runs(name))["runs"]:
+            cluster.note(f"{name} ran {run}")
     return broken
 
 
-async def call(cluster, sent_at, statuses):
-    """Send bookings to the daemons in turn, each on a channel of its own."""
-    until = time.monotonic() + CALL_SECONDS
-    number = 0
-    while time.monotonic() < until:
+async def call(cluster, numbers, broken):
+    """Send requests one after the other and return how many streams are complete."""
+    served = 0
+    for number in numbers:
         daemon = DAEMONS[number % len(DAEMONS)]
         attempt = f"attempt-{number}"
+        prompt = {
+            "X_Model": "m",
+            "X_Token_Count": f"300,{11 * EVENTS}",
+            "X_Prompt_Prefix": f"aa{number:02x}:200,bb{number:02x}:100",
+        }
+        headers = caller_headers(attempt, 8000, **prompt)
         channel = await cluster.channel(daemon)
-        sent_at[attempt] = time.time()
-        headers = caller_headers(attempt)
-        reply = await channel.call("POST", "/book/a", headers, b"{}")
+        reply = await channel.call("POST", "/chat/a", headers, b"{}")
         channel.close()
-        statuses[attempt] = reply.status
-        cluster.note(f"{attempt} to {daemon} is answered {reply.status}")
-        number += 1
-        await asyncio.sleep(CALL_INTERVAL_SECONDS)
+        ids = [int(item) for item in re.findall(rb"^id: (\d+)$", reply.body, re.M)]
+        cluster.note(
+            f"{attempt} to {daemon} is answered {reply.status}, complete: "
+            f"{reply.whole}, events {ids}"
+        )
+        complete = reply.status == 200 and reply.whole
+        served += complete
+        if complete and ids != list(range(1, EVENTS + 1)):
+            broken.append(f"ORDER: {attempt} is complete with the events {ids}")
+    return served
 
 
 if __name__ == "__main__":
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A foreign entry among the workers' ends the following of the list (case.py).
-# TROUBLE=0 leaves the entry out. Writes record.txt beside this file.
+# A worker spoils a stream that may be resumed (case.py). TROUBLE=0 spoils none.
+# Writes record.txt beside this file.
 cd "$(dirname "$0")/../.." || exit 2
 PYTHONPATH=target/review exec python3 review/1/case.py
