--- a/review/harness.py
+++ b/review/harness.py
@@ -307,6 +307,76 @@
         self._record.close()
 
 
+class Proxy:
+    """Passes channels on to an address; open ones can be made silent for good."""
+
+    def __init__(self, target):
+        """Prepare a proxy of an address."""
+        self.target = target
+        self.address = ""
+        self._links = set()
+
+    async def start(self, address):
+        """Listen on an address."""
+        self.address = address
+        host, port = split(address)
+        self._server = await asyncio.start_server(self._link, host, port)
+
+    async def _link(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*split(self.target))
+        except OSError:
+            writer.close()
+            return
+        link = Link()
+        self._links.add(link)
+        try:
+            await asyncio.gather(
+                link.copy(reader, far_writer, True),
+                link.copy(far_reader, writer, False),
+            )
+        finally:
+            self._links.discard(link)
+            writer.close()
+            far_writer.close()
+
+    def silence(self, chosen):
+        """Pass nothing more on over open channels, and leave them open.
+
+        :param chosen: tells by the last request on a channel whether it is meant.
+        :returns: how many channels are silent now, and how many are open.
+        """
+        silenced = [link for link in self._links if chosen(link.request)]
+        for link in silenced:
+            link.silent = True
+        return len(silenced), len(self._links)
+
+
+class Link:
+    """A channel through a proxy."""
+
+    def __init__(self):
+        """Start with nothing passed on."""
+        self.request = ""
+        self.silent = False
+
+    async def copy(self, reader, writer, requests):
+        """Pass bytes on until the end of the channel, none while it is silent."""
+        try:
+            while data := await reader.read(65536):
+                if self.silent:
+                    continue
+                if requests and data[:4] in (b"GET ", b"POST", b"DELE"):
+                    self.request = data.split(b"\r\n", 1)[0].decode("latin-1")
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            if not self.silent:
+                writer.close()
+
+
 def split(address):
     """Split ``host:port``."""
     host, _, port = address.rpartition(":")
