--- a/review/scripted_worker.py
+++ b/review/scripted_worker.py
@@ -3,7 +3,7 @@
 Speaks the platform's protocol for workers. It streams events with increasing ids, goes
 on after ``Last-Event-Id``, and answers 421 to what is for another worker or phase.
 With ``--spoil-after N``, the first stream that it runs ends in wrong bytes: they follow
-event N in the same write, and then the channel is reset. ``GET /control/runs`` lists
+event N in the same write, and then the channel ends. ``GET /control/runs`` lists
 the runs.
 """
 
