--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Callers offer an upgrade of the protocol with their bookings (case.py).
-# TROUBLE=0 leaves the offer out. Writes record.txt beside this file.
+# One open channel of each daemon to the store goes silent, then a route moves (case.py).
+# TROUBLE=0 leaves the channels alone. Writes record.txt beside this file.
 cd "$(dirname "$0")/../.." || exit 2
 PYTHONPATH=target/review exec python3 review/4/case.py
--- a/review/scripted_worker.py
+++ b/review/scripted_worker.py
@@ -1,7 +1,8 @@
-"""A decoding engine whose first answer may hand out wrong bytes.
+"""A decoding engine whose first answer may hand out wrong bytes, or a plain worker.
 
 Speaks the platform's protocol for workers. It streams events with increasing ids, goes
 on after ``Last-Event-Id``, and answers 421 to what is for another worker or phase.
+Without a phase it reads the body, works for ``--work-ms`` and answers a few bytes.
 With ``--spoil-after N``, the first stream that it runs ends in wrong bytes: they follow
 event N in the same write, and then the channel ends. ``GET /control/runs`` lists
 the runs.
@@ -62,6 +63,11 @@
                 "body": len(body),
             }
         )
+        if not self.options.phase:
+            await asyncio.sleep(self.options.work_ms / 1000)
+            stamp = f"X-Server-Stamp: {self.options.id}.{len(self.runs)}"
+            lines = [f"X-Attempt-Id: {attempt}", stamp]
+            return await self._answer(writer, 200, lines, b"booked")
         return await self._stream(writer, attempt, int(headers.get("last-event-id", 0)))
 
     async def _answer(self, writer, status, lines, body):
@@ -109,7 +115,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--address", required=True)
     parser.add_argument("--id", required=True)
-    parser.add_argument("--phase", default="decode")
+    parser.add_argument("--phase", default="")
+    parser.add_argument("--slots", type=int, default=6)
+    parser.add_argument("--work-ms", type=float, default=30.0)
     parser.add_argument("--events", type=int, default=12)
     parser.add_argument("--spoil-after", type=int, default=0)
     asyncio.run(run(parser.parse_args()))
