--- a/review/harness.py
+++ b/review/harness.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -305,6 +306,7 @@
         for process in self.processes.values():
             await process.wait()
         self._record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Proxy:
