--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,10 +8,12 @@
 from harness import NotRunError, caller_headers, configuration, route
 
 DAEMONS = ("entry-1", "entry-2")
-WORKERS = ("engine-1", "engine-2", "engine-3")
+# As many decoding engines as the system plans for three in a zone, and a prefilling one.
+WORKERS = ("engine-1", "engine-2")
+PREFILL_MODULE = "camphorgate_standins.hosting_worker"
 EVENTS = 12
 SPOILED_AFTER = 5
-# About 50 answers a worker, of which one is spoiled.
+# About 80 answers a worker, of which one is spoiled.
 REQUESTS = 160
 CALLERS = 8
 
@@ -24,10 +26,12 @@
     routes = [*configuration()["routes"], chat]
     await cluster.put("op/config", configuration(routes=routes))
     for name in WORKERS:
-        # One answer of one worker of three is spoiled.
+        # One answer of one worker is spoiled.
         spoiled = SPOILED_AFTER if trouble and name == WORKERS[0] else 0
         options = {"phase": "decode", "events": EVENTS, "spoil_after": spoiled}
         await cluster.start_worker(name, "scripted_worker", "models", **options)
+    options = {"phase": "prefill", "slots": 64}
+    await cluster.start_worker("engine-3", PREFILL_MODULE, "models", **options)
     for name in DAEMONS:
         await cluster.start_daemon(name)
     await asyncio.sleep(4.0)
--- a/review/harness.py
+++ b/review/harness.py
@@ -481,12 +481,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         cluster = Cluster(Path(folder) / "record.txt")
         cluster.note("with the disruption" if trouble else "without the disruption")
         try:
             async with asyncio.timeout(110):
                 broken = await case(cluster, trouble)
-        except (NotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever ends a case early shows nothing about the rule.
             cluster.note(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return NOT_RUN
--- a/review/scripted_worker.py
+++ b/review/scripted_worker.py
@@ -49,8 +49,13 @@
             data = json.dumps({"runs": self.runs, "arrivals": self.arrivals}).encode()
             return await self._answer(writer, 200, [], data)
         attempt = headers.get("x-attempt-id", "")
-        if method == "DELETE" or target.startswith("/v1/"):
+        if target == "/v1/report":
+            return await self._answer(writer, 200, [], self._report())
+        if method == "DELETE":
             return await self._answer(writer, 200, [], b"{}")
+        if target.startswith("/v1/"):
+            # It takes no orders: such an operation does not exist here.
+            return await self._answer(writer, 400, [], b"{}")
         self.arrivals.append((time.time(), attempt))
         expected = headers.get("x-expect-instance", self.options.id)
         if expected != self.options.id or headers.get("x-phase") == "prefill":
@@ -70,6 +75,13 @@
             return await self._answer(writer, 200, lines, b"booked")
         return await self._stream(writer, attempt, int(headers.get("last-event-id", 0)))
 
+    def _report(self):
+        models = [{"name": "m", "version": 1, "adapters": []}]
+        report = {"phase": self.options.phase, "models": models, "busy": False}
+        counts = ("sequence", "waiting", "running", "kv-used", "kv-handles")
+        report.update(dict.fromkeys(counts, 0))
+        return json.dumps({**report, "kv-total": 494558}).encode()
+
     async def _answer(self, writer, status, lines, body):
         head = [f"HTTP/1.1 {status} Answer", *lines, f"Content-Length: {len(body)}"]
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
