--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 from harness import NotRunError, caller_headers, configuration, route
 
 DAEMONS = ("entry-1", "entry-2")
-# As many decoding engines as the system plans for three in a zone, and a prefilling one.
+# The system plans two decoding engines for three in a zone; the third prefills.
 WORKERS = ("engine-1", "engine-2")
 PREFILL_MODULE = "camphorgate_standins.hosting_worker"
 EVENTS = 12
