Count events as forwarded only once they are handed over

What callers saw: a complete answer with status 200 whose events were 1 to 4 and 6 to 12.

Cause: EventStream.feed advanced last_id for each event of a read and returned the events at the end of the read. A malformed event of the same read raised before that, so the events before it were dropped although last_id counted them. The same for an oversized event.

The product's own gateway had two more of this class in TokenStream.feed: an event without JSON that moved the buffered text past 64 KB raised after last_id counted the new events, and a gap in a read that ends with [DONE] raised after the stream counted as done, so it was not resumed.

Change: feed returns the events before the malformed bytes and keeps the error, which the caller raises once they are forwarded. TokenStream does what can fail before it counts anything.

Looked at and not changed: ClientConnection (pieces before a malformed chunk are read before the error), relay() of the gateway (bytes before a malformed chunk are not counted, so they come with the resumption).

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/token_stream.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/token_stream.py
@@ -85,16 +85,17 @@
                 raise UpstreamFault("an event of the stream is too long")
             if not data:
                 return b""
-        if data.endswith(DONE_EVENT):
-            self.done = True
+        done = data.endswith(DONE_EVENT)
+        if done:
             data = data[: -len(DONE_EVENT)]
-            if not data:
-                return b""
-        self._check_ids(data)
-        self._buffered.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
-            self._extract_text()
+        if data:
+            # Events count only if they are returned, so whatever can fail comes first.
+            if self._buffered_bytes + len(data) > MAX_BUFFERED_BYTES:
+                self._extract_text()
+            self._check_ids(data)
+            self._buffered.append(data)
+            self._buffered_bytes += len(data)
+        self.done = done
         return data
 
     def discard_partial_event(self) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/events.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/events.py
@@ -20,11 +20,11 @@
 class EventStream:
     """Parser of one response that forwards only complete events.
 
-    ``last_id`` is the id of the last forwarded event, ``None`` before the first one
-    with an id.
+    ``last_id`` is the id of the last event that :meth:`feed` returned, ``None`` before
+    the first one with an id. A stream that goes on elsewhere does so after this event.
     """
 
-    __slots__ = ("last_id", "progress", "_rest")
+    __slots__ = ("last_id", "progress", "_rest", "_error")
 
     def __init__(self, last_id: int | None = None) -> None:
         """Start a stream.
@@ -35,27 +35,47 @@
         # Number of events with data that were forwarded or skipped as duplicates.
         self.progress = 0
         self._rest = bytearray()
+        self._error: EventTooLarge | MalformedEvent | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that the bytes complete, without duplicates.
 
-        :raises EventTooLarge: if an event exceeds the size limit.
-        :raises MalformedEvent: if the bytes are no event.
+        The events before bytes that are no event are returned, too; call
+        :meth:`raise_for_error` once they are forwarded. After an error, nothing more is
+        returned.
         """
+        if self._error is not None:
+            return b""
         searched = max(0, len(self._rest) - _END_BYTES)
         self._rest += data
         whole = []
         start = 0
         for end in _END.finditer(self._rest, searched):
             event = bytes(self._rest[start : end.end()])
+            try:
+                passes = self._passes(event)
+            except MalformedEvent as error:
+                self._error = error
+                break
             start = end.end()
-            if self._passes(event):
+            if passes:
                 whole.append(event)
         del self._rest[:start]
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventTooLarge(f"an event has more than {MAX_EVENT_BYTES} bytes")
+        if self._error is None and len(self._rest) > MAX_EVENT_BYTES:
+            self._error = EventTooLarge(
+                f"an event has more than {MAX_EVENT_BYTES} bytes"
+            )
         return b"".join(whole)
 
+    def raise_for_error(self) -> None:
+        """Raise the error that ended the stream, if any.
+
+        :raises EventTooLarge: if an event exceeds the size limit.
+        :raises MalformedEvent: if the bytes after the returned events are no event.
+        """
+        if self._error is not None:
+            raise self._error
+
     def _passes(self, event: bytes) -> bool:
         """Count an event and return whether it is forwarded.
 
@@ -76,5 +96,5 @@
 
     @property
     def rest(self) -> bytes:
-        """Return the bytes of an incomplete event."""
+        """Return the bytes that follow the last whole event."""
         return bytes(self._rest)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
@@ -52,15 +52,11 @@
         while piece := await self._next_piece(generation, exchange):
             self.count(generation)
             for start in range(0, len(piece), SLICE_BYTES):
-                try:
-                    whole = events.feed(piece[start : start + SLICE_BYTES])
-                except EventTooLarge as error:
-                    raise ExchangeError(error.message, Stage.SENT, "endless") from None
-                except MalformedEvent as error:
-                    raise ExchangeError(error.message, Stage.SENT, "garbled") from None
+                whole = events.feed(piece[start : start + SLICE_BYTES])
                 if whole:
                     self._pass(generation, exchange, whole)
                     await generation.context.caller.drain()
+                self._check(events)
                 if start:
                     await asyncio.sleep(0)
         if events.rest:
@@ -69,6 +65,19 @@
         self._begin(generation, exchange)
         generation.context.caller.end_stream()
 
+    @staticmethod
+    def _check(events: EventStream) -> None:
+        """Check that the bytes after the forwarded events belong to the stream.
+
+        :raises ExchangeError: if they do not.
+        """
+        try:
+            events.raise_for_error()
+        except EventTooLarge as error:
+            raise ExchangeError(error.message, Stage.SENT, "endless") from None
+        except MalformedEvent as error:
+            raise ExchangeError(error.message, Stage.SENT, "garbled") from None
+
     async def _next_piece(self, generation: Generation, exchange: Exchange) -> bytes:
         """Return the next bytes of the body, ``b""`` at its end.
 
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -382,6 +382,14 @@
         await self.send(head + body)
         return True
 
+    async def act_spoil_after_event(self):
+        """Execute, and send two events and bytes that are no event in one write."""
+        self.record_run()
+        data = b"".join(self.build_events()[:2]) + b"spoiled\n\n"
+        head = self.build_head(200, "Transfer-Encoding: chunked")
+        await self.send(head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(data), data))
+        return True
+
     async def act_respond_with_second_head(self):
         """Execute, and send the head of an error within an unframed response."""
         self.record_run()
--- a/tests/test_gateway/test_streams.py
+++ b/tests/test_gateway/test_streams.py
@@ -7,7 +7,7 @@
 
 from camphorgate_standins.tokens import completion_text
 from camphorgated.ext.gateway.errors import UpstreamFault
-from camphorgated.ext.gateway.token_stream import TokenStream
+from camphorgated.ext.gateway.token_stream import MAX_BUFFERED_BYTES, TokenStream
 from tests.test_gateway.harness import (
     BEARER,
     Caller,
@@ -153,6 +153,24 @@
         self.assertTrue(stream.done)
         self.assertEqual((stream.tokens, stream.text()), (2, "aid: 7"))
 
+    def test_events_that_are_not_returned_do_not_count(self):
+        """Guards against a resumption that skips events which were never forwarded."""
+        stream = TokenStream()
+        text = b"x" * MAX_BUFFERED_BYTES
+        returned = 0
+        with self.assertRaises(UpstreamFault):
+            for number in range(3):
+                event = b"id: %d\ndata: no JSON %b\n\n" % (number, text)
+                returned += stream.feed(event).count(b"\n\n")
+        self.assertEqual(stream.last_id, returned - 1)
+
+    def test_a_fault_in_the_last_read_does_not_end_the_stream(self):
+        """Guards against a stream without its end that is not resumed."""
+        stream = TokenStream()
+        with self.assertRaises(UpstreamFault):
+            stream.feed(b"id: 0\ndata: {}\n\nid: 5\ndata: {}\n\ndata: [DONE]\n\n")
+        self.assertFalse(stream.done)
+
     def test_a_gap_or_repeat_is_refused(self):
         """Guards against late events of another run within a stream."""
         for event_ids in ((0, 0), (0, 2), (1,), (0, 1, 1)):
--- a/tests/test_serving/test_faulty_upstreams.py
+++ b/tests/test_serving/test_faulty_upstreams.py
@@ -193,6 +193,7 @@
         with self.assertRaises(EventTooLarge):
             for _ in range(MAX_EVENT_BYTES // len(piece)):
                 stream.feed(piece)
+                stream.raise_for_error()
 
 
 class StalledStreamTests(ScriptedWorkerCase):
--- a/tests/test_serving/test_http1.py
+++ b/tests/test_serving/test_http1.py
@@ -8,8 +8,8 @@
 
 from camphorgate.clock import SystemClock
 from camphorgated.serving.client_connection import ClientConnection
-from camphorgated.serving.errors import BadRequest
-from camphorgated.serving.events import EventStream
+from camphorgated.serving.errors import BadRequest, EventTooLarge, MalformedEvent
+from camphorgated.serving.events import MAX_EVENT_BYTES, EventStream
 from camphorgated.serving.server_connection import ServerConnection
 
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-a: b\r\n\r\nhello"
@@ -231,6 +231,38 @@
         self.assertEqual(stream.last_id, count - 1)
         self.assertEqual(stream.rest, b"id: 99\nda")
 
+    @given(
+        st.integers(1, 8),
+        st.integers(0, 8),
+        st.sampled_from(
+            (b"spoiled", b"<html>\n", b"id: 3\n\x00", b"HTTP/1.1 200 OK\r\n")
+        ),
+        st.lists(st.integers(0, 400)),
+    )
+    def test_forwarded_and_resumed_events_are_the_whole_stream(
+        self, count, spoiled_after, spoiled, split_points
+    ):
+        """Guards against losing the events that share a read with malformed bytes."""
+        events = [b"id: %d\ndata: x\n\n" % number for number in range(1, count + 1)]
+        sound = b"".join(events[:spoiled_after])
+        stream = EventStream()
+        output = b""
+        with self.assertRaises(MalformedEvent):
+            for piece in split_at(sound + spoiled + b"\n\n" + sound, split_points):
+                output += stream.feed(piece)
+                stream.raise_for_error()
+        resumed = b"".join(events[stream.last_id or 0 :])
+        self.assertEqual(output + resumed, b"".join(events))
+
+    def test_events_before_an_oversized_one_are_returned(self):
+        """Guards against losing the events that share a read with an endless one."""
+        sound = b"id: 1\ndata: x\n\n"
+        stream = EventStream()
+        self.assertEqual(stream.feed(sound + b"x" * (MAX_EVENT_BYTES + 1)), sound)
+        self.assertEqual(stream.last_id, 1)
+        with self.assertRaises(EventTooLarge):
+            stream.raise_for_error()
+
     def test_events_already_forwarded_are_skipped(self):
         """Guards against duplicate events after a resumption."""
         stream = EventStream(3)
--- a/tests/test_serving/test_misplaced_bytes.py
+++ b/tests/test_serving/test_misplaced_bytes.py
@@ -74,6 +74,10 @@
         """Guards against an error's head in the middle of a stream."""
         await self.check_stream("truncate_between_events", "respond_with_second_head")
 
+    async def test_events_before_malformed_bytes_of_one_read_are_passed_on(self):
+        """Guards against events that are missing in a resumed stream."""
+        await self.check_stream("spoil_after_event")
+
     async def test_framed_response_that_ends_within_an_event_is_resumed(self):
         """Guards against a truncated event at the end of a complete stream."""
         await self.check_stream("end_framed_within_event")
