Start tasks again that end by an error

Cause, first half: a task that runs for the life of the process ended by an exception. Application.spawn logged task_failed and the process went on without the task, for all of its about twenty such tasks, while Watches._sound_since_by_prefix still said that the watch works, so no peer was asked and nothing started it again.

Change: Application.supervise runs such a task again after a pause of 0.05 to 1 s; failures show in the log, the dump and a metric. A watch that fails counts as lost first, so peers are asked, and reads its prefix anew.

Evidence: test_every_task_starts_again ends each task of two daemons by an error (usage and fleet duty included) and then checks that both follow the store and serve; it also fails for a task that lives on without supervise(). test_watch_whose_batch_cannot_be_applied_is_not_sound guards the state.

Not covered: the tasks of links between daemons of the product's own protocol (peers/links.py) and the HTTP servers, which handle their errors themselves.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/claims/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/claims/service.py
@@ -76,8 +76,8 @@
             self._owner = f"{self._owner}.{incarnation}"
         self._claim_committer = Committer(self._kv, self._clock, 1.0 / rate)
         self._finish_committer = Committer(self._kv, self._clock, 1.0 / rate)
-        self._app.spawn(self._claim_committer.run(), "claims commit")
-        self._app.spawn(self._finish_committer.run(), "claims ending commit")
+        self._app.supervise(self._claim_committer.run, "claims commit")
+        self._app.supervise(self._finish_committer.run, "claims ending commit")
 
     async def stop(self) -> None:
         """Wait up to two seconds for writes that are being retried."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/configuration/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/configuration/service.py
@@ -164,11 +164,11 @@
         self.membership = self.app.service("membership")
         self.kv = self.app.service("kv")
         self.membership.set_version_source(self)
-        spawn = self.app.spawn
-        spawn(self._reader.run_watch(), "configuration watch")
-        spawn(self._reader.run_confirmations(), "configuration confirmation")
-        spawn(self._fetcher.run(), "configuration fetch")
-        spawn(self._monitor_freshness(), "configuration freshness")
+        supervise = self.app.supervise
+        supervise(self._reader.run_watch, "configuration watch")
+        supervise(self._reader.run_confirmations, "configuration confirmation")
+        supervise(self._fetcher.run, "configuration fetch")
+        supervise(self._monitor_freshness, "configuration freshness")
 
     def dump(self) -> dict[str, Any]:
         """Return the state for operators."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/duties/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/duties/service.py
@@ -176,10 +176,10 @@
         for kind in RECEIVERS:
             self._receivers_by_kind[kind] = RECEIVERS.get(kind)(self._app)
         self._membership.handle_epochs(self._acknowledge)
-        self._app.spawn(self._check_leases(), "duties tick")
-        self._app.spawn(self._renew_lease(), "duties lease")
-        self._app.spawn(self._check_duties(), "duties look")
-        self._app.spawn(self._poll_handovers(), "duties hand-over")
+        self._app.supervise(self._check_leases, "duties tick")
+        self._app.supervise(self._renew_lease, "duties lease")
+        self._app.supervise(self._check_duties, "duties look")
+        self._app.supervise(self._poll_handovers, "duties hand-over")
 
     async def stop(self) -> None:
         """Wait a bounded time for orders in flight, then release all duties."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/fleet/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/fleet/service.py
@@ -81,9 +81,9 @@
         """Start observing and, with the service ``duties``, planning."""
         self._observer = Observer(self._app)
         self._zones = ZoneRecords(self._app.service("kv"))
-        self._app.spawn(self._observe(), "fleet observation")
+        self._app.supervise(self._observe, "fleet observation")
         if self._app.has_service("duties"):
-            self._app.spawn(self._plan(), "fleet planning")
+            self._app.supervise(self._plan, "fleet planning")
 
     async def stop(self) -> None:
         """Close the observer."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/extension.py
@@ -28,8 +28,10 @@
 
     async def start() -> None:
         gateway.start()
-        app.spawn(gateway.deadline_monitor.run(), "end overdue waits")
-        app.spawn(_refresh(gateway), "refresh upstreams from the platform's list")
+        app.supervise(gateway.deadline_monitor.run, "end overdue waits")
+        app.supervise(
+            lambda: _refresh(gateway), "refresh upstreams from the platform's list"
+        )
         await listener.start()
 
     async def stop() -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/gateway.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/gateway.py
@@ -95,7 +95,7 @@
         if not self.settings.seed:
             rng = random.Random()
         poller = Poller(self, self.upstreams, entry, rng)
-        return self.app.spawn(poller.run(), f"poll load of {entry.view.id}")
+        return self.app.supervise(poller.run, f"poll load of {entry.view.id}")
 
     def update_instance_count(self) -> int:
         """Update the number of live instances; it is 1 without a membership service."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/membership/service.py
@@ -249,12 +249,15 @@
         # Peers can connect only from here on, because a hello needs the incarnation.
         await self._server.start()
         self._pause = PauseDetector(*self._clock_readings())
-        spawn = self._app.spawn
-        spawn(self._run_beats(), "membership beats")
-        spawn(self.registration.retry_until_registered(), "membership registration")
-        spawn(self._read_roster(), "membership roster")
-        spawn(self.platform.poll_instances(self._polls_instances), "platform instances")
-        spawn(self.platform.poll_upstreams(), "platform upstreams")
+        supervise = self._app.supervise
+        supervise(self._run_beats, "membership beats")
+        supervise(self.registration.retry_until_registered, "membership registration")
+        supervise(self._read_roster, "membership roster")
+        supervise(
+            lambda: self.platform.poll_instances(self._polls_instances),
+            "platform instances",
+        )
+        supervise(self.platform.poll_upstreams, "platform upstreams")
 
     async def stop(self) -> None:
         """Close the links and stop listening."""
--- a/packages/camphorgate-daemon/src/camphorgated/ext/metrics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/metrics.py
@@ -30,6 +30,7 @@
     "camphorgate_configuration_version": "Version of the manifest in force.",
     "camphorgate_configuration_fresh": "1 if the version is known to be the newest.",
     "camphorgate_live_instances": "Instances that this one knows to be live.",
+    "camphorgate_task_failures": "Failures of tasks that start again, by task.",
     "camphorgate_kv_calls": "Calls to the key-value service, by kind.",
 }
 
@@ -85,6 +86,12 @@
         yield "camphorgate_kv_calls", {"kind": kind}, count
 
 
+@collectors.register("tasks")
+def _tasks(app: Application) -> Iterator[Sample]:
+    for name, record in app.supervisor.failures_by_task.items():
+        yield "camphorgate_task_failures", {"task": name}, record.failures
+
+
 class MetricsService:
     """Renders the metrics; provided as the service ``metrics``."""
 
--- a/packages/camphorgate-daemon/src/camphorgated/ext/usage/service.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/usage/service.py
@@ -60,8 +60,8 @@
         self.hand_in_writer = HandInWriter(
             self.book, self.replicator, kv, self.window_now, self.is_dead, self.timing
         )
-        app.spawn(self.replicator.run(), "usage copies")
-        app.spawn(self.hand_in_writer.run(), "usage parts")
+        app.supervise(self.replicator.run, "usage copies")
+        app.supervise(self.hand_in_writer.run, "usage parts")
         if app.has_service("duties"):
             self.window_reporter = WindowReporter(
                 kv,
@@ -72,7 +72,7 @@
                 self._is_live,
                 self.timing,
             )
-            app.spawn(self.window_reporter.run(), "usage reports")
+            app.supervise(self.window_reporter.run, "usage reports")
 
     async def stop(self) -> None:
         """Hand in all usage; if that fails, the copy holder hands it in."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -58,7 +58,7 @@
 async def start(app: Application) -> None:
     """Start an application, and load the late extensions while it serves."""
     await app.start()
-    app.spawn(_load_late(app), "late extensions")
+    app.supervise(lambda: _load_late(app), "late extensions")
 
 
 async def _load_late(app: Application) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -95,7 +95,7 @@
     async def start(self) -> None:
         """Start reading the store."""
         await self.watches.start()
-        self._app.spawn(self._settle(), "directory settle")
+        self._app.supervise(self._settle, "directory settle")
 
     def service_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that take new requests."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -266,6 +266,6 @@
     app.connect("upstreams-changed", duty.record_zones)
 
     async def start() -> None:
-        app.spawn(duty.run(), "fleet duty")
+        app.supervise(duty.run, "fleet duty")
 
     app.on_start(start)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -203,7 +203,7 @@
             )
         except OSError as error:
             raise ListenError(f"cannot listen for peers: {error}") from None
-        self._app.spawn(self._broadcast_periodically(), "gossip")
+        self._app.supervise(self._broadcast_periodically, "gossip")
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/knowledge.py
@@ -84,7 +84,7 @@
             if self._stopped:
                 return
             await self._listen()
-        self._app.spawn(self._fetch(), "knowledge of peers")
+        self._app.supervise(self._fetch, "knowledge of peers")
 
     async def _listen(self) -> None:
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -112,9 +112,9 @@
 
     async def start(self) -> None:
         """Start the tasks that renew the lease, take the duty and list the others."""
-        self._app.spawn(self._keep_listed(), "member lease")
-        self._app.spawn(self._tick(), "duty")
-        self._app.spawn(self._list_others(), "members")
+        self._app.supervise(self._keep_listed, "member lease")
+        self._app.supervise(self._tick, "duty")
+        self._app.supervise(self._list_others, "members")
 
     def by_instance(self) -> dict[str, Member]:
         """Return the listed instances, as of some seconds ago."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/paced_sender.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/paced_sender.py
@@ -68,7 +68,7 @@
             else:
                 self.dropped_datagrams += 1
         if self._task is None or self._task.done():
-            self._task = self._app.spawn(self._send_queued(), "paced sender")
+            self._task = self._app.supervise(self._send_queued, "paced sender")
 
     async def _send_queued(self) -> None:
         clock = self._app.clock
--- a/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
@@ -117,8 +117,8 @@
 
     async def start(self) -> None:
         """Read the blocks from the store, and write those of this instance."""
-        self._app.spawn(self._read_periodically(), "quarantine")
-        self._app.spawn(self._write_periodically(), "quarantine blocks")
+        self._app.supervise(self._read_periodically, "quarantine")
+        self._app.supervise(self._write_periodically, "quarantine blocks")
 
     def find_block(self, parts: tuple[str, ...]) -> Block | None:
         """Return the block of a request with these keys, ``None`` if it may be sent."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/statistics.py
@@ -6,7 +6,7 @@
 from collections import Counter
 
 from aioprometheus import Counter as PrometheusCounter
-from aioprometheus import Histogram, Registry, render
+from aioprometheus import Gauge, Histogram, Registry, render
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
@@ -44,7 +44,15 @@
 class Statistics:
     """Request statistics since the start of the process."""
 
-    __slots__ = ("_app", "_counts", "_lines", "_answers", "_latency", "registry")
+    __slots__ = (
+        "_app",
+        "_counts",
+        "_lines",
+        "_answers",
+        "_latency",
+        "_task_failures",
+        "registry",
+    )
 
     def __init__(self, app: Application) -> None:
         """Initialize counters and metrics."""
@@ -55,6 +63,11 @@
         self._answers = PrometheusCounter(
             "camphorgate_answers", "Answers by status.", registry=self.registry
         )
+        self._task_failures = Gauge(
+            "camphorgate_task_failures",
+            "Failures of tasks that start again, by task.",
+            registry=self.registry,
+        )
         self._latency = Histogram(
             "camphorgate_answer_seconds",
             "Time to the end of an answer.",
@@ -131,6 +144,8 @@
 
     def render(self) -> tuple[str, bytes]:
         """Return the content type and the text of the metrics."""
+        for name, record in self._app.supervisor.failures_by_task.items():
+            self._task_failures.set({"task": name}, record.failures)
         body, headers = render(self.registry, [])
         return headers.get("Content-Type", "text/plain"), body
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -93,7 +93,7 @@
 
     async def start(self) -> None:
         """Start the periodic removal of expired idle connections."""
-        self._app.spawn(self.pool.sweep(), "upstream connections")
+        self._app.supervise(self.pool.sweep, "upstream connections")
 
     def exchange(self, upstream: Upstream, permit: Permit = NO_LIMIT) -> Exchange:
         """Return a new exchange with an upstream.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -217,6 +217,6 @@
     app.add_dump_section("usage", lambda: {"reported": sorted(duty.reported)[-10:]})
 
     async def start() -> None:
-        app.spawn(duty.run(), "usage duty")
+        app.supervise(duty.run, "usage duty")
 
     app.on_start(start)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 
@@ -96,8 +97,8 @@
         """Read the prefixes, and watch them as long as the role requires it."""
         for prefix in self._handlers_by_prefix.keys() - self._watcher_only_prefixes:
             self._start(prefix)
-        self._app.spawn(self._keep_role(), "watcher role")
-        self._app.spawn(self._check_store(), "store check")
+        self._app.supervise(self._keep_role, "watcher role")
+        self._app.supervise(self._check_store, "store check")
 
     @property
     def chosen(self) -> bool:
@@ -146,7 +147,9 @@
         self._decided.set()
 
     def _start(self, prefix: str) -> None:
-        task = self._app.spawn(self._follow(prefix), f"watch {prefix}")
+        task = self._app.supervise(
+            functools.partial(self._follow, prefix), f"watch {prefix}"
+        )
         self._tasks_by_prefix[prefix] = task
 
     async def _keep_role(self) -> None:
@@ -251,6 +254,10 @@
                     await self._decided.wait()
             except KvError as error:
                 self._mark_lost(prefix, error.message)
+            except Exception as error:
+                # The batch may be applied in part; the next watch reads all entries.
+                self._mark_lost(prefix, repr(error))
+                raise
             await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
             delay = min(self._max_reconnect_seconds(), delay * 2)
 
--- a/packages/camphorgate/src/camphorgate/application.py
+++ b/packages/camphorgate/src/camphorgate/application.py
@@ -9,6 +9,7 @@
 from camphorgate.errors import ExtensionError
 from camphorgate.events import EventManager
 from camphorgate.log import log_event
+from camphorgate.supervision import Supervisor, TaskFunction
 
 # Time that a cancelled task has to end before it is cancelled again.
 CANCEL_RETRY_SECONDS = 0.5
@@ -26,10 +27,12 @@
         "settings",
         "clock",
         "events",
+        "supervisor",
         "_services_by_name",
         "_dumpers_by_section",
         "_start_hooks",
         "_stop_hooks",
+        "_pending_hooks",
         "_extensions",
         "_tasks",
     )
@@ -43,10 +46,13 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         self.events = EventManager()
+        self.supervisor = Supervisor(self.clock)
         self._services_by_name: dict[str, Any] = {}
         self._dumpers_by_section: dict[str, Callable[[], Any]] = {}
         self._start_hooks: list[Callable[[], Awaitable[None]]] = []
         self._stop_hooks: list[Callable[[], Awaitable[None]]] = []
+        # Start hooks of extensions that are loaded late and have not run yet.
+        self._pending_hooks: list[Callable[[], Awaitable[None]]] = []
         self._extensions: list[str] = []
         self._tasks: set[asyncio.Task] = set()
 
@@ -67,15 +73,18 @@
     async def load_extension(self, module_name: str) -> None:
         """Set up and start an extension after the application has started.
 
-        The module is imported in a worker thread, so the event loop is not blocked.
+        After an error, another call runs the start hooks that are left. The module is
+        imported in a worker thread, so the event loop is not blocked.
 
         :raises ExtensionError: if the module has no ``setup`` function.
         """
         await asyncio.to_thread(importlib.import_module, module_name)
         registered_hooks = len(self._start_hooks)
         self.setup_extension(module_name)
-        for hook in self._start_hooks[registered_hooks:]:
-            await hook()
+        self._pending_hooks += self._start_hooks[registered_hooks:]
+        while self._pending_hooks:
+            await self._pending_hooks[0]()
+            del self._pending_hooks[0]
 
     def provide(self, name: str, service: Any) -> None:
         """Register a service under a name for the other extensions.
@@ -137,6 +146,17 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def supervise(self, function: TaskFunction, name: str) -> asyncio.Task:
+        """Start a task that the process needs for all of its life.
+
+        It starts again after an error, and is cancelled at stop.
+
+        :param function: returns the task's coroutine; called for each start. It must
+            cope with the state that a failed run left behind.
+        :param name: name of the task in logs and in the state dump.
+        """
+        return self.spawn(self.supervisor.run(function, name), name)
+
     async def start(self) -> None:
         """Check the declared events and run the start hooks.
 
@@ -168,6 +188,7 @@
         sections["kernel"] = {
             "extensions": list(self._extensions),
             "tasks": sorted(task.get_name() for task in self._tasks),
+            "failed_tasks": self.supervisor.dump(),
         }
         return sections
 
