--- a/tests/test_serving/test_odd_entries.py
+++ b/tests/test_serving/test_odd_entries.py
@@ -1,10 +1,12 @@
 """Tests of entries of another writer among those of the upstreams."""
 
 import json
+from unittest import mock
 
 from tests.hosted import HostedCase
 from tests.hosting_builders import build_platform_entry
 
+BEYOND_64_BITS = 10**30
 NESTED = b"[" * 20_000 + b"]" * 20_000
 REQUESTS = 12
 
@@ -21,6 +23,12 @@
     return json.dumps({**entry, "address": f"{host}:9000"}).encode()
 
 
+def build_entry_with(address: str = "127.0.0.1:9000", **fields) -> bytes:
+    """Return an entry of a service that no configuration has, with some fields."""
+    entry = json.loads(build_platform_entry(address))
+    return json.dumps({**entry, "service": "unknown", **fields}).encode()
+
+
 class OddEntryTests(HostedCase):
     """An odd entry names no upstream, and the others hold."""
 
@@ -58,6 +66,48 @@
             self.assertEqual((await self.request(app, "/read/a")).status, 200)
         self.assertEqual(set(app.service("directory").table.by_id), {"w1"})
 
+    async def test_numbers_beyond_64_bits_do_not_end_the_list(self):
+        """Guards against numbers that are read but cannot be sent to peers."""
+        self.configure()
+        await self.add_worker("w1", "desk")
+        apps = [await self.start_ready(instance_id=f"entry-{n}") for n in (1, 2)]
+        await self.wait_for_peers(apps)
+        for number, field in enumerate(("born", "slots", "sequence")):
+            for sign in (1, -1):
+                entry = build_entry_with(**{field: sign * BEYOND_64_BITS})
+                self.store.put(f"servers/odd{number}{sign}", entry)
+        self.store.put("op/config", b'{"version": %d}' % BEYOND_64_BITS)
+        await self.add_worker("w2", "desk")
+        self.configure(3)
+        await self.check_following(apps, {"w1", "w2"}, 3)
+
+    async def test_unreadable_value_does_not_end_the_list(self):
+        """Guards against a value that is no base64 text."""
+        self.configure()
+        await self.add_worker("w1", "desk")
+        apps = [await self.start_ready()]
+        with mock.patch("base64.b64encode", return_value=b"a"):
+            self.store.put("servers/odd", b"")
+        await self.add_worker("w2", "desk")
+        await self.check_following(apps, {"w1", "w2"}, 1)
+
+    async def wait_for_peers(self, apps):
+        """Wait until each instance sends to the others."""
+        await self.eventually(lambda: all(app.service("gossip").near for app in apps))
+
+    async def check_following(self, apps, workers: set[str], version: int):
+        """Check that instances follow the store and that none of their tasks failed."""
+        for app in apps:
+            directory = app.service("directory")
+            await self.eventually(
+                lambda directory=directory: (
+                    set(directory.table.by_id) == workers
+                    and directory.configuration.version == version
+                    and directory.sound
+                )
+            )
+            self.assertEqual(app.dump()["kernel"]["failed_tasks"], {})
+
     async def test_nested_datagram_is_unreadable(self):
         """Guards against a datagram that raises instead of being counted."""
         self.configure()
