End the watches of all instances in turns, so that silence is found in time

What callers saw: after a version moved a route, bookings ran at the old service for 4.5 s where 2 s are allowed. With servers/ a removed worker was still chosen 5.8 s later (this commit's test on the old code).

Cause: a silent watch whose neighbours work showed only by its own time-out (5 s and a margin of 1 s): the store check reads over another connection. A peer that is ahead would help, but a change wakes the watches of all watchers at the same moment, so from then on they wait and end in step.

Change: each watcher has a turn on the common clock, by its place in an order that all instances derive from the list of members, and opens its watches until its next turn. So the watch of some watcher ends every 0.6 s or more often, whatever woke them before. One that has missed a change times out 0.5 s later (margin 1.0 s before; a slow store answers within 0.2 s), reads the change and spreads it as any other. The bound on a fleet is 0.6 + 0.5 s and the spread; 2 s are allowed.

Weighed: watches of 1 s for each watcher (five times the calls); a cheap read of the store's revision (it rises with every other key, and a stale read may be 3 s old); a full-price watch in place of each cheap probe (ten times the price). The turns cost no more calls than before from nine watchers on, and 1/0.6 calls/s for each of two prefixes over all instances below that (1.2 for six watchers before).

Other long-lived connections, by reading: the duty key's watch keeps its 5 s, as no bound on callers hangs on it; lease renewals time out after 1 s of a lease of 3 s; fetches from peers open a new connection each; connections to workers have the head's time-out.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -14,6 +14,11 @@
 from camphorgate.kv.errors import KvError
 from camphorgate.kv.records import WatchBatch
 from camphorgate.log import log_event
+from camphorgate.serving.watch_schedule import (
+    MAX_WATCH_SECONDS,
+    order_watchers,
+    watch_seconds,
+)
 from camphorgate.serving.watcher_selection import WatcherSelection
 
 # Pause before a broken watch is opened again; doubles up to the maximum.
@@ -22,9 +27,9 @@
 # Maximum for instances that watch the store only because the elected watchers lost it:
 # a long outage makes many of them.
 MAX_FALLBACK_RECONNECT_SECONDS = 2.0
-# How long the store holds a watch request open. A connection that went silent without
-# an error is detected after this time.
-WATCH_SECONDS = 5.0
+# How long the store holds a watch open that has no turn in the schedule of all
+# instances. A connection that went silent without an error is detected after this time.
+WATCH_SECONDS = MAX_WATCH_SECONDS
 # An open watch does not show whether the store still responds, so a watcher probes it
 # at this interval. Two probes without an answer in time count as silence. A slow store
 # answers within 0.2 s (incidents at users); the interval and two probe timeouts leave
@@ -247,7 +252,9 @@
         delay = MIN_RECONNECT_SECONDS
         while True:
             try:
-                async for batch in self._store.watch(prefix, lambda: WATCH_SECONDS):
+                async for batch in self._store.watch(
+                    prefix, functools.partial(self._watch_seconds, prefix)
+                ):
                     self._mark_sound(prefix)
                     delay = MIN_RECONNECT_SECONDS
                     await asyncio.sleep(handler(batch))
@@ -261,6 +268,24 @@
             await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
             delay = min(self._max_reconnect_seconds(), delay * 2)
 
+    def _watch_seconds(self, prefix: str) -> float:
+        """Return for how long the next watch of a prefix is open.
+
+        What only watchers read is not spread to others, so its watches need no turns.
+        """
+        if prefix in self._watcher_only_prefixes:
+            return WATCH_SECONDS
+        members = self._app.service("members")
+        zone_by_instance = {
+            item.instance: item.zone
+            for item in (*members.by_instance().values(), members.own)
+        }
+        return watch_seconds(
+            members.own.instance,
+            order_watchers(zone_by_instance),
+            self._app.service("gossip").synchronized_now(),
+        )
+
     def _max_reconnect_seconds(self) -> float:
         now = self._app.clock.monotonic()
         first = self.watcher_selection.is_candidate(now)
--- a/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
+++ b/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
@@ -170,5 +170,10 @@
         return self._listed - self._received_at_by_instance.keys() | heard
 
 
+def first_in_zone(instances: Iterable[str]) -> list[str]:
+    """Return the instances of a zone that watch the store if all of them work."""
+    return sorted(instances, key=_order_key)[:WATCHERS_PER_ZONE]
+
+
 def _order_key(instance: str) -> int:
     return xxhash.xxh3_64_intdigest(f"watch/{instance}".encode())
--- a/tests/test_serving/test_hanging_store.py
+++ b/tests/test_serving/test_hanging_store.py
@@ -1,6 +1,7 @@
 """Tests of removals and revoked keys while the store hangs for some instances."""
 
 import asyncio
+from urllib.parse import unquote
 
 from camphorgate.serving.upstream_table import LAPSED_ENTRY_GRACE_SECONDS
 from camphorgated.serving.errors import CallFailed
@@ -10,6 +11,9 @@
 # No instance may send to an upstream this long after its removal (``drain-ms`` of
 # Akmola).
 DRAIN_SECONDS = 2.0
+# Every instance applies a configuration this long after its confirmation
+# (``config-apply-ms`` of Akmola).
+CONFIGURATION_SECONDS = 2.0
 
 
 class StoreHang:
@@ -21,6 +25,8 @@
         self._ended = asyncio.Event()
         # Connections of an earlier generation never respond again.
         self.generation = 0
+        # The same for the connections with an open watch of a prefix.
+        self.generation_by_prefix: dict[str, int] = {}
 
     def install(self, store) -> None:
         """Wrap the clients of a store so that this hang applies to them."""
@@ -35,6 +41,18 @@
         """Silence the connections that are open now; new ones work."""
         self.generation += 1
 
+    def silence_open_watches(self, prefix: str) -> None:
+        """Silence only the connections on which a watch of a prefix is open now."""
+        generation = self.generation_by_prefix.get(prefix, 0)
+        self.generation_by_prefix[prefix] = generation + 1
+
+    def watch_generation(self, target: str) -> int:
+        """Return the generation of a call's connection if the call is a watch."""
+        path, _, query = target.partition("?path-prefix=")
+        if not path.endswith("/kv-watch"):
+            return 0
+        return self.generation_by_prefix.get(unquote(query.partition("&")[0]), 0)
+
     def end(self) -> None:
         """Fail the waiting calls, and respond again."""
         self._hanging = False
@@ -65,13 +83,15 @@
         # The first call after silence_open_connections() reuses the idle connection.
         is_silent = self._generation != self._hang.generation
         generation = self._generation = self._hang.generation
+        watch_generation = self._hang.watch_generation(target)
         try:
             async with asyncio.timeout(seconds):
                 await self._hang.wait()
                 answer = await self._client.call(
                     method, target, body, headers, timeout=timeout
                 )
-                if is_silent or generation != self._hang.generation:
+                is_silent = is_silent or generation != self._hang.generation
+                if is_silent or watch_generation != self._hang.watch_generation(target):
                     await asyncio.Event().wait()
                 await self._hang.wait()
         except TimeoutError:
@@ -170,6 +190,30 @@
         hang.silence_open_connections()
         self.assertLess(await self.measure_removal_seconds(followers), DRAIN_SECONDS)
 
+    async def test_removal_applies_although_only_the_watches_are_silent(self):
+        """Guards against silent watches beside other connections that work."""
+        hang, _, followers = await self.start_hanging_zone(other_zone_instances=0)
+        hang.silence_open_watches("servers/")
+        self.assertLess(await self.measure_removal_seconds(followers), DRAIN_SECONDS)
+
+    async def test_configuration_applies_although_only_the_watches_are_silent(self):
+        """Guards against watches that end in step after a change, a silent one too."""
+        hang, watchers, followers = await self.start_hanging_zone(
+            other_zone_instances=0
+        )
+        self.configure(3)
+        await asyncio.sleep(0.5)
+        hang.silence_open_watches("op/")
+        await asyncio.sleep(0.2)
+        self.configure(4)
+        await self.eventually(
+            lambda: all(
+                app.service("directory").catalog.version == 4
+                for app in (*watchers, *followers)
+            ),
+            seconds=CONFIGURATION_SECONDS,
+        )
+
     async def test_removal_applies_after_a_renewal_found_the_silence(self):
         """Guards against silent watches because the probe got a new connection."""
         hang, watchers, followers = await self.start_hanging_zone(
