Bound what the responses of all exchanges take in memory together

Cause: read_body buffers up to its own bound, whatever the others hold, and a connection reads 256 KB ahead of a slow reader.

Change: BufferBudget, one for an instance. Each exchange may buffer 16 KB in any case (responses of plain services have 800 bytes, events some hundred); what is beyond comes from 24 MB for all. An exchange that gets no more ends with the cause buffers_full: its connection is closed at once, its upstream's health told, and its request tried elsewhere where it may be. The beginnings of events that wait for their end count, too. A connection reads 64 KB ahead, and an ended one no longer waits for the garbage collector because of its parser.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -7,7 +7,6 @@
 
 from camphorgated.serving.http1 import (
     BODILESS,
-    BUFFERED_BYTES,
     MAX_FRAMING_BYTES,
     Headers,
     find_header,
@@ -20,6 +19,8 @@
 # Bound on the head of a response including interim responses; servers send a few
 # hundred bytes.
 MAX_HEAD_BYTES = 65536
+# Body bytes that are received before they are read; no more are received meanwhile.
+READ_AHEAD_BYTES = 65536
 # Bytes that are parsed between two checks of the bounds.
 SLICE_BYTES = 16384
 
@@ -113,7 +114,7 @@
                 self.reset = True
             self.must_close = True
             self.transport.abort()
-        if self._piece_bytes > BUFFERED_BYTES and not self._paused:
+        if self._piece_bytes > READ_AHEAD_BYTES and not self._paused:
             self._paused = True
             self.transport.pause_reading()
         self._wake()
@@ -146,6 +147,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end of the connection."""
         self.closed = True
+        # The parser refers to this object; without it, both are freed at once.
+        self._parser = None
         if error is not None:
             self.reset = True
         self._wake()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Protocol
 
+from camphorgate.serving.buffer_budget import BufferBudget
 from camphorgate.serving.catalog import Stage, Upstream
 from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
@@ -27,6 +28,8 @@
 # The same on a connection that carried requests before; its upstream may also have
 # closed it for being idle.
 STALE = "stale"
+# Cause of an attempt whose response could not be buffered beside those of others.
+BUFFERS_FULL = "buffers_full"
 # Causes that show that the upstream may have ended.
 ENDED_CAUSES = frozenset({CUT, STALE})
 
@@ -73,6 +76,8 @@
         "_whole",
         "_sent_at",
         "_permit",
+        "_buffers",
+        "_held_bytes",
     )
 
     def __init__(
@@ -82,11 +87,16 @@
         upstream: Upstream,
         gate: Gate,
         permit: Permit = NO_LIMIT,
+        buffers: BufferBudget | None = None,
     ) -> None:
         """Initialize without connecting.
 
         :param permit: permit to send to an upstream that names a limit.
+        :param buffers: what all exchanges may buffer together; by default, this one has
+            a budget of its own.
         """
+        self._buffers = buffers or BufferBudget()
+        self._held_bytes = 0
         self._permit = permit
         self._gate = gate
         self.upstream = upstream
@@ -102,6 +112,7 @@
         return self
 
     async def __aexit__(self, *exc_info) -> None:
+        self.hold(0)
         lease, self._lease = self._lease, None
         if lease is None:
             return
@@ -223,6 +234,7 @@
                     size += len(piece)
                     if size > max_bytes:
                         raise self._error("the response is too large", "large")
+                    self.hold(size)
                     pieces.append(piece)
         except TimeoutError:
             raise self._error(
@@ -230,6 +242,15 @@
             ) from None
         return b"".join(pieces)
 
+    def hold(self, size: int) -> None:
+        """Record how many bytes of the response are buffered.
+
+        :raises ExchangeError: if the exchanges of this instance buffer too much.
+        """
+        if not self._buffers.try_resize(self._held_bytes, size):
+            raise self._error("the buffers of all responses are full", BUFFERS_FULL)
+        self._held_bytes = size
+
     def _broken_cause(self) -> str:
         connection = self._lease.connection
         if connection.bounds_exceeded:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
@@ -57,6 +57,7 @@
                     self._pass(generation, exchange, whole)
                     await generation.context.caller.drain()
                 self._check(events)
+                exchange.hold(len(events.rest))
                 if start:
                     await asyncio.sleep(0)
         if events.rest:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -13,6 +13,7 @@
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
+from camphorgate.serving.buffer_budget import BufferBudget
 from camphorgate.serving.catalog import Phase, Service, Upstream
 from camphorgate.serving.pauses import RESUME_INTERVAL_SECONDS, PauseTable
 from camphorgate.serving.placement import Choice, Placement
@@ -44,6 +45,7 @@
 
     __slots__ = (
         "pool",
+        "buffers",
         "pauses",
         "health",
         "loads",
@@ -72,6 +74,8 @@
         self._limits = app.service("limits")
         self._permits = app.service("permits")
         self.pool = Pool(app.clock)
+        # What responses that are not passed on yet may take in memory.
+        self.buffers = BufferBudget()
         self.pauses = PauseTable()
         # Number of requests that wait for the end of a pause.
         self._resuming_by_service: Counter[str] = Counter()
@@ -100,7 +104,7 @@
 
         :param permit: permit to send to it if it names a limit.
         """
-        return Exchange(self.pool, self._platform, upstream, self, permit)
+        return Exchange(self.pool, self._platform, upstream, self, permit, self.buffers)
 
     def service(self, name: str) -> Service | None:
         """Return a service of the active configuration."""
@@ -425,6 +429,8 @@
     def dump(self) -> dict:
         """Return the state for the operator dump."""
         return {
+            "buffered_bytes": self.buffers.used_bytes,
+            "buffers_full": self.buffers.rejections,
             "connections_opened": self.pool.opened,
             **self._counts,
             "paused": len(self.pauses),
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -312,6 +312,17 @@
             self.build_head(200, "Transfer-Encoding: chunked"), chunk
         )
 
+    async def act_unbounded_slow_body(self):
+        """Send an unbounded body, slowly enough that many are received at a time."""
+        self.record_run()
+        await self.send(self.build_head(200, "Transfer-Encoding: chunked"))
+        chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+        for _ in range(MAX_UNBOUNDED_BYTES // len(chunk)):
+            await self.send(chunk)
+            self.worker.unbounded_bytes += len(chunk)
+            await asyncio.sleep(0.04)
+        self.worker.unbounded_sent = True
+
     async def act_unbounded_extension(self):
         """Send a chunk extension of unbounded length."""
         head = self.build_head(200, "Transfer-Encoding: chunked")
--- a/tests/test_serving/test_faulty_upstreams.py
+++ b/tests/test_serving/test_faulty_upstreams.py
@@ -1,6 +1,8 @@
 """Tests of faulty upstreams and of stops: unbounded, stalled, duplicate, truncated."""
 
 import asyncio
+import pathlib
+import resource
 import time
 import tracemalloc
 import unittest
@@ -35,6 +37,10 @@
 # Bounds from the users' issue on unbounded responses.
 MAX_CONNECTION_BYTES = 4 * 2**20
 MAX_BLOCKED_SECONDS = 0.02
+# All responses together may take a quarter of the memory of the smallest instances
+# (200 MB in the users' deployments).
+MAX_RESPONSES_BYTES = 50 * 2**20
+MANY_REQUESTS = 120
 READ_BYTES = 262_144
 UNBOUNDED_BEHAVIOURS = (
     "unbounded_header_line",
@@ -79,6 +85,12 @@
         )
 
 
+def resident_bytes() -> int:
+    """Return the memory of this process, in bytes."""
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * resource.getpagesize()
+
+
 class UnboundedResponseTests(ScriptedWorkerCase):
     """An unbounded response uses bounded memory, and the request is retried."""
 
@@ -128,6 +140,29 @@
         shares = [health.of(item.incarnation).failure_rate for item in listed]
         self.assertGreater(max(shares), 0.0)
 
+    async def test_many_unbounded_responses_use_bounded_memory(self):
+        """Guards against slow unbounded responses that fill an instance's memory."""
+        app, workers = await self.start_scripted(
+            ["unbounded_slow_body"] * MANY_REQUESTS, engine=False
+        )
+        before = peak = resident_bytes()
+        tasks = []
+        for number in range(MANY_REQUESTS):
+            headers = {b"x-attempt-id": b"attempt-%d" % number}
+            tasks.append(
+                asyncio.create_task(self.request(app, "/read/a", headers=headers))
+            )
+            await asyncio.sleep(0.002)
+        while not all(task.done() for task in tasks):
+            peak = max(peak, resident_bytes())
+            await asyncio.sleep(0.01)
+        self.assertLess(peak - before, MAX_RESPONSES_BYTES)
+        self.assertGreater(sum(len(worker.runs) for worker in workers), 50)
+        statuses = {task.result().status for task in tasks}
+        self.assertLessEqual(statuses, {200, 502, 503, 504})
+        # No exchange is left that holds anything.
+        self.assertEqual(app.service("upstreams").buffers.used_bytes, 0)
+
     async def test_calls_to_external_systems_are_bounded(self):
         """Guards against a store response or engine report that exhausts memory."""
         for behaviour in UNBOUNDED_BEHAVIOURS:
