Free the body of a request when it is handed over

A closed connection and its parser referred to each other, so the pieces of a body that was cut were freed by the garbage collector only.

Change: the connection drops pieces and headers with the request that it queues, and pieces and parser when it is lost.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -137,6 +137,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record that the caller disconnected."""
         self.closed = True
+        # The parser refers to this object; without it, both are freed at once.
+        self._parser = None
+        self._body = []
         if not self.left.done():
             self.left.set_result(None)
         if self._drained is not None and not self._drained.done():
@@ -208,6 +211,9 @@
             b"".join(self._body),
             self._parser.should_keep_alive(),
         )
+        # An idle connection keeps nothing of its last request.
+        self._body = []
+        self._headers = []
         request.read_at = self._clock.monotonic()
         self._requests.append(request)
         self.started_at = None
--- a/tests/test_serving/test_http1.py
+++ b/tests/test_serving/test_http1.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP/1.1 connection classes and the event stream parser."""
 
 import asyncio
+import gc
+import tracemalloc
 import unittest
 
 from hypothesis import given, settings
@@ -141,6 +143,9 @@
         self.assertFalse(asyncio.run(run()))
 
 
+LARGE_BODY_BYTES = 2**20
+# What a connection itself may take in memory.
+HELD_BYTES = 65536
 REQUEST = (
     b"POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
     b"X-Attempt-Id: 1\r\n\r\nbody"
@@ -209,6 +214,47 @@
         data = b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"b" * 1000 + b"\r\n\r\n"
         self.assertEqual(self.refusal_status(data), 431)
 
+    def held_bytes(self, pieces, ending=None) -> int:
+        """Return what a connection holds after its requests were taken."""
+
+        async def run():
+            connection = ServerConnection(
+                lambda connection: None, SystemClock(), 400, LARGE_BODY_BYTES
+            )
+            connection.connection_made(FakeTransport())
+            gc.collect()
+            gc.disable()
+            tracemalloc.start()
+            for piece in pieces:
+                connection.data_received(piece)
+            if ending is None:
+                await connection.next_request(0.05)
+            else:
+                connection.connection_lost(ending)
+                del connection
+            return tracemalloc.get_traced_memory()[0]
+
+        try:
+            return asyncio.run(run())
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+    def large_request(self) -> list[bytes]:
+        """Return a request with a large body in pieces."""
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        data = head % LARGE_BODY_BYTES + b"x" * LARGE_BODY_BYTES
+        return [data[n : n + 65536] for n in range(0, len(data), 65536)]
+
+    def test_idle_connection_keeps_no_body(self):
+        """Guards against kept connections that hold the bodies of past requests."""
+        self.assertLess(self.held_bytes(self.large_request()), HELD_BYTES)
+
+    def test_closed_connection_keeps_no_body(self):
+        """Guards against bodies that only the garbage collector frees."""
+        pieces = self.large_request()[:-1]
+        self.assertLess(self.held_bytes(pieces, OSError()), HELD_BYTES)
+
     def test_slow_request_is_refused(self):
         """Guards against callers that occupy a connection with a partial request."""
         self.assertEqual(self.refusal_status(REQUEST[:30]), 408)
