Ignore a request's offer to upgrade the protocol

Cause: the parser ends a request that offers an upgrade after its head and then raises. The request was queued by the first and the error kept by the second, so it ran without its body. A CONNECT was queued in the same way.

Change: such a request is not queued; its head is parsed again without the offer, and the body follows as the head says (RFC 9110, 7.8: a server may ignore the offer). CONNECT is refused with 400 and not run.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -10,6 +10,7 @@
     BUFFERED_BYTES,
     MAX_FRAMING_BYTES,
     Headers,
+    encode_head,
     find_header,
     prepare_socket,
 )
@@ -113,13 +114,11 @@
                 if self._head_size - self._size > self.header_bytes + len(data):
                     raise BadRequest("the head is too large", 431)
             self._framing_bytes += len(data)
-            self._parser.feed_data(data)
+            self._parse(data)
             if self._head_done and self._framing_bytes > MAX_FRAMING_BYTES + len(data):
                 raise BadRequest("the chunk framing of the body is too large", 400)
         except BadRequest as error:
             self._error = error
-        except httptools.HttpParserUpgrade:
-            self._error = BadRequest("upgrades are not supported", 400)
         except httptools.HttpParserError as error:
             cause = error.__context__
             known = isinstance(cause, BadRequest)
@@ -130,6 +129,43 @@
         if self._error is not None or self._requests:
             self._wake()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes; an offer to upgrade the protocol is ignored.
+
+        :raises BadRequest: if a request is unacceptable.
+        :raises httptools.HttpParserError: if the bytes are malformed.
+        """
+        rest = memoryview(data)
+        while True:
+            try:
+                self._parser.feed_data(rest)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The parser ends such a request after its head; its body follows.
+                rest = rest[upgrade.args[0] :]
+                self._parse_without_upgrade()
+
+    def _parse_without_upgrade(self) -> None:
+        """Parse the head of a request again as if it offered no upgrade.
+
+        :raises BadRequest: if it asks for a tunnel.
+        """
+        method = self._parser.get_method()
+        if method == b"CONNECT":
+            raise BadRequest("tunnels are not supported", 400)
+        version = self._parser.get_http_version().encode()
+        start = b"%b %b HTTP/%b" % (method, self._url, version)
+        headers = [
+            (
+                name,
+                _without_option(value, b"upgrade") if name == b"connection" else value,
+            )
+            for name, value in self._headers
+            if name != b"upgrade"
+        ]
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(encode_head(start, headers))
+
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
         return False
@@ -177,6 +213,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the size of the head and the framing of the body."""
+        if self._parser.should_upgrade():
+            return
         self._head_done = True
         size = sum(len(name) + len(value) + 4 for name, value in self._headers)
         if size + len(self._url) > self.header_bytes:
@@ -204,6 +242,8 @@
 
     def on_message_complete(self) -> None:
         """Queue the request."""
+        if self._parser.should_upgrade():
+            return
         request = Request(
             self._parser.get_method().decode("latin-1"),
             self._url,
@@ -274,3 +314,9 @@
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+
+
+def _without_option(value: bytes, option: bytes) -> bytes:
+    """Return a comma-separated header value without one of its options."""
+    options = [item.strip() for item in value.split(b",")]
+    return b", ".join(item for item in options if item.lower() != option)
--- a/tests/test_serving/test_http1.py
+++ b/tests/test_serving/test_http1.py
@@ -246,6 +246,38 @@
         data = head % LARGE_BODY_BYTES + b"x" * LARGE_BODY_BYTES
         return [data[n : n + 65536] for n in range(0, len(data), 65536)]
 
+    @settings(deadline=None, max_examples=60)
+    @given(st.lists(st.integers(0, 600)), st.booleans())
+    def test_request_that_offers_an_upgrade_keeps_its_body(self, split_points, chunked):
+        """Guards against requests that run without their body."""
+        framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: 4"
+        body = b"4\r\nbody\r\n0\r\n\r\n" if chunked else b"body"
+        head = (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, Upgrade\r\n"
+            b"Upgrade: h2c\r\nX-Attempt-Id: 1\r\n" + framing + b"\r\n\r\n"
+        )
+
+        async def receive():
+            connection = ServerConnection(
+                lambda connection: None, SystemClock(), 400, 100
+            )
+            connection.connection_made(FakeTransport())
+            for piece in split_at((head + body) * 2 + REQUEST, split_points):
+                connection.data_received(piece)
+            return [await connection.next_request(0.05) for _ in range(3)]
+
+        requests = asyncio.run(receive())
+        self.assertEqual([request.body for request in requests], [b"body"] * 3)
+        self.assertTrue(all(request.keep_alive for request in requests))
+        self.assertEqual(
+            [request.header(b"x-attempt-id") for request in requests], [b"1"] * 3
+        )
+
+    def test_tunnel_is_refused(self):
+        """Guards against a request for a tunnel that runs as another."""
+        data = b"CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n"
+        self.assertEqual(self.refusal_status(data), 400)
+
     def test_idle_connection_keeps_no_body(self):
         """Guards against kept connections that hold the bodies of past requests."""
         self.assertLess(self.held_bytes(self.large_request()), HELD_BYTES)
