Judge each request by the limits in force at its first byte

Cause: a connection copied the limits when it was accepted.

Change: the connection asks for the limits at the first byte of each request.

Evidence: test_raised_limit_applies_to_an_open_connection fails on (413) and passes now. The idle time still follows the limits at the start of a wait; a change of it applies from the next request on.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -170,10 +170,7 @@
             self._app.spawn(serve(connection), "connection")
 
         def build() -> ServerConnection:
-            limits = self._limits()
-            return ServerConnection(
-                made, self._app.clock, limits.header_bytes, limits.body_bytes
-            )
+            return ServerConnection(made, self._app.clock, self._limits)
 
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import httptools
 
+from camphorgate.serving.catalog import Limits
 from camphorgated.serving.errors import BadRequest
 from camphorgated.serving.http1 import (
     BUFFERED_BYTES,
@@ -51,8 +53,8 @@
         "transport",
         "closed",
         "started_at",
-        "header_bytes",
-        "body_bytes",
+        "_current_limits",
+        "_limits",
         "left",
         "_on_made",
         "_parser",
@@ -71,19 +73,18 @@
         "_paused",
     )
 
-    def __init__(self, on_made, clock, header_bytes: int, body_bytes: int) -> None:
+    def __init__(self, on_made, clock, current_limits: Callable[[], Limits]) -> None:
         """Prepare a connection.
 
         :param on_made: called with the connection once it is established.
-        :param header_bytes: bound on a request's head.
-        :param body_bytes: bound on a request's body.
+        :param current_limits: returns the limits in force; each request has those of
+            its first byte.
         """
         self.transport: asyncio.Transport | None = None
         self.closed = False
         self.left: asyncio.Future | None = None
         self.started_at: float | None = None
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
+        self._current_limits = current_limits
         self._clock = clock
         self._on_made = on_made
         self._requests: deque[Request] = deque()
@@ -111,7 +112,7 @@
         try:
             if not self._head_done:
                 self._head_size += len(data)
-                if self._head_size - self._size > self.header_bytes + len(data):
+                if self._head_size - self._size > self._limits.header_bytes + len(data):
                     raise BadRequest("the head is too large", 431)
             self._framing_bytes += len(data)
             self._parse(data)
@@ -194,6 +195,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
+        self._limits = self._current_limits()
         self._url = b""
         self._headers: Headers = []
         self._body: list[bytes] = []
@@ -217,7 +219,7 @@
             return
         self._head_done = True
         size = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if size + len(self._url) > self.header_bytes:
+        if size + len(self._url) > self._limits.header_bytes:
             raise BadRequest("the head is too large", 431)
         lengths = [value for name, value in self._headers if name == b"content-length"]
         coding = find_header(self._headers, b"transfer-encoding")
@@ -227,7 +229,11 @@
             )
         if len(lengths) > 1:
             raise BadRequest("multiple content-length headers", 400)
-        if lengths and lengths[0].isdigit() and int(lengths[0]) > self.body_bytes:
+        if (
+            lengths
+            and lengths[0].isdigit()
+            and int(lengths[0]) > self._limits.body_bytes
+        ):
             raise BadRequest("the body is too large", 413)
         if find_header(self._headers, b"expect") == b"100-continue":
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -236,7 +242,7 @@
         """Append a piece of the body and check the size."""
         self._size += len(body)
         self._framing_bytes = 0
-        if self._size > self.body_bytes:
+        if self._size > self._limits.body_bytes:
             raise BadRequest("the body is too large", 413)
         self._body.append(body)
 
--- a/tests/test_serving/test_http1.py
+++ b/tests/test_serving/test_http1.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from camphorgate.clock import SystemClock
+from camphorgate.serving.catalog import Limits
 from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import BadRequest, EventTooLarge, MalformedEvent
 from camphorgated.serving.events import MAX_EVENT_BYTES, EventStream
@@ -58,6 +59,16 @@
         """Accept."""
 
 
+def build_connection(header_bytes=400, body_bytes=100) -> ServerConnection:
+    """Return a connected server connection with constant limits."""
+    limits = Limits(header_bytes=header_bytes, body_bytes=body_bytes)
+    connection = ServerConnection(
+        lambda connection: None, SystemClock(), lambda: limits
+    )
+    connection.connection_made(FakeTransport())
+    return connection
+
+
 def split_at(data: bytes, split_points: list[int]) -> list[bytes]:
     """Split bytes at the given points, taken modulo their length."""
     offsets = sorted({cut % (len(data) + 1) for cut in split_points} | {0, len(data)})
@@ -154,10 +165,7 @@
 
 async def receive_request(pieces, body_bytes=100):
     """Feed a server connection and return its first request."""
-    connection = ServerConnection(
-        lambda connection: None, SystemClock(), 400, body_bytes
-    )
-    connection.connection_made(FakeTransport())
+    connection = build_connection(body_bytes=body_bytes)
     for piece in pieces:
         connection.data_received(piece)
     return await connection.next_request(0.05)
@@ -218,10 +226,7 @@
         """Return what a connection holds after its requests were taken."""
 
         async def run():
-            connection = ServerConnection(
-                lambda connection: None, SystemClock(), 400, LARGE_BODY_BYTES
-            )
-            connection.connection_made(FakeTransport())
+            connection = build_connection(body_bytes=LARGE_BODY_BYTES)
             gc.collect()
             gc.disable()
             tracemalloc.start()
@@ -258,10 +263,7 @@
         )
 
         async def receive():
-            connection = ServerConnection(
-                lambda connection: None, SystemClock(), 400, 100
-            )
-            connection.connection_made(FakeTransport())
+            connection = build_connection()
             for piece in split_at((head + body) * 2 + REQUEST, split_points):
                 connection.data_received(piece)
             return [await connection.next_request(0.05) for _ in range(3)]
--- a/tests/test_serving/test_requests.py
+++ b/tests/test_serving/test_requests.py
@@ -4,7 +4,7 @@
 
 from camphorgated.serving.client_connection import connect
 from tests.hosted import HostedCase
-from tests.hosting_builders import build_platform_entry
+from tests.hosting_builders import build_platform_configuration, build_platform_entry
 
 PROMPT = {
     b"x-model": b"m",
@@ -172,6 +172,21 @@
         await self.eventually(lambda: directory.catalog.version == 2)
         self.assertEqual((await self.request_on(connection, "/read/a")).status, 401)
 
+    async def test_raised_limit_applies_to_an_open_connection(self):
+        """Guards against refusals that only an older version asks for."""
+        host, _, port = self.app.settings.caller_address.rpartition(":")
+        connection = await connect(host, int(port), 1.0)
+        self.addCleanup(connection.close)
+        self.assertEqual((await self.request_on(connection, "/read/a")).status, 200)
+        limits = build_platform_configuration()["limits"]
+        self.configure(2, limits={**limits, "max-body-bytes": 400_000})
+        directory = self.app.service("directory")
+        await self.eventually(lambda: directory.catalog.version == 2)
+        response = await self.request_on(
+            connection, "/book/a", method="POST", body=b"x" * 200_000
+        )
+        self.assertEqual(response.status, 200)
+
     async def test_configuration_never_goes_back(self):
         """Guards against applying an older version that arrives late."""
         self.configure(5)
