Soak odd data, malformed bytes and silent watches

A new mix of the soak, odd: entries of another writer (numbers beyond 64 bits, other types), streams with malformed bytes in one piece with an event, and open watches that go silent for good while new connections work, beside kills, pauses, a delayed store, lost history, a withdrawn key and drains. At the end a key is added and a worker drains; 2 s later every daemon must accept the key and send nothing to that worker.

--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
@@ -4,10 +4,11 @@
 prefilled prompts over to other engines and streams. Faults: ``down``, ``silent``,
 ``slow``, ``lose_answers`` (the request is executed, no response is sent), ``refuse``
 (503, not executed), ``fail`` (500 from the service itself), ``break_stream`` (value:
-events before the connection is aborted), ``wrong_attempt`` (a response with another
-attempt id), ``unstamped`` (no ``x-server-stamp``), ``leave`` (every response announces
-a shutdown), ``limit`` (every response names a limit; value: ``Server-Limit``),
-``pause`` (503, not executed; value: ``Retry-After``). With
+events before the connection is aborted), ``spoil_stream`` (the same, with bytes that
+are no event in one piece with the last event), ``wrong_attempt`` (a response with
+another attempt id), ``unstamped`` (no ``x-server-stamp``), ``leave`` (every response
+announces a shutdown), ``limit`` (every response names a limit; value:
+``Server-Limit``), ``pause`` (503, not executed; value: ``Retry-After``). With
 ``--crash-part``, the process ends when it begins to answer a prompt with that part, and
 with ``--crash-log`` it first appends the time and the attempt id to a file.
 ``GET /control/runs`` lists every execution, prefill and arrival.
@@ -231,6 +232,9 @@
         abort_after = None
         if self.faults.consume("break_stream"):
             abort_after = int(self.faults.value("break_stream"))
+        spoil_after = None
+        if self.faults.consume("spoil_stream"):
+            spoil_after = int(self.faults.value("spoil_stream"))
 
         async def generate_events():
             for number in range(first, events + 1):
@@ -238,7 +242,11 @@
                     yield b"id: 99"
                     raise ConnectionAborted
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-                yield b"id: %d\ndata: %s-%d\n\n" % (number, b"token", number)
+                event = b"id: %d\ndata: %s-%d\n\n" % (number, b"token", number)
+                if spoil_after is not None and number - first >= spoil_after:
+                    yield event + b"spoiled\n\n"
+                    raise ConnectionAborted
+                yield event
 
         headers = {
             **self._response_headers(request),
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -42,6 +42,19 @@
         connection.close()
 
 
+async def call_once(address: str, request: CallerRequest) -> None:
+    """Send one request on a connection of its own; its status stays 0 if that fails."""
+    connection = None
+    try:
+        async with asyncio.timeout(4.0):
+            connection = await connect(*split_address(address), 1.0)
+            await _send_request(connection, request)
+    except (OSError, TimeoutError):
+        request.abandoned = True
+    if connection is not None:
+        connection.close()
+
+
 async def _send_request(connection, request: CallerRequest) -> None:
     body = request.attempt.encode()
     lines = [
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -39,11 +39,29 @@
     "worker_reset",
     "drain_worker",
 )
+# Data of other writers and wrong bytes, and connections that go silent for good, beside
+# faults that make each of them matter.
+ODD_FAULTS = (
+    "odd_entry",
+    "odd_entry",
+    "store_mute_watches",
+    "store_mute_watches",
+    "worker_spoil_stream",
+    "worker_spoil_stream",
+    "worker_break_stream",
+    "kill_daemon",
+    "pause_daemon",
+    "store_delay",
+    "store_lose_history",
+    "withdraw_key",
+    "drain_worker",
+)
 # Faults by name of the mix. ``mixed`` must not change, as recorded seeds depend on it.
 FAULTS_BY_MIX = {
     "mixed": FAULTS,
     "planned": PLANNED_FAULTS,
     "words": NOTICE_FAULTS,
+    "odd": ODD_FAULTS,
     "clocks": (*FAULTS, "step_clock", "step_clock", "step_clock"),
 }
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,6 +25,7 @@
         self.delay = 0.0
         self._server = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._states: list[dict] = []
 
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
@@ -44,6 +45,15 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def mute(self, request: bytes) -> None:
+        """Silence the open connections whose last request contains some bytes.
+
+        They stay open and never forward again; new connections work.
+        """
+        for state in self._states:
+            if request in state["sent"]:
+                state["blackholed"] = True
+
     async def _serve(self, reader, writer) -> None:
         if self.mode == "refuse":
             writer.transport.abort()
@@ -57,7 +67,9 @@
             writer.transport.abort()
             return
         self._writers |= {writer, target_writer}
-        state = {"blackholed": False}
+        # ``sent`` holds the last bytes from the client.
+        state = {"blackholed": False, "sent": b""}
+        self._states.append(state)
         pumps = {
             asyncio.create_task(self._pump(reader, target_writer, state, False)),
             asyncio.create_task(self._pump(target_reader, writer, state, True)),
@@ -73,6 +85,7 @@
             for pump in pumps:
                 pump.cancel()
             self._writers -= {writer, target_writer}
+            self._states = [item for item in self._states if item is not state]
             for item in (writer, target_writer):
                 item.transport.abort()
 
@@ -83,6 +96,8 @@
                     state["blackholed"] = True
                 if state["blackholed"]:
                     continue
+                if not from_server:
+                    state["sent"] = data
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay)
                 if self.mode == "refuse":
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,7 +24,7 @@
     build_platform_configuration,
     build_platform_entry,
 )
-from tests.soak.callers import EVENTS_PER_STREAM, call_until_stopped
+from tests.soak.callers import EVENTS_PER_STREAM, call_once, call_until_stopped
 from tests.soak.checks import (
     CallerRequest,
     find_interruptions,
@@ -44,6 +44,23 @@
 WINDOW_SECONDS = 1.0
 # Largest clock step; half of the steps are limited to 5 s instead.
 MAX_CLOCK_STEP_SECONDS = 2400.0
+# Bounds of Akmola: a configuration is in force everywhere this long after its
+# confirmation, at instances without a fault for as long as ``contact-ms``.
+CONFIGURATION_SECONDS = 2.0
+CONTACT_SECONDS = 3.0
+LATE_KEY = "key-late"
+# Index of the worker that drains at the end, and requests to each daemon after that.
+LATE_WORKER = 0
+LATE_REQUESTS = 4
+WATCH_CALL = b"/v1/kv-watch"
+ODD_FIELDS = (
+    {"born": 10**30},
+    {"slots": -(10**30)},
+    {"sequence": 2**63},
+    {"state": "unknown"},
+    {"slots": "many"},
+    {"address": "nowhere"},
+)
 WORKERS = (
     ("desk-1", "desk", ""),
     ("desk-2", "desk", ""),
@@ -180,9 +197,13 @@
         tenants = [
             {
                 "name": name,
-                "api-keys": [] if key in self.withdrawn_at_by_key else [key],
+                "api-keys": [
+                    key
+                    for key, owner in self.keys.items()
+                    if owner == name and key not in self.withdrawn_at_by_key
+                ],
             }
-            for key, name in KEYS.items()
+            for name in dict.fromkeys(self.keys.values())
         ]
         configuration = build_platform_configuration(self.version, tenants=tenants)
         return json.dumps(configuration).encode()
@@ -211,6 +232,10 @@
             await self._step_clock(f"entry-{step.target % DAEMONS}", step)
         elif step.fault in ("store_lose_answers", "store_lose_history"):
             await self._set_standin_fault(self.store, rest, step.seconds, 3)
+        elif step.fault == "odd_entry":
+            await self._put_odd_entry(step)
+        elif step.fault == "store_mute_watches":
+            self.store_proxies[step.target % DAEMONS].mute(WATCH_CALL)
         elif kind == "store":
             proxy = self.store_proxies[step.target % DAEMONS]
             await self._inject_network_fault(proxy, rest, step.seconds)
@@ -232,6 +257,13 @@
         else:
             await self._drain_worker(step)
 
+    async def _put_odd_entry(self, step: ScheduledFault) -> None:
+        """Write an entry of another writer among those of the workers."""
+        entry = json.loads(build_platform_entry(free_address()))
+        odd = ODD_FIELDS[step.target % len(ODD_FIELDS)]
+        value = json.dumps({**entry, "service": "unknown", **odd}).encode()
+        await self._put_in_store(f"servers/odd-{step.target}", value)
+
     async def _announce_leaving(self, step: ScheduledFault) -> None:
         """Let a worker announce that it leaves, and restart it later."""
         number = step.target % len(WORKERS)
@@ -315,7 +347,42 @@
         await self._put_worker_entry(number)
         self.draining.discard(number)
 
+    async def _send_late_requests(self) -> None:
+        """Add a key and drain a worker, and use both once every daemon must know."""
+        await asyncio.sleep(CONTACT_SECONDS)
+        self.keys = {**self.keys, LATE_KEY: "north"}
+        self.version += 1
+        await self._put_in_store("op/config", self._configuration())
+        await self._put_worker_entry(LATE_WORKER, "draining")
+        await asyncio.sleep(CONFIGURATION_SECONDS)
+        for number, address in enumerate(self.caller_addresses):
+            for count in range(LATE_REQUESTS):
+                attempt = f"late-{number}-{count}"
+                request = CallerRequest(attempt, "book", LATE_KEY, time.monotonic())
+                request.instance = address
+                self.requests.append(request)
+                await call_once(address, request)
+
+    def _find_outdated_daemons(self, runs: list[dict]) -> list[str]:
+        """Return the late requests that were handled as before the change."""
+        late = [item for item in self.requests if item.key == LATE_KEY]
+        violations = [
+            f"{item.attempt} at {item.instance}: status {item.status}, its key is"
+            f" {CONFIGURATION_SECONDS} s old"
+            for item in late
+            if item.status in (0, 401, 404)
+        ]
+        attempts = {item.attempt for item in late}
+        return violations + [
+            f"{run['headers']['x-attempt-id']} ran at a worker that drains"
+            for run in runs
+            if run["headers"].get("x-attempt-id") in attempts
+            and run["worker"] == WORKERS[LATE_WORKER][0]
+        ]
+
     async def _check(self) -> list[str]:
+        if self.mix == "odd":
+            await self._send_late_requests()
         runs = []
         reports_by_worker = {}
         for (worker_id, _, _), address in zip(
@@ -337,6 +404,7 @@
         violations = find_violations(
             self.requests, runs, reports, self.withdrawn_at_by_key, EVENTS_PER_STREAM
         )
+        violations += self._find_outdated_daemons(runs)
         violations += find_unexpected_windows(
             reports, self.began_at / WINDOW_SECONDS, time.time() / WINDOW_SECONDS
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,7 @@
 from tests.soak.worker_notices import WorkerNotices
 
 SHORT_SECONDS = 10.0
+ODD_SECONDS = 15.0
 # Seeds of past failures: the length of the run and the cause.
 REGRESSION_SEEDS = {
     141: (20.0, "frozen windows were removed while a successor could report them"),
@@ -174,6 +175,10 @@
         """Guards against instances that forget a worker's leaving or pause notice."""
         self.assertEqual(run_seed(14, SHORT_SECONDS, mix="words"), [])
 
+    def test_short_run_with_odd_data(self):
+        """Guards against data of other writers and silence that end what follows it."""
+        self.assertEqual(run_seed(15, ODD_SECONDS, mix="odd"), [])
+
     def test_regression_seeds_pass(self):
         """Guards against the recurrence of faults that a soak found."""
         for seed, (seconds, cause) in REGRESSION_SEEDS.items():
