--- a/tests/test_accounting/cluster.py
+++ b/tests/test_accounting/cluster.py
@@ -12,6 +12,7 @@
 from camphorgate.kv.records import Put
 from camphorgate.membership.roster import MemberState
 from camphorgate.settings import TimingSettings
+from camphorgate.supervision import Supervisor
 from camphorgated.ext.usage.service import UsageService
 from camphorgated.ext.usage.timing import UsageTiming
 
@@ -164,12 +165,13 @@
             ),
             service=services.__getitem__,
             has_service=services.__contains__,
-            spawn=self._spawn,
+            supervise=self._supervise,
         )
         self.usage = UsageService(app, TIMING)
 
-    def _spawn(self, coroutine, name):
-        self.tasks.append(asyncio.create_task(coroutine, name=name))
+    def _supervise(self, function, name):
+        task = Supervisor(SystemClock()).run(function, name)
+        self.tasks.append(asyncio.create_task(task, name=name))
 
     async def use(self, workspace, calls=1):
         """Record usage and return whether it became durable."""
