Derive the order of the watches once per list of members

Each answered watch collected the zones of all members and sorted them (0.2 ms at 195 instances, 0.7 ms at 750, measured). The order follows from the list of members alone, so it is derived when that is read, every 5 to 30 s, and Watches no longer asks the members for it. The alias WATCH_SECONDS of MAX_WATCH_SECONDS is gone. Same turns as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -140,7 +140,12 @@
                 for member in self._listed_by_instance.values()
                 if member.zone == self.own.zone
             )
-            self._directory.watches.note_members_listed()
+            self._directory.watches.note_members_listed(
+                {
+                    member.instance: member.zone
+                    for member in (*self._listed_by_instance.values(), self.own)
+                }
+            )
 
     def _list_seconds(self) -> float:
         if self.fencing:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -8,7 +8,7 @@
 import asyncio
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from camphorgate.application import Application
 from camphorgate.kv.errors import KvError
@@ -27,9 +27,6 @@
 # Maximum for instances that watch the store only because the elected watchers lost it:
 # a long outage makes many of them.
 MAX_FALLBACK_RECONNECT_SECONDS = 2.0
-# How long the store holds a watch open that has no turn in the schedule of all
-# instances. A connection that went silent without an error is detected after this time.
-WATCH_SECONDS = MAX_WATCH_SECONDS
 # An open watch does not show whether the store still responds, so a watcher probes it
 # at this interval. Two probes without an answer in time count as silence. A slow store
 # answers within 0.2 s (incidents at users); the interval and two probe timeouts leave
@@ -61,6 +58,7 @@
         "_tasks_by_prefix",
         "_sound_since_by_prefix",
         "_random",
+        "_watch_order",
         "_decided",
         "_list_was_current",
         "_reopened_at",
@@ -92,6 +90,8 @@
         # Only the prefixes whose watch works are present.
         self._sound_since_by_prefix: dict[str, float] = {}
         self._random = random.Random()
+        # The instances that should watch, in the order in which their watches end.
+        self._watch_order: list[str] = []
         self._decided = asyncio.Event()
         # Whether other watchers followed the list until this instance took over.
         self._list_was_current = False
@@ -147,8 +147,12 @@
         """
         return self._store.receiving(seconds)
 
-    def note_members_listed(self) -> None:
-        """Record that the members are listed, so that the role can be decided."""
+    def note_members_listed(self, zone_by_instance: Mapping[str, str]) -> None:
+        """Derive the order of the watches; the role can be decided, too.
+
+        :param zone_by_instance: zone of each listed instance and of this one.
+        """
+        self._watch_order = order_watchers(zone_by_instance)
         self._decided.set()
 
     def _start(self, prefix: str) -> None:
@@ -196,7 +200,7 @@
             if await self._store_answers():
                 # A new connection works, so those of the open watches may be dead.
                 reason = "a connection to the store went silent"
-                if self._app.clock.monotonic() < self._reopened_at + WATCH_SECONDS:
+                if self._app.clock.monotonic() < self._reopened_at + MAX_WATCH_SECONDS:
                     continue
             # The watches may have detected the silence themselves meanwhile.
             if self._is_following():
@@ -274,15 +278,10 @@
         What only watchers read is not spread to others, so its watches need no turns.
         """
         if prefix in self._watcher_only_prefixes:
-            return WATCH_SECONDS
-        members = self._app.service("members")
-        zone_by_instance = {
-            item.instance: item.zone
-            for item in (*members.by_instance().values(), members.own)
-        }
+            return MAX_WATCH_SECONDS
         return watch_seconds(
-            members.own.instance,
-            order_watchers(zone_by_instance),
+            self._app.settings.instance_id,
+            self._watch_order,
             self._app.service("gossip").synchronized_now(),
         )
 
--- a/tests/simulated_zone.py
+++ b/tests/simulated_zone.py
@@ -233,7 +233,9 @@
         watches.watcher_selection.set_listed(
             name for name, item in others.items() if item.zone == own.zone
         )
-        watches.note_members_listed()
+        watches.note_members_listed(
+            {item.instance: item.zone for item in (*others.values(), own)}
+        )
 
     def _count_takeover(self) -> None:
         self.takeovers += 1
--- a/tests/test_model/removal_spec.py
+++ b/tests/test_model/removal_spec.py
@@ -13,12 +13,12 @@
 from minicheck import Protocol
 
 from camphorgate.serving.upstream_table import LAPSED_ENTRY_GRACE_SECONDS
+from camphorgate.serving.watch_schedule import MAX_WATCH_SECONDS
 from camphorgated.serving.directory import BEHIND_SECONDS
 from camphorgated.serving.watches import (
     CHECK_ANSWER_SECONDS,
     CHECK_SECONDS,
     ROLE_SECONDS,
-    WATCH_SECONDS,
 )
 
 RULES = frozenset(
@@ -44,7 +44,7 @@
 REMOTE_UPDATE_STEPS = 1 + steps(BEHIND_SECONDS)
 TAKEOVER_STEPS = 1 + steps(ROLE_SECONDS)
 DOUBT_STEPS = steps(LAPSED_ENTRY_GRACE_SECONDS)
-WATCH_STEPS = steps(WATCH_SECONDS)
+WATCH_STEPS = steps(MAX_WATCH_SECONDS)
 
 
 class RemovalState(NamedTuple):
