Stand-in of the store: come back from an older copy

The store of the platform may come back from a copy some seconds old: leases and writes since the copy are gone, revisions are issued again and Store-Era increases. The stand-in now does this (POST /control/restore), answers 410 to a watch from a revision that it does not have, and counts calls by path. Watches that are open at that moment end with 503.

--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_store.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_store.py
@@ -2,7 +2,9 @@
 
 Faults: ``down``, ``busy`` (503 to every call), ``slow``, ``silent``, ``lose_answers``
 (the write takes effect, no response is sent), ``lose_history`` (the next watch gets
-410, so that the client has to read everything again).
+410, so that the client has to read everything again). ``POST /control/restore`` with
+``{"age": s, "pause": s, "rewrite": s}`` brings the store back from an older copy; see
+:meth:`HostingStore.restore`. ``Store-Era`` counts how often that happened.
 ``GET /control/reports`` lists the calls of the operations API; ``POST /control/put``
 and ``/control/remove`` write as the operator or an upstream does.
 """
@@ -11,14 +13,25 @@
 import base64
 import itertools
 import time
+from collections import Counter
 
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from camphorgate_standins.serving import Faults, build_app, parse_options, run
+from camphorgate_standins.serving import (
+    CONTROL_PREFIX,
+    Faults,
+    build_app,
+    parse_options,
+    run,
+)
 
 MAX_PAGE_ITEMS = 50
+# Nobody but the system itself writes its keys again after the store lost them.
+SYSTEM_PREFIX = "camphorgate/"
+FIRST_LEASE = 1000
 LEASE_CHECK_INTERVAL_SECONDS = 0.02
 
 
@@ -33,6 +46,10 @@
         "reports",
         "faults",
         "highest_fencing",
+        "era",
+        "sends_era",
+        "calls_by_path",
+        "_event_times",
         "_lease_ids",
         "_changed",
         "closed",
@@ -46,7 +63,13 @@
         self.reports: list[dict] = []
         self.faults = Faults()
         self.highest_fencing = 0
-        self._lease_ids = itertools.count(1000)
+        self.era = 0
+        self.sends_era = True
+        # Calls that arrived, also those that a fault made fail.
+        self.calls_by_path: Counter[str] = Counter()
+        # When each event of the history was written.
+        self._event_times: list[float] = []
+        self._lease_ids = itertools.count(FIRST_LEASE)
         self._changed = asyncio.Event()
         self.closed = False
 
@@ -71,8 +94,9 @@
             Route("/control/reports", self.list_reports),
             Route("/control/put", self.control_put, methods=["POST"]),
             Route("/control/remove", self.control_remove, methods=["POST"]),
+            Route("/control/restore", self.control_restore, methods=["POST"]),
         ]
-        return build_app(routes, self.faults)
+        return _CountingApp(build_app(routes, self.faults), self)
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write an item and increment the revision."""
@@ -102,13 +126,14 @@
 
     def _append_event(self, event: dict) -> None:
         self.history.append(event)
+        self._event_times.append(time.monotonic())
         self._changed.set()
         self._changed = asyncio.Event()
 
     def expire_leases(self) -> None:
         """Revoke the leases whose time to live has elapsed."""
         now = time.monotonic()
-        for lease, (_, ends_at) in list(self.leases_by_id.items()):
+        for lease, (_, ends_at, _) in list(self.leases_by_id.items()):
             if now >= ends_at:
                 self.revoke(lease)
 
@@ -121,6 +146,58 @@
         for key in keys if lease else ():
             self.remove(key)
 
+    def restore(
+        self, age: float, pause: float = 0.0, rewrite: float | None = 0.3
+    ) -> None:
+        """Come back from an older copy, without any lease and what is attached to one.
+
+        Revisions and ids of leases that were issued since the copy are issued again.
+
+        :param age: age of the copy in seconds.
+        :param pause: for how many seconds connections are reset before it is back.
+        :param rewrite: after how many seconds the operator and the upstreams have
+            written their keys again, ``None`` for never.
+        """
+        if pause:
+            self.faults.arm({"fault": "down", "seconds": pause})
+        latest = {
+            key: item
+            for key, item in self.items_by_key.items()
+            if not key.startswith(SYSTEM_PREFIX)
+        }
+        until = time.monotonic() - age
+        kept = sum(at <= until for at in self._event_times)
+        self.history, self._event_times = self.history[:kept], self._event_times[:kept]
+        self.items_by_key.clear()
+        self.revision = 1
+        for event in self.history:
+            self.revision = event["revision"]
+            self.items_by_key.pop(event["key"], None)
+            if not event.get("deleted") and not event["lease"]:
+                self.items_by_key[event["key"]] = event
+        granted = [
+            lease for lease, item in self.leases_by_id.items() if item[2] <= until
+        ]
+        self._lease_ids = itertools.count(max(granted, default=FIRST_LEASE - 1) + 1)
+        self.leases_by_id.clear()
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if rewrite is not None:
+            asyncio.get_running_loop().call_later(
+                pause + rewrite, self._write_again, latest
+            )
+
+    def _write_again(self, latest: dict[str, dict]) -> None:
+        """Write what the operator and the upstreams had written before the copy."""
+        for key in list(self.items_by_key):
+            if not key.startswith(SYSTEM_PREFIX) and key not in latest:
+                self.remove(key)
+        for key, item in latest.items():
+            known = self.items_by_key.get(key)
+            if known is None or known["value"] != item["value"]:
+                self.put(key, base64.b64decode(item["value"]))
+
     def _reject_if_busy(self) -> Response | None:
         self.expire_leases()
         return Response(status_code=503) if self.faults.consume("busy") else None
@@ -161,7 +238,12 @@
         prefix = request.query_params["path-prefix"]
         after = int(request.query_params["after"])
         until = time.monotonic() + int(request.query_params["wait-ms"]) / 1000
+        if after > self.revision:
+            return Response(status_code=410)
+        era = self.era
         while True:
+            if era != self.era:
+                return Response(status_code=503)
             self.expire_leases()
             events = [
                 event
@@ -209,7 +291,8 @@
             return rejection
         ttl_ms = (await request.json())["ttl-ms"]
         lease = next(self._lease_ids)
-        self.leases_by_id[lease] = [ttl_ms, time.monotonic() + ttl_ms / 1000]
+        now = time.monotonic()
+        self.leases_by_id[lease] = [ttl_ms, now + ttl_ms / 1000, now]
         return JSONResponse({"lease": lease, "ttl-ms": ttl_ms})
 
     async def renew_lease(self, request: Request) -> Response:
@@ -252,12 +335,41 @@
         self.put(request.query_params["key"], await request.body())
         return JSONResponse({"revision": self.revision})
 
+    async def control_restore(self, request: Request) -> Response:
+        """Bring the store back from an older copy."""
+        self.restore(**await request.json())
+        return JSONResponse({"era": self.era, "revision": self.revision})
+
     async def control_remove(self, request: Request) -> Response:
         """Remove an item."""
         self.remove(request.query_params["key"])
         return JSONResponse({"revision": self.revision})
 
 
+class _CountingApp:
+    """Counts the calls, and adds ``Store-Era`` to every response."""
+
+    __slots__ = ("app", "store")
+
+    def __init__(self, app: ASGIApp, store: HostingStore) -> None:
+        self.app = app
+        self.store = store
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http" or scope["path"].startswith(CONTROL_PREFIX):
+            await self.app(scope, receive, send)
+            return
+        self.store.calls_by_path[scope["path"]] += 1
+
+        async def send_with_era(message: Message) -> None:
+            if message["type"] == "http.response.start" and self.store.sends_era:
+                era = (b"store-era", b"%d" % self.store.era)
+                message = {**message, "headers": [*message.get("headers", ()), era]}
+            await send(message)
+
+        await self.app(scope, receive, send_with_era)
+
+
 def main() -> None:
     """Run the stand-in as a program."""
     options = parse_options("Stand-in for a hosting platform's store.")
