--- a/tests/test_serving/test_hanging_store.py
+++ b/tests/test_serving/test_hanging_store.py
@@ -77,7 +77,9 @@
         self._hang = hang
         self._generation = hang.generation
 
-    async def call(self, method, target, body=b"", headers=None, timeout=None):
+    async def call(
+        self, method, target, body=b"", headers=None, timeout=None, **options
+    ):
         """Send a call, and wait while the store hangs."""
         seconds = timeout or self._client._timeout
         # The first call after silence_open_connections() reuses the idle connection.
@@ -88,7 +90,7 @@
             async with asyncio.timeout(seconds):
                 await self._hang.wait()
                 answer = await self._client.call(
-                    method, target, body, headers, timeout=timeout
+                    method, target, body, headers, timeout=timeout, **options
                 )
                 is_silent = is_silent or generation != self._hang.generation
                 if is_silent or watch_generation != self._hang.watch_generation(target):
