Bound the calls to a store in trouble

Cause: while the store refused calls, every instance renewed its lease each 0.33 s and opened three watches up to once a second; a registration granted a new lease for each failed write; instances that watched for a moment replaced their long lease by a short one and kept it (three times the renewals). A granted lease is used again, lengthened after 5 s without need of the short one, and shortened only for elected or lasting watchers. An instance that took over and is not answered stops as soon as another watches. Switch: store.bound_calls.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -16,6 +16,7 @@
     "news",
     "counters",
     "statistics",
+    "store_calls",
     "quarantine",
     "limits",
     "permit_grants",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import secrets
 
 import msgspec
@@ -14,9 +15,14 @@
 from camphorgate.application import Application
 from camphorgate.authority.leases import Lease, LeaseRules
 from camphorgate.foreign_data import DECODE_ERRORS
-from camphorgate.kv.errors import KvError, KvRefused
+from camphorgate.kv.errors import KvCallsBounded, KvError, KvRefused
+from camphorgate.kv.rate_limit import Backoff
 from camphorgate.kv.records import Delete, KvEntry, Put, absent, unchanged
 from camphorgate.log import log_event
+from camphorgate.serving.watcher_selection import (
+    REPLACED_GRACE_SECONDS,
+    WATCHERS_PER_ZONE,
+)
 from camphorgated.serving.directory import DUTY_KEY, INSTANCE_PREFIX
 
 MEMBER_PREFIX = INSTANCE_PREFIX + "members/"
@@ -30,6 +36,13 @@
 # An instance that cannot take the duty, as it does not watch the store, has a lease
 # that lasts this many times as long and is renewed accordingly less often.
 FOLLOWER_LEASE_FACTOR = 3
+# An instance that watches in place of an elected one prepares for the duty after this
+# time.
+DURABLE_WATCH_SECONDS = REPLACED_GRACE_SECONDS + 1.0
+# An instance whose role has not required the short lease for this long replaces it by a
+# longer one. In trouble, many instances watch for a moment, and would keep renewing
+# three times as often.
+LENGTHEN_SECONDS = 5.0
 # Instances start together; the first list is read after all of them wrote theirs.
 FIRST_LIST_SECONDS = 0.7
 # The holder stops this long before the store can expire the lease.
@@ -72,6 +85,10 @@
         "_directory",
         "_lease_id",
         "_lease_ttl",
+        "_watching_since",
+        "_last_short_at",
+        "_granted",
+        "_retry",
         "_shorten",
         "_lease",
         "_lease_sent_at",
@@ -100,6 +117,13 @@
         self._directory = app.service("directory")
         self._lease_id = 0
         self._lease_ttl = 0.0
+        self._watching_since: float | None = None
+        self._last_short_at = float("-inf")
+        # A lease that was granted, and the entry is yet to be written: its id, time to
+        # live and the time just before it was requested.
+        self._granted: tuple[int, float, float] | None = None
+        retry = settings.times.lease_seconds / RENEWALS_PER_LEASE
+        self._retry = Backoff(retry / 2, retry, random.Random())
         self._shorten = asyncio.Event()
         ttl = settings.times.lease_seconds
         renew = ttl / RENEWALS_PER_LEASE
@@ -191,14 +215,19 @@
     async def _keep_listed(self) -> None:
         while not self.leaving:
             try:
-                if self._lease_id and self._lease_ttl <= self._wanted_ttl():
+                wanted = self._wanted_ttl()
+                if self._lease_id and not self._must_replace_lease(wanted):
                     await self._renew()
                 else:
-                    await self._register(self._wanted_ttl())
+                    await self._register(wanted)
+            except KvCallsBounded:
+                await asyncio.sleep(TICK_SECONDS)
+                continue
             except KvError as error:
                 log_event("lease_renewal_failed", level="WARNING", error=error.message)
-                await asyncio.sleep(self._short_ttl() / RENEWALS_PER_LEASE / 3)
+                await asyncio.sleep(self._retry.record_failure())
                 continue
+            self._retry.record_success()
             period = self._lease_ttl / RENEWALS_PER_LEASE
             await self._pause(period if self._lease_id else period / 3)
 
@@ -207,9 +236,43 @@
 
     def _wanted_ttl(self) -> float:
         """Return the longest lease that the present role allows, in seconds."""
-        short = self._directory.watches.chosen or self.fencing
+        now = self._app.clock.monotonic()
+        short = self._watches_durably(now) or self.fencing
+        if short:
+            self._last_short_at = now
         return self._short_ttl() * (1 if short else FOLLOWER_LEASE_FACTOR)
 
+    def _watches_durably(self, now: float) -> bool:
+        """Return whether this instance watches the store, not just for a moment.
+
+        In trouble, many instances watch for a moment. A lease that is short enough for
+        the duty would cost each of them two calls.
+        """
+        since = self._watching_since
+        if since is None:
+            return False
+        selection = self._directory.watches.watcher_selection
+        elected = selection.rank(now) < WATCHERS_PER_ZONE
+        return elected or now - since >= DURABLE_WATCH_SECONDS
+
+    def _record_watching(self, now: float) -> None:
+        """Record since when the store answers the watches of this instance."""
+        watches = self._directory.watches
+        if not (watches.chosen and watches.sound):
+            self._watching_since = None
+            return
+        if self._watching_since is None:
+            self._watching_since = now
+        if self._lease_ttl > self._short_ttl() and self._watches_durably(now):
+            self.shorten_lease()
+
+    def _must_replace_lease(self, wanted: float) -> bool:
+        """Return whether the lease is too long, or has been too short for a while."""
+        if self._lease_ttl > wanted:
+            return True
+        unused = self._app.clock.monotonic() - self._last_short_at
+        return self._lease_ttl < wanted and unused > LENGTHEN_SECONDS
+
     async def _pause(self, seconds: float) -> None:
         """Wait until the lease has to be renewed or shortened."""
         try:
@@ -225,11 +288,25 @@
         self._shorten.set()
 
     async def _register(self, ttl: float) -> None:
-        sent_at = self._app.clock.monotonic()
-        lease = await self._store.grant(ttl)
+        now = self._app.clock.monotonic()
+        granted = self._granted
+        # A lease whose entry could not be written is used again, as long as a renewal
+        # would be in time.
+        if (
+            granted is None
+            or granted[1] != ttl
+            or now - granted[2] > ttl / RENEWALS_PER_LEASE
+        ):
+            granted = self._granted = (await self._store.grant(ttl), ttl, now)
+        lease, _, sent_at = granted
         key = MEMBER_PREFIX + self.own.instance
         put = Put(key, msgspec.json.encode(self.own), lease)
-        await self._store.transact([], [put])
+        try:
+            await self._store.transact([], [put])
+        except KvRefused:
+            self._granted = None
+            raise
+        self._granted = None
         if not self.leaving:
             self._lease_id = lease
             self._lease_ttl = ttl
@@ -253,6 +330,7 @@
         while not self.leaving:
             await asyncio.sleep(TICK_SECONDS)
             now = self._app.clock.monotonic()
+            self._record_watching(now)
             if self.fencing and not self._lease.tick(now):
                 self._lose("not renewed in time")
             if not self._directory.follows_duty_key:
@@ -361,5 +439,4 @@
     members = Members(app)
     app.provide("members", members)
     app.add_dump_section("members", members.dump)
-    app.connect("watching-begun", members.shorten_lease)
     app.on_start(members.start)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -36,6 +36,9 @@
 # A timeout that ends this much too late shows that this process got no processor time,
 # and says nothing about the store.
 MAX_SCHEDULING_DELAY_SECONDS = 0.05
+# While calls to the store are bounded, a watch looks at this interval whether it may
+# call. It makes no call by this.
+ADMISSION_POLL_SECONDS = 0.05
 # How often an instance checks whether it should be a watcher.
 ROLE_SECONDS = 0.1
 # Without a list of the members, the role is decided this long after the start.
@@ -175,6 +178,10 @@
         while True:
             now = self._app.clock.monotonic()
             needed = self.watcher_selection.should_watch(self.watching, now)
+            if not self.sound and self.watcher_selection.may_yield(now):
+                # The store does not answer this instance; opening its watches once the
+                # store is back would only add calls.
+                needed = False
             needed = needed or self._app.service("members").fencing > 0
             if needed and len(self._tasks_by_prefix) < len(self._handlers_by_prefix):
                 self._start_watching(now)
@@ -234,10 +241,11 @@
 
     def _start_watching(self, now: float) -> None:
         if not self.watching:
-            log_event(
-                "watching", doubtful=self.watcher_selection.store_lost_recently(now)
-            )
-            self._list_was_current = not self.watcher_selection.store_lost_recently(now)
+            doubtful = self.watcher_selection.store_lost_recently(now)
+            self._list_was_current = not doubtful
+            log_event("watching", doubtful=doubtful)
+            if doubtful:
+                self._app.service("store_calls").mark_doubtful(now)
         self.watching = True
         for prefix in self._handlers_by_prefix.keys() - self._tasks_by_prefix.keys():
             self._start(prefix)
@@ -265,6 +273,10 @@
                     await self._decided.wait()
             except KvError as error:
                 self._mark_lost(prefix, error.message)
+                if self._app.service("store_calls").closed:
+                    # The delay between calls is that of the probes.
+                    await asyncio.sleep(ADMISSION_POLL_SECONDS)
+                    continue
             except Exception as error:
                 # The batch may be applied in part; the next watch reads all entries.
                 self._mark_lost(prefix, repr(error))
--- a/packages/camphorgate/src/camphorgate/kv/errors.py
+++ b/packages/camphorgate/src/camphorgate/kv/errors.py
@@ -15,6 +15,12 @@
     code = "kv_unavailable"
 
 
+class KvCallsBounded(KvUnavailable):
+    """The call was not sent, as calls to a failing service are bounded."""
+
+    code = "kv_calls_bounded"
+
+
 class KvOutcomeUnknown(KvError):
     """A write was sent, but it is not known whether it took effect."""
 
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -23,6 +23,15 @@
     usage_late_seconds: float = 10.0
 
 
+class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the platform's store is used.
+
+    ``bound_calls`` limits the calls to a store that refuses them or does not answer.
+    """
+
+    bound_calls: bool = True
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -43,6 +52,7 @@
     seeds: tuple[str, ...] = ()
     budget: BudgetSettings = BudgetSettings()
     times: TimeSettings = TimeSettings()
+    store: StoreSettings = StoreSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
--- a/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
+++ b/packages/camphorgate/src/camphorgate/serving/watcher_selection.py
@@ -105,6 +105,17 @@
         """Return whether a watcher recently lost the store, not just fell silent."""
         return now - self._unsound_at < MAX_PEER_SILENCE_SECONDS
 
+    def rank(self, now: float) -> int:
+        """Return how many instances of the zone precede this one in its order."""
+        return len(self._preceding(now))
+
+    def may_yield(self, now: float) -> bool:
+        """Return whether another instance watches, and this one is not elected.
+
+        If too few watch, it takes its turn again.
+        """
+        return self.rank(now) >= WATCHERS_PER_ZONE and self.in_contact(now)
+
     def is_candidate(self, now: float) -> bool:
         """Return whether this instance is one of the first in its zone's order."""
         return len(self._preceding(now)) < 2 * WATCHERS_PER_ZONE
@@ -120,6 +131,7 @@
             return self._needed_as_spare(watching, now)
         self._spare_since = None
         if watching or len(preceding) < WATCHERS_PER_ZONE:
+            self._missing_since = None
             return True
         if len(sound) >= WATCHERS_PER_ZONE:
             self._missing_since = None
