Duty and list of upstreams after a restore of the store

Cause: after the store came back from an older copy, a holder kept its duty beside a new one, an instance could take the duty while a holder of the older era still believed in its lease, and the copy's entries replaced newer ones. Watchers read all again; their first list leaves missing entries in doubt for 2 s, and an incarnation that had left before stays leaving until it is written again. Listed instances that the copy lacks are kept until all leases were renewed.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -19,6 +19,8 @@
 from camphorgate.kv.rate_limit import Backoff
 from camphorgate.kv.records import Delete, KvEntry, Put, absent, unchanged
 from camphorgate.log import log_event
+from camphorgate.serving.store_calls import MAX_SPREAD_SECONDS, spread_seconds
+from camphorgate.serving.store_eras import Restores
 from camphorgate.serving.watcher_selection import (
     REPLACED_GRACE_SECONDS,
     WATCHERS_PER_ZONE,
@@ -89,11 +91,13 @@
         "_last_short_at",
         "_granted",
         "_retry",
+        "_random",
         "_shorten",
         "_lease",
         "_lease_sent_at",
         "_reacquire_at",
         "_refused",
+        "_restores",
         "_free_since",
         "_listed_by_instance",
     )
@@ -130,12 +134,15 @@
         self._lease = Lease(LeaseRules(ttl, renew, LEASE_MARGIN_SECONDS))
         self._lease_sent_at = 0.0
         self._reacquire_at = 0.0
+        self._random = random.Random()
+        self._restores = Restores()
         self._refused: set[int] = set()
         self._free_since: float | None = None
         self._listed_by_instance: dict[str, Member] = {}
 
     async def start(self) -> None:
         """Start the tasks that renew the lease, take the duty and list the others."""
+        self._store.add_restore_listener(self._receive_restore)
         self._app.supervise(self._keep_listed, "member lease")
         self._app.supervise(self._tick, "duty")
         self._app.supervise(self._list_others, "members")
@@ -144,6 +151,31 @@
         """Return the listed instances, as of some seconds ago."""
         return self._listed_by_instance
 
+    def _receive_restore(self, first: bool) -> None:
+        """Drop what is attached to leases of an older era, and list again."""
+        now = self._app.clock.monotonic()
+        self._restores.record(now)
+        log_event("store_restored", level="WARNING", first=first)
+        if first:
+            return
+        self._lose("the store came back from an older copy")
+        self._granted = None
+        if self._lease_id:
+            self._lease_id = 0
+            # All instances list themselves again.
+            delay = self._random.uniform(0.0, spread_seconds(self._directory.instances))
+            asyncio.get_running_loop().call_later(delay, self._shorten.set)
+
+    def _doubted_members(self) -> dict[str, Member]:
+        """Return the instances that may be missing from the list after a restore.
+
+        An instance that does not watch learns of it when it renews its lease.
+        """
+        now = self._app.clock.monotonic()
+        lease = FOLLOWER_LEASE_FACTOR * self._short_ttl()
+        doubted = self._restores.seconds_since(now) < lease + MAX_SPREAD_SECONDS
+        return self._listed_by_instance if doubted else {}
+
     async def _list_others(self) -> None:
         stale = False
         while True:
@@ -155,7 +187,7 @@
                 continue
             stale = True
             found = [_decode(entry, Member) for entry in entries]
-            self._listed_by_instance = {
+            self._listed_by_instance = self._doubted_members() | {
                 member.instance: member for member in found if member is not None
             }
             self._directory.instances = max(1, len(self._listed_by_instance))
@@ -340,7 +372,11 @@
             if entry is not None:
                 self._free_since = None
                 await self._adopt(entry)
-            elif self._directory.sound and self._lease_short():
+            elif (
+                self._directory.sound
+                and self._lease_short()
+                and self._restores.may_take_duty(self._short_ttl(), now)
+            ):
                 await self._try_to_take(now)
 
     def _lease_short(self) -> bool:
@@ -421,6 +457,7 @@
             "lease": self._lease_id,
             "fencing": self.fencing,
             "holds_duty": self.holds_duty(),
+            "restores": self._restores.count,
             "members": sorted(self.by_instance()),
         }
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -107,6 +107,7 @@
             self._start(prefix)
         self._app.supervise(self._keep_role, "watcher role")
         self._app.supervise(self._check_store, "store check")
+        self._store.add_restore_listener(self._receive_restore)
 
     @property
     def chosen(self) -> bool:
@@ -142,6 +143,14 @@
             self._start(prefix)
         self._app.emit("store-lost")
 
+    def _receive_restore(self, first: bool) -> None:
+        """Read everything again once the store came back from an older copy."""
+        if not first and self.watching:
+            # The watch that received the response may be one of those that end.
+            asyncio.get_running_loop().call_soon(
+                self.restart, "the store came back from an older copy"
+            )
+
     def receiving(self, seconds: float) -> bool:
         """Return whether the store sent part of a response within the last seconds.
 
--- a/packages/camphorgate/src/camphorgate/serving/store_calls.py
+++ b/packages/camphorgate/src/camphorgate/serving/store_calls.py
@@ -26,6 +26,12 @@
 SLOW_PROBE_SECONDS = 0.3
 
 
+def spread_seconds(instances: int) -> float:
+    """Return over how many seconds all instances spread one call each."""
+    spread = instances * SPREAD_SECONDS_PER_INSTANCE
+    return min(MAX_SPREAD_SECONDS, max(MIN_SPREAD_SECONDS, spread))
+
+
 class Role(Enum):
     """What an instance is to its zone, with the delays between its probes.
 
@@ -124,7 +130,5 @@
         if not self._closed or self._hurried:
             return
         self._hurried = True
-        spread = instances * SPREAD_SECONDS_PER_INSTANCE
-        spread = min(MAX_SPREAD_SECONDS, max(MIN_SPREAD_SECONDS, spread))
-        soon = now + self._rng.uniform(0.0, spread)
+        soon = now + self._rng.uniform(0.0, spread_seconds(instances))
         self._next_probe_at = min(self._next_probe_at, soon)
--- a/packages/camphorgate/src/camphorgate/serving/upstream_table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_table.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from camphorgate.serving.catalog import Upstream
+from camphorgate.serving.store_eras import is_newer_era
 
 # Entries that lapsed in an outage return within about 2 s of its end (bound given by
 # the users).
@@ -44,6 +45,7 @@
         "_doubtful_by_id",
         "_new_doubts",
         "_removed_by_id",
+        "_removed_starts_by_id",
         "_unconfirmed_ids",
         "_left_starts_by_id",
         "_changed_ids",
@@ -59,6 +61,8 @@
         self._doubtful_by_id: dict[str, tuple[int, float]] = {}
         self._new_doubts: set[str] = set()
         self._removed_by_id: dict[str, int] = {}
+        # Start times of the removed incarnations.
+        self._removed_starts_by_id: dict[str, int] = {}
         # Ids whose removal was reported only during disturbances of the list, for
         # example by a peer that doubted the entry.
         self._unconfirmed_ids: set[str] = set()
@@ -82,9 +86,13 @@
             return False
         if self._removed_by_id.get(upstream.id, 0) >= upstream.revision:
             return False
+        ended = self._ended_before_era(upstream, known)
         self._removed_by_id.pop(upstream.id, None)
+        self._removed_starts_by_id.pop(upstream.id, None)
         self._unconfirmed_ids.discard(upstream.id)
         self._doubtful_by_id.pop(upstream.id, None)
+        if ended:
+            upstream = msgspec.structs.replace(upstream, leaving=True)
         if self._left_starts_by_id.get(upstream.id) == upstream.started_at:
             upstream = msgspec.structs.replace(upstream, leaving=True)
         self.by_id[upstream.id] = upstream
@@ -92,6 +100,21 @@
         self._changed(upstream.id)
         return True
 
+    def _ended_before_era(self, upstream: Upstream, known: Upstream | None) -> bool:
+        """Return whether an incarnation had left or was removed in an older era.
+
+        The first entry of a newer era may come from the copy of the list, so it is
+        taken as leaving. One that the upstream has written again has a newer revision.
+        """
+        if known is not None:
+            left = known.leaving and known.started_at >= upstream.started_at
+            return left and is_newer_era(upstream.revision, known.revision)
+        started_at = self._removed_starts_by_id.get(upstream.id)
+        if started_at is None or started_at < upstream.started_at:
+            return False
+        removed_at = self._removed_by_id.get(upstream.id, upstream.revision)
+        return is_newer_era(upstream.revision, removed_at)
+
     def apply_removal(
         self, upstream_id: str, revision: int, now: float, sound: bool
     ) -> Removal:
@@ -265,7 +288,11 @@
 
     def _drop(self, upstream_id: str, revision: int) -> None:
         self._doubtful_by_id.pop(upstream_id, None)
-        self.by_id.pop(upstream_id, None)
+        known = self.by_id.pop(upstream_id, None)
+        if known is not None:
+            self._removed_starts_by_id.pop(upstream_id, None)
+            self._removed_starts_by_id[upstream_id] = known.started_at
+            _forget_oldest(self._removed_starts_by_id)
         self._unconfirmed_ids.discard(upstream_id)
         self._remember_removal(upstream_id, revision)
         self._changed(upstream_id)
--- a/tests/test_platform/test_store_era.py
+++ b/tests/test_platform/test_store_era.py
@@ -137,7 +137,15 @@
         await self.lose_writes()
         await self.client.check("camphorgate/kept")
         await self.client.check("camphorgate/kept")
-        listener.assert_called_once()
+        listener.assert_called_once_with(False)
+
+    async def test_first_response_of_a_later_era_is_told_apart(self):
+        """Guards against an instance that takes an old restore for a new one."""
+        self.store.restore(1.0)
+        listener = mock.Mock()
+        self.client.eras.add_listener(listener)
+        await self.client.check("camphorgate/kept")
+        listener.assert_called_once_with(True)
 
     async def test_without_the_header_nothing_changes(self):
         """Guards against other revisions at a store that states no era."""
