--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -100,6 +100,7 @@
         self._list_was_current = False
         self._reopened_at = float("-inf")
         self._known_unanswered_calls = 0
+        self._store.add_restore_listener(self._receive_restore)
 
     async def start(self) -> None:
         """Read the prefixes, and watch them as long as the role requires it."""
@@ -107,7 +108,6 @@
             self._start(prefix)
         self._app.supervise(self._keep_role, "watcher role")
         self._app.supervise(self._check_store, "store check")
-        self._store.add_restore_listener(self._receive_restore)
 
     @property
     def chosen(self) -> bool:
