Parse the load that upstreams report in their responses

Cause: placement knows the load and the speed of an upstream only from this instance's own requests and from the states of peers, up to 0.6 s old. Change: X-Instance-Load (running, waiting, slots and an optional duration of work in percent) is parsed into ResponseFacts.load; a header with any field missing, malformed or out of range carries no information.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/platform_protocol.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/platform_protocol.py
@@ -29,6 +29,19 @@
     last_event: int | None = None
 
 
+class InstanceLoad(msgspec.Struct, frozen=True):
+    """Load that an upstream reports of itself in a response head.
+
+    ``slowdown`` is how many times as long as usual work takes there at this moment,
+    ``None`` if it does not report that.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+
+
 class ResponseFacts(msgspec.Struct, frozen=True):
     """Facts from the head of an upstream's response.
 
@@ -36,7 +49,8 @@
     ``leaving`` is set if it is shutting down; ``pause_seconds`` is how long it requests
     a pause. ``answered_by`` is the upstream's id if the response names it.
     ``limit_per_second`` is the number of requests a second that it takes from all
-    instances together, ``None`` if it names no limit.
+    instances together, ``None`` if it names no limit. ``load`` is ``None`` unless the
+    upstream reports it completely.
     """
 
     status: int
@@ -49,6 +63,7 @@
     pause_seconds: float | None = None
     answered_by: str | None = None
     limit_per_second: float | None = None
+    load: InstanceLoad | None = None
 
 
 class PrefillResult(msgspec.Struct, frozen=True):
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -14,6 +14,7 @@
 from camphorgate_platform import decoding, headers
 from camphorgate_platform.store import HistoryLost, PlatformStore
 from camphorgated.serving.call_client import CallClient
+from camphorgated.serving.platform_protocol import InstanceLoad
 from camphorgated.serving.server_connection import Request
 from tests.hosted import HostedCase
 from tests.hosting_builders import (
@@ -287,6 +288,20 @@
             self.assertFalse(self.read(200, (b"server-leaving", value)).leaving)
         self.assertFalse(self.read(200).leaving)
 
+    def test_load_is_read_only_if_every_field_is_valid(self):
+        """Guards against choosing upstreams by invalid figures, and errors of them."""
+        read = {
+            value: self.read(200, (b"x-instance-load", value)).load
+            for value in (b"3,0,6", b" 3, 1 ,6,250")
+        }
+        self.assertEqual(read[b"3,0,6"], InstanceLoad(3, 0, 6))
+        self.assertEqual(read[b" 3, 1 ,6,250"], InstanceLoad(3, 1, 6, 2.5))
+        self.assertIsNone(self.read(200).load)
+        invalid = b"", b"3", b"3,0", b"3,,6", b"3,0,0", b"-1,0,6", b"3,0,6,", b"1e9,0,6"
+        invalid += b"3,0,6,0", b"3,0,6,1.5", b"3,0,6,nan", b"3,0,6,99999", b"3,0,6,1,1"
+        for value in (*invalid, b"9" * 5000 + b",0,6", "\u0663,0,6".encode()):
+            self.assertIsNone(self.read(200, (b"x-instance-load", value)).load, value)
+
     def test_retry_after_of_every_form(self):
         """Guards against values that raise, or that pause indefinitely."""
         date = (b"date", b"Fri, 04 Dec 2026 12:00:00 GMT")
