Learn the speed of each upstream and place by it

Cause: placement assumed 55 prompt tokens per ms and 15 ms fixed for every engine. Engines of one customer prefill 157 tokens per ms with 26 ms fixed and differ by factors of 0.7 to 1.7, so that a queue bound of 60 ms held 3,300 tokens instead of 9,400, and cached parts attracted three times too much. Change: SpeedTable fits a line per service and a factor per upstream, with decay, from prefill calls, streams and plain calls; a momentary factor that upstreams report is divided out and used while it is fresh. Bounds in tokens are now bounds in ms of the engine's own time; start values equal the former constants. Observations go to the zone's peers in an optional field of State.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -37,6 +37,7 @@
         "_gossip",
         "_statistics",
         "_quarantine",
+        "_speeds",
     )
 
     def __init__(self, app: Application) -> None:
@@ -47,6 +48,7 @@
         self._gossip = app.service("gossip")
         self._statistics = app.service("statistics")
         self._quarantine = app.service("quarantine")
+        self._speeds = app.service("speeds").table
 
     async def run(self, context: RequestContext) -> None:
         """Handle a request, retrying it on other upstreams where allowed."""
@@ -152,6 +154,7 @@
         upstreams = self._upstreams
         recently_used = not context.route.repeatable()
         max_connections = upstreams.max_connections(context.service)
+        running = upstreams.loads.total(upstream.id, clock.monotonic()).requests
         with upstreams.count_in_flight(upstream, 0):
             async with upstreams.exchange(upstream, permit) as exchange:
                 await exchange.open(max_connections, recently_used, carried)
@@ -196,7 +199,9 @@
             ):
                 return False
         else:
-            health.record_success(clock.monotonic())
+            ended_at = clock.monotonic()
+            health.record_success(ended_at)
+            self._speeds.record_call(upstream, ended_at - now, running, ended_at)
         headers = self._platform.caller_headers(exchange.headers)
         context.caller.respond(facts.status, headers, body)
         return True
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -16,6 +16,7 @@
     "news",
     "counters",
     "statistics",
+    "upstream_speed",
     "quarantine",
     "limits",
     "permit_grants",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -10,7 +10,7 @@
 from camphorgate.serving.catalog import EngineSpec, Phase, Stage, Upstream
 from camphorgate.serving.placement import Choice
 from camphorgate.serving.prefill_queue import (
-    MIN_LONG_PROMPT_TOKENS,
+    MIN_LONG_PROMPT_MS,
     PrefillQueue,
     QueuedPrompt,
 )
@@ -62,6 +62,7 @@
         "_queue",
         "_streaming",
         "_quarantine",
+        "_speeds",
     )
 
     def __init__(self, app: Application) -> None:
@@ -71,6 +72,7 @@
         self._upstreams = app.service("upstreams")
         self._statistics = app.service("statistics")
         self._quarantine = app.service("quarantine")
+        self._speeds = app.service("speeds").table
         self._queue = PrefillQueue()
         self._streaming = Streaming(app)
         app.add_dump_section("reading_queue", lambda: {"waiting": len(self._queue)})
@@ -168,7 +170,7 @@
         now = self._app.clock.monotonic()
         queue, ticket = self._queue, generation.ticket
         if ticket is None:
-            if choice.uncached <= MIN_LONG_PROMPT_TOKENS:
+            if choice.prefill_ms <= MIN_LONG_PROMPT_MS:
                 return False
             arrived_at = generation.context.request.read_at
             ticket = QueuedPrompt(generation.context.rank, arrived_at, choice.uncached)
@@ -258,7 +260,7 @@
         reader = placement.choose_for_prefill(readers, prompt, now)
         if reader is None:
             return None, direct
-        allowed = placement.may_prefill_directly(direct, now)
+        allowed = placement.may_prefill_directly(direct)
         sooner = direct.wait_ms <= reader.wait_ms + DIRECT_MS
         if allowed and (sooner or generation.reads):
             return None, direct
@@ -277,6 +279,7 @@
         sent_at = clock.monotonic()
         generation.tried.add(engine.id)
         timeout = self._stuck_timeout(choice)
+        queued = loads.total(engine.id, sent_at).prefill_tokens
         try:
             with self._upstreams.count_in_flight(engine, choice.uncached):
                 async with self._upstreams.exchange(engine, permit) as exchange:
@@ -318,8 +321,10 @@
                 context, engine, f"read_refused_{facts.status}", Stage.REFUSED
             )
             return
-        health.record_success(clock.monotonic())
-        loads.record_cached_parts(engine.id, generation.prompt.parts, clock.monotonic())
+        now = clock.monotonic()
+        health.record_success(now)
+        self._speeds.record_prefill(engine, choice.uncached, queued, now - sent_at, now)
+        loads.record_cached_parts(engine.id, generation.prompt.parts, now)
         generation.handle = Handle(engine, result.handle)
 
     async def _answer(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -115,6 +115,8 @@
         "_handlers",
         "_tick_listeners",
         "_peer_listeners",
+        "_state_writers",
+        "_state_listeners",
         "_started_at",
         "_logged_at",
         "_unreadable",
@@ -152,6 +154,8 @@
         }
         self._tick_listeners: list[Callable[[int], None]] = []
         self._peer_listeners: list[Callable[[str], None]] = []
+        self._state_writers: list[Callable[[State], None]] = []
+        self._state_listeners: list[Callable[[State], None]] = []
         self._started_at = app.clock.monotonic()
         self._logged_at = float("-inf")
         self._unreadable = 0
@@ -263,9 +267,23 @@
         """Add a listener that gets the gossip address of each peer that has started."""
         self._peer_listeners.append(listener)
 
+    def add_state_field(
+        self, write: Callable[[State], None], receive: Callable[[State], None]
+    ) -> None:
+        """Add a field to the states that are sent to peers of the own zone.
+
+        :param write: sets the field of a state that is about to be sent.
+        :param receive: gets each state that a peer has sent.
+        """
+        self._state_writers.append(write)
+        self._state_listeners.append(receive)
+
     def state(self) -> State:
         """Return the state that is sent to peers of the own zone."""
-        return self._state(self.loads.own_by_id)
+        state = self._state(self.loads.own_by_id)
+        for write in self._state_writers:
+            write(state)
+        return state
 
     def send_to_far_watchers(self) -> None:
         """Send the revisions known here to the watchers of other zones at once.
@@ -394,6 +412,8 @@
             )
         if message.watching and message.sound:
             self._directory.compare(message)
+        for receive in self._state_listeners:
+            receive(message)
 
     def _load_source(self, instance: str, zone: str) -> str:
         """Return the name under which a peer's loads count."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -7,6 +7,7 @@
 from camphorgate.serving.loads import Load
 from camphorgate.serving.quarantine import Block, Evidence
 from camphorgate.serving.upstream_limits import LimitWord
+from camphorgate.serving.upstream_speed import SpeedNews
 
 # Keeps a datagram of counters below the size at which links fragment it.
 MAX_COUNTERS_PER_DATAGRAM = 50
@@ -31,7 +32,8 @@
     phase or has just ordered. ``failing`` are the starts of upstreams that failed for
     the sender just now. ``grants_permits`` tells whether it grants permits for
     upstreams with a limit: it has run long enough to know its peers, and is not
-    shutting down.
+    shutting down. ``speeds`` is what it has learned of speeds lately, for peers of its
+    zone.
     """
 
     instance: str
@@ -52,6 +54,7 @@
     changing: list[str] = []
     failing: list[tuple[str, int]] = []
     grants_permits: bool = False
+    speeds: SpeedNews | None = None
 
 
 class PrefillNotice(msgspec.Struct, tag="r"):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/streaming.py
@@ -34,13 +34,14 @@
 class Streaming:
     """Forwards events and counts usage of started runs."""
 
-    __slots__ = ("_app", "_platform", "_gossip")
+    __slots__ = ("_app", "_platform", "_gossip", "_speeds")
 
     def __init__(self, app: Application) -> None:
         """Use the shared state."""
         self._app = app
         self._platform = app.service("dialect")
         self._gossip = app.service("gossip")
+        self._speeds = app.service("speeds")
 
     async def pass_on(self, generation: Generation, exchange: Exchange) -> None:
         """Forward events as they arrive, until the response ends.
@@ -49,11 +50,13 @@
         """
         events = EventStream(generation.stream.last_id)
         generation.stream = events
+        pace = self._speeds.measure_steps(generation, exchange.upstream)
         while piece := await self._next_piece(generation, exchange):
             self.count(generation)
             for start in range(0, len(piece), SLICE_BYTES):
                 whole = events.feed(piece[start : start + SLICE_BYTES])
                 if whole:
+                    pace.record_events(events.progress)
                     self._pass(generation, exchange, whole)
                     await generation.context.caller.drain()
                 self._check(events)
@@ -63,6 +66,7 @@
         if events.rest:
             cause = TRUNCATED if exchange.framed else CUT
             raise ExchangeError("the last event is truncated", Stage.SENT, cause)
+        pace.end()
         self._begin(generation, exchange)
         generation.context.caller.end_stream()
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -58,6 +58,7 @@
         "limited",
         "_limits",
         "_permits",
+        "_speeds",
         "_budgets_by_service",
         "_resuming_by_service",
         "_counts",
@@ -73,6 +74,7 @@
         self._quarantine = app.service("quarantine")
         self._limits = app.service("limits")
         self._permits = app.service("permits")
+        self._speeds = app.service("speeds")
         self.pool = Pool(app.clock)
         # What responses that are not passed on yet may take in memory.
         self.buffers = BufferBudget()
@@ -92,6 +94,7 @@
             zone,
             self.pool.connected,
             self._permits.wait_seconds,
+            self._speeds.table,
         )
         self._budgets_by_service: dict[str, RetryBudgetShare] = {}
 
@@ -202,6 +205,7 @@
         if not another and not facts.wrong_upstream:
             self._quarantine.record_response(upstream)
             self._limits.record_response(upstream, facts, sent_at)
+            self._speeds.record_response(upstream, facts)
         if not facts.leaving and not facts.pause_seconds:
             return
         if another or (facts.wrong_upstream and facts.answered_by is None):
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -11,21 +11,14 @@
 import msgspec
 import xxhash
 
-from camphorgate.serving.catalog import EngineSpec, Phase, Upstream
+from camphorgate.serving.catalog import EngineSpec, Upstream
 from camphorgate.serving.health import HealthTable
 from camphorgate.serving.loads import LoadTable
+from camphorgate.serving.upstream_speed import SpeedTable
 
-# Prefill speed of an engine that only prefills (from the users' sheet); a decoding
-# engine prefills at half of it.
-PREFILL_TOKENS_PER_MS = 55.0
-DECODE_PREFILL_FRACTION = 0.5
-# Fixed prefill time of a prompt in addition to the time of its tokens.
-PREFILL_FIXED_MS = 15.0
-# Time that a running request adds to another one on the same engine.
-RUNNING_REQUEST_MS = 4.0
-# Maximum number of prompt tokens that a decoding engine may prefill at a time. It
-# prefills 1,000 between two tokens of its streams; more would delay all their events.
-MAX_DIRECT_PREFILL_TOKENS = 1500
+# Maximum time that a decoding engine may spend on prefill for queued prompts. Its
+# streams get their events later by about as much: 1,500 tokens at 27.5 per ms.
+MAX_DIRECT_PREFILL_MS = 1500 / 27.5
 # Penalty for an upstream in another zone: traffic between zones is charged, and the
 # state of its upstreams is known later. A home that caches a long shared part outweighs
 # this penalty.
@@ -45,10 +38,11 @@
 HOME_ENGINES = 2
 # Fraction of the shared tokens that a home is assumed to cache without a report of it.
 HOME_CACHED_FRACTION = 0.6
-# Maximum penalty by the hash of a prompt part and an engine. It is the same on every
-# instance, so that all of them send a part to the same engine before any of them knows
-# which engine caches it.
-MAX_SHARED_ORDER_MS = 25.0
+# Maximum penalty by the hash of a prompt part and an engine, as prompt tokens that a
+# usual engine of the service would prefill meanwhile (25 ms at 55 tokens per ms). It is
+# about the same on every instance, so that all of them send a part to the same engine
+# before any of them knows which engine caches it.
+MAX_SHARED_ORDER_TOKENS = 25 * 55
 # Penalty for opening a new connection.
 NEW_CONNECTION_MS = 3.0
 # An upstream that fails requests is chosen only if the others are slower by this
@@ -75,9 +69,10 @@
     """An upstream and the predictions for a request sent to it.
 
     ``wait_ms`` is the time until the first token or the start of the request,
-    ``uncached`` the number of prompt tokens to prefill, and ``queued_ms`` the prefill
-    time of the prompts already queued there. ``avoid_until`` is in the future if this
-    upstream, and thus every other candidate, should be avoided until then.
+    ``uncached`` the number of prompt tokens to prefill, ``prefill_ms`` the engine's
+    time for these tokens, and ``queued_ms`` its time for the prompts already queued
+    there. ``avoid_until`` is in the future if this upstream, and thus every other
+    candidate, should be avoided until then.
     """
 
     upstream: Upstream
@@ -85,12 +80,20 @@
     uncached: int = 0
     queued_ms: float = 0.0
     avoid_until: float = 0.0
+    prefill_ms: float = 0.0
 
 
 class Placement:
     """Chooses upstreams by predicted time; stateless."""
 
-    __slots__ = ("_loads", "_health", "_zone", "_connected", "_permit_wait_seconds")
+    __slots__ = (
+        "_loads",
+        "_health",
+        "_speeds",
+        "_zone",
+        "_connected",
+        "_permit_wait_seconds",
+    )
 
     def __init__(
         self,
@@ -99,6 +102,7 @@
         zone: str,
         connected: Callable[[tuple[str, int]], bool] = lambda incarnation: True,
         permit_wait_seconds: Callable[[Upstream], float] = lambda upstream: 0.0,
+        speeds: SpeedTable | None = None,
     ) -> None:
         """Initialize with the load and health tables of this instance.
 
@@ -106,7 +110,9 @@
         :param connected: returns whether an idle connection to an upstream is open.
         :param permit_wait_seconds: returns the time until the limit of an upstream
             allows a request.
+        :param speeds: predicts durations; by default, the start values apply.
         """
+        self._speeds = speeds or SpeedTable(learns=False)
         self._connected = connected
         self._permit_wait_seconds = permit_wait_seconds
         self._loads = loads
@@ -130,11 +136,14 @@
             held = int(prompt.shared_tokens * HOME_CACHED_FRACTION)
             cached[upstream_id] = max(cached[upstream_id], held)
         max_cached = max(cached.values(), default=0)
+        service = engines[0].service if engines else ""
+        usual_ms_per_token = 1.0 / self._speeds.prefill_tokens_per_ms(service)
 
         def cost(choice: Choice) -> float:
             repeated = max_cached - cached[choice.upstream.id]
-            extra = repeated / PREFILL_TOKENS_PER_MS * REPEATED_PREFILL_WEIGHT
-            return extra + order.get(choice.upstream.id, 0.0)
+            tokens = repeated * REPEATED_PREFILL_WEIGHT
+            tokens += order.get(choice.upstream.id, 0.0)
+            return tokens * usual_ms_per_token
 
         def predict(item: Upstream) -> Choice:
             return self._predict_prefill(item, prompt, cached[item.id], now)
@@ -162,10 +171,10 @@
             cached = self._loads.cached_tokens(item.id, prompt.parts, now)
             moved = max(0, prompt.tokens - cached)
             bits = moved * spec.bytes_per_token * 8
-            wait = bits / (spec.link_mbps * 1000) + load.requests * RUNNING_REQUEST_MS
-            wait += (
-                load.prefill_tokens / PREFILL_TOKENS_PER_MS / DECODE_PREFILL_FRACTION
-            )
+            wait = bits / (spec.link_mbps * 1000)
+            wait += load.requests * self._speeds.step_ms(item, load.requests, now)
+            _, ms_per_token = self._speeds.prefill_line(item, now)
+            wait += load.prefill_tokens * ms_per_token
             if item.zone != reader.zone:
                 wait += OTHER_ZONE_TRANSFER_MS
             if item.cheap:
@@ -176,10 +185,10 @@
 
         return self._lowest_cost(engines, now, predict)
 
-    def may_prefill_directly(self, choice: Choice, now: float) -> bool:
+    @staticmethod
+    def may_prefill_directly(choice: Choice) -> bool:
         """Return whether a decoding engine can prefill without delaying others."""
-        reading = self._loads.total(choice.upstream.id, now).prefill_tokens
-        return reading + choice.uncached <= MAX_DIRECT_PREFILL_TOKENS
+        return choice.queued_ms + choice.prefill_ms <= MAX_DIRECT_PREFILL_MS
 
     def choose_for_call(self, upstreams: list[Upstream], now: float) -> Choice | None:
         """Choose the upstream of a service without engines by predicted wait."""
@@ -196,12 +205,11 @@
     ) -> Choice:
         load = self._loads.total(item.id, now)
         uncached = max(1, prompt.tokens - cached)
-        speed = PREFILL_TOKENS_PER_MS
-        if item.phase is not Phase.PREFILL:
-            speed *= DECODE_PREFILL_FRACTION
-        queued = load.prefill_tokens / speed
-        wait = queued + uncached / speed + PREFILL_FIXED_MS
-        return Choice(item, wait, uncached, queued)
+        fixed_ms, ms_per_token = self._speeds.prefill_line(item, now)
+        queued_ms = load.prefill_tokens * ms_per_token
+        prefill_ms = uncached * ms_per_token
+        wait = queued_ms + prefill_ms + fixed_ms
+        return Choice(item, wait, uncached, queued_ms, prefill_ms=prefill_ms)
 
     def _lowest_cost(
         self,
@@ -235,7 +243,7 @@
 
 
 def _shared_order(prompt: Prompt, engines: list[Upstream]) -> dict[str, float]:
-    """Return the cost of each engine for a shared part, in ms.
+    """Return the cost of each engine for a shared part, in prompt tokens.
 
     The cost is proportional to a rendezvous hash: it is the same on every instance, and
     an added or removed engine changes the cheapest engines of few parts only.
@@ -250,6 +258,6 @@
         for item in engines
     }
     return {
-        upstream_id: digest / 2**64 * MAX_SHARED_ORDER_MS
+        upstream_id: digest / 2**64 * MAX_SHARED_ORDER_TOKENS
         for upstream_id, digest in digests.items()
     }
--- a/packages/camphorgate/src/camphorgate/serving/prefill_queue.py
+++ b/packages/camphorgate/src/camphorgate/serving/prefill_queue.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
-# Prompts with more tokens to prefill than this wait for an engine with a short queue.
-MIN_LONG_PROMPT_TOKENS = 3000
+# Prompts that keep an engine busy for longer than this wait for one with a short queue:
+# 3,000 tokens at 55 per ms.
+MIN_LONG_PROMPT_MS = 3000 / 55
 # Maximum prefill time queued at an engine to which a long prompt is sent.
 MAX_ENGINE_QUEUE_MS = 60.0
 # Fraction of a prompt's waiting time by which the queue bound grows.
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -23,6 +23,18 @@
     usage_late_seconds: float = 10.0
 
 
+class SpeedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the speed of upstreams is known.
+
+    ``learn`` tells whether it is learned from responses and from peers; otherwise start
+    values apply to all upstreams. ``use_reported_load`` tells whether the load and the
+    momentary speed that upstreams report are used.
+    """
+
+    learn: bool = True
+    use_reported_load: bool = True
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -43,6 +55,7 @@
     seeds: tuple[str, ...] = ()
     budget: BudgetSettings = BudgetSettings()
     times: TimeSettings = TimeSettings()
+    speed: SpeedSettings = SpeedSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
--- a/tests/test_serving/test_placement.py
+++ b/tests/test_serving/test_placement.py
@@ -177,12 +177,12 @@
         short_prompt = Prompt(900, (("own", 900),))
         for prompt, allowed in ((PROMPT, False), (short_prompt, True)):
             choice = self.placement.choose_for_prefill(self.decode_engines, prompt, 1.0)
-            self.assertIs(self.placement.may_prefill_directly(choice, 1.0), allowed)
+            self.assertIs(self.placement.may_prefill_directly(choice), allowed)
         self.loads.begin_request("d0", 900)
         choice = self.placement.choose_for_prefill(
             self.decode_engines[:1], short_prompt, 1.0
         )
-        self.assertFalse(self.placement.may_prefill_directly(choice, 1.0))
+        self.assertFalse(self.placement.may_prefill_directly(choice))
 
     def test_calls_are_distributed_to_the_least_loaded(self):
         """Guards against a service whose first upstream receives all requests."""
--- a/tests/test_serving/test_placement_under_load.py
+++ b/tests/test_serving/test_placement_under_load.py
@@ -13,11 +13,10 @@
 from camphorgate.serving.catalog import Phase
 from camphorgate.serving.health import HealthTable
 from camphorgate.serving.loads import Load, LoadTable
-from camphorgate.serving.placement import (
-    PREFILL_FIXED_MS,
-    PREFILL_TOKENS_PER_MS,
-    Placement,
-    Prompt,
+from camphorgate.serving.placement import Placement, Prompt
+from camphorgate.serving.upstream_speed.table import (
+    START_PREFILL_FIXED_MS,
+    START_PREFILL_TOKENS_PER_MS,
 )
 from tests.hosting_builders import build_engine
 
@@ -54,7 +53,7 @@
         if len(self.parts) > MAX_CACHED_PARTS:
             del self.parts[next(iter(self.parts))]
         tokens = OWN_TOKENS + (0 if cached else SHARED_TOKENS)
-        ms = PREFILL_FIXED_MS + tokens / PREFILL_TOKENS_PER_MS
+        ms = START_PREFILL_FIXED_MS + tokens / START_PREFILL_TOKENS_PER_MS
         self.free_at = max(self.free_at, now) + ms / 1000
         return self.free_at, cached
 
