Learn factors relative to the level of their service

Cause: calls that wait behind prompts unknown to this instance made busy engines look slow; factors were learned with the wrong sign (0.7 as 1.1). Change: longer observations weigh 0.4, and the factor of an engine is relative to that of all engines, which are biased in the same way.

--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -58,8 +58,8 @@
 # The same for the prompts queued at an engine, and the range for an engine at which
 # none are known, in ms: about half a usual prompt. With figures 0.2 s old, 87 instances
 # otherwise send all prompts of that time to the engine that was idle (simulated at 134
-# prompts a second for 20 engines: 0.92 of them in time, 0.96 with this range).
-MIN_QUEUE_SPREAD_MS = 20.0
+# prompts a second for 20 engines: 0.92 of them in time, 0.97 with this range).
+MIN_QUEUE_SPREAD_MS = 30.0
 # The same where there are none, in requests; it decides between equal upstreams only.
 EQUAL_SPREAD = 0.01
 # Penalty for opening a new connection.
--- a/packages/camphorgate/src/camphorgate/serving/upstream_speed/speed_factor.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_speed/speed_factor.py
@@ -17,6 +17,9 @@
 # A single observation counts as if it deviated from the factor by at most this ratio,
 # as a momentary stop and a queue that is not known show as many times the duration.
 MAX_DEVIATION = 2.5
+# Weight of an observation above the known factor relative to one below it: prompts and
+# requests that this instance does not know of only make a response take longer.
+LONGER_WEIGHT = 0.4
 # The factor is computed again after this time, as it is read for every candidate of
 # every request.
 CACHE_SECONDS = 0.1
@@ -68,6 +71,8 @@
         """
         known = math.log(self.value(now))
         log = math.log(factor)
+        if log > known:
+            weight *= LONGER_WEIGHT
         log = min(known + _MAX_LOG_DEVIATION, max(known - _MAX_LOG_DEVIATION, log))
         kept = math.exp(-max(0.0, now - self._at) / DECAY_SECONDS)
         kept *= min(1.0, MAX_WEIGHT / max(MAX_WEIGHT, self._weight * kept + weight))
--- a/packages/camphorgate/src/camphorgate/serving/upstream_speed/table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_speed/table.py
@@ -181,6 +181,7 @@
         "_uses_reports",
         "_models",
         "_own_models",
+        "_levels",
         "_learned",
         "_changed",
     )
@@ -198,6 +199,9 @@
         # The same of the own observations alone. Only these are sent: models that
         # contain those of peers would confirm each other's first errors.
         self._own_models: dict[tuple[str, int], DurationModel] = {}
+        # Factor of all upstreams together. Those of the single ones are relative to it,
+        # as all of them prefer short durations in the same way.
+        self._levels: dict[tuple[str, int], SpeedFactor] = {}
         self._learned: dict[Incarnation, _Learned] = {}
         # Incarnations observed since their factor was last sent, oldest first.
         self._changed: dict[Incarnation, None] = {}
@@ -275,6 +279,9 @@
             model.record(units, ms, weight)
             self._own_model(upstream.service, kind).record(units, ms, weight)
         ratio = ms / model.predict_ms(units)
+        level = self._levels.setdefault((upstream.service, kind), SpeedFactor())
+        level.record(ratio, weight, now)
+        ratio /= level.value(now)
         learned.factor.record(ratio, weight, now)
         learned.own.record(ratio, weight, now)
         learned.observed_at = now
