--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -17,6 +17,7 @@
     "counters",
     "statistics",
     "store_calls",
+    "upstream_speed",
     "quarantine",
     "limits",
     "permit_grants",
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -32,6 +32,18 @@
     bound_calls: bool = True
 
 
+class SpeedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the speed of upstreams is known.
+
+    ``learn`` tells whether it is learned from responses and from peers; otherwise start
+    values apply to all upstreams. ``use_reported_load`` tells whether the load and the
+    momentary speed that upstreams report are used.
+    """
+
+    learn: bool = True
+    use_reported_load: bool = True
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -53,6 +65,7 @@
     budget: BudgetSettings = BudgetSettings()
     times: TimeSettings = TimeSettings()
     store: StoreSettings = StoreSettings()
+    speed: SpeedSettings = SpeedSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
