Treat invalid statuses and early unframed responses as failures

Cause: the parsers accepted any status. Hosted path: 600, 700 and 999 reached the caller, 000, 001 and 099 were skipped like interim responses until the timeout; older path: 600 and 999 closed the caller's connection without a response.

Change: a status outside 100 to 599, and 101, stops the parser of both paths, closes the connection and fails the attempt as sent (hosted cause invalid_head, which is no end of the upstream for the quarantine). A response without a length is complete only if the upstream's system has acknowledged the whole request.

--- a/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/ext/gateway/exchange.py
@@ -20,7 +20,8 @@
     UpstreamSilent,
     WrongRequestId,
 )
-from camphorgated.serving.http1 import BODILESS
+from camphorgated.serving.errors import InvalidStatus
+from camphorgated.serving.http1 import BODILESS, is_response_status
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -122,10 +123,15 @@
             self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
-        """Store the status; an interim (1xx) response is skipped."""
+        """Store the status; an interim (1xx) response is skipped.
+
+        :raises InvalidStatus: if it is no status of a response.
+        """
         if self.headers_complete:
             return
         status = self._parser.get_status_code()
+        if not is_response_status(status):
+            raise InvalidStatus(f"{status} is no status of a response")
         if status < 200:
             self._in_interim_response = True
             self.headers = []
--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -5,12 +5,15 @@
 
 import httptools
 
+from camphorgated.serving.errors import InvalidStatus
 from camphorgated.serving.http1 import (
     BODILESS,
     MAX_FRAMING_BYTES,
     Headers,
     find_header,
+    is_response_status,
     prepare_socket,
+    unacknowledged_bytes,
 )
 
 # An unacknowledged write closes the connection after this time; the round trip within
@@ -43,6 +46,7 @@
         "must_close",
         "received",
         "bounds_exceeded",
+        "head_invalid",
         "_framing_bytes",
         "_parser",
         "_pieces",
@@ -74,6 +78,8 @@
         self.received = 0
         # Set once the server exceeds the bounds on head or framing bytes.
         self.bounds_exceeded = False
+        # Set once the server sends something else than the head of a response.
+        self.head_invalid = False
         self._framing_bytes = 0
         self._head_only = method == "HEAD"
         self._pieces: deque[bytes] = deque()
@@ -112,6 +118,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self.complete:
                 self.reset = True
+            self.head_invalid = not self.head_done
             self.must_close = True
             self.transport.abort()
         if self._piece_bytes > READ_AHEAD_BYTES and not self._paused:
@@ -137,9 +144,13 @@
             self.transport.abort()
 
     def eof_received(self) -> bool:
-        """Complete a response that is delimited by the end of the connection."""
+        """Complete a response that is delimited by the end of the connection.
+
+        It is truncated if the server has not received the whole request: one that
+        fails during an upload may have sent the beginning of a response.
+        """
         if self.head_done and not self.framed and not self.must_close:
-            self.complete = True
+            self.complete = not unacknowledged_bytes(self.transport)
         self.must_close = True
         self._wake()
         return False
@@ -164,10 +175,15 @@
             self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
-        """Store the status; interim responses are skipped."""
+        """Store the status; interim responses are skipped.
+
+        :raises InvalidStatus: if it is no status of a response.
+        """
         if self.head_done:
             return
         status = self._parser.get_status_code()
+        if not is_response_status(status):
+            raise InvalidStatus(f"{status} is no status of a response")
         if status < 200:
             self.headers = []
             return
--- a/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
@@ -30,6 +30,12 @@
         self.status = status
 
 
+class InvalidStatus(CamphorgateError):
+    """A server sent a status that no response has."""
+
+    code = "invalid_status"
+
+
 class CallFailed(CamphorgateError):
     """A call to an external system got no usable response.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -28,6 +28,9 @@
 # The same on a connection that carried requests before; its upstream may also have
 # closed it for being idle.
 STALE = "stale"
+# Cause of an attempt that got something else than a response, such as status 000. The
+# upstream has not ended, and the request may have run.
+INVALID_HEAD = "invalid_head"
 # Cause of an attempt whose response could not be buffered beside those of others.
 BUFFERS_FULL = "buffers_full"
 # Causes that show that the upstream may have ended.
@@ -255,6 +258,8 @@
         connection = self._lease.connection
         if connection.bounds_exceeded:
             return "endless"
+        if connection.head_invalid:
+            return INVALID_HEAD
         return STALE if self._lease.reused and not connection.received else CUT
 
     @property
--- a/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/http1.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 # TCP keep-alive: idle time before the first probe, and the interval between probes.
 PROBE_SECONDS = 1
@@ -30,10 +33,21 @@
 )
 # Statuses of responses without a body.
 BODILESS = frozenset({204, 304})
+MIN_STATUS, MAX_STATUS = 100, 599
+SWITCHING_PROTOCOLS = 101
 
 Headers = list[tuple[bytes, bytes]]
 
 
+def is_response_status(status: int) -> bool:
+    """Return whether a status may begin a response, interim or final.
+
+    Upstreams in trouble have sent statuses such as 000. No request asks for another
+    protocol, so that bytes after 101 would be no HTTP.
+    """
+    return MIN_STATUS <= status <= MAX_STATUS and status != SWITCHING_PROTOCOLS
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header with a lower-case name."""
     for key, value in headers:
@@ -54,6 +68,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
 
 
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return how many written bytes the peer's system has not acknowledged."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    return transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
+
+
 def encode_head(start: bytes, headers: Headers) -> bytes:
     """Return the encoded head of a request or response.
 
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -14,6 +14,10 @@
 SLOW_PAUSE_SECONDS = 1.5
 # Delay of a response head that uses up most of a deadline.
 LATE_HEAD_SECONDS = 0.9
+# How long a connection stays half closed; longer than any deadline of these tests.
+HALF_CLOSED_SECONDS = 3.0
+# Behaviours that begin before the body of the request has been read.
+_EARLY = {"refuse_early", "respond_early"}
 # SO_LINGER with a timeout of zero: closing the socket resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -22,8 +26,8 @@
     """Handles each request with the next behaviour of a script shared by all workers.
 
     A behaviour ``x`` is implemented by the method ``act_x`` of
-    :class:`ScriptedRequest`. ``runs`` lists the executed requests: worker id, attempt
-    id and received headers.
+    :class:`ScriptedRequest`; ``x:1:2`` passes the arguments ``1`` and ``2``. ``runs``
+    lists the executed requests: worker id, attempt id and received headers.
     """
 
     def __init__(self, worker_id: str, script: list[str], engine: bool = False) -> None:
@@ -81,11 +85,12 @@
             if name:
                 headers[name.lower()] = value.strip()
         behaviour = self.script.pop(0) if self.script else "respond"
-        request = ScriptedRequest(self, writer, headers)
+        name, *arguments = behaviour.split(":")
+        request = ScriptedRequest(self, reader, writer, headers)
         self.arrivals.append((self.id, request.attempt))
-        if behaviour != "refuse_early":
+        if name not in _EARLY:
             await reader.readexactly(int(headers.get("content-length", "0")))
-        keep_alive = await getattr(request, f"act_{behaviour}")()
+        keep_alive = await getattr(request, f"act_{name}")(*arguments)
         self.last_attempt = request.attempt
         return bool(keep_alive)
 
@@ -93,9 +98,10 @@
 class ScriptedRequest:
     """One request at a scripted worker."""
 
-    def __init__(self, worker: ScriptedWorker, writer, headers: dict) -> None:
+    def __init__(self, worker: ScriptedWorker, reader, writer, headers: dict) -> None:
         """Wrap a request whose head has been read."""
         self.worker = worker
+        self.reader = reader
         self.writer = writer
         self.headers = headers
         self.attempt = headers.get("x-attempt-id", "")
@@ -115,7 +121,7 @@
         first = int(self.headers.get("last-event-id", "0")) + 1
         return [build_event(self.attempt, n) for n in range(first, EVENTS + 1)]
 
-    def build_head(self, status: int, *lines: str, stamped: bool = True) -> bytes:
+    def build_head(self, status: int | str, *lines: str, stamped: bool = True) -> bytes:
         """Return the head of a response."""
         rows = [f"HTTP/1.1 {status} Said", f"X-Attempt-Id: {self.attempt}", *lines]
         if stamped:
@@ -202,6 +208,44 @@
         head = self.build_head(503, "X-Not-Executed: 1", "Content-Length: 0")
         await self.send(head)
 
+    async def act_respond_early(self, read_bytes, pause_seconds, ending):
+        """Send part of a response without a length before the body has been read.
+
+        :param read_bytes: how much of the request's body is read before.
+        :param pause_seconds: pause between the response and its end.
+        :param ending: ``reset``, ``close``, or ``half_close`` for an orderly end after
+            which the rest of the request stays unread.
+        """
+        self.record_run()
+        await self.reader.readexactly(int(read_bytes))
+        body = self.build_events()[0] if self.worker.engine else self.build_body()[:8]
+        await self.send(self.build_head(200) + body)
+        if float(pause_seconds):
+            await asyncio.sleep(float(pause_seconds))
+        if ending == "reset":
+            self.reset()
+        elif ending == "half_close":
+            self.writer.write_eof()
+            await asyncio.sleep(HALF_CLOSED_SECONDS)
+
+    async def act_send_status(self, status):
+        """Execute, send a response with any status, then keep the connection open.
+
+        :param status: text of the status, which need not be a valid one.
+        """
+        self.record_run()
+        body = self.build_body()
+        head = self.build_head(status, f"Content-Length: {len(body)}")
+        await self.send(head + body)
+        return True
+
+    async def act_send_status_before_response(self, status):
+        """Execute, send a head with any status and no body, then a normal response."""
+        self.record_run()
+        await self.send(self.build_head(status))
+        await self.send_response()
+        return True
+
     async def act_refuse_as_other_instance(self):
         """Refuse because the request expects another instance."""
         await self.send(self.build_head(421, "X-Not-Executed: 1", "Content-Length: 0"))
@@ -453,6 +497,9 @@
     "run_after_unnamed_refusal",
     "respond_with_text",
     "respond_with_second_head",
+    "respond_early",
+    "send_status",
+    "send_status_before_response",
 }
 BEHAVIOURS = tuple(
     sorted(
--- a/tests/test_gateway/test_services.py
+++ b/tests/test_gateway/test_services.py
@@ -1,6 +1,8 @@
 """Service calls under failure run at most once and get their own whole response."""
 
 import asyncio
+import socket
+import struct
 
 from camphorgate.manifest import Pool
 from tests.builders import build_upstream
@@ -114,6 +116,9 @@
         await super().asyncSetUp()
         self.replies = []
         self.connections = []
+        # Bytes of a body that are read before the reply, and how the connection ends
+        # after it; by default it stays open.
+        self.read_bytes, self.ending = 0, None
         # The connection of each request; load polls use other connections.
         self.request_connections = []
         self.raw = await asyncio.start_server(self._reply, "127.0.0.1", 0)
@@ -138,13 +143,28 @@
                     continue
                 self.request_connections.append(writer)
                 reply = self.replies.pop(0)
+                await reader.readexactly(self.read_bytes)
                 writer.write(reply or b"")
+                if self.ending is not None:
+                    await self._end(writer)
+                    break
                 if reply is None or reply.endswith(b"CUT"):
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         writer.close()
 
+    async def _end(self, writer):
+        await writer.drain()
+        if self.ending == "reset":
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        elif self.ending == "half_close":
+            writer.write_eof()
+            await asyncio.sleep(0.5)
+
     async def test_cut_responses_are_never_whole(self):
         """Guards against a cut response that is forwarded as a complete one."""
         long = b"x" * 70000
@@ -171,6 +191,40 @@
                     self.assertEqual(response.status, expected)
                     self.assertEqual(response.error, ("outcome_unknown", "unknown"))
 
+    async def test_invalid_statuses_are_never_passed_on(self):
+        """Guards against the status of an upstream in trouble as a response."""
+        rest = b"content-length: 2\r\n\r\nok"
+        whole = b"HTTP/1.1 200 OK\r\n" + rest
+        statuses = (b"000", b"099", b"600", b"999", b"2", b"2000", b"101")
+        for status in statuses:
+            for reply in (rest, b"\r\n" + whole):
+                with self.subTest(status=status, reply=reply):
+                    self.reset_health()
+                    line = b"HTTP/1.1 %b Said\r\n" % status
+                    self.replies = [line + reply]
+                    response = await self.call("POST", "/booking/x")
+                    self.assertEqual(response.status, 502)
+                    self.assertEqual(response.error, ("outcome_unknown", "unknown"))
+                    connection = self.request_connections[-1]
+                    await self.wait_until(connection.transport.is_closing)
+        self.reset_health()
+        self.replies = [b"HTTP/1.1 600 Said\r\n" + rest, whole]
+        self.assertEqual((await self.call("GET", "/booking/x")).body, b"ok")
+
+    async def test_partial_response_to_an_upload_is_not_a_success(self):
+        """Guards against a partial body that a caller receives as a complete one."""
+        body = b"x" * 4_000_000
+        head = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
+        for ending in ("reset", "close", "half_close"):
+            for read_bytes in (0, 100_000):
+                with self.subTest(ending=ending, read_bytes=read_bytes):
+                    self.reset_health()
+                    self.ending, self.read_bytes = ending, read_bytes
+                    self.replies = [head + b"a part"]
+                    response = await self.call("POST", "/booking/x", body=body)
+                    self.assertEqual(response.status, 502)
+                    self.assertEqual(response.error, ("outcome_unknown", "unknown"))
+
     async def test_late_bytes_reach_no_other_request(self):
         """Guards against surplus bytes that the next request would read."""
         whole = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n"
