--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -61,7 +61,7 @@
             await asyncio.sleep(self._fleet.random.uniform(*CRASH_SECONDS))
             self._fleet.end(self)
             return False
-        request = ScriptedRequest(self, writer, headers)
+        request = ScriptedRequest(self, reader, writer, headers)
         await asyncio.sleep(ANSWER_SECONDS)
         await request.act_respond()
         return True
--- a/tests/limited_workers.py
+++ b/tests/limited_workers.py
@@ -47,7 +47,7 @@
                 headers[name.lower()] = value.strip()
         await reader.readexactly(int(headers.get("content-length", "0")))
         self.requests.append((time.monotonic(), start))
-        request = ScriptedRequest(self, writer, headers)
+        request = ScriptedRequest(self, reader, writer, headers)
         request.record_run()
         await asyncio.sleep(self.answer_seconds)
         if headers.get("x-phase") == "prefill":
