Count refused prefill calls against the retry budget

Cause: the users count each arrival of a request beyond its first. A refused first prefill call took nothing from the budget and left retry_granted true, so that the answer after it was free as well. Also, survivors of killed instances used the slack that those had used, new instances divided the slack by the seeds, and shares below 1 were rounded to 0.

Change: SendAttempts knows the sends of both phases, what each takes is in its docstring, and a send without a grant raises. Grants that a request does not use go back. Refused callers return spread over 2 s.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -54,6 +54,14 @@
         upstreams = self._upstreams
         attempts = SendAttempts(context.route.repeatable(), context.route.attempts)
         upstreams.budget(context.service).record_request(clock.monotonic())
+        try:
+            await self._run(context, attempts)
+        finally:
+            upstreams.return_unused(context.service, attempts)
+
+    async def _run(self, context: RequestContext, attempts: SendAttempts) -> None:
+        clock = self._app.clock
+        upstreams = self._upstreams
         tried: set[str] = set()
         carried: set[ClientConnection] = set()
         unsent = 0
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -47,7 +47,7 @@
 MAX_WAIT_FOR_ENGINES_MS = 3000.0
 # Refusals by engines that should import a handle, after which it counts as lost.
 MAX_HANDLE_REFUSALS = 2
-# Prefill calls per request; those after the first count against the retry budget.
+# Prefill calls per request; what they take from the retry budget is in send_attempts.
 MAX_PREFILL_CALLS = 4
 
 
@@ -88,6 +88,7 @@
             await self._run(generation, service.engine)
         finally:
             self._leave_queue(generation)
+            self._upstreams.return_unused(context.service, generation.attempts)
             if generation.handle is not None:
                 self._release(generation.handle)
 
@@ -262,7 +263,7 @@
         sooner = direct.wait_ms <= reader.wait_ms + DIRECT_MS
         if allowed and (sooner or generation.reads):
             return None, direct
-        if generation.reads and not self._upstreams.take_repeat(service):
+        if not self._upstreams.cover_send(service, generation.attempts, prefill=True):
             return None, direct
         return reader, None
 
@@ -284,6 +285,7 @@
                         self._max_connections(context), False, generation.carried
                     )
                     sent_at = clock.monotonic()
+                    generation.attempts.record_prefill()
                     self._send(generation, exchange, phase=Phase.PREFILL)
                     facts = await exchange.read_head(
                         context.facts.attempt,
@@ -320,6 +322,7 @@
             return
         health.record_success(clock.monotonic())
         loads.record_cached_parts(engine.id, generation.prompt.parts, clock.monotonic())
+        generation.attempts.record_prefill_read()
         generation.handle = Handle(engine, result.handle)
 
     async def _answer(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -34,6 +34,11 @@
 # to another instance at once.
 STOPPING = "stopping"
 STOPPING_RETRY_SECONDS = 0.1
+# Refusal reason if the retry budget does not cover the next send. Many requests fail
+# together then; their callers return spread over this time, as long as the longest
+# retry-after of other refusals, so that they are no second crowd.
+BUDGET = "budget"
+BUDGET_RETURN_SECONDS = 2.0
 # Retry-after jitter, as a fraction of the remaining pause, added after its end.
 RETRY_AFTER_JITTER = 0.25
 # Minimum connections to an upstream, independent of the number of instances.
@@ -59,6 +64,7 @@
         "_limits",
         "_permits",
         "_budgets_by_service",
+        "_started_at",
         "_resuming_by_service",
         "_counts",
         "_random",
@@ -94,6 +100,7 @@
             self._permits.wait_seconds,
         )
         self._budgets_by_service: dict[str, RetryBudgetShare] = {}
+        self._started_at = app.clock.monotonic()
 
     async def start(self) -> None:
         """Start the periodic removal of expired idle connections."""
@@ -295,6 +302,8 @@
         that wait for the end of the first one have resumed, plus jitter, so that
         callers do not retry simultaneously.
 
+        If the retry budget is used up, the returns are spread evenly.
+
         If limits prevent it, the instances that grant permits give each refused caller
         a time of its own.
 
@@ -305,6 +314,8 @@
             return self.limited.return_seconds(context.service)
         if reason == STOPPING:
             return STOPPING_RETRY_SECONDS
+        if reason == BUDGET:
+            return otherwise + self._random.uniform(0.0, BUDGET_RETURN_SECONDS)
         seconds = self._resume_seconds(context.service)
         if reason != PAUSED or seconds is None:
             return otherwise
@@ -323,15 +334,40 @@
         if budget is None:
             settings = self._app.settings.budget
             budget = RetryBudgetShare(
-                settings.ratio, settings.slack, settings.window_seconds
+                settings.ratio,
+                settings.slack,
+                settings.window_seconds,
+                self._started_at,
+                self._random.random(),
             )
             self._budgets_by_service[service] = budget
         return budget
 
-    def take_repeat(self, service: str) -> bool:
-        """Take one retry from the budget of a service."""
+    def cover_send(
+        self, service: str, attempts: SendAttempts, prefill: bool = False
+    ) -> bool:
+        """Take from the budget of a service what the next send of a request needs.
+
+        :param prefill: whether the next send is a prefill call.
+        :returns: whether the next send is covered.
+        """
+        needed = attempts.grants_needed(prefill)
+        if not needed:
+            return True
         now = self._app.clock.monotonic()
-        return self.budget(service).try_reserve(now, self._gossip.instance_count())
+        # Without seeds, there are no other instances to count.
+        members = self._app.service("members")
+        counted = bool(members.by_instance()) or not self._app.settings.seeds
+        instances = self._gossip.instance_count()
+        if not self.budget(service).try_reserve(now, instances, needed, counted):
+            return False
+        attempts.add_grants(needed, now)
+        return True
+
+    def return_unused(self, service: str, attempts: SendAttempts) -> None:
+        """Return what a request that has ended took from the budget and did not use."""
+        for reserved_at in attempts.take_unused_grants():
+            self.budget(service).release(reserved_at)
 
     def refusal_reason(
         self,
@@ -342,7 +378,7 @@
     ) -> str | None:
         """Return why a request may not be sent or retried, ``None`` if it may.
 
-        Takes from the budget for a retry that was not granted yet.
+        Takes from the budget for a send that is not covered yet.
 
         :param unsent: attempts that failed before any byte was sent.
         :param max_unsent: bound on ``unsent``.
@@ -356,9 +392,8 @@
             return "attempts"
         if unsent >= max_unsent:
             return "no_connection"
-        if not attempts.retry_granted and not self.take_repeat(context.service):
-            return "budget"
-        attempts.retry_granted = True
+        if not self.cover_send(context.service, attempts):
+            return BUDGET
         return None
 
     @contextlib.contextmanager
@@ -434,6 +469,10 @@
             "connections_opened": self.pool.opened,
             **self._counts,
             "paused": len(self.pauses),
+            "retry_budget": {
+                service: budget.dump(self._app.clock.monotonic())
+                for service, budget in self._budgets_by_service.items()
+            },
             "own_loads": {
                 upstream_id: msgspec.structs.asdict(load)
                 for upstream_id, load in self.loads.own_by_id.items()
--- a/tests/test_serving/test_decisions.py
+++ b/tests/test_serving/test_decisions.py
@@ -30,6 +30,7 @@
             if not attempts.may_send():
                 break
             if stage is not Stage.NOT_SENT:
+                attempts.add_grants(attempts.grants_needed(), 0.0)
                 attempts.record_send()
             attempts.record_failure(stage)
             possible_executions += stage is Stage.SENT
@@ -43,6 +44,57 @@
         attempts.record_send()
         self.assertFalse(attempts.retry_granted)
 
+    def test_sending_without_a_grant_is_an_error(self):
+        """Guards against code that sends past the retry budget."""
+        attempts = SendAttempts(True, 3)
+        attempts.record_prefill()
+        for send in (attempts.record_send, attempts.record_prefill):
+            with self.assertRaises(ValueError):
+                send()
+
+    def test_refused_first_prefill_is_a_send(self):
+        """Guards against an answer that is sent free after a refused prefill call."""
+        attempts = SendAttempts(True, 3)
+        attempts.record_prefill()
+        self.assertFalse(attempts.retry_granted)
+        self.assertEqual(attempts.grants_needed(), 1)
+        self.assertEqual(attempts.grants_needed(prefill=True), 2)
+
+    def test_first_prefill_that_had_the_prompt_read_is_free(self):
+        """Guards against a budget that two phases without any failure use up."""
+        attempts = SendAttempts(True, 3)
+        attempts.record_prefill()
+        attempts.record_prefill_read()
+        self.assertEqual(attempts.grants_needed(), 0)
+        attempts.record_send()
+        # The engine refused, and the handle is lost.
+        attempts.record_failure(Stage.REFUSED)
+        self.assertEqual(attempts.grants_needed(prefill=True), 2)
+
+    @given(st.lists(st.tuples(st.booleans(), st.booleans()), max_size=12))
+    def test_grants_are_the_arrivals_that_the_users_count(self, sends):
+        """Guards against arrivals that take nothing from the budget.
+
+        Each send is a prefill call or not, and succeeds or is refused.
+        """
+        attempts = SendAttempts(True, 20)
+        granted = 0
+        for is_prefill, succeeds in sends:
+            needed = attempts.grants_needed(is_prefill)
+            attempts.add_grants(needed, 0.0)
+            granted += needed
+            if is_prefill:
+                attempts.record_prefill()
+                if succeeds:
+                    attempts.record_prefill_read()
+            else:
+                attempts.record_send()
+                if not succeeds:
+                    attempts.record_failure(Stage.REFUSED)
+        granted -= len(attempts.take_unused_grants())
+        arrivals = len(sends) - (sends[:1] == [(True, True)])
+        self.assertEqual(granted, max(0, arrivals - 1))
+
     def test_sending_without_permission_is_an_error(self):
         """Guards against code that sends without calling ``may_send`` first."""
         attempts = SendAttempts(False, 3)
@@ -76,6 +128,26 @@
             requests_in_window = sum(1 for at in requests if end - window < at <= end)
             self.assertLessEqual(retries_in_window, ratio * requests_in_window + slack)
 
+    def test_released_retry_is_available_again(self):
+        """Guards against a budget that requests use up without sending."""
+        budget = RetryBudgetShare(0.2, 10.0, 10.0)
+        while budget.try_reserve(1.0, 1):
+            pass
+        budget.release(1.0)
+        self.assertTrue(budget.try_reserve(2.0, 1))
+        self.assertFalse(budget.try_reserve(2.0, 1))
+
+    def test_two_retries_are_reserved_together_or_not_at_all(self):
+        """Guards against a prefill call whose answer the budget does not cover."""
+        budget = RetryBudgetShare(0.2, 10.0, 10.0)
+        self.assertTrue(budget.try_reserve(1.0, 1))
+        while budget.try_reserve(1.0, 1, 2):
+            pass
+        granted = 0
+        while budget.try_reserve(1.0, 1):
+            granted += 1
+        self.assertLessEqual(granted, 1)
+
 
 class HealthTests(unittest.TestCase):
     """Upstreams that fail are avoided for a time that grows and ends."""
