Count failures of upstreams over the instances of a zone

Cause: an upstream that answers errors while its health check passes is known only to the instances that it failed.

Change: instances exchange counts of outcomes of the last one to two seconds for upstreams at which any of them saw a failure; placement uses the rate that follows.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -197,7 +197,7 @@
             )
         attempts.record_execution()
         if facts.status >= 500:
-            health.record_error_response()
+            health.record_error_response(clock.monotonic())
             self._statistics.try_failed(
                 context, upstream, f"failed_{facts.status}", Stage.SENT
             )
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -460,7 +460,7 @@
         """Forward an engine's error response unless the request may be retried."""
         context, facts = generation.context, exchange.facts
         health = self._upstreams.health.of(engine.incarnation)
-        health.record_error_response()
+        health.record_error_response(self._app.clock.monotonic())
         body = await exchange.read_body(self._wait(context))
         self._streaming.count(generation)
         self._statistics.try_failed(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -356,6 +356,7 @@
             changing=list(self._changing),
             failing=self.health.failing(now)[:MAX_FAILING_UPSTREAMS],
             grants_permits=self.grants_permits,
+            outcomes=self.health.outcome_counts(now),
         )
 
     def _receive(self, data: bytes) -> None:
@@ -403,6 +404,7 @@
         for incarnation in message.failing:
             self.health.of(incarnation).record_suspicion(now)
         if message.zone == self._members.own.zone:
+            self.health.peer_outcomes.receive(message.instance, message.outcomes, now)
             selection = self._directory.watches.watcher_selection
             selection.receive_state(
                 message.instance, message.watching, message.sound, now
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -5,6 +5,7 @@
 from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.catalog_encoding import EncodedCatalog
 from camphorgate.serving.loads import Load
+from camphorgate.serving.outcomes import OutcomeCount
 from camphorgate.serving.quarantine import Block, Evidence
 from camphorgate.serving.upstream_limits import LimitWord
 from camphorgate.serving.upstream_speed import SpeedNews
@@ -33,7 +34,7 @@
     the sender just now. ``grants_permits`` tells whether it grants permits for
     upstreams with a limit: it has run long enough to know its peers, and is not
     shutting down. ``speeds`` is what it has learned of speeds lately, for peers of its
-    zone.
+    zone. ``outcomes`` are its counts of the upstreams that fail requests.
     """
 
     instance: str
@@ -55,6 +56,7 @@
     failing: list[tuple[str, int]] = []
     grants_permits: bool = False
     speeds: SpeedNews | None = None
+    outcomes: list[OutcomeCount] = []
 
 
 class PrefillNotice(msgspec.Struct, tag="r"):
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -281,7 +281,8 @@
             choice = predict(item)
             health = self._health.of(item.incarnation)
             cost = choice.wait_ms + extra_cost(choice)
-            cost += health.failure_rate * FAILING_PENALTY_MS
+            failure_rate = self._health.failure_rate(item.incarnation, now)
+            cost += failure_rate * FAILING_PENALTY_MS
             cost += self._permit_wait_seconds(item) * 1000
             if item.zone != self._zone:
                 cost += OTHER_ZONE_PENALTY_MS
