--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -91,7 +91,8 @@
     ``uncached`` the number of prompt tokens to prefill, ``prefill_ms`` the engine's
     time for these tokens, and ``queued_ms`` its time for the prompts already queued
     there. ``avoid_until`` is in the future if this upstream, and thus every other
-    candidate, should be avoided until then.
+    candidate, should be avoided until then. ``requests`` are known to be in progress
+    at the engine.
     """
 
     upstream: Upstream
@@ -100,6 +101,7 @@
     queued_ms: float = 0.0
     avoid_until: float = 0.0
     prefill_ms: float = 0.0
+    requests: float = 0.0
 
 
 class Placement:
@@ -160,28 +162,26 @@
         max_cached = max(cached.values(), default=0)
         service = engines[0].service if engines else ""
         usual_ms_per_token = 1.0 / self._speeds.prefill_tokens_per_ms(service)
+        spreads = self._speeds.learns and self._loads.has_sources
+        uniform = self._random.uniform
 
         def cost(choice: Choice) -> float:
             repeated = max_cached - cached[choice.upstream.id]
             tokens = repeated * REPEATED_PREFILL_WEIGHT
             tokens += order.get(choice.upstream.id, 0.0)
-            return tokens * usual_ms_per_token + self._spread_ms(choice, now)
+            extra = tokens * usual_ms_per_token
+            if not spreads:
+                return extra
+            spread = MIN_QUEUE_SPREAD_MS
+            if choice.requests > 0:
+                spread += LOAD_SPREAD * choice.queued_ms / math.sqrt(choice.requests)
+            return extra + uniform(-spread, spread)
 
         def predict(item: Upstream) -> Choice:
             return self._predict_prefill(item, prompt, cached[item.id], now)
 
         return self._lowest_cost(engines, now, predict, cost)
 
-    def _spread_ms(self, choice: Choice, now: float) -> float:
-        """Return a random difference in the queue of an engine, see LOAD_SPREAD."""
-        if not self._speeds.learns or not self._loads.has_sources:
-            return 0.0
-        total = self._loads.total(choice.upstream.id, now)
-        others = max(0.0, total.requests - self._loads.own_requests(choice.upstream.id))
-        mean_ms = choice.queued_ms / max(1.0, total.requests)
-        spread = MIN_QUEUE_SPREAD_MS + LOAD_SPREAD * math.sqrt(others) * mean_ms
-        return self._random.uniform(-spread, spread)
-
     def choose_for_decode(
         self,
         engines: list[Upstream],
@@ -204,9 +204,11 @@
             moved = max(0, prompt.tokens - cached)
             bits = moved * spec.bytes_per_token * 8
             wait = bits / (spec.link_mbps * 1000)
-            wait += load.requests * self._speeds.step_ms(item, load.requests, now)
-            _, ms_per_token = self._speeds.prefill_line(item, now)
-            wait += load.prefill_tokens * ms_per_token
+            if load.requests:
+                wait += load.requests * self._speeds.step_ms(item, load.requests, now)
+            if load.prefill_tokens:
+                _, ms_per_token = self._speeds.prefill_line(item, now)
+                wait += load.prefill_tokens * ms_per_token
             if item.zone != reader.zone:
                 wait += OTHER_ZONE_TRANSFER_MS
             if item.cheap:
@@ -265,7 +267,7 @@
         queued_ms = load.prefill_tokens * ms_per_token
         prefill_ms = uncached * ms_per_token
         wait = queued_ms + prefill_ms + fixed_ms
-        return Choice(item, wait, uncached, queued_ms, prefill_ms=prefill_ms)
+        return Choice(item, wait, uncached, queued_ms, 0.0, prefill_ms, load.requests)
 
     def _lowest_cost(
         self,
@@ -279,13 +281,14 @@
         avoid_until = 0.0
         for item in upstreams:
             choice = predict(item)
-            health = self._health.of(item.incarnation)
+            incarnation = item.incarnation
+            health = self._health.of(incarnation)
             cost = choice.wait_ms + extra_cost(choice)
             cost += health.failure_rate * FAILING_PENALTY_MS
             cost += self._permit_wait_seconds(item) * 1000
             if item.zone != self._zone:
                 cost += OTHER_ZONE_PENALTY_MS
-            if not self._connected(item.incarnation):
+            if not self._connected(incarnation):
                 cost += NEW_CONNECTION_MS
             if health.avoided(now):
                 # Among avoided upstreams, prefer the one that may be tried first.
--- a/packages/camphorgate/src/camphorgate/serving/upstream_speed/speed_factor.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_speed/speed_factor.py
@@ -20,8 +20,7 @@
 # Weight of an observation above the known factor relative to one below it: prompts and
 # requests that this instance does not know of only make a response take longer.
 LONGER_WEIGHT = 0.4
-# The factor is computed again after this time, as it is read for every candidate of
-# every request.
+# The factor is computed again after this time.
 CACHE_SECONDS = 0.1
 
 _MIN_LOG, _MAX_LOG = math.log(MIN_FACTOR), math.log(MAX_FACTOR)
--- a/packages/camphorgate/src/camphorgate/serving/upstream_speed/table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_speed/table.py
@@ -33,6 +33,9 @@
 # The model of the service uses calls with less than this only: the number of queued
 # tokens is a guess, and errors of it make the tokens seem to take less time.
 MAX_FITTED_QUEUE_RATIO = 0.1
+# The factor of an upstream is computed again after this time, as it is read for every
+# candidate of every request.
+FACTOR_CACHE_SECONDS = 0.03
 # Interval at which an upstream's factor is sent to peers.
 NEWS_SECONDS = 1.0
 # Bounds on the entries of a message; an entry of a factor has about 25 bytes.
@@ -156,7 +159,7 @@
 class _Learned:
     """What is known of one incarnation."""
 
-    __slots__ = ("factor", "own", "momentary", "observed_at", "sent_at")
+    __slots__ = ("factor", "own", "momentary", "sent_at", "product", "read_at")
 
     def __init__(self) -> None:
         self.factor = SpeedFactor()
@@ -164,8 +167,10 @@
         # its own figures again from a peer.
         self.own = SpeedFactor()
         self.momentary = MomentaryFactor()
-        self.observed_at = float("-inf")
         self.sent_at = float("-inf")
+        # Product of the learned and the momentary factor, and when it was computed.
+        self.product = 1.0
+        self.read_at = float("-inf")
 
 
 class SpeedTable:
@@ -284,7 +289,6 @@
         ratio /= level.value(now)
         learned.factor.record(ratio, weight, now)
         learned.own.record(ratio, weight, now)
-        learned.observed_at = now
         self._changed[upstream.incarnation] = None
 
     def record_told_factor(self, upstream: Upstream, factor: float, now: float) -> None:
@@ -304,10 +308,13 @@
 
     def factor(self, upstream: Upstream, now: float) -> float:
         """Return the duration of work at an upstream relative to its service."""
-        learned = self._learned.get(upstream.incarnation)
+        learned = self._learned.get((upstream.id, upstream.started_at))
         if learned is None:
             return 1.0
-        return learned.factor.value(now) * learned.momentary.value(now)
+        if not 0.0 <= now - learned.read_at < FACTOR_CACHE_SECONDS:
+            learned.read_at = now
+            learned.product = learned.factor.value(now) * learned.momentary.value(now)
+        return learned.product
 
     def learned_factor(self, upstream: Upstream, now: float) -> float:
         """Return the learned part of :meth:`factor`."""
