--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -57,7 +57,7 @@
 LOAD_SPREAD = 1.0
 # The same for the prompts queued at an engine, which change more slowly as they are
 # announced, in multiples of the root.
-QUEUE_SPREAD = 0.5
+QUEUE_SPREAD = 0.6
 # The range for an engine at which no prompts are known, in ms: about half a usual one.
 # With figures 0.2 s old, 87 instances otherwise send all prompts of that time to the
 # engine that was idle (simulated at 134 prompts a second for 20 engines: 0.92 of them
--- a/tests/test_serving/test_upstream_speed.py
+++ b/tests/test_serving/test_upstream_speed.py
@@ -11,6 +11,7 @@
 from camphorgate.serving.upstream_speed.table import MAX_NEWS_FACTORS
 from camphorgated.serving.gossip import encode_datagram
 from camphorgated.serving.messages import State
+from tests.hosted import HostedCase
 from tests.hosting_builders import build_engine, build_listed_upstream
 
 # The engines of customer B: 157 prompt tokens per ms, 26 ms fixed, and these factors.
@@ -250,3 +251,27 @@
             speeds=news,
         )
         self.assertLess(len(encode_datagram(state)), MAX_DATAGRAM_BYTES)
+
+
+class SharedSpeedTests(HostedCase):
+    """Daemons learn from responses and send what they learned."""
+
+    async def test_peer_of_the_zone_learns_without_requests(self):
+        """Guards against an instance without traffic that knows no engine."""
+        self.configure()
+        await self.add_worker("p0", "models", phase="prefill")
+        await self.add_worker("d0", "models", phase="decode")
+        first = await self.start_ready()
+        second = await self.start_ready(
+            instance_id="entry-2", seeds=(first.settings.gossip_address,)
+        )
+        await self.wait_for_peers([first, second])
+        table = second.service("speeds").table
+        upstreams = first.service("directory").table.by_id.values()
+        prefill = next(item for item in upstreams if item.phase is Phase.PREFILL)
+        own = first.service("speeds").table
+        for _ in range(20):
+            own.record_prefill(prefill, 5000, 0, 0.3, first.clock.monotonic())
+        now = second.clock.monotonic
+        await self.eventually(lambda: table.prefill_ms(prefill, 5000, now()) > 200)
+        self.assertIn("upstream_speed", second.dump())
