Keep the frozen figures of usage windows over a restore of the store

Cause: after the store came back from an older copy, a later holder froze a window anew and reported it with other figures. A later holder writes and reports the same figures; a window that was due before the restore was noticed and whose figures nobody has is not reported.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -24,6 +24,7 @@
     "upstreams",
     "calls",
     "generations",
+    "frozen_figures",
     "usage_duty",
     "fleet_duty",
     "front",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -14,6 +14,7 @@
 from camphorgate.foreign_data import DECODE_ERRORS
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Upstream
+from camphorgate.serving.frozen_figures import FrozenPart
 from camphorgate.serving.health import HealthTable
 from camphorgate.serving.loads import LoadTable
 from camphorgate.serving.synchronized_clock import SynchronizedClock
@@ -73,6 +74,7 @@
     | CatalogPart
     | QuarantineNews
     | LimitNews
+    | FrozenPart
     | PermitRequest
     | PermitReply
 )
--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -1,7 +1,9 @@
 """Reports the figures of each usage window, which never change once written.
 
 The holder of the duty writes a window's figures to the store before it reports them. A
-later holder reports exactly the stored figures.
+later holder reports exactly the stored figures. As the store may come back from an
+older copy without them, they are sent to peers before they are reported; see
+:mod:`camphorgate.serving.frozen_figures`.
 """
 
 import asyncio
@@ -45,6 +47,7 @@
         "_platform",
         "_members",
         "_gossip",
+        "_shared",
         "_directory",
         "_first_window",
         "_frozen",
@@ -61,6 +64,7 @@
         self._members = app.service("members")
         self._gossip = app.service("gossip")
         self._directory = app.service("directory")
+        self._shared = app.service("frozen_figures")
         self.reported: set[int] = set()
         self._frozen: dict[int, dict[str, int]] = {}
         self._read_under = 0
@@ -92,7 +96,7 @@
         late = self._app.settings.times.usage_late_seconds
         newest = usage.window_at(now - SETTLE_SECONDS) - 1
         oldest = self._oldest_due()
-        known = self._frozen
+        known = {*self._frozen, *self._shared.figures.windows()}
         first = min([self._first_window, *known])
         due = []
         heard = self._counters_collected()
@@ -128,6 +132,8 @@
             for entry in entries
         }
         self._read_under = fencing
+        for window, counts in self._frozen.items():
+            self._shared.figures.record(window, counts)
 
     async def _report(self, window: int) -> None:
         try:
@@ -137,6 +143,12 @@
                 "usage_not_frozen", level="WARNING", window=window, error=error.message
             )
             return
+        if counts is None:
+            self.reported.add(window)
+            return
+        if not self._shared.broadcast(window, counts):
+            # It is reported at the next tick, once peers have the figures.
+            return
         fencing = self._members.fencing
         if not self._members.holds_duty():
             return
@@ -176,16 +188,24 @@
         oldest = self._oldest_due() - kept
         return [window for window in self._frozen if window < oldest]
 
-    async def _freeze(self, window: int) -> dict[str, int]:
+    async def _freeze(self, window: int) -> dict[str, int] | None:
         """Return the figures of a window that the store keeps, or write them.
 
+        Figures that a former holder wrote and the store lost are written again.
+
+        :returns: ``None`` if the window may have been reported with other figures.
         :raises KvError: if the store can neither be read nor written.
         """
         counts = self._frozen.get(window)
         if counts is not None:
             return counts
         key = f"{WINDOW_PREFIX}{window}"
-        counts = self._gossip.usage.totals(window)
+        counts = self._shared.figures.get(window)
+        if counts is None:
+            due_at = self._gossip.usage.window_end(window) + SETTLE_SECONDS
+            if not self._shared.may_freeze(window, due_at):
+                return None
+            counts = self._gossip.usage.totals(window)
         old = self._removable()
         operations = [Put(key, msgspec.json.encode(counts))]
         operations += [
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -27,9 +27,12 @@
     """How the platform's store is used.
 
     ``bound_calls`` limits the calls to a store that refuses them or does not answer.
+    ``share_frozen_figures`` sends the figures of usage windows to peers before they are
+    reported, at a store that states its era.
     """
 
     bound_calls: bool = True
+    share_frozen_figures: bool = True
 
 
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
