Keep the holder's calls within its lease where no fence is checked

Cause: a call was sent up to 1 s after the check of the lease, while its connection was opened, had 1.5 s for its response, and was sent again by the system after a cut; an order to an engine could carry a fencing number of before a loss of the duty; the lease was revoked at a stop while calls were open; a restarted instance could act before and after another holder within a lease. Change, where duty.require_fence is false: a call ends before the holder's deadline; a lease is revoked early only if all calls were answered; an instance that starts beside another holder leaves the duty to others for a lease and 1 s. Always: a call under an older number than the present one is not sent, and a call that was given up is not sent again by the system (SO_LINGER 0). The template takes bounds.require-fence.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/call_client.py
@@ -111,7 +111,7 @@
                     )
         except (TimeoutError, OSError) as error:
             if connection is not None:
-                connection.close()
+                connection.discard()
             raise CallFailed(f"{method} {target}: {error!r}", sent) from None
         except BaseException:
             if connection is not None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 connections to servers."""
 
 import asyncio
+import socket
+import struct
 from collections import deque
 
 import httptools
@@ -236,6 +238,18 @@
         if self.transport is not None and not self.closed:
             self.transport.abort()
 
+    def discard(self) -> None:
+        """Close the connection; what the server has not received is never sent.
+
+        Otherwise the system would send it again for as long as the network is cut off.
+        """
+        if self.transport is not None and not self.closed:
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None:
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.transport.abort()
+
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         try:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -140,13 +140,17 @@
             startup += service.scaling.startup_seconds
         now = self._app.clock.monotonic()
         try:
-            verdict = await self._platform.order_upstreams(
-                self._members.own.instance,
+            verdict = await self._members.call_as_holder(
                 fencing,
-                order.service,
-                order.zone,
-                order.count,
-                order.cheap,
+                lambda seconds: self._platform.order_upstreams(
+                    self._members.own.instance,
+                    fencing,
+                    order.service,
+                    order.zone,
+                    order.count,
+                    order.cheap,
+                    seconds,
+                ),
             )
         except CallFailed as error:
             log_event("capacity_not_ordered", level="WARNING", error=error.message)
@@ -233,10 +237,16 @@
             report = await self._platform.read_engine(upstream)
             if report is None or report.busy or report.phase is order.phase:
                 return
-            if not self._members.holds_duty():
-                return
-            verdict = await self._platform.order_phase(
-                holder, fencing, upstream, order.phase, report.orders_accepted
+            verdict = await self._members.call_as_holder(
+                fencing,
+                lambda seconds: self._platform.order_phase(
+                    holder,
+                    fencing,
+                    upstream,
+                    order.phase,
+                    report.orders_accepted,
+                    seconds,
+                ),
             )
         except CallFailed as error:
             log_event(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import xxhash
@@ -19,6 +20,7 @@
 from camphorgate.kv.rate_limit import Backoff
 from camphorgate.kv.records import Delete, KvEntry, Put, absent, unchanged
 from camphorgate.log import log_event
+from camphorgate.serving.duty_calls import DutyCalls, call_seconds
 from camphorgate.serving.store_calls import MAX_SPREAD_SECONDS, spread_seconds
 from camphorgate.serving.store_eras import Restores
 from camphorgate.serving.watcher_selection import (
@@ -26,6 +28,8 @@
     WATCHERS_PER_ZONE,
 )
 from camphorgated.serving.directory import DUTY_KEY, INSTANCE_PREFIX
+from camphorgated.serving.errors import CallFailed
+from camphorgated.serving.platform_protocol import OrderResult
 
 MEMBER_PREFIX = INSTANCE_PREFIX + "members/"
 # Renewals per lifetime of the lease.
@@ -50,6 +54,8 @@
 # The holder stops this long before the store can expire the lease.
 LEASE_MARGIN_SECONDS = 0.4
 TICK_SECONDS = 0.1
+# Usual timeout of a call of the holder, where its lease limits it.
+MAX_DUTY_CALL_SECONDS = 1.5
 # Instances try for a free duty one after the other, this far apart.
 TURN_SECONDS = 0.05
 # A former holder waits for the duration of a lease and this long before it tries again,
@@ -90,6 +96,7 @@
         "_watching_since",
         "_last_short_at",
         "_granted",
+        "_duty_calls",
         "_retry",
         "_random",
         "_shorten",
@@ -98,6 +105,7 @@
         "_reacquire_at",
         "_refused",
         "_restores",
+        "_noted_holder",
         "_free_since",
         "_listed_by_instance",
     )
@@ -127,6 +135,7 @@
         # live and the time just before it was requested.
         self._granted: tuple[int, float, float] | None = None
         retry = settings.times.lease_seconds / RENEWALS_PER_LEASE
+        self._duty_calls = DutyCalls()
         self._retry = Backoff(retry / 2, retry, random.Random())
         self._shorten = asyncio.Event()
         ttl = settings.times.lease_seconds
@@ -136,6 +145,7 @@
         self._reacquire_at = 0.0
         self._random = random.Random()
         self._restores = Restores()
+        self._noted_holder = False
         self._refused: set[int] = set()
         self._free_since: float | None = None
         self._listed_by_instance: dict[str, Member] = {}
@@ -227,6 +237,50 @@
             self._app.clock.monotonic()
         )
 
+    async def call_as_holder(
+        self,
+        fencing: int,
+        send: Callable[[float | None], Awaitable[OrderResult]],
+    ) -> OrderResult:
+        """Send a call of the duty's holder.
+
+        Where the platform checks no fencing number, the call ends before the lease.
+
+        :param fencing: the number under which the call was decided.
+        :param send: sends the call with a timeout in seconds, ``None`` for the usual.
+        :raises CallFailed: if it was not sent, or there was no response.
+        """
+        if fencing != self.fencing or not self.holds_duty():
+            raise CallFailed(f"the duty {fencing} is no longer held", False)
+        if self._app.settings.duty.require_fence:
+            return await send(None)
+        clock = self._app.clock
+        seconds = call_seconds(
+            self._lease.deadline, MAX_DUTY_CALL_SECONDS, clock.monotonic()
+        )
+        if not seconds:
+            raise CallFailed("the lease ends before the call would", False)
+        self._duty_calls.record_sent()
+        answered = False
+        try:
+            result = await send(seconds)
+            answered = True
+        except CallFailed as error:
+            answered = not error.sent
+            raise
+        finally:
+            self._duty_calls.record_ended(answered, clock.monotonic())
+        return result
+
+    async def _may_hand_over(self) -> bool:
+        """Wait for the calls under way; return whether another may act at once."""
+        if self._app.settings.duty.require_fence:
+            return True
+        until = self._app.clock.monotonic() + MAX_DUTY_CALL_SECONDS
+        while self._duty_calls.under_way and self._app.clock.monotonic() < until:
+            await asyncio.sleep(TICK_SECONDS / 10)
+        return self._duty_calls.may_hand_over(self._app.clock.monotonic())
+
     def drop_refused_duty(self, fencing: int) -> None:
         """Drop the duty after a receiver has seen a newer fencing number."""
         self._refused.add(fencing)
@@ -238,7 +292,9 @@
         self.leaving = True
         self._lose("leaving")
         lease, self._lease_id = self._lease_id, 0
-        if lease:
+        if lease and not await self._may_hand_over():
+            log_event("duty_not_handed_over", level="WARNING", lease=lease)
+        elif lease:
             try:
                 await self._store.revoke(lease)
             except KvError as error:
@@ -371,6 +427,7 @@
             entry = self._directory.instance_entries_by_key.get(DUTY_KEY)
             if entry is not None:
                 self._free_since = None
+                self._note_holder(entry)
                 await self._adopt(entry)
             elif (
                 self._directory.sound
@@ -379,6 +436,20 @@
             ):
                 await self._try_to_take(now)
 
+    def _note_holder(self, entry: KvEntry) -> None:
+        """Let others take the duty first after a start beside another holder.
+
+        An earlier run of this instance may have held it a moment ago. Without fencing
+        numbers, the platform would see this instance act before and after the other.
+        """
+        if self._noted_holder or self._app.settings.duty.require_fence:
+            return
+        self._noted_holder = True
+        duty = _decode(entry, DutyEntry)
+        if duty is not None and duty.instance != self.own.instance:
+            rest = self._short_ttl() + REACQUIRE_DELAY_SECONDS
+            self._reacquire_at = self._app.clock.monotonic() + rest
+
     def _lease_short(self) -> bool:
         """Return whether the lease is short enough to attach the duty to it."""
         return bool(self._lease_id) and self._lease_ttl <= self._short_ttl()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/usage_duty.py
@@ -154,7 +154,12 @@
             return
         holder = self._members.own.instance
         try:
-            verdict = await self._platform.report_usage(holder, fencing, window, counts)
+            verdict = await self._members.call_as_holder(
+                fencing,
+                lambda seconds: self._platform.report_usage(
+                    holder, fencing, window, counts, seconds
+                ),
+            )
         except CallFailed as error:
             log_event(
                 "usage_not_reported",
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -35,6 +35,15 @@
     share_frozen_figures: bool = True
 
 
+class DutySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the platform checks of the calls of a duty's holder.
+
+    Without ``require_fence`` it takes calls with any fencing number.
+    """
+
+    require_fence: bool = True
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -56,6 +65,7 @@
     budget: BudgetSettings = BudgetSettings()
     times: TimeSettings = TimeSettings()
     store: StoreSettings = StoreSettings()
+    duty: DutySettings = DutySettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
--- a/tests/test_platform/test_deploy.py
+++ b/tests/test_platform/test_deploy.py
@@ -36,6 +36,7 @@
     "bounds.retry-slack": 54,
     "bounds.budget-window-s": 10,
     "bounds.lease-ms": 3000,
+    "bounds.require-fence": False,
     "bounds.grace-s": 8,
     "bounds.usage-window-s": 5,
     "bounds.usage-late-s": 10,
@@ -90,6 +91,7 @@
         text = fill_template((DEPLOY / "settings.jsonc").read_text())
         settings = validate_hosted_settings(json5.loads(text), "template")
         self.assertEqual(settings.times.lease_seconds, 3.0)
+        self.assertFalse(settings.duty.require_fence)
         self.assertEqual(settings.seeds, ("10.0.0.4:82",))
         self.assertEqual(settings.operator_address, "10.0.0.1:7000")
 
