--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -25,6 +25,7 @@
     "upstreams",
     "calls",
     "generations",
+    "frozen_figures",
     "usage_duty",
     "fleet_duty",
     "front",
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -27,9 +27,21 @@
     """How the platform's store is used.
 
     ``bound_calls`` limits the calls to a store that refuses them or does not answer.
+    ``share_frozen_figures`` sends the figures of usage windows to peers before they are
+    reported, at a store that states its era.
     """
 
     bound_calls: bool = True
+    share_frozen_figures: bool = True
+
+
+class DutySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the platform checks of the calls of a duty's holder.
+
+    Without ``require_fence`` it takes calls with any fencing number.
+    """
+
+    require_fence: bool = True
 
 
 class SpeedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,6 +78,7 @@
     times: TimeSettings = TimeSettings()
     store: StoreSettings = StoreSettings()
     speed: SpeedSettings = SpeedSettings()
+    duty: DutySettings = DutySettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
