--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -1,5 +1,7 @@
 """Settings of a daemon that a platform hosts: JSON with comments, fully validated."""
 
+from typing import Annotated
+
 import msgspec
 
 from camphorgate.errors import SettingsError
@@ -27,7 +29,8 @@
     """All settings of one hosted daemon; addresses are ``host:port``.
 
     ``peer_address`` receives gRPC calls and ``gossip_address`` datagrams from other
-    instances.
+    instances. ``memory_mb`` is the memory of the machine in MB of 1,000,000 bytes; 0
+    means what ``/proc/meminfo`` names.
     """
 
     instance_id: str
@@ -45,6 +48,7 @@
     times: TimeSettings = TimeSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 _ADDRESS_FIELDS = (
