Bound what a process buffers by one memory budget

Cause: each request was within its own limit, but the sum over many callers was not bounded: partial bodies, requests sent ahead, parsed heads and unread responses.

Change: camphorgate.serving.memory_budget (accounts, thresholds, order of refusals) replaces buffer_budget; camphorgated.serving.memory stops reading, refuses (503 memory_full, not run) and shares parsing time. Large bodies are sent upstream without a copy. memory_mb of the settings comes from limits.memory-mb.

Tests changed: the prompts' crowd asks for Connection: close. Its requests are answered, and an answered connection may stay open for the idle timeout, which this test sets to 120 s, so its bound on descriptors failed for a reason that is none. FakeTransport of test_http1 gains get_write_buffer_size; the deploy test checks memory_mb.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
@@ -104,6 +104,14 @@
         self.closing = True
         self._connection.abort()
 
+    def charge_parts(self, size: int) -> bool:
+        """Charge the parsed parts of the request to the memory budget.
+
+        :param size: what they take, in bytes.
+        :returns: false if the budget does not allow it.
+        """
+        return self._connection.charge_parts(size)
+
     @property
     def disconnected(self) -> bool:
         """Return whether the caller closed its connection."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 connections to servers."""
 
 import asyncio
-from collections import deque
 
 import httptools
 
@@ -21,6 +20,8 @@
 MAX_HEAD_BYTES = 65536
 # Body bytes that are received before they are read; no more are received meanwhile.
 READ_AHEAD_BYTES = 65536
+# Bodies up to this size are sent together with their head.
+MAX_JOINED_BYTES = 16_384
 # Bytes that are parsed between two checks of the bounds.
 SLICE_BYTES = 16384
 
@@ -46,7 +47,6 @@
         "_framing_bytes",
         "_parser",
         "_pieces",
-        "_piece_bytes",
         "_paused",
         "_waiter",
         "_head_only",
@@ -76,8 +76,7 @@
         self.bounds_exceeded = False
         self._framing_bytes = 0
         self._head_only = method == "HEAD"
-        self._pieces: deque[bytes] = deque()
-        self._piece_bytes = 0
+        self._pieces = bytearray()
         self._paused = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -85,15 +84,21 @@
         self.transport = transport
         prepare_socket(transport, UNACKNOWLEDGED_MS)
 
-    def send(self, method: str, data: bytes) -> None:
+    def send(self, method: str, data: bytes, body: bytes = b"") -> None:
         """Send a request and start parsing its response.
 
-        :param data: encoded head and body.
+        :param data: encoded head, or head and body.
+        :param body: body that is sent after it.
         """
         self._begin(method)
         self.served += 1
         self._parser = httptools.HttpResponseParser(self)
-        self.transport.write(data)
+        if len(body) <= MAX_JOINED_BYTES:
+            self.transport.write(data + body)
+        else:
+            # A large body is not copied.
+            self.transport.write(data)
+            self.transport.write(body)
 
     @property
     def usable(self) -> bool:
@@ -114,7 +119,7 @@
                 self.reset = True
             self.must_close = True
             self.transport.abort()
-        if self._piece_bytes > READ_AHEAD_BYTES and not self._paused:
+        if len(self._pieces) > READ_AHEAD_BYTES and not self._paused:
             self._paused = True
             self.transport.pause_reading()
         self._wake()
@@ -187,8 +192,7 @@
         """Buffer a piece of the body."""
         if self.head_done and not self.complete:
             self._framing_bytes = 0
-            self._pieces.append(body)
-            self._piece_bytes += len(body)
+            self._pieces += body
 
     def on_message_complete(self) -> None:
         """Record the end of a response with explicit framing."""
@@ -217,9 +221,8 @@
             if self.closed or self.must_close:
                 return None
             await self._wait()
-        data = b"".join(self._pieces) if len(self._pieces) > 1 else self._pieces[0]
-        self._pieces.clear()
-        self._piece_bytes = 0
+        data = bytes(self._pieces)
+        self._pieces = bytearray()
         if self._paused and not self.closed:
             self._paused = False
             self.transport.resume_reading()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -16,6 +16,7 @@
     "news",
     "counters",
     "statistics",
+    "memory",
     "quarantine",
     "limits",
     "permit_grants",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/errors.py
@@ -28,6 +28,21 @@
         """Initialize with the status of the response."""
         super().__init__(message)
         self.status = status
+        self.retry_after: float | None = None
+
+
+class MemoryFull(BadRequest):
+    """A request is refused as the memory budget is used up; it has not run."""
+
+    code = "memory_full"
+
+    def __init__(self, retry_after: float) -> None:
+        """Initialize with the status of a refusal.
+
+        :param retry_after: seconds after which the caller may retry.
+        """
+        super().__init__("the memory budget is used up", 503)
+        self.retry_after = retry_after
 
 
 class CallFailed(CamphorgateError):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/exchange.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import Protocol
 
-from camphorgate.serving.buffer_budget import BufferBudget
 from camphorgate.serving.catalog import Stage, Upstream
+from camphorgate.serving.memory_budget import ResponseBuffers
 from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.http1 import Headers, encode_head
@@ -87,7 +87,7 @@
         upstream: Upstream,
         gate: Gate,
         permit: Permit = NO_LIMIT,
-        buffers: BufferBudget | None = None,
+        buffers: ResponseBuffers | None = None,
     ) -> None:
         """Initialize without connecting.
 
@@ -95,7 +95,7 @@
         :param buffers: what all exchanges may buffer together; by default, this one has
             a budget of its own.
         """
-        self._buffers = buffers or BufferBudget()
+        self._buffers = buffers or ResponseBuffers()
         self._held_bytes = 0
         self._permit = permit
         self._gate = gate
@@ -168,7 +168,7 @@
         """
         self._sent_at = self._gate.record_send(self.upstream, kind)
         start = b"%b %b HTTP/1.1" % (method.encode("latin-1"), target)
-        self._lease.connection.send(method, encode_head(start, headers) + body)
+        self._lease.connection.send(method, encode_head(start, headers), body)
 
     async def read_head(
         self, attempt: str, seconds: float, require_id: bool = True
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -13,11 +13,13 @@
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Catalog, Kind, Limits, Route, Workspace
+from camphorgate.serving.memory_budget import LEAST_URGENT, PART_BYTES
 from camphorgate.serving.route_durations import RouteDurations
 from camphorgate.settings import split_address
 from camphorgated.errors import ListenError
 from camphorgated.serving.caller import Caller
-from camphorgated.serving.errors import BadRequest
+from camphorgated.serving.errors import BadRequest, MemoryFull
+from camphorgated.serving.memory import retry_seconds
 from camphorgated.serving.platform_protocol import RequestFacts
 from camphorgated.serving.server_connection import Request, ServerConnection
 
@@ -136,6 +138,7 @@
         "_statistics",
         "_spread",
         "_durations",
+        "_memory",
     )
 
     def __init__(self, app: Application) -> None:
@@ -155,6 +158,7 @@
         self._statistics = app.service("statistics")
         self._spread = itertools.count()
         self._durations = RouteDurations()
+        self._memory = app.service("memory")
 
     async def start(self) -> None:
         """Listen for callers and for the platform's readiness checks.
@@ -162,15 +166,21 @@
         :raises ListenError: if an address cannot be used.
         """
         settings = self._app.settings
-        await self._listen(settings.caller_address, self._serve_caller)
-        await self._listen(settings.ready_address, self._serve_readiness)
+        await self._listen(settings.caller_address, self._serve_caller, self._rank)
+        await self._listen(
+            settings.ready_address, self._serve_readiness, lambda head: LEAST_URGENT
+        )
 
-    async def _listen(self, address: str, serve) -> None:
+    async def _listen(
+        self, address: str, serve, rank_of: Callable[[Request], int]
+    ) -> None:
         def made(connection: ServerConnection) -> None:
             self._app.spawn(serve(connection), "connection")
 
         def build() -> ServerConnection:
-            return ServerConnection(made, self._app.clock, self._limits)
+            return ServerConnection(
+                made, self._app.clock, self._limits, self._memory, rank_of
+            )
 
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
@@ -184,6 +194,21 @@
         catalog = self._directory.catalog
         return catalog.limits if catalog else Limits()
 
+    def _rank(self, head: Request) -> int:
+        """Return the priority of a request whose body is still arriving."""
+        catalog: Catalog | None = self._directory.catalog
+        if catalog is None:
+            return LEAST_URGENT
+        facts = self._platform.read_request(head)
+        path = head.target.partition(b"?")[0].decode("latin-1")
+        route = catalog.match(facts.host, path)
+        if route is None:
+            return LEAST_URGENT
+        workspace = catalog.workspaces_by_key.get(facts.key or "")
+        if catalog.keyed and not route.public and workspace is None:
+            return LEAST_URGENT
+        return catalog.rank(route, None if route.public else workspace)
+
     def idle(self) -> bool:
         """Return whether no request has been admitted since the start."""
         return not self._admitted
@@ -208,9 +233,10 @@
                     caller.refuse(503, "not_ready")
                 if caller.closing:
                     break
-        except BadRequest:
-            pass
+        except BadRequest as error:
+            self._refuse_malformed(connection, error)
         finally:
+            connection.release_request()
             connection.close()
 
     async def _serve_caller(self, connection: ServerConnection) -> None:
@@ -220,6 +246,7 @@
                 pass
         finally:
             self._connections.discard(connection)
+            connection.release_request()
             connection.close()
 
     async def _serve_one(self, connection: ServerConnection) -> bool:
@@ -227,11 +254,7 @@
         try:
             request = await connection.next_request(limits.idle_seconds)
         except BadRequest as error:
-            empty = Request("GET", b"/", [], b"", False)
-            Caller(connection, empty).refuse(error.status, error.code)
-            self._statistics.request_line(
-                "request_malformed", status=error.status, error=error.message
-            )
+            self._refuse_malformed(connection, error)
             return False
         if request is None:
             return False
@@ -257,6 +280,16 @@
             self._work_by_connection.pop(connection, None)
         return not caller.closing and caller.ended
 
+    def _refuse_malformed(
+        self, connection: ServerConnection, error: BadRequest
+    ) -> None:
+        """Refuse a request that was not read completely."""
+        empty = Request("GET", b"/", [], b"", False)
+        Caller(connection, empty).refuse(error.status, error.code, error.retry_after)
+        self._statistics.request_line(
+            "request_malformed", status=error.status, error=error.message
+        )
+
     def _failed(self, caller: Caller, error: BaseException) -> None:
         log_event("request_failed", level="ERROR", error=repr(error))
         if caller.begun:
@@ -286,6 +319,11 @@
             caller.refuse(503, "configuration_unknown", UNCONFIGURED_RETRY_SECONDS)
             return None
         facts = self._platform.read_request(caller.request)
+        parts_bytes = len(facts.parts) * PART_BYTES
+        if parts_bytes and not caller.charge_parts(parts_bytes):
+            self._memory.count_refusal("parts")
+            caller.refuse(503, MemoryFull.code, retry_seconds())
+            return None
         path = caller.request.target.partition(b"?")[0].decode("latin-1")
         route = catalog.match(facts.host, path)
         if route is None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -13,8 +13,8 @@
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
-from camphorgate.serving.buffer_budget import BufferBudget
 from camphorgate.serving.catalog import Phase, Service, Upstream
+from camphorgate.serving.memory_budget import ResponseBuffers
 from camphorgate.serving.pauses import RESUME_INTERVAL_SECONDS, PauseTable
 from camphorgate.serving.placement import Choice, Placement
 from camphorgate.serving.retry_budget import RetryBudgetShare
@@ -75,7 +75,7 @@
         self._permits = app.service("permits")
         self.pool = Pool(app.clock)
         # What responses that are not passed on yet may take in memory.
-        self.buffers = BufferBudget()
+        self.buffers = ResponseBuffers(app.service("memory").budget)
         self.pauses = PauseTable()
         # Number of requests that wait for the end of a pause.
         self._resuming_by_service: Counter[str] = Counter()
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -268,6 +268,8 @@
             f"X-Token-Count: {PROMPT_PARTS},20",
             f"X-Prompt-Prefix: {parts}",
             "Content-Length: 0",
+            # An answered client that stays open would be within its idle time.
+            "Connection: close",
         )
         await send(writer, head)
 
--- a/tests/test_platform/test_deploy.py
+++ b/tests/test_platform/test_deploy.py
@@ -39,6 +39,7 @@
     "bounds.grace-s": 8,
     "bounds.usage-window-s": 5,
     "bounds.usage-late-s": 10,
+    "limits.memory-mb": 200,
 }
 
 
@@ -92,6 +93,7 @@
         self.assertEqual(settings.times.lease_seconds, 3.0)
         self.assertEqual(settings.seeds, ("10.0.0.4:82",))
         self.assertEqual(settings.operator_address, "10.0.0.1:7000")
+        self.assertEqual(settings.memory_mb, 200)
 
     def test_own_days_are_readable(self):
         """Guards against a day that the users' benchmark skips as invalid."""
--- a/tests/test_serving/test_http1.py
+++ b/tests/test_serving/test_http1.py
@@ -52,6 +52,10 @@
     def set_write_buffer_limits(self, high=None, low=None):
         """Ignore the limits."""
 
+    def get_write_buffer_size(self):
+        """Return that nothing is unsent."""
+        return 0
+
     def pause_reading(self):
         """Accept."""
 
