--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -222,12 +222,14 @@
         if self._error is not None:
             self._release_partial()
         elif (
-            len(self._unparsed) > MAX_DIRECT_BYTES
+            self._unparsed
+            and not self._turn_queued
             and len(self._requests) < MAX_QUEUED_REQUESTS
         ):
             self._turn_queued = True
             self._memory.turns.queue(self)
-        self._update_reading()
+        if self._paused or self._unparsed or len(self._requests) > 1:
+            self._update_reading()
         self._update_charge()
         if self.started_at is not None and self._stall_timer is None:
             self._watch_arrival(self._limits.header_seconds)
@@ -244,8 +246,10 @@
         large = len(data) > MAX_DIRECT_BYTES
         started_at = time.perf_counter() if large else 0.0
         view = memoryview(data)
+        size = len(data)
+        requests = self._requests
         try:
-            while position < len(data) and len(self._requests) < MAX_QUEUED_REQUESTS:
+            while position < size and len(requests) < MAX_QUEUED_REQUESTS:
                 end = self._slice_end(data, position)
                 self._parse_slice(view[position:end])
                 position = end
@@ -263,11 +267,14 @@
 
     def _slice_end(self, data: bytes, position: int) -> int:
         """Return where the next slice ends: a head, a body, or the largest slice."""
-        last = min(len(data), position + SLICE_BYTES)
+        last = position + SLICE_BYTES
+        if last > len(data):
+            last = len(data)
         if self._head_done and self._content_length is not None:
             return min(last, position + max(1, self._content_length - self._size))
-        found = data.find(_HEAD_END, max(0, position - len(_HEAD_END) + 1), last)
-        return max(position + 1, found + len(_HEAD_END)) if found >= 0 else last
+        # The end of a head may have begun in the slice before.
+        found = data.find(_HEAD_END, position - 3 if position > 3 else 0, last)
+        return max(position + 1, found + 4) if found >= 0 else last
 
     def _parse_slice(self, data: memoryview) -> None:
         """Parse a slice and check the bounds on bytes without payload.
@@ -277,13 +284,14 @@
         """
         if self.started_at is None:
             self.started_at = self.progressed_at
+        size = len(data)
         if not self._head_done:
-            self._head_size += len(data)
-            if self._head_size - self._size > self._limits.header_bytes + len(data):
+            if self._head_size - self._size > self._limits.header_bytes:
                 raise BadRequest("the head is too large", 431)
-        self._framing_bytes += len(data)
+            self._head_size += size
+        self._framing_bytes += size
         self._parse(data)
-        if self._head_done and self._framing_bytes > MAX_FRAMING_BYTES + len(data):
+        if self._framing_bytes > MAX_FRAMING_BYTES + size and self._head_done:
             raise BadRequest("the chunk framing of the body is too large", 400)
 
     def _watch_arrival(self, seconds: float) -> None:
@@ -362,7 +370,9 @@
     def _update_charge(self) -> None:
         """Charge what the connection holds of requests to the memory budget."""
         account = self._account
-        held = self._partial_bytes() + self._queued_bytes + self._current_bytes
+        held = self._queued_bytes + self._current_bytes
+        if self.started_at is not None or self._unparsed:
+            held += self._partial_bytes()
         released = held < account.held(REQUESTS)
         account.resize(REQUESTS, held)
         if released:
@@ -605,12 +615,19 @@
             b"".join(self._body),
             self._parser.should_keep_alive(),
         )
-        # An idle connection keeps nothing of its last request.
         request.held_bytes = (
             self._head_size + len(self._headers) * FIELD_BYTES + self._size
         )
         self._queued_bytes += request.held_bytes
-        self._release_partial()
+        # An idle connection keeps nothing of its last request.
+        self._body = []
+        self._headers = []
+        self._size = self._head_size = self._framing_bytes = 0
+        self._head_done = False
+        self._content_length = None
+        self.started_at = None
+        if self._waits_for_memory:
+            self._end_memory_timer()
         request.read_at = self._clock.monotonic()
         self._requests.append(request)
 
