--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -18,6 +18,7 @@
     "statistics",
     "store_calls",
     "upstream_speed",
+    "memory",
     "quarantine",
     "limits",
     "permit_grants",
