--- a/tests/test_serving/test_fleet_duty.py
+++ b/tests/test_serving/test_fleet_duty.py
@@ -24,7 +24,9 @@
         self.cheap_unavailable_zones = set()
         self.is_silent = False
 
-    async def order_upstreams(self, holder, fencing, service, zone, count, cheap):
+    async def order_upstreams(
+        self, holder, fencing, service, zone, count, cheap, seconds=None
+    ):
         if self.is_silent:
             raise CallFailed("no response", True)
         self.orders.append((zone, count, cheap))
@@ -45,7 +47,12 @@
         app.provide("dialect", self.platform)
         app.provide("gossip", SimpleNamespace(changing=set()))
         own = SimpleNamespace(instance="entry-1")
-        members = SimpleNamespace(fencing=7, own=own, holds_duty=lambda: True)
+        members = SimpleNamespace(
+            fencing=7,
+            own=own,
+            holds_duty=lambda: True,
+            call_as_holder=lambda _, send: send(None),
+        )
         app.provide("members", members)
         prices = {"a": 0.85, "b": 1.2}
         scaling = ScalingSpec(1, 4, STARTUP_SECONDS, 0.15, prices)
