Soak: the store comes back from an older copy

New mix restores, with kills, pauses, stops and faults of the store beside it. The stand-in writes again only what was not written meanwhile, also over two restores in a row.

--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_store.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_store.py
@@ -50,6 +50,8 @@
         "sends_era",
         "calls_by_path",
         "_event_times",
+        "_latest_by_key",
+        "_unwritten",
         "_lease_ids",
         "_changed",
         "closed",
@@ -69,6 +71,10 @@
         self.calls_by_path: Counter[str] = Counter()
         # When each event of the history was written.
         self._event_times: list[float] = []
+        # What the operator and the upstreams wrote before a restore, and the keys of
+        # it that they have not written again.
+        self._latest_by_key: dict[str, dict] = {}
+        self._unwritten: set[str] = set()
         self._lease_ids = itertools.count(FIRST_LEASE)
         self._changed = asyncio.Event()
         self.closed = False
@@ -125,6 +131,7 @@
             self._append_event({"key": key, "revision": self.revision, "deleted": True})
 
     def _append_event(self, event: dict) -> None:
+        self._unwritten.discard(event["key"])
         self.history.append(event)
         self._event_times.append(time.monotonic())
         self._changed.set()
@@ -163,8 +170,12 @@
         latest = {
             key: item
             for key, item in self.items_by_key.items()
-            if not key.startswith(SYSTEM_PREFIX)
+            if not key.startswith(SYSTEM_PREFIX) and key not in self._unwritten
         }
+        # Lost by a restore before this one, and not written again yet.
+        for key in self._unwritten & self._latest_by_key.keys():
+            latest[key] = self._latest_by_key[key]
+        self._latest_by_key = latest
         until = time.monotonic() - age
         kept = sum(at <= until for at in self._event_times)
         self.history, self._event_times = self.history[:kept], self._event_times[:kept]
@@ -181,22 +192,32 @@
         self._lease_ids = itertools.count(max(granted, default=FIRST_LEASE - 1) + 1)
         self.leases_by_id.clear()
         self.era += 1
+        self._unwritten = {
+            key
+            for key in self._latest_by_key.keys() | self.items_by_key.keys()
+            if not key.startswith(SYSTEM_PREFIX)
+        }
         self._changed.set()
         self._changed = asyncio.Event()
         if rewrite is not None:
             asyncio.get_running_loop().call_later(
-                pause + rewrite, self._write_again, latest
+                pause + rewrite, self._write_again, self.era
             )
 
-    def _write_again(self, latest: dict[str, dict]) -> None:
-        """Write what the operator and the upstreams had written before the copy."""
-        for key in list(self.items_by_key):
-            if not key.startswith(SYSTEM_PREFIX) and key not in latest:
+    def _write_again(self, era: int) -> None:
+        """Write what the operator and the upstreams had written since the copy.
+
+        What they have written again themselves meanwhile is left as it is.
+        """
+        if era != self.era:
+            return
+        for key in sorted(self._unwritten):
+            item, known = self._latest_by_key.get(key), self.items_by_key.get(key)
+            if item is None:
                 self.remove(key)
-        for key, item in latest.items():
-            known = self.items_by_key.get(key)
-            if known is None or known["value"] != item["value"]:
+            elif known is None or known["value"] != item["value"]:
                 self.put(key, base64.b64decode(item["value"]))
+        self._unwritten.clear()
 
     def _reject_if_busy(self) -> Response | None:
         self.expire_leases()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -56,12 +56,27 @@
     "withdraw_key",
     "drain_worker",
 )
+# The store comes back from an older copy, beside faults that change the holder.
+RESTORE_FAULTS = (
+    "store_restore",
+    "store_restore",
+    "store_restore",
+    "kill_daemon",
+    "pause_daemon",
+    "stop_daemon",
+    "store_delay",
+    "store_refuse",
+    "store_lose_answers",
+    "withdraw_key",
+    "drain_worker",
+)
 # Faults by name of the mix. ``mixed`` must not change, as recorded seeds depend on it.
 FAULTS_BY_MIX = {
     "mixed": FAULTS,
     "planned": PLANNED_FAULTS,
     "words": NOTICE_FAULTS,
     "odd": ODD_FAULTS,
+    "restores": RESTORE_FAULTS,
     "clocks": (*FAULTS, "step_clock", "step_clock", "step_clock"),
 }
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -232,6 +232,8 @@
             await self._step_clock(f"entry-{step.target % DAEMONS}", step)
         elif step.fault in ("store_lose_answers", "store_lose_history"):
             await self._set_standin_fault(self.store, rest, step.seconds, 3)
+        elif step.fault == "store_restore":
+            await self._restore_store(step)
         elif step.fault == "odd_entry":
             await self._put_odd_entry(step)
         elif step.fault == "store_mute_watches":
@@ -257,6 +259,14 @@
         else:
             await self._drain_worker(step)
 
+    async def _restore_store(self, step: ScheduledFault) -> None:
+        """Bring the store back from a copy that is at most 6 s old."""
+        order = {"age": 2 * step.seconds, "pause": step.seconds / 3}
+        with contextlib.suppress(CallFailed):
+            await self.store.call(
+                "POST", "/control/restore", json.dumps(order).encode()
+            )
+
     async def _put_odd_entry(self, step: ScheduledFault) -> None:
         """Write an entry of another writer among those of the workers."""
         odd = ODD_FIELDS[step.target % len(ODD_FIELDS)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -179,6 +179,10 @@
         """Guards against data of other writers and silence that end what follows it."""
         self.assertEqual(run_seed(15, ODD_SECONDS, mix="odd"), [])
 
+    def test_restored_store_keeps_every_invariant(self):
+        """Guards against two holders or figures after the store lost writes."""
+        self.assertEqual(run_seed(16, SHORT_SECONDS, mix="restores"), [])
+
     def test_regression_seeds_pass(self):
         """Guards against the recurrence of faults that a soak found."""
         for seed, (seconds, cause) in REGRESSION_SEEDS.items():
