--- a/packages/camphorgate-daemon/src/camphorgated/serving/frozen_figures.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/frozen_figures.py
@@ -35,6 +35,7 @@
         "_restored_at",
         "_random",
         "_skipped",
+        "_restores",
     )
 
     def __init__(self, app: Application) -> None:
@@ -51,6 +52,11 @@
             "Usage windows without known figures after a restore of the store.",
             registry=app.service("statistics").registry,
         )
+        self._restores = PrometheusCounter(
+            "camphorgate_store_restores",
+            "How often the store came back from an older copy.",
+            registry=app.service("statistics").registry,
+        )
         self._gossip.add_handler(FrozenPart, self.figures.receive_part)
         self._store.add_restore_listener(self._receive_restore)
 
@@ -94,7 +100,9 @@
         self._skipped.inc({})
         return False
 
-    def _receive_restore(self, _: bool) -> None:
+    def _receive_restore(self, first: bool) -> None:
+        if not first:
+            self._restores.inc({})
         self._restored_at = self._gossip.synchronized_now()
         # A later holder may know only what it is sent from here on.
         self._sends_by_window.clear()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -54,6 +54,8 @@
 # The holder stops this long before the store can expire the lease.
 LEASE_MARGIN_SECONDS = 0.4
 TICK_SECONDS = 0.1
+# The removal of an own entry of an older era is tried again after this time.
+GIVE_UP_RETRY_SECONDS = 1.0
 # Usual timeout of a call of the holder, where its lease limits it.
 MAX_DUTY_CALL_SECONDS = 1.5
 # Instances try for a free duty one after the other, this far apart.
@@ -106,6 +108,7 @@
         "_refused",
         "_restores",
         "_noted_holder",
+        "_give_up_at",
         "_free_since",
         "_listed_by_instance",
     )
@@ -146,6 +149,7 @@
         self._random = random.Random()
         self._restores = Restores()
         self._noted_holder = False
+        self._give_up_at = float("-inf")
         self._refused: set[int] = set()
         self._free_since: float | None = None
         self._listed_by_instance: dict[str, Member] = {}
@@ -462,6 +466,9 @@
         """
         duty = _decode(entry, DutyEntry)
         ours = duty is not None and duty.incarnation == self.own.incarnation
+        if ours and self._is_orphaned(entry):
+            await self._give_up_key(entry)
+            return
         if not ours or entry.lease != self._lease_id or self.fencing:
             return
         if entry.mod_revision in self._refused:
@@ -474,8 +481,22 @@
             log_event("duty_taken", fencing=self.fencing, lease=self._lease_id)
             self._app.emit("duty-taken")
 
+    def _is_orphaned(self, entry: KvEntry) -> bool:
+        """Return whether an own entry is attached to a lease of an older era.
+
+        The store may have kept it, or attached it to another instance's lease with the
+        same id. No instance but this one could hold the duty by it.
+        """
+        if self.fencing or not self._lease_id or entry.lease == self._lease_id:
+            return False
+        now = self._app.clock.monotonic()
+        if not self._restores.count or now < self._give_up_at:
+            return False
+        self._give_up_at = now + GIVE_UP_RETRY_SECONDS
+        return True
+
     async def _give_up_key(self, entry: KvEntry) -> None:
-        """Remove the own duty key, whose fencing number a receiver refused."""
+        """Remove the own duty key, which this instance cannot use any more."""
         try:
             condition = unchanged(DUTY_KEY, entry.mod_revision)
             await self._store.transact([condition], [Delete(DUTY_KEY)])
--- a/tests/test_serving/test_store_restore.py
+++ b/tests/test_serving/test_store_restore.py
@@ -1,6 +1,7 @@
 """Tests of a fleet whose store comes back from an older copy."""
 
 import asyncio
+import base64
 import json
 import unittest
 
@@ -92,6 +93,18 @@
         listed = {f"camphorgate/members/{app.settings.instance_id}" for app in apps}
         await self.eventually(lambda: listed <= self.store.items_by_key.keys())
 
+    async def test_entry_of_an_older_lease_does_not_keep_the_duty(self):
+        """Guards against a duty that nobody holds because the copy has its key."""
+        apps = await self.start_fleet(2)
+        members = [app.service("members") for app in apps]
+        item = self.store.items_by_key["camphorgate/duty"]
+        self.store.restore(0.2)
+        await asyncio.sleep(0.3)
+        self.store.put("camphorgate/duty", base64.b64decode(item["value"]), 1)
+        await self.eventually(
+            lambda: any(item.holds_duty() for item in members), seconds=8.0
+        )
+
     async def test_configuration_does_not_go_back(self):
         """Guards against an older configuration in any process."""
         apps = await self.start_fleet(2)
