--- a/packages/camphorgate-cli/src/camphorgate_cli/client.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/client.py
@@ -55,6 +55,19 @@
             "POST", f"/admin/quarantine?{urlencode({'part': part})}"
         )
 
+    async def explain_route(
+        self, path: str, headers: list[str], workspace: str
+    ) -> dict[str, Any]:
+        """Return where a request would go now.
+
+        :param headers: each as ``name: value``.
+        :param workspace: name of the sending workspace; empty if a header has its key.
+        """
+        parameters = [("path", path), *(("header", line) for line in headers)]
+        if workspace:
+            parameters.append(("workspace", workspace))
+        return await self._call("GET", f"/admin/explain-route?{urlencode(parameters)}")
+
     async def submit(
         self, text: str, base_version: int | None, wait_seconds: int | None
     ) -> dict[str, Any]:
--- a/packages/camphorgate-cli/src/camphorgate_cli/main.py
+++ b/packages/camphorgate-cli/src/camphorgate_cli/main.py
@@ -111,6 +111,21 @@
         answer = asyncio.run(client.get("/admin/quarantine"))
         self._print(answer, output.format_tree(answer))
 
+    def explain_route(self, path: str, *headers: str, workspace: str = "") -> None:
+        """Show where a request would go now, and why, without sending it.
+
+        The address is the operator address of a hosted daemon; each instance decides
+        for itself. Lists the candidates with all terms of their costs, in ms.
+
+        :param path: path of the request.
+        :param headers: its headers, each as "name: value"; the host is one of them.
+        :param workspace: name of the workspace that sends it, in place of a key.
+        """
+        client = AdminClient(self._address)
+        lines = [str(header) for header in headers]
+        answer = asyncio.run(client.explain_route(str(path), lines, str(workspace)))
+        self._print(answer, output.format_tree(answer))
+
     def explain(self, request_id: str, *files: str) -> None:
         """Show the logged events that concern one request, in order of time.
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -7,7 +7,7 @@
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
-from camphorgate.serving.catalog import EngineSpec, Phase, Stage, Upstream
+from camphorgate.serving.catalog import EngineSpec, Phase, Route, Stage, Upstream
 from camphorgate.serving.placement import Choice
 from camphorgate.serving.prefill_queue import (
     MIN_LONG_PROMPT_TOKENS,
@@ -73,7 +73,12 @@
         self._quarantine = app.service("quarantine")
         self._queue = PrefillQueue()
         self._streaming = Streaming(app)
-        app.add_dump_section("reading_queue", lambda: {"waiting": len(self._queue)})
+        app.add_dump_section("reading_queue", lambda: {"waiting": self.waiting})
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of prompts that wait for prefill in this instance."""
+        return len(self._queue)
 
     async def run(self, context: RequestContext) -> None:
         """Handle a request, retrying or resuming it where allowed."""
@@ -107,7 +112,7 @@
                 return
             if context.caller.disconnected:
                 return
-            reader, answerer = self._choose(generation, spec, now)
+            reader, answerer = self.choose_for(generation, spec, now)
             if reader is None and answerer is None:
                 if await self._wait_for_engines(generation):
                     continue
@@ -226,7 +231,7 @@
             MAX_UNSENT_ATTEMPTS,
         )
 
-    def _choose(
+    def choose_for(
         self, generation: Generation, spec: EngineSpec, now: float
     ) -> tuple[Choice | None, Choice | None]:
         """Choose the engine for the next step of a request.
@@ -521,10 +526,7 @@
         elif generation.attempts.may_have_run:
             caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
         else:
-            seconds = wait_seconds - context.route.target_seconds
-            seconds = min(
-                MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds)
-            )
+            seconds = retry_after_for_wait(wait_seconds, context.route)
             seconds = self._upstreams.retry_after_seconds(context, reason, seconds)
             caller.refuse(503, reason, seconds if retry_after is None else retry_after)
         self._statistics.given_up(
@@ -551,6 +553,12 @@
             log_event("handle_not_released", error=error.message)
 
 
+def retry_after_for_wait(wait_seconds: float, route: Route) -> float:
+    """Return the seconds after which a caller may retry that would wait too long."""
+    seconds = wait_seconds - route.target_seconds
+    return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds))
+
+
 def setup(app: Application) -> None:
     """Provide the ``generations`` service."""
     app.provide("generations", Generations(app))
--- a/packages/camphorgate-daemon/src/camphorgated/serving/operator.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/operator.py
@@ -8,6 +8,7 @@
 
 from camphorgate.application import Application
 from camphorgated.http import serve_pages
+from camphorgated.serving.route_explanation import RouteExplainer
 
 
 class OperatorPages:
@@ -40,6 +41,23 @@
             msgspec.json.encode(answer), status, media_type="application/json"
         )
 
+    async def explain_route(self, request: Request) -> Response:
+        """Return where a request would go now; nothing is sent.
+
+        The query has the ``path``, any number of ``header`` as ``name: value``, and
+        optionally the name of the ``workspace``.
+        """
+        query = request.query_params
+        headers = []
+        for line in query.getlist("header"):
+            name, _, value = line.partition(":")
+            pair = name.strip().lower(), value.strip()
+            headers.append(tuple(part.encode("latin-1", "replace") for part in pair))
+        explanation = RouteExplainer(self._app).explain(
+            query.get("path", "/"), headers, query.get("workspace")
+        )
+        return Response(msgspec.json.encode(explanation), media_type="application/json")
+
     async def metrics(self, request: Request) -> Response:
         """Return the metrics."""
         content_type, body = self._app.service("statistics").render()
@@ -54,6 +72,7 @@
     routes = [
         Route("/admin/dump", pages.dump),
         Route("/admin/quarantine", pages.quarantine, methods=["GET", "POST"]),
+        Route("/admin/explain-route", pages.explain_route),
         Route("/metrics", pages.metrics),
     ]
     serve_pages(app, Starlette(routes=routes), app.settings.operator_address)
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -87,6 +87,29 @@
     avoid_until: float = 0.0
 
 
+class Candidate(msgspec.Struct, frozen=True):
+    """An upstream that was compared, and what it was compared by.
+
+    ``wait_terms`` are the parts of the predicted wait, ``other_terms`` what is added to
+    it for the comparison only, both in ms by name. ``avoid_until`` is in the future
+    while the upstream should be avoided.
+    """
+
+    choice: Choice
+    wait_terms: dict[str, float]
+    other_terms: dict[str, float]
+    avoid_until: float
+
+    @property
+    def cost_ms(self) -> float:
+        """Return the sum of all terms; the candidate with the lowest is chosen."""
+        return self.choice.wait_ms + sum(self.other_terms.values())
+
+
+# The choice for an upstream, and the terms of its predicted wait.
+Prediction = tuple[Choice, dict[str, float]]
+
+
 class Placement:
     """Chooses upstreams by predicted time; stateless."""
 
@@ -120,6 +143,12 @@
 
         :param engines: the candidates, of any phase.
         """
+        return _lowest_cost(self.compare_for_prefill(engines, prompt, now), now)
+
+    def compare_for_prefill(
+        self, engines: list[Upstream], prompt: Prompt, now: float
+    ) -> list[Candidate]:
+        """Return what :meth:`choose_for_prefill` compares, in the order of engines."""
         cached = {
             item.id: self._loads.cached_tokens(item.id, prompt.parts, now)
             for item in engines
@@ -131,15 +160,19 @@
             cached[upstream_id] = max(cached[upstream_id], held)
         max_cached = max(cached.values(), default=0)
 
-        def cost(choice: Choice) -> float:
-            repeated = max_cached - cached[choice.upstream.id]
-            extra = repeated / PREFILL_TOKENS_PER_MS * REPEATED_PREFILL_WEIGHT
-            return extra + order.get(choice.upstream.id, 0.0)
+        def extra_terms(item: Upstream) -> dict[str, float]:
+            repeated = max_cached - cached[item.id]
+            return {
+                "repeated_prefill": repeated
+                / PREFILL_TOKENS_PER_MS
+                * REPEATED_PREFILL_WEIGHT,
+                "shared_order": order.get(item.id, 0.0),
+            }
 
-        def predict(item: Upstream) -> Choice:
+        def predict(item: Upstream) -> Prediction:
             return self._predict_prefill(item, prompt, cached[item.id], now)
 
-        return self._lowest_cost(engines, now, predict, cost)
+        return self._compare(engines, now, predict, extra_terms)
 
     def choose_for_decode(
         self,
@@ -154,27 +187,42 @@
         :param reader: the engine that holds the prompt's cache; ``None`` if the
             decoding engine prefills the prompt itself.
         """
+        candidates = self.compare_for_decode(engines, prompt, reader, spec, now)
+        return _lowest_cost(candidates, now)
+
+    def compare_for_decode(
+        self,
+        engines: list[Upstream],
+        prompt: Prompt,
+        reader: Upstream | None,
+        spec: EngineSpec,
+        now: float,
+    ) -> list[Candidate]:
+        """Return what :meth:`choose_for_decode` compares, in the order of engines."""
         if reader is None:
-            return self.choose_for_prefill(engines, prompt, now)
+            return self.compare_for_prefill(engines, prompt, now)
 
-        def predict(item: Upstream) -> Choice:
+        def predict(item: Upstream) -> Prediction:
             load = self._loads.total(item.id, now)
             cached = self._loads.cached_tokens(item.id, prompt.parts, now)
             moved = max(0, prompt.tokens - cached)
             bits = moved * spec.bytes_per_token * 8
-            wait = bits / (spec.link_mbps * 1000) + load.requests * RUNNING_REQUEST_MS
-            wait += (
-                load.prefill_tokens / PREFILL_TOKENS_PER_MS / DECODE_PREFILL_FRACTION
-            )
+            terms = {
+                "transfer": bits / (spec.link_mbps * 1000),
+                "running": load.requests * RUNNING_REQUEST_MS,
+                "queued": load.prefill_tokens
+                / PREFILL_TOKENS_PER_MS
+                / DECODE_PREFILL_FRACTION,
+            }
             if item.zone != reader.zone:
-                wait += OTHER_ZONE_TRANSFER_MS
+                terms["zone_transfer"] = OTHER_ZONE_TRANSFER_MS
             if item.cheap:
-                wait += CHEAP_DECODE_PENALTY_MS
+                terms["cheap"] = CHEAP_DECODE_PENALTY_MS
             if load.requests >= item.slots:
-                wait += FAILING_PENALTY_MS
-            return Choice(item, wait)
+                terms["full"] = FAILING_PENALTY_MS
+            return Choice(item, sum(terms.values())), terms
 
-        return self._lowest_cost(engines, now, predict)
+        return self._compare(engines, now, predict)
 
     def may_prefill_directly(self, choice: Choice, now: float) -> bool:
         """Return whether a decoding engine can prefill without delaying others."""
@@ -183,55 +231,69 @@
 
     def choose_for_call(self, upstreams: list[Upstream], now: float) -> Choice | None:
         """Choose the upstream of a service without engines by predicted wait."""
+        return _lowest_cost(self.compare_for_call(upstreams, now), now)
 
-        def predict(item: Upstream) -> Choice:
+    def compare_for_call(
+        self, upstreams: list[Upstream], now: float
+    ) -> list[Candidate]:
+        """Return what :meth:`choose_for_call` compares, in the order of upstreams."""
+
+        def predict(item: Upstream) -> Prediction:
             load = self._loads.total(item.id, now)
             wait = load.requests / max(1, item.slots) * FAILING_PENALTY_MS
-            return Choice(item, wait)
+            return Choice(item, wait), {"used_slots": wait}
 
-        return self._lowest_cost(upstreams, now, predict)
+        return self._compare(upstreams, now, predict)
 
     def _predict_prefill(
         self, item: Upstream, prompt: Prompt, cached: int, now: float
-    ) -> Choice:
+    ) -> Prediction:
         load = self._loads.total(item.id, now)
         uncached = max(1, prompt.tokens - cached)
         speed = PREFILL_TOKENS_PER_MS
         if item.phase is not Phase.PREFILL:
             speed *= DECODE_PREFILL_FRACTION
         queued = load.prefill_tokens / speed
-        wait = queued + uncached / speed + PREFILL_FIXED_MS
-        return Choice(item, wait, uncached, queued)
+        terms = {
+            "queued": queued,
+            "uncached": uncached / speed,
+            "fixed": PREFILL_FIXED_MS,
+        }
+        return Choice(item, sum(terms.values()), uncached, queued), terms
 
-    def _lowest_cost(
+    def _compare(
         self,
         upstreams: list[Upstream],
         now: float,
-        predict: Callable[[Upstream], Choice],
-        extra_cost: Callable[[Choice], float] = lambda choice: 0.0,
-    ) -> Choice | None:
-        best = None
-        best_cost = 0.0
-        avoid_until = 0.0
+        predict: Callable[[Upstream], Prediction],
+        extra_terms: Callable[[Upstream], dict[str, float]] = lambda item: {},
+    ) -> list[Candidate]:
+        candidates = []
         for item in upstreams:
-            choice = predict(item)
+            choice, wait_terms = predict(item)
             health = self._health.of(item.incarnation)
-            cost = choice.wait_ms + extra_cost(choice)
-            cost += health.failure_rate * FAILING_PENALTY_MS
-            cost += self._permit_wait_seconds(item) * 1000
+            terms = extra_terms(item)
+            if health.failure_rate:
+                terms["failing"] = health.failure_rate * FAILING_PENALTY_MS
+            permit_seconds = self._permit_wait_seconds(item)
+            if permit_seconds:
+                terms["permit"] = permit_seconds * 1000
             if item.zone != self._zone:
-                cost += OTHER_ZONE_PENALTY_MS
+                terms["other_zone"] = OTHER_ZONE_PENALTY_MS
             if not self._connected(item.incarnation):
-                cost += NEW_CONNECTION_MS
+                terms["new_connection"] = NEW_CONNECTION_MS
             if health.avoided(now):
                 # Among avoided upstreams, prefer the one that may be tried first.
-                cost += AVOIDED_PENALTY_MS * (1.0 + health.avoid_until - now)
-            if best is None or cost < best_cost:
-                best, best_cost = choice, cost
-                avoid_until = health.avoid_until
-        if best is not None and avoid_until > now:
-            best = msgspec.structs.replace(best, avoid_until=avoid_until)
-        return best
+                terms["avoided"] = AVOIDED_PENALTY_MS * (1.0 + health.avoid_until - now)
+            candidates.append(Candidate(choice, wait_terms, terms, health.avoid_until))
+        return candidates
+
+
+def _lowest_cost(candidates: list[Candidate], now: float) -> Choice | None:
+    best = min(candidates, key=lambda candidate: candidate.cost_ms, default=None)
+    if best is None or best.avoid_until <= now:
+        return None if best is None else best.choice
+    return msgspec.structs.replace(best.choice, avoid_until=best.avoid_until)
 
 
 def _shared_order(prompt: Prompt, engines: list[Upstream]) -> dict[str, float]:
