--- a/tests/test_serving/test_retry_budget.py
+++ b/tests/test_serving/test_retry_budget.py
@@ -33,7 +33,9 @@
             workers.append(await self.add_prefill_engine(app, workers[0].script))
         responses = []
         for number in range(REQUESTS):
-            headers = {b"x-attempt-id": b"attempt-%d" % number}
+            # A short deadline bounds how long requests are held while both upstreams
+            # are avoided.
+            headers = {b"x-attempt-id": b"attempt-%d" % number, b"x-deadline": b"1500"}
             responses.append(await send(app, headers))
         arrivals = Counter(item for worker in workers for _, item in worker.arrivals)
         budgets = app.service("upstreams").dump()["retry_budget"].values()
