--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -302,7 +302,8 @@
         that wait for the end of the first one have resumed, plus jitter, so that
         callers do not retry simultaneously.
 
-        If the retry budget is used up, the returns are spread evenly.
+        If the retry budget is used up, the returns are spread evenly, unless all
+        upstreams pause.
 
         If limits prevent it, the instances that grant permits give each refused caller
         a time of its own.
@@ -315,7 +316,9 @@
         if reason == STOPPING:
             return STOPPING_RETRY_SECONDS
         if reason == BUDGET:
-            return otherwise + self._random.uniform(0.0, BUDGET_RETURN_SECONDS)
+            if self._usable(context.service):
+                return otherwise + self._random.uniform(0.0, BUDGET_RETURN_SECONDS)
+            reason = PAUSED
         seconds = self._resume_seconds(context.service)
         if reason != PAUSED or seconds is None:
             return otherwise
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -484,8 +484,9 @@
     return f"id: {number}\ndata: {attempt} says {number}\n\n".encode()
 
 
-# Behaviours that take longer than the deadlines of generated requests, or whose effect
-# cannot be distinguished from a correct response of a service without engines.
+# Behaviours that take longer than the deadlines of generated requests, need arguments,
+# or have an effect that cannot be distinguished from a correct response of a service
+# without engines.
 _NOT_GENERATED = {
     "send_only_comments",
     "respond_slowly",
@@ -501,10 +502,13 @@
     "send_status",
     "send_status_before_response",
 }
-BEHAVIOURS = tuple(
-    sorted(
+BEHAVIOURS = (
+    *sorted(
         name.removeprefix("act_")
         for name in vars(ScriptedRequest)
         if name.startswith("act_") and name.removeprefix("act_") not in _NOT_GENERATED
-    )
+    ),
+    "respond_early:0:0:reset",
+    "send_status:600",
+    "send_status_before_response:000",
 )
