--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -107,6 +107,29 @@
     others: float = 0.0
 
 
+class Candidate(msgspec.Struct, frozen=True):
+    """An upstream that was compared, and what it was compared by.
+
+    ``wait_terms`` are the parts of the predicted wait, ``other_terms`` what is added to
+    it for the comparison only, both in ms by name. ``avoid_until`` is in the future
+    while the upstream should be avoided.
+    """
+
+    choice: Choice
+    wait_terms: dict[str, float]
+    other_terms: dict[str, float]
+    avoid_until: float
+
+    @property
+    def cost_ms(self) -> float:
+        """Return the sum of all terms; the candidate with the lowest is chosen."""
+        return self.choice.wait_ms + sum(self.other_terms.values())
+
+
+# The choice for an upstream, and the terms of its predicted wait.
+Prediction = tuple[Choice, dict[str, float]]
+
+
 class Placement:
     """Chooses upstreams by predicted time; stateless."""
 
@@ -153,6 +176,12 @@
 
         :param engines: the candidates, of any phase.
         """
+        return _lowest_cost(self.compare_for_prefill(engines, prompt, now), now)
+
+    def compare_for_prefill(
+        self, engines: list[Upstream], prompt: Prompt, now: float
+    ) -> list[Candidate]:
+        """Return what :meth:`choose_for_prefill` compares, in the order of engines."""
         cached = {
             item.id: self._loads.cached_tokens(item.id, prompt.parts, now)
             for item in engines
@@ -168,22 +197,24 @@
         spreads = self._speeds.learns and self._loads.has_sources
         uniform = self._random.uniform
 
-        def cost(choice: Choice) -> float:
-            repeated = max_cached - cached[choice.upstream.id]
-            tokens = repeated * REPEATED_PREFILL_WEIGHT
-            tokens += order.get(choice.upstream.id, 0.0)
-            extra = tokens * usual_ms_per_token
-            if not spreads:
-                return extra
-            spread = MIN_QUEUE_SPREAD_MS
-            if choice.others > 0:
-                spread += QUEUE_SPREAD * choice.queued_ms / math.sqrt(choice.others)
-            return extra + uniform(-spread, spread)
-
-        def predict(item: Upstream) -> Choice:
+        def extra_terms(item: Upstream, choice: Choice) -> dict[str, float]:
+            repeated = max_cached - cached[item.id]
+            repeated_tokens = repeated * REPEATED_PREFILL_WEIGHT
+            terms = {
+                "repeated_prefill": repeated_tokens * usual_ms_per_token,
+                "shared_order": order.get(item.id, 0.0) * usual_ms_per_token,
+            }
+            if spreads:
+                spread = MIN_QUEUE_SPREAD_MS
+                if choice.others > 0:
+                    spread += QUEUE_SPREAD * choice.queued_ms / math.sqrt(choice.others)
+                terms["spread"] = uniform(-spread, spread)
+            return terms
+
+        def predict(item: Upstream) -> Prediction:
             return self._predict_prefill(item, prompt, cached[item.id], now)
 
-        return self._lowest_cost(engines, now, predict, cost)
+        return self._compare(engines, now, predict, extra_terms)
 
     def choose_for_decode(
         self,
@@ -198,29 +229,42 @@
         :param reader: the engine that holds the prompt's cache; ``None`` if the
             decoding engine prefills the prompt itself.
         """
+        candidates = self.compare_for_decode(engines, prompt, reader, spec, now)
+        return _lowest_cost(candidates, now)
+
+    def compare_for_decode(
+        self,
+        engines: list[Upstream],
+        prompt: Prompt,
+        reader: Upstream | None,
+        spec: EngineSpec,
+        now: float,
+    ) -> list[Candidate]:
+        """Return what :meth:`choose_for_decode` compares, in the order of engines."""
         if reader is None:
-            return self.choose_for_prefill(engines, prompt, now)
+            return self.compare_for_prefill(engines, prompt, now)
 
-        def predict(item: Upstream) -> Choice:
+        def predict(item: Upstream) -> Prediction:
             load = self._loads.total(item.id, now)
             cached = self._loads.cached_tokens(item.id, prompt.parts, now)
             moved = max(0, prompt.tokens - cached)
             bits = moved * spec.bytes_per_token * 8
-            wait = bits / (spec.link_mbps * 1000)
+            terms = {"transfer": bits / (spec.link_mbps * 1000)}
             if load.requests:
-                wait += load.requests * self._speeds.step_ms(item, load.requests, now)
+                step_ms = self._speeds.step_ms(item, load.requests, now)
+                terms["running"] = load.requests * step_ms
             if load.prefill_tokens:
                 _, ms_per_token = self._speeds.prefill_line(item, now)
-                wait += load.prefill_tokens * ms_per_token
+                terms["queued"] = load.prefill_tokens * ms_per_token
             if item.zone != reader.zone:
-                wait += OTHER_ZONE_TRANSFER_MS
+                terms["zone_transfer"] = OTHER_ZONE_TRANSFER_MS
             if item.cheap:
-                wait += CHEAP_DECODE_PENALTY_MS
+                terms["cheap"] = CHEAP_DECODE_PENALTY_MS
             if load.requests >= item.slots:
-                wait += FAILING_PENALTY_MS
-            return Choice(item, wait)
+                terms["full"] = FAILING_PENALTY_MS
+            return Choice(item, sum(terms.values())), terms
 
-        return self._lowest_cost(engines, now, predict)
+        return self._compare(engines, now, predict)
 
     @staticmethod
     def may_prefill_directly(choice: Choice) -> bool:
@@ -229,11 +273,17 @@
 
     def choose_for_call(self, upstreams: list[Upstream], now: float) -> Choice | None:
         """Choose the upstream of a service without engines by predicted wait."""
+        return _lowest_cost(self.compare_for_call(upstreams, now), now)
+
+    def compare_for_call(
+        self, upstreams: list[Upstream], now: float
+    ) -> list[Candidate]:
+        """Return what :meth:`choose_for_call` compares, in the order of upstreams."""
         if not self._speeds.learns:
-            return self._choose_by_used_slots(upstreams, now)
-        cost_by_id: dict[str, float] = {}
+            return self._compare_used_slots(upstreams, now)
+        used_ms_by_id: dict[str, float] = {}
 
-        def predict(item: Upstream) -> Choice:
+        def predict(item: Upstream) -> Prediction:
             own = self._loads.own_requests(item.id)
             others = self._loads.total(item.id, now).requests - own
             requests, uncertain = self._speeds.reports.estimate(item, own, others, now)
@@ -243,67 +293,85 @@
             call_ms = self._speeds.call_ms(item, now)
             excess = max(0.0, used - 1.0)
             cost = 1.0 + USED_SLOTS_WEIGHT * used * used + EXCESS_WEIGHT * excess
-            cost_by_id[item.id] = call_ms * cost
-            return Choice(item, call_ms * excess)
+            wait = call_ms * excess
+            used_ms_by_id[item.id] = call_ms * cost - wait
+            return Choice(item, wait), {"excess": wait}
 
-        def cost(choice: Choice) -> float:
-            return cost_by_id[choice.upstream.id] - choice.wait_ms
+        def extra_terms(item: Upstream, choice: Choice) -> dict[str, float]:
+            return {"used_slots": used_ms_by_id[item.id]}
 
-        return self._lowest_cost(upstreams, now, predict, cost)
+        return self._compare(upstreams, now, predict, extra_terms)
 
-    def _choose_by_used_slots(
+    def _compare_used_slots(
         self, upstreams: list[Upstream], now: float
-    ) -> Choice | None:
-        def predict(item: Upstream) -> Choice:
+    ) -> list[Candidate]:
+        def predict(item: Upstream) -> Prediction:
             load = self._loads.total(item.id, now)
             wait = load.requests / max(1, item.slots) * FAILING_PENALTY_MS
-            return Choice(item, wait)
+            return Choice(item, wait), {"used_slots": wait}
 
-        return self._lowest_cost(upstreams, now, predict)
+        return self._compare(upstreams, now, predict)
 
     def _predict_prefill(
         self, item: Upstream, prompt: Prompt, cached: int, now: float
-    ) -> Choice:
+    ) -> Prediction:
         load = self._loads.total(item.id, now)
         uncached = max(1, prompt.tokens - cached)
         fixed_ms, ms_per_token = self._speeds.prefill_line(item, now)
-        queued_ms = load.prefill_tokens * ms_per_token
-        prefill_ms = uncached * ms_per_token
-        wait = queued_ms + prefill_ms + fixed_ms
+        terms = {
+            "queued": load.prefill_tokens * ms_per_token,
+            "uncached": uncached * ms_per_token,
+            "fixed": fixed_ms,
+        }
         others = load.requests - self._loads.own_requests(item.id)
-        return Choice(item, wait, uncached, queued_ms, 0.0, prefill_ms, others)
-
-    def _lowest_cost(
+        choice = Choice(
+            item,
+            sum(terms.values()),
+            uncached,
+            terms["queued"],
+            0.0,
+            terms["uncached"],
+            others,
+        )
+        return choice, terms
+
+    def _compare(
         self,
         upstreams: list[Upstream],
         now: float,
-        predict: Callable[[Upstream], Choice],
-        extra_cost: Callable[[Choice], float] = lambda choice: 0.0,
-    ) -> Choice | None:
-        best = None
-        best_cost = 0.0
-        avoid_until = 0.0
+        predict: Callable[[Upstream], Prediction],
+        extra_terms: Callable[[Upstream, Choice], dict[str, float]] = (
+            lambda item, choice: {}
+        ),
+    ) -> list[Candidate]:
+        candidates = []
         for item in upstreams:
-            choice = predict(item)
+            choice, wait_terms = predict(item)
             incarnation = item.incarnation
             health = self._health.of(incarnation)
-            cost = choice.wait_ms + extra_cost(choice)
-            failure_rate = self._health.failure_rate(item.incarnation, now)
-            cost += failure_rate * FAILING_PENALTY_MS
-            cost += self._permit_wait_seconds(item) * 1000
+            terms = extra_terms(item, choice)
+            failure_rate = self._health.failure_rate(incarnation, now)
+            if failure_rate:
+                terms["failing"] = failure_rate * FAILING_PENALTY_MS
+            permit_seconds = self._permit_wait_seconds(item)
+            if permit_seconds:
+                terms["permit"] = permit_seconds * 1000
             if item.zone != self._zone:
-                cost += OTHER_ZONE_PENALTY_MS
+                terms["other_zone"] = OTHER_ZONE_PENALTY_MS
             if not self._connected(incarnation):
-                cost += NEW_CONNECTION_MS
+                terms["new_connection"] = NEW_CONNECTION_MS
             if health.avoided(now):
                 # Among avoided upstreams, prefer the one that may be tried first.
-                cost += AVOIDED_PENALTY_MS * (1.0 + health.avoid_until - now)
-            if best is None or cost < best_cost:
-                best, best_cost = choice, cost
-                avoid_until = health.avoid_until
-        if best is not None and avoid_until > now:
-            best = msgspec.structs.replace(best, avoid_until=avoid_until)
-        return best
+                terms["avoided"] = AVOIDED_PENALTY_MS * (1.0 + health.avoid_until - now)
+            candidates.append(Candidate(choice, wait_terms, terms, health.avoid_until))
+        return candidates
+
+
+def _lowest_cost(candidates: list[Candidate], now: float) -> Choice | None:
+    best = min(candidates, key=lambda candidate: candidate.cost_ms, default=None)
+    if best is None or best.avoid_until <= now:
+        return None if best is None else best.choice
+    return msgspec.structs.replace(best.choice, avoid_until=best.avoid_until)
 
 
 def _shared_order(prompt: Prompt, engines: list[Upstream]) -> dict[str, float]:
