Refuse a prompt that no engine of its service can hold

A prompt of more tokens than the cache of an engine was sent to engines, which refused it one after the other, and the caller was told to come back. It is now refused at once as not run, with prompt_too_long and without Retry-After.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -25,6 +25,8 @@
 from camphorgated.serving.streaming import Streaming
 from camphorgated.serving.upstream_wait import UPSTREAM_POLL_SECONDS, wait_for_upstream
 
+# Refusal reason if no engine of the service can ever hold the prompt.
+PROMPT_TOO_LONG = "prompt_too_long"
 # Time that a second call and the cache transfer take. A decode engine prefills a prompt
 # itself unless a prefill engine is predicted to be faster by more than this.
 DIRECT_MS = 10.0
@@ -83,6 +85,11 @@
         if service is None or service.engine is None:
             self._give_up(Generation(context), "no_upstream")
             return
+        if not service.engine.can_hold(context.facts.prompt_tokens):
+            # No retry-after: a retry would be refused as well.
+            context.caller.refuse(503, PROMPT_TOO_LONG)
+            self._statistics.given_up(context, PROMPT_TOO_LONG)
+            return
         generation = Generation(context)
         try:
             await self._run(generation, service.engine)
--- a/packages/camphorgate/src/camphorgate/serving/catalog.py
+++ b/packages/camphorgate/src/camphorgate/serving/catalog.py
@@ -77,6 +77,10 @@
     moves: bool = False
     backups: bool = False
 
+    def can_hold(self, prompt_tokens: int) -> bool:
+        """Return whether an idle engine has memory for a prompt."""
+        return prompt_tokens <= self.cache_tokens
+
 
 class ScalingSpec(msgspec.Struct, frozen=True):
     """Scaling bounds and prices of upstreams; the bounds apply to each zone."""
--- a/tests/test_serving/test_requests.py
+++ b/tests/test_serving/test_requests.py
@@ -294,6 +294,21 @@
         self.assertFalse(response.complete)
         self.assertEqual(len(self.runs()), 1)
 
+    async def test_prompt_that_no_engine_can_hold_is_refused(self):
+        """Guards against retries of a prompt that is beyond an engine's memory."""
+        headers = {
+            **PROMPT,
+            b"x-token-count": b"400001,88",
+            b"x-prompt-prefix": b"a:400001",
+        }
+        response = await self.request(
+            self.app, "/chat/a", method="POST", headers=headers
+        )
+        self.assertEqual(response.status, 503)
+        self.assertNotIn(b"retry-after", response.headers)
+        self.assertIn(b'"run":"not_run"', response.body)
+        self.assertEqual(self.runs(), [])
+
     def build_long_prompt_headers(self):
         """Return the headers of a prompt that is prefilled separately."""
         return {
