Lend the slots of upstreams that report their load

Each instance chose by its own view, so bursts reached full upstreams, which refused requests while others had room. One instance now lends the slots of a service, or of a part of a large one; a request asks it by a datagram before it is sent and waits there in the order of request_order.

Used once upstreams report their load through Room.record_reported_load, which nothing calls yet. The switch is room.enabled.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -8,6 +8,7 @@
 from camphorgate.application import Application
 from camphorgate.serving.catalog import Kind, Stage, Upstream
 from camphorgate.serving.quarantine import Block
+from camphorgate.serving.room.book import Outcome
 from camphorgate.serving.send_attempts import SendAttempts
 from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
@@ -15,6 +16,7 @@
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.permits import Permit
 from camphorgated.serving.quarantine import BLOCKED, call_keys
+from camphorgated.serving.room.room import NO_ROOM, Borrower
 from camphorgated.serving.upstream_wait import wait_for_upstream
 
 # A repeatable request is retried on another upstream after this multiple of its route's
@@ -37,6 +39,7 @@
         "_gossip",
         "_statistics",
         "_quarantine",
+        "_room",
     )
 
     def __init__(self, app: Application) -> None:
@@ -47,9 +50,14 @@
         self._gossip = app.service("gossip")
         self._statistics = app.service("statistics")
         self._quarantine = app.service("quarantine")
+        self._room = app.service("room")
 
     async def run(self, context: RequestContext) -> None:
         """Handle a request, retrying it on other upstreams where allowed."""
+        with self._room.borrower(context) as borrower:
+            await self._run(context, borrower)
+
+    async def _run(self, context: RequestContext, borrower: Borrower) -> None:
         clock = self._app.clock
         upstreams = self._upstreams
         attempts = SendAttempts(context.route.repeatable(), context.route.attempts)
@@ -62,6 +70,7 @@
         # Whether this request tests whether its block is still needed.
         is_trial = False
         while True:
+            borrower.end()
             now = clock.monotonic()
             block = self._quarantine.find_block(keys)
             if block is not None and not attempts.sends and not is_trial:
@@ -87,6 +96,12 @@
                 return
             if await wait_for_upstream(context, choice, clock):
                 continue
+            choice = await borrower.borrow(found, choice, attempts.may_have_run)
+            if choice is None:
+                self._give_up(context, attempts, NO_ROOM, borrower.retry_after)
+                return
+            if context.seconds_left(clock.monotonic()) <= 0:
+                continue
             permit = await upstreams.reserve(context, choice, tried, patient)
             if permit is None:
                 continue
@@ -99,8 +114,12 @@
             tried.add(upstream.id)
             sent_at = clock.monotonic()
             try:
-                done = await self._try(context, attempts, upstream, carried, permit)
+                done = await self._try(
+                    context, attempts, upstream, carried, permit, borrower
+                )
             except ExchangeError as error:
+                if error.cause != STALE:
+                    borrower.record_outcome(Outcome.FAILED)
                 attempts.record_failure(error.stage)
                 unsent += error.stage is Stage.NOT_SENT
                 upstreams.note_failure(upstream, error)
@@ -140,11 +159,13 @@
         upstream: Upstream,
         carried: set[ClientConnection],
         permit: Permit,
+        borrower: Borrower,
     ) -> bool:
         """Send the request to one upstream.
 
         :param carried: connections that carried the request before.
         :param permit: permit to send it if the upstream names a limit.
+        :param borrower: the holder of the loan of the upstream's slot.
 
         :returns: whether the caller has been sent a response.
         """
@@ -173,7 +194,9 @@
                     max(0.01, context.seconds_left(clock.monotonic()))
                 )
         health = upstreams.health.of(upstream.incarnation)
-        if facts.stage is Stage.REFUSED:
+        refused = facts.stage is Stage.REFUSED
+        borrower.record_outcome(Outcome.REFUSED if refused else Outcome.DONE)
+        if refused:
             attempts.record_failure(Stage.REFUSED)
             upstreams.note_refusal(upstream, facts)
             self._statistics.try_failed(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -20,6 +20,7 @@
     "limits",
     "permit_grants",
     "permits",
+    "room",
     "upstreams",
     "calls",
     "generations",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -31,6 +31,10 @@
     PermitRequest,
     PrefillNotice,
     QuarantineNews,
+    RoomLoans,
+    RoomReply,
+    RoomRequest,
+    RoomReturn,
     State,
 )
 from camphorgated.serving.peers import PeerTable, select_in_rotation
@@ -75,6 +79,10 @@
     | LimitNews
     | PermitRequest
     | PermitReply
+    | RoomRequest
+    | RoomReply
+    | RoomReturn
+    | RoomLoans
 )
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -130,6 +130,81 @@
     owner: str = ""
 
 
+def _shorten(name: str) -> str:
+    """Return the name of a field on the wire, as these messages are frequent."""
+    return name[:3]
+
+
+class RoomRequest(msgspec.Struct, omit_defaults=True, rename=_shorten, tag="m"):
+    """Asks the owner of a group of upstreams for a slot of one of them.
+
+    ``number`` and ``address``, the gossip address of the sender, identify it. A request
+    that does not wait is not queued. ``skipped`` are gossip addresses of instances that
+    did not reply to the sender. The other fields are those of
+    :class:`camphorgate.serving.room.book.Ask`.
+    """
+
+    number: int
+    address: str
+    service: str
+    group: str
+    zone: str
+    rank: int
+    workspace: str
+    kind: str
+    target_seconds: float
+    seconds_left: float
+    waits: bool = True
+    excluded: list[str] = []
+    skipped: list[str] = []
+
+
+class RoomReply(msgspec.Struct, omit_defaults=True, rename=_shorten, tag="n"):
+    """Answer to a :class:`RoomRequest`.
+
+    One of these: the upstream whose slot is lent; ``queued`` if another reply follows;
+    ``owner``, the gossip address of the instance to ask instead; ``retry_after``,
+    seconds after which a refused caller may return; none of them if the sender can
+    neither lend nor queue.
+    """
+
+    number: int
+    upstream: str = ""
+    queued: bool = False
+    owner: str = ""
+    retry_after: float | None = None
+
+
+class RoomReturn(msgspec.Struct, omit_defaults=True, rename=_shorten, tag="o"):
+    """Returns a slot, or withdraws a request for one.
+
+    ``outcome`` is a :class:`camphorgate.serving.room.book.Outcome`, ``seconds`` the
+    time that the upstream took, and ``load`` what it reported: running, waiting, slots.
+    """
+
+    number: int
+    address: str
+    group: str
+    outcome: int = 0
+    seconds: float = 0.0
+    upstream: str = ""
+    load: tuple[int, int, int] | None = None
+
+
+class RoomLoans(msgspec.Struct, omit_defaults=True, rename=_shorten, tag="u"):
+    """Names the slots that the sender uses, and its requests that wait for one.
+
+    ``upstreams`` are ids by number, empty for a request that waits; ``next_number`` is
+    the number of its next request.
+    """
+
+    address: str
+    service: str
+    group: str
+    next_number: int
+    upstreams: dict[int, str]
+
+
 class Changes(msgspec.Struct, omit_defaults=True, tag="l"):
     """Entries of the list of upstreams that a watcher has just learned of.
 
--- a/packages/camphorgate/src/camphorgate/serving/request_order.py
+++ b/packages/camphorgate/src/camphorgate/serving/request_order.py
@@ -21,14 +21,14 @@
 # Weight of the time that is left to a request: one that has just arrived is worth
 # exp(-this) of one that has to start now.
 URGENCY = 1.5
-# Of this many starts, one is given to the request that has used most of its time,
-# whatever its size. Otherwise large requests wait as long as small ones arrive.
-OLDEST_TURN = 4
+# Of the requests, this share is ordered as if all had the same small cost. Otherwise
+# the largest would never start during overload: each one that comes is behind all
+# others, and is refused as soon as the queue is longer than it may wait.
+SIZE_BLIND_SHARE = 0.25
+# Steps of the golden ratio spread these requests evenly over any run of requests.
+GOLDEN_RATIO = 0.6180339887
 # Cost assumed for a request without one.
 MIN_COST = 1e-3
-# A request is refused if its predicted start is later than its latest one by this part
-# of the time that it may wait, as predictions are uncertain.
-PREDICTION_MARGIN = 0.1
 # Part of the capacity that is offered to callers that return; the rest is for those
 # that come for the first time.
 RETURN_SHARE = 0.5
@@ -42,6 +42,7 @@
 
     ``cost`` is the upstream time that it needs, in any unit that all requests of a
     queue share. ``latest_start`` is the time after which it misses its target.
+    ``size_blind`` requests are ordered without regard to their cost.
     """
 
     rank: int
@@ -49,6 +50,7 @@
     cost: float
     workspace: str = ""
     latest_start: float = math.inf
+    size_blind: bool = False
 
     def used_time(self, now: float) -> float:
         """Return the part of the allowed waiting time that has passed, 0 to 1."""
@@ -62,7 +64,7 @@
     def loss_per_cost(self, now: float) -> float:
         """Return what is lost per unit of upstream time if it has to wait on."""
         urgency = math.exp(URGENCY * (self.used_time(now) - 1.0))
-        return urgency / max(MIN_COST, self.cost)
+        return urgency / (MIN_COST if self.size_blind else max(MIN_COST, self.cost))
 
 
 class WorkspaceUse:
@@ -112,16 +114,22 @@
     """Orders waiting requests.
 
     The order is by rank, then workspaces within their share before those above it, then
-    by what is lost per unit of upstream time, where each :data:`OLDEST_TURN`-th start
-    is given to the request that has used most of its time.
+    by what is lost per unit of upstream time, except for the share of the requests that
+    are ordered without regard to their cost.
     """
 
-    __slots__ = ("use", "_starts")
+    __slots__ = ("use", "_admitted")
 
     def __init__(self) -> None:
-        """Initialize without recorded starts."""
+        """Initialize without requests."""
         self.use = WorkspaceUse()
-        self._starts = 0
+        self._admitted = 0
+
+    def admit(self, request: WaitingRequest) -> None:
+        """Decide how a request that begins to wait is ordered."""
+        self._admitted += 1
+        draw = self._admitted * GOLDEN_RATIO % 1.0
+        request.size_blind = draw < SIZE_BLIND_SHARE
 
     def sort(
         self, waiting: Iterable[WaitingRequest], now: float
@@ -129,49 +137,15 @@
         """Return the requests in the order in which they should start."""
         requests = list(waiting)
         above = self.use.above_share({item.workspace for item in requests}, now)
-        requests_by_tier: dict[tuple[int, bool], list[WaitingRequest]] = {}
-        for item in requests:
-            tier = (item.rank, item.workspace in above)
-            requests_by_tier.setdefault(tier, []).append(item)
-        ordered: list[WaitingRequest] = []
-        for tier in sorted(requests_by_tier):
-            ordered += self._sort_tier(requests_by_tier[tier], len(ordered), now)
-        return ordered
-
-    def _sort_tier(
-        self, requests: list[WaitingRequest], before: int, now: float
-    ) -> list[WaitingRequest]:
-        """Return the requests of one tier in order.
 
-        :param before: how many requests of other tiers start before them.
-        """
-        if len(requests) < 2:
-            return requests
-        by_age = sorted(
-            requests,
-            key=lambda item: (-item.used_time(now), item.arrived_at),
-        )
-        by_loss = sorted(by_age, key=lambda item: -item.loss_per_cost(now))
-        ages, losses = iter(by_age), iter(by_loss)
-        taken: set[int] = set()
-        ordered = []
-        while len(ordered) < len(requests):
-            turn = self._starts + before + len(ordered) + 1
-            source = ages if turn % OLDEST_TURN == 0 else losses
-            for item in source:
-                if id(item) not in taken:
-                    taken.add(id(item))
-                    ordered.append(item)
-                    break
-        return ordered
+        def key(item: WaitingRequest) -> tuple:
+            behind = item.workspace in above
+            return item.rank, behind, -item.loss_per_cost(now), item.arrived_at
 
-    def record_start(self, request: WaitingRequest, now: float) -> None:
-        """Record a request that starts after it has waited."""
-        self._starts += 1
-        self.record_use(request, now)
+        return sorted(requests, key=key)
 
-    def record_use(self, request: WaitingRequest, now: float) -> None:
-        """Record a request that starts without having waited."""
+    def record_start(self, request: WaitingRequest, now: float) -> None:
+        """Record a request that starts."""
         self.use.record(request.workspace, request.cost, now)
 
 
@@ -192,8 +166,7 @@
     unreachable = []
     start = now + first_seconds
     for item in ordered:
-        margin = max(0.0, item.latest_start - item.arrived_at) * PREDICTION_MARGIN
-        if start > item.latest_start + margin:
+        if start > item.latest_start:
             unreachable.append(item)
         else:
             start += item.cost * seconds_per_cost
--- /dev/null
+++ b/packages/camphorgate/src/camphorgate/serving/room/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of owners that lend the slots of upstreams to all instances."""
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -23,6 +23,16 @@
     usage_late_seconds: float = 10.0
 
 
+class RoomSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Loans of slots of upstreams that report their load.
+
+    Without a reply of the owner within ``reply_seconds`` an instance chooses itself.
+    """
+
+    enabled: bool = True
+    reply_seconds: float = 0.025
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -43,6 +53,7 @@
     seeds: tuple[str, ...] = ()
     budget: BudgetSettings = BudgetSettings()
     times: TimeSettings = TimeSettings()
+    room: RoomSettings = RoomSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -106,6 +106,7 @@
             "statistics": statistics,
         }
         app = SimpleNamespace(service=services.__getitem__, clock=fleet.clock)
+        self.app, self.services = app, services
         self.limits = Limits(app)
         self.limits._random = random.Random(fleet.random.random())
         services["limits"] = self.limits
@@ -186,6 +187,8 @@
     :param loss: share of lost datagrams.
     """
 
+    instance_class = Instance
+
     def __init__(
         self, size: int, zones: int, upstreams: int, seed: int = 1, loss: float = 0.0
     ) -> None:
@@ -206,7 +209,8 @@
         }
         self.listed = {member.instance: member for member in self.members}
         self.upstreams = [
-            Upstream(number, f"z{number % zones}") for number in range(upstreams)
+            self.build_upstream(number, f"z{number % zones}")
+            for number in range(upstreams)
         ]
         self.cut_off: set[int] = set()
         self.disturbed_at: dict[int, list[float]] = {}
@@ -220,10 +224,14 @@
         self.delay_factor = 1.0
         self._decoder = msgspec.msgpack.Decoder(Message)
         self.instances = [
-            Instance(self, number, zone) for number, zone in enumerate(names)
+            self.instance_class(self, number, zone) for number, zone in enumerate(names)
         ]
         self._tasks = [asyncio.ensure_future(item.run()) for item in self.instances]
 
+    def build_upstream(self, number: int, zone: str):
+        """Return an upstream."""
+        return Upstream(number, zone)
+
     async def stop(self) -> None:
         """Stop all instances."""
         for task in self._tasks:
--- a/tests/test_serving/test_request_order.py
+++ b/tests/test_serving/test_request_order.py
@@ -57,10 +57,11 @@
         serve(now)
         came[name] += 1
         if len(busy) < servers:
-            order.record_use(item, now)
+            order.record_start(item, now)
             started[name] += 1
             heapq.heappush(busy, now + item.cost / 1000)
         else:
+            order.admit(item)
             waiting[item] = name
     return {name: started[name] / came[name] for name in kinds}
 
