Order long prompts by what is lost, and spread their return times

Prompts that had missed their target went first, as the oldest, and made those behind them late, too; and one workspace could hold the queue. The prefill queue now uses request_order: prompts past their target go last within their rank, and workspaces above their share behind the others. Refused callers get return times one after the other.

test_decisions: is_first takes the time now; the order it checks is the same. The switch is order.by_loss.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -27,6 +27,8 @@
 
 # Refusal reason if no engine of the service can ever hold the prompt.
 PROMPT_TOO_LONG = "prompt_too_long"
+# Refusal reason if no engine can begin to answer before the deadline.
+UNREACHABLE = "deadline_unreachable"
 # Time that a second call and the cache transfer take. A decode engine prefills a prompt
 # itself unless a prefill engine is predicted to be faster by more than this.
 DIRECT_MS = 10.0
@@ -73,7 +75,7 @@
         self._upstreams = app.service("upstreams")
         self._statistics = app.service("statistics")
         self._quarantine = app.service("quarantine")
-        self._queue = PrefillQueue()
+        self._queue = PrefillQueue(app.settings.order.by_loss)
         self._streaming = Streaming(app)
         app.add_dump_section("reading_queue", lambda: {"waiting": len(self._queue)})
 
@@ -127,7 +129,7 @@
             if generation.ticket is not None:
                 wait += self._queue.wait_seconds(generation.ticket, now)
             if wait > context.seconds_left(now) and not generation.attempts.sends:
-                self._give_up(generation, "deadline_unreachable", wait)
+                self._give_up(generation, UNREACHABLE, wait)
                 return
             if await wait_for_upstream(context, first, clock):
                 continue
@@ -177,20 +179,33 @@
         if ticket is None:
             if choice.uncached <= MIN_LONG_PROMPT_TOKENS:
                 return False
-            arrived_at = generation.context.request.read_at
-            ticket = QueuedPrompt(generation.context.rank, arrived_at, choice.uncached)
+            context = generation.context
+            arrived_at = context.request.read_at
+            prefill = (choice.wait_ms - choice.queued_ms) / 1000
+            ticket = QueuedPrompt(
+                context.rank,
+                arrived_at,
+                choice.uncached,
+                context.workspace_name or "",
+                arrived_at + context.route.target_seconds - prefill,
+            )
             generation.ticket = ticket
             queue.add(ticket)
-        if queue.is_first(ticket) and queue.may_send(ticket, choice.queued_ms, now):
+        if queue.is_first(ticket, now) and queue.may_send(
+            ticket, choice.queued_ms, now
+        ):
             self._leave_queue(generation)
-            queue.record_sent(choice.uncached, now)
+            queue.record_sent(choice.uncached, now, ticket)
             return False
         generation.context.decisions["queued_ms"] = (now - ticket.arrived_at) * 1000
         await asyncio.sleep(QUEUE_POLL_SECONDS)
-        while not queue.is_first(ticket) and not self._expired(generation):
+        while not self._is_first(ticket) and not self._expired(generation):
             await asyncio.sleep(QUEUE_POLL_SECONDS)
         return True
 
+    def _is_first(self, ticket: QueuedPrompt) -> bool:
+        return self._queue.is_first(ticket, self._app.clock.monotonic())
+
     def _expired(self, generation: Generation) -> bool:
         """Return whether a queued prompt can no longer meet its deadline."""
         now = self._app.clock.monotonic()
@@ -529,6 +544,9 @@
             seconds = min(
                 MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds)
             )
+            if reason == UNREACHABLE:
+                now = self._app.clock.monotonic()
+                seconds = self._queue.return_seconds(context.rank, seconds, now)
             seconds = self._upstreams.retry_after_seconds(context, reason, seconds)
             caller.refuse(503, reason, seconds if retry_after is None else retry_after)
         self._statistics.given_up(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/room/owner.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/room/owner.py
@@ -1,7 +1,7 @@
 """Lends the slots of the groups of upstreams that this instance owns."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
@@ -70,6 +70,7 @@
     __slots__ = (
         "groups",
         "on_reply",
+        "predict_ms",
         "_app",
         "_gossip",
         "_members",
@@ -84,6 +85,9 @@
         self.groups = RoomGroups(app)
         # Called with the replies to this instance's own requests.
         self.on_reply = None
+        # Returns the service time of a request at an upstream in ms, ``None`` if it is
+        # unknown; for books that are made from now on.
+        self.predict_ms: Callable[[Upstream, float], float | None] | None = None
         self._app = app
         self._gossip = app.service("gossip")
         self._members = app.service("members")
@@ -170,7 +174,9 @@
             return address
         owned = self._owned_by_key.get(key)
         if owned is None:
-            owned = _OwnedGroup(service, group, RoomBook(self._avoided))
+            by_loss = self._app.settings.order.by_loss
+            book = RoomBook(self._avoided, self.predict_ms, by_loss)
+            owned = _OwnedGroup(service, group, book)
             owned.book.set_upstreams(group.upstreams)
             self._owned_by_key[key] = owned
             log_event(
--- a/packages/camphorgate/src/camphorgate/serving/request_order.py
+++ b/packages/camphorgate/src/camphorgate/serving/request_order.py
@@ -21,10 +21,12 @@
 # Weight of the time that is left to a request: one that has just arrived is worth
 # exp(-this) of one that has to start now.
 URGENCY = 1.5
-# Of the requests, this share is ordered as if all had the same small cost. Otherwise
-# the largest would never start during overload: each one that comes is behind all
-# others, and is refused as soon as the queue is longer than it may wait.
+# Of the requests, this share goes before the smaller ones if it is large. Otherwise the
+# largest would never start during overload: each one that comes is behind all others,
+# and is refused as soon as the queue is longer than it may wait.
 SIZE_BLIND_SHARE = 0.25
+# A request is large if it costs more than this many times the mean of those that wait.
+LARGE_FACTOR = 1.2
 # Steps of the golden ratio spread these requests evenly over any run of requests.
 GOLDEN_RATIO = 0.6180339887
 # Cost assumed for a request without one.
@@ -37,12 +39,12 @@
 MIN_RETURN_SECONDS = 0.02
 
 
-class WaitingRequest(msgspec.Struct, eq=False, kw_only=True):
+class WaitingRequest(msgspec.Struct, eq=False):
     """A request that waits.
 
     ``cost`` is the upstream time that it needs, in any unit that all requests of a
     queue share. ``latest_start`` is the time after which it misses its target.
-    ``size_blind`` requests are ordered without regard to their cost.
+    ``size_blind`` requests go before smaller ones if they are large.
     """
 
     rank: int
@@ -61,10 +63,14 @@
             return 0.0
         return min(1.0, max(0.0, (now - self.arrived_at) / allowed))
 
-    def loss_per_cost(self, now: float) -> float:
-        """Return what is lost per unit of upstream time if it has to wait on."""
+    def loss_per_cost(self, now: float, mean_cost: float) -> float:
+        """Return what is lost per unit of upstream time if it has to wait on.
+
+        :param mean_cost: the mean cost of those that wait.
+        """
         urgency = math.exp(URGENCY * (self.used_time(now) - 1.0))
-        return urgency / (MIN_COST if self.size_blind else max(MIN_COST, self.cost))
+        first = self.size_blind and self.cost > LARGE_FACTOR * mean_cost
+        return urgency / (MIN_COST if first else max(MIN_COST, self.cost))
 
 
 class WorkspaceUse:
@@ -113,16 +119,20 @@
 class RequestOrder:
     """Orders waiting requests.
 
-    The order is by rank, then workspaces within their share before those above it, then
-    by what is lost per unit of upstream time, except for the share of the requests that
-    are ordered without regard to their cost.
+    The order is by rank, then requests that can still meet their target before those
+    that cannot, then workspaces within their share before those above it, then by what
+    is lost per unit of upstream time. A share of the large ones goes before the others.
     """
 
-    __slots__ = ("use", "_admitted")
+    __slots__ = ("use", "_by_loss", "_admitted")
 
-    def __init__(self) -> None:
-        """Initialize without requests."""
+    def __init__(self, by_loss: bool = True) -> None:
+        """Initialize without requests.
+
+        :param by_loss: false to order by rank and arrival alone.
+        """
         self.use = WorkspaceUse()
+        self._by_loss = by_loss
         self._admitted = 0
 
     def admit(self, request: WaitingRequest) -> None:
@@ -136,11 +146,19 @@
     ) -> list[WaitingRequest]:
         """Return the requests in the order in which they should start."""
         requests = list(waiting)
+        if not self._by_loss:
+            return sorted(requests, key=lambda item: (item.rank, item.arrived_at))
         above = self.use.above_share({item.workspace for item in requests}, now)
+        mean = sum(item.cost for item in requests) / max(1, len(requests))
 
         def key(item: WaitingRequest) -> tuple:
-            behind = item.workspace in above
-            return item.rank, behind, -item.loss_per_cost(now), item.arrived_at
+            return (
+                item.rank,
+                now > item.latest_start,
+                item.workspace in above,
+                -item.loss_per_cost(now, mean),
+                item.arrived_at,
+            )
 
         return sorted(requests, key=key)
 
--- a/packages/camphorgate/src/camphorgate/serving/room/book.py
+++ b/packages/camphorgate/src/camphorgate/serving/room/book.py
@@ -200,14 +200,16 @@
         self,
         avoided: Callable[[Upstream, float], bool] = lambda upstream, now: False,
         predict_ms: Callable[[Upstream, float], float | None] | None = None,
+        by_loss: bool = True,
     ) -> None:
         """Start without loans.
 
         :param avoided: returns whether the owner avoids an upstream after failures.
         :param predict_ms: returns the service time of a request at an upstream, in ms;
             by default it is learned from the loans.
+        :param by_loss: false to queue by rank and arrival alone.
         """
-        self.order = RequestOrder()
+        self.order = RequestOrder(by_loss)
         self._slots_by_id: dict[str, _Slots] = {}
         self._loan_by_key: dict[Key, _Loan] = {}
         self._queue_by_key: dict[Key, _Queued] = {}
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -33,6 +33,12 @@
     reply_seconds: float = 0.025
 
 
+class OrderSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Order of requests that wait, by rank and loss or by rank and arrival alone."""
+
+    by_loss: bool = True
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -54,6 +60,7 @@
     budget: BudgetSettings = BudgetSettings()
     times: TimeSettings = TimeSettings()
     room: RoomSettings = RoomSettings()
+    order: OrderSettings = OrderSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
--- a/tests/room_fleet.py
+++ b/tests/room_fleet.py
@@ -12,7 +12,7 @@
 from camphorgate.serving.health import HealthTable
 from camphorgate.serving.placement import Choice
 from camphorgate.serving.room.book import Outcome
-from camphorgate.serving.settings import RoomSettings
+from camphorgate.serving.settings import OrderSettings, RoomSettings
 from camphorgated.serving.room.owner import RoomOwner
 from camphorgated.serving.room.room import Room
 from tests.hosting_builders import build_listed_upstream
@@ -51,7 +51,7 @@
         self.paused_datagrams = None
         self.health = HealthTable()
         self.load_by_id = {}
-        self.app.settings = SimpleNamespace(room=fleet.settings)
+        self.app.settings = SimpleNamespace(room=fleet.settings, order=OrderSettings())
         entries = [item.entry for item in fleet.upstreams]
         self.services["directory"].service_upstreams = lambda service: entries
         owner = RoomOwner(self.app)
--- a/tests/test_serving/test_decisions.py
+++ b/tests/test_serving/test_decisions.py
@@ -216,12 +216,32 @@
         order = []
         for _ in range(3):
             for ticket in (self.older, self.newer, self.urgent):
-                if self.queue.is_first(ticket):
+                if self.queue.is_first(ticket, 2.0):
                     order.append(ticket)
                     self.queue.remove(ticket)
                     break
         self.assertEqual(order, [self.urgent, self.older, self.newer])
 
+    def test_late_prompts_delay_no_other(self):
+        """Guards against prompts past their target that make all others late."""
+        late = QueuedPrompt(0, 0.0, 8000, latest_start=1.0)
+        self.queue.add(late)
+        self.assertTrue(self.queue.is_first(self.urgent, 2.0))
+        self.queue.remove(self.urgent)
+        self.assertTrue(self.queue.is_first(late, 2.0))
+
+    def test_workspace_above_its_share_waits(self):
+        """Guards against a crowd whose prompts go before those of the others."""
+        crowd = [QueuedPrompt(0, 1.5, 8000, "crowd", 9.0) for _ in range(4)]
+        other = QueuedPrompt(0, 1.9, 8000, "other", 9.0)
+        for ticket in (*crowd, other):
+            self.queue.add(ticket)
+        self.queue.remove(self.urgent)
+        for ticket in crowd[:3]:
+            self.queue.remove(ticket)
+            self.queue.record_sent(8000, 2.0, ticket)
+        self.assertTrue(self.queue.is_first(other, 2.0))
+
     def test_prompt_waits_while_engines_are_busy(self):
         """Guards against delaying short prompts behind long ones."""
         self.assertFalse(self.queue.may_send(self.urgent, 200.0, 2.0))
