Return only fresh reported loads with a slot

A response without a load, or with a malformed one, made the instance send the load of an earlier response with the returned slot.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/room/room.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/room/room.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import secrets
 from collections import OrderedDict, deque
@@ -16,7 +17,7 @@
 from camphorgate.application import Application
 from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.placement import Choice
-from camphorgate.serving.room.book import Outcome
+from camphorgate.serving.room.book import REPORT_DELAY_SECONDS, Outcome
 from camphorgate.serving.room.groups import Group
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.messages import (
@@ -205,8 +206,8 @@
         # Until when an address is not asked, and for how long it was not.
         self._silent_by_address: dict[str, tuple[float, float]] = {}
         self._reported_at_by_service: dict[str, float] = {}
-        # The newest load that each upstream reported: running, waiting, slots.
-        self._load_by_id: dict[str, tuple[int, int, int]] = {}
+        # When each upstream last reported its load: running, waiting, slots.
+        self._load_by_id: dict[str, tuple[float, tuple[int, int, int]]] = {}
         self._random = random.Random()
         self._results = PrometheusCounter(
             "camphorgate_room_requests",
@@ -235,7 +236,7 @@
     ) -> None:
         """Record the load that an upstream reports of itself in a response."""
         self._reported_at_by_service[upstream.service] = now
-        self._load_by_id[upstream.id] = (running, waiting, slots)
+        self._load_by_id[upstream.id] = (now, (running, waiting, slots))
 
     def lends(self, service: str) -> bool:
         """Return whether the slots of a service are lent.
@@ -444,16 +445,17 @@
         self._send_return(loan, outcome)
 
     def _send_return(self, loan: _Loan, outcome: Outcome) -> None:
+        now = self._app.clock.monotonic()
         served = outcome is Outcome.DONE
-        seconds = self._app.clock.monotonic() - loan.lent_at
+        reported_at, load = self._load_by_id.get(loan.upstream_id, (-math.inf, None))
         message = RoomReturn(
             loan.number,
             self._members.own.gossip_address,
             loan.group,
             outcome,
-            seconds if served else 0.0,
+            now - loan.lent_at if served else 0.0,
             loan.upstream_id,
-            self._load_by_id.get(loan.upstream_id) if served else None,
+            load if now - reported_at < REPORT_DELAY_SECONDS else None,
         )
         addresses = {loan.owner, self._owner_by_group.get(loan.group, "")} - {""}
         for address in addresses:
@@ -536,6 +538,7 @@
                 self._name_loans(group, service, address)
         if turn % FORGET_TICKS == 0:
             self._named_by_group.clear()
+            self._load_by_id.clear()
         loans, waiting = self._owner.counts()
         self._loans_gauge.set({}, loans)
         self._waiting_gauge.set({}, waiting)
--- a/tests/room_fleet.py
+++ b/tests/room_fleet.py
@@ -39,6 +39,8 @@
         )
         self.running = 0
         self.limit = None
+        # Returns how many times as long as usual work takes at a time.
+        self.slowness = lambda now: 1.0
 
 
 class RoomInstance(Instance):
@@ -198,6 +200,7 @@
             return False
         upstream.running += 1
         seconds = CALL_SECONDS * fields["size"] * self.random.uniform(0.8, 1.2)
+        seconds *= upstream.slowness(self.loop.time())
         await asyncio.sleep(seconds)
         upstream.running -= 1
         running = upstream.running
