--- a/tests/room_fleet.py
+++ b/tests/room_fleet.py
@@ -13,6 +13,7 @@
 from camphorgate.serving.placement import Choice
 from camphorgate.serving.room.book import Outcome
 from camphorgate.serving.settings import OrderSettings, RoomSettings
+from camphorgated.serving.gossip import TICK_SECONDS
 from camphorgated.serving.room.owner import RoomOwner
 from camphorgated.serving.room.room import Room
 from tests.hosting_builders import build_listed_upstream
@@ -74,11 +75,15 @@
             super()._tick()
 
     async def pause(self, seconds: float) -> None:
-        """Stop the handling of datagrams for a time."""
+        """Stop the handling of datagrams for a time.
+
+        Peers do not notice a pause of less than a tick.
+        """
         self.paused_datagrams = []
-        self.fleet._lose([self.number])
+        noticed = [self.number] if seconds >= TICK_SECONDS else []
+        self.fleet._lose(noticed)
         await asyncio.sleep(seconds)
-        self.fleet._regain([self.number])
+        self.fleet._regain(noticed)
         held, self.paused_datagrams = self.paused_datagrams, None
         for message in held:
             super().receive(message)
--- a/tests/test_serving/test_request_order.py
+++ b/tests/test_serving/test_request_order.py
@@ -85,6 +85,12 @@
         self.assertGreater(got["large"], 0.15)
         self.assertGreater(got["small"], 0.5)
 
+    def test_subject_without_a_cache_is_not_starved(self):
+        """Guards against cached subjects that always go before one that is not."""
+        kinds = {f"s{n}": (40.0, {"cost": 80.0}) for n in range(9)}
+        kinds["uncached"] = (4.0, {"cost": 160.0})
+        self.assertGreater(simulate(kinds)["uncached"], 0.15)
+
     def test_crowd_of_one_workspace(self):
         """Guards against a workspace whose repeated requests displace the others."""
         kinds = {f"w{n}": (10.0, {"workspace": f"w{n}"}) for n in range(12)}
--- a/tests/test_serving/test_room_fleet.py
+++ b/tests/test_serving/test_room_fleet.py
@@ -7,6 +7,7 @@
 import unittest
 
 from camphorgate.serving.settings import RoomSettings
+from camphorgated.serving.messages import RoomLoans, RoomRequest, RoomReturn
 from tests.limited_fleet import run_fleet
 from tests.room_fleet import CALL_SECONDS, RoomFleet
 
@@ -17,12 +18,20 @@
 MAX_FREE_SHARE = 0.08
 
 
-def play(load, instances=87, fault=None, seconds=5.0, labels=lambda r: {}, **options):
+def play(
+    load,
+    instances=87,
+    fault=None,
+    seconds=5.0,
+    labels=lambda generator: {},
+    upstreams=UPSTREAMS,
+    **options,
+):
     """Return a fleet after a load, as a part of the capacity."""
     found = []
 
     async def run():
-        fleet = RoomFleet(instances, ZONES, UPSTREAMS, **options)
+        fleet = RoomFleet(instances, ZONES, upstreams, **options)
         found.append(fleet)
         await asyncio.sleep(WARMUP_SECONDS)
         capacity = fleet.slots / CALL_SECONDS
@@ -124,6 +133,39 @@
             # At most two requests, replies and returns, and two lists of loans.
             self.assertLess(fleet.sent_bytes / len(fleet.results), 700, instances)
 
+    def test_owner_that_is_heard_but_does_not_reply(self):
+        """Guards against requests sent back to an owner that answers none of them."""
+
+        async def deafen(fleet):
+            owner = fleet.owner()
+            for kind in (RoomRequest, RoomReturn, RoomLoans):
+                owner.handlers[kind] = lambda message: None
+
+        fleet = play(0.7, fault=deafen)
+        self.assertGreater(fleet.shares()[None], 0.97)
+        self.assertLess(fleet.refused_sends, 0.1 * fleet.sends)
+
+    def test_owners_that_are_held_up(self):
+        """Guards against owners that change as a small machine pauses for 60 ms."""
+
+        async def hold_up(fleet):
+            owner = fleet.owner()
+            for _ in range(6):
+                await owner.pause(0.06)
+                await asyncio.sleep(0.4)
+
+        fleet = play(0.8, fault=hold_up)
+        self.assertGreater(fleet.shares()[None], 0.98)
+        self.assertLess(fleet.refused_sends, 0.05 * fleet.sends)
+
+    def test_large_service(self):
+        """Guards against one owner for all, and against zones that are left full."""
+        fleet = play(0.8, 195, seconds=2.0, upstreams=20)
+        self.assertGreater(fleet.shares()[None], 0.99)
+        self.assertEqual(fleet.refused_sends, 0)
+        owners = [item.room_owner.dump()["groups"] for item in fleet.instances]
+        self.assertGreaterEqual(sum(map(bool, owners)), 3)
+
 
 class CallerTests(unittest.TestCase):
     """What callers get at 1.5 times the capacity."""
