--- a/packages/camphorgate-daemon/src/camphorgated/serving/room/room.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/room/room.py
@@ -539,6 +539,7 @@
         if turn % FORGET_TICKS == 0:
             self._named_by_group.clear()
             self._load_by_id.clear()
+            self._misses_by_address.clear()
         loans, waiting = self._owner.counts()
         self._loans_gauge.set({}, loans)
         self._waiting_gauge.set({}, waiting)
