--- a/packages/camphorgate/src/camphorgate/serving/room/book.py
+++ b/packages/camphorgate/src/camphorgate/serving/room/book.py
@@ -31,6 +31,8 @@
 OVERDUE_SECONDS = 1.0
 # A reported load holds for this long: about two requests.
 REPORT_SECONDS = 0.2
+# A reported number of slots holds for this long.
+REPORTED_SLOTS_SECONDS = 1.0
 # A response reports a load of this long ago, counting its network time. Loans that were
 # returned since are still in it.
 REPORT_DELAY_SECONDS = 0.02
@@ -157,10 +159,11 @@
         self.call_ms: float | None = None
 
     def count(self, now: float) -> int:
-        """Return the number of slots."""
-        if now - self.reported_at < UNNAMED_SECONDS and self.reported_slots > 0:
-            return self.reported_slots
-        return max(1, self.upstream.slots)
+        """Return the number of slots: as declared, or as reported if that is less."""
+        declared = max(1, self.upstream.slots)
+        if now - self.reported_at < REPORTED_SLOTS_SECONDS and self.reported_slots > 0:
+            return min(declared, self.reported_slots)
+        return declared
 
     def free(self, now: float) -> int:
         """Return the number of free slots."""
--- a/tests/test_serving/test_room_book.py
+++ b/tests/test_serving/test_room_book.py
@@ -125,6 +125,12 @@
         answers = self.book.settle(REPORT_SECONDS + 0.01)
         self.assertEqual([answer.upstream.id for answer in answers], ["u0"])
 
+    def test_odd_reports_make_no_slots(self):
+        """Guards against lending slots that an upstream does not have."""
+        self.book.record_reported_load("u0", -5, -5, 10**9, 0.0)
+        self.book.record_reported_load("u1", 0, 0, 1, 0.0)
+        self.assertEqual(self.lend(range(4)).count(None), 1)
+
     def test_reports_of_known_loans_do_not_count_twice(self):
         """Guards against slots that stay free as their load is reported late."""
         self.assertEqual(self.lend([1], zone="zone-a")[0], "u0")
