--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -23,6 +23,7 @@
     "limits",
     "permit_grants",
     "permits",
+    "room",
     "upstreams",
     "calls",
     "generations",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -25,6 +25,10 @@
 from camphorgated.serving.streaming import Streaming
 from camphorgated.serving.upstream_wait import UPSTREAM_POLL_SECONDS, wait_for_upstream
 
+# Refusal reason if no engine of the service can ever hold the prompt.
+PROMPT_TOO_LONG = "prompt_too_long"
+# Refusal reason if no engine can begin to answer before the deadline.
+UNREACHABLE = "deadline_unreachable"
 # Time that a second call and the cache transfer take. A decode engine prefills a prompt
 # itself unless a prefill engine is predicted to be faster by more than this.
 DIRECT_MS = 10.0
@@ -73,7 +77,7 @@
         self._statistics = app.service("statistics")
         self._quarantine = app.service("quarantine")
         self._speeds = app.service("speeds").table
-        self._queue = PrefillQueue()
+        self._queue = PrefillQueue(app.settings.order.by_loss)
         self._streaming = Streaming(app)
         app.add_dump_section("reading_queue", lambda: {"waiting": self.waiting})
 
@@ -90,6 +94,11 @@
         if service is None or service.engine is None:
             self._give_up(Generation(context), "no_upstream")
             return
+        if not service.engine.can_hold(context.facts.prompt_tokens):
+            # No retry-after: a retry would be refused as well.
+            context.caller.refuse(503, PROMPT_TOO_LONG)
+            self._statistics.given_up(context, PROMPT_TOO_LONG)
+            return
         generation = Generation(context)
         try:
             await self._run(generation, service.engine)
@@ -128,7 +137,7 @@
             if generation.ticket is not None:
                 wait += self._queue.wait_seconds(generation.ticket, now)
             if wait > context.seconds_left(now) and not generation.attempts.sends:
-                self._give_up(generation, "deadline_unreachable", wait)
+                self._give_up(generation, UNREACHABLE, wait)
                 return
             if await wait_for_upstream(context, first, clock):
                 continue
@@ -178,20 +187,33 @@
         if ticket is None:
             if choice.prefill_ms <= MIN_LONG_PROMPT_MS:
                 return False
-            arrived_at = generation.context.request.read_at
-            ticket = QueuedPrompt(generation.context.rank, arrived_at, choice.uncached)
+            context = generation.context
+            arrived_at = context.request.read_at
+            prefill = (choice.wait_ms - choice.queued_ms) / 1000
+            ticket = QueuedPrompt(
+                context.rank,
+                arrived_at,
+                choice.uncached,
+                context.workspace_name or "",
+                arrived_at + context.route.target_seconds - prefill,
+            )
             generation.ticket = ticket
             queue.add(ticket)
-        if queue.is_first(ticket) and queue.may_send(ticket, choice.queued_ms, now):
+        if queue.is_first(ticket, now) and queue.may_send(
+            ticket, choice.queued_ms, now
+        ):
             self._leave_queue(generation)
-            queue.record_sent(choice.uncached, now)
+            queue.record_sent(choice.uncached, now, ticket)
             return False
         generation.context.decisions["queued_ms"] = (now - ticket.arrived_at) * 1000
         await asyncio.sleep(QUEUE_POLL_SECONDS)
-        while not queue.is_first(ticket) and not self._expired(generation):
+        while not self._is_first(ticket) and not self._expired(generation):
             await asyncio.sleep(QUEUE_POLL_SECONDS)
         return True
 
+    def _is_first(self, ticket: QueuedPrompt) -> bool:
+        return self._queue.is_first(ticket, self._app.clock.monotonic())
+
     def _expired(self, generation: Generation) -> bool:
         """Return whether a queued prompt can no longer meet its deadline."""
         now = self._app.clock.monotonic()
@@ -532,6 +554,9 @@
             caller.refuse(504 if reason == "deadline" else 502, "outcome_unknown")
         else:
             seconds = retry_after_for_wait(wait_seconds, context.route)
+            if reason == UNREACHABLE:
+                now = self._app.clock.monotonic()
+                seconds = self._queue.return_seconds(context.rank, seconds, now)
             seconds = self._upstreams.retry_after_seconds(context, reason, seconds)
             caller.refuse(503, reason, seconds if retry_after is None else retry_after)
         self._statistics.given_up(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -32,6 +32,10 @@
     PermitRequest,
     PrefillNotice,
     QuarantineNews,
+    RoomLoans,
+    RoomReply,
+    RoomRequest,
+    RoomReturn,
     State,
 )
 from camphorgated.serving.peers import PeerTable, select_in_rotation
@@ -77,6 +81,10 @@
     | FrozenPart
     | PermitRequest
     | PermitReply
+    | RoomRequest
+    | RoomReply
+    | RoomReturn
+    | RoomLoans
 )
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -24,7 +24,7 @@
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.limited_upstreams import LIMITED, LimitedUpstreams
 from camphorgated.serving.permits import NO_LIMIT, Permit
-from camphorgated.serving.platform_protocol import ResponseFacts
+from camphorgated.serving.platform_protocol import InstanceLoad, ResponseFacts
 from camphorgated.serving.pool import MAX_USED_CONNECTION_FRACTION, Pool
 from camphorgated.serving.statistics import job_fields
 
@@ -213,6 +213,7 @@
             self._quarantine.record_response(upstream)
             self._limits.record_response(upstream, facts, sent_at)
             self._speeds.record_response(upstream, facts)
+            self._record_load(upstream, facts.load)
         if not facts.leaving and not facts.pause_seconds:
             return
         if another or (facts.wrong_upstream and facts.answered_by is None):
@@ -236,6 +237,18 @@
                 seconds=end - now,
             )
 
+    def _record_load(self, upstream: Upstream, load: InstanceLoad | None) -> None:
+        """Record the load of an upstream that shares its machine.
+
+        The slots of others are not lent: theirs are free as often as their requests in
+        flight tell.
+        """
+        if load is not None and load.slowdown is not None:
+            now = self._app.clock.monotonic()
+            self._app.service("room").record_reported_load(
+                upstream, load.running, load.waiting, load.slots, now
+            )
+
     def pause_seconds(self, service: str) -> float | None:
         """Return the seconds until the first pause of a service's upstreams ends.
 
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -58,6 +58,22 @@
     use_reported_load: bool = True
 
 
+class RoomSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Loans of slots of upstreams that report their load.
+
+    Without a reply of the owner within ``reply_seconds`` an instance chooses itself.
+    """
+
+    enabled: bool = True
+    reply_seconds: float = 0.025
+
+
+class OrderSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Order of requests that wait, by rank and loss or by rank and arrival alone."""
+
+    by_loss: bool = True
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -82,6 +98,8 @@
     store: StoreSettings = StoreSettings()
     speed: SpeedSettings = SpeedSettings()
     duty: DutySettings = DutySettings()
+    room: RoomSettings = RoomSettings()
+    order: OrderSettings = OrderSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
