--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -151,12 +151,12 @@
         self._noted_holder = False
         self._give_up_at = float("-inf")
         self._refused: set[int] = set()
+        self._store.add_restore_listener(self._receive_restore)
         self._free_since: float | None = None
         self._listed_by_instance: dict[str, Member] = {}
 
     async def start(self) -> None:
         """Start the tasks that renew the lease, take the duty and list the others."""
-        self._store.add_restore_listener(self._receive_restore)
         self._app.supervise(self._keep_listed, "member lease")
         self._app.supervise(self._tick, "duty")
         self._app.supervise(self._list_others, "members")
