--- a/packages/camphorgate-daemon/src/camphorgated/serving/memory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/memory.py
@@ -144,12 +144,12 @@
         excess -= before - self.budget.used_bytes
         if self.budget.used_bytes <= self.budget.refuse_bytes:
             return
-        unread = [item for item in self.connections if item.unread_bytes]
-        unread.sort(key=lambda item: -item.unread_bytes)
-        for item in unread:
-            if excess <= 0:
-                return
-            excess -= item.unread_bytes
+        unread = [(item.stalled_unread_bytes(), item) for item in self.connections]
+        unread.sort(key=lambda pair: -pair[0])
+        for size, item in unread:
+            if excess <= 0 or not size:
+                break
+            excess -= size
             self.count_refusal("unread")
             item.abort()
         if self.budget.used_bytes > self.budget.capacity_bytes:
@@ -170,7 +170,9 @@
 
     def released(self) -> None:
         """Read waiting connections again once memory is free."""
-        if self._waiting and not self._resuming and not self.budget.reading_stops:
+        if not self._waiting:
+            return
+        if not self._resuming and not self.budget.reading_stops:
             self._resuming = True
             asyncio.get_running_loop().call_soon(self._resume)
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -46,9 +46,12 @@
 # second one.
 MIN_PIECE_BYTES = 4096
 BLOCK_BYTES = 65_536
-# A caller that reads nothing for this long while its write buffer is full is
-# disconnected, before upstreams cut the responses that wait for it.
+# A caller that reads nothing for this long while responses wait in its write buffer is
+# disconnected, before upstreams cut what they send for it.
 UNREAD_SECONDS = 2.0
+READ_CHECK_SECONDS = 0.25
+# Callers that have read nothing for this long are disconnected where memory is short.
+SCARCE_UNREAD_SECONDS = 0.5
 # A connection that was refused is open this long for the caller to read the refusal.
 LINGER_SECONDS = 1.0
 _HEAD_END = b"\r\n\r\n"
@@ -129,6 +132,9 @@
         "_stall_timer",
         "_memory_timer",
         "_unread_timer",
+        "_written_bytes",
+        "_read_bytes",
+        "_read_at",
         "_lingering",
     )
 
@@ -172,6 +178,11 @@
         self._stall_timer: asyncio.TimerHandle | None = None
         self._memory_timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
+        # Bytes of responses: written in all, and of them read by the caller as far as
+        # is known, and since when it has read no more.
+        self._written_bytes = 0
+        self._read_bytes = 0
+        self._read_at = 0.0
         self._lingering = False
         self._parser = httptools.HttpRequestParser(self)
         self.on_message_begin()
@@ -201,8 +212,22 @@
         if self.started_at is None:
             self.started_at = now
         self.progressed_at = now
-        self._unparsed = self._unparsed + data if self._unparsed else data
-        self._parse_unparsed()
+        if self._unparsed or len(data) > MAX_DIRECT_BYTES:
+            self._unparsed += data
+            self._parse_unparsed()
+            return
+        parsed = self._parse_slices(data)
+        if parsed < len(data):
+            self._unparsed = data[parsed:]
+        if self.started_at is None and len(self._requests) == 1 and not self._unparsed:
+            # An ordinary request, which arrived in one piece.
+            account = self._account
+            account.resize(REQUESTS, self._queued_bytes + self._current_bytes)
+            if account.budget.used_bytes >= account.budget.stop_bytes:
+                self._memory.relieve(self)
+            self._wake()
+        else:
+            self._end_parsing()
 
     def parse_on(self) -> None:
         """Parse the rest of a read in a new turn."""
@@ -219,6 +244,10 @@
             return
         elif self._memory.turns.may_parse():
             self._unparsed = data[self._parse_slices(data) :]
+        self._end_parsing()
+
+    def _end_parsing(self) -> None:
+        """Charge what is held, and decide when to parse and read on."""
         if self._error is not None:
             self._release_partial()
         elif (
@@ -251,7 +280,8 @@
         try:
             while position < size and len(requests) < MAX_QUEUED_REQUESTS:
                 end = self._slice_end(data, position)
-                self._parse_slice(view[position:end])
+                whole = not position and end == size
+                self._parse_slice(view if whole else view[position:end])
                 position = end
                 if large and time.perf_counter() - started_at > MAX_TURN_SECONDS:
                     break
@@ -342,10 +372,12 @@
             return 0
         return self._partial_bytes()
 
-    @property
-    def unread_bytes(self) -> int:
-        """Return the bytes of responses that the caller has left unread."""
-        return 0 if self.closed else self._account.held(UNREAD)
+    def stalled_unread_bytes(self) -> int:
+        """Return the bytes of responses that the caller has stopped reading."""
+        unread = 0 if self.closed else self._account.held_by_kind[UNREAD]
+        if unread and self._clock.monotonic() - self._read_at < SCARCE_UNREAD_SECONDS:
+            return 0
+        return unread
 
     @property
     def expected_bytes(self) -> int:
@@ -373,7 +405,7 @@
         held = self._queued_bytes + self._current_bytes
         if self.started_at is not None or self._unparsed:
             held += self._partial_bytes()
-        released = held < account.held(REQUESTS)
+        released = held < account.held_by_kind[REQUESTS]
         account.resize(REQUESTS, held)
         if released:
             self._memory.released()
@@ -424,7 +456,7 @@
         paused = self._error is None and (
             self._waits_for_memory or len(self._requests) > 1 or len(self._unparsed) > 0
         )
-        if paused != self._paused and not self.closed:
+        if paused != self._paused and not self.transport.is_closing():
             self._paused = paused
             if paused:
                 self.transport.pause_reading()
@@ -500,32 +532,42 @@
         if self._drained is None:
             self._drained = asyncio.get_running_loop().create_future()
         self._update_unread()
-        if self._unread_timer is None:
-            self._watch_reader(self.transport.get_write_buffer_size())
 
-    def _watch_reader(self, unread: int) -> None:
+    def _update_unread(self) -> None:
+        """Charge the bytes that the caller has not read to the memory budget."""
+        account = self._account
+        unread = self.transport.get_write_buffer_size()
+        account.resize(UNREAD, unread)
+        if unread and self._unread_timer is None:
+            self._read_at = self._clock.monotonic()
+            self._watch_reader()
+        if account.budget.used_bytes >= account.budget.stop_bytes:
+            self._memory.relieve(self)
+
+    def _watch_reader(self) -> None:
         self._unread_timer = asyncio.get_running_loop().call_later(
-            UNREAD_SECONDS, self._check_reader, unread
+            READ_CHECK_SECONDS, self._check_reader
         )
 
-    def _check_reader(self, unread_before: int) -> None:
-        """Disconnect a caller that has read nothing since the last check."""
+    def _check_reader(self) -> None:
+        """Disconnect a caller that reads nothing while bytes wait for it."""
         self._unread_timer = None
-        if self._drained is None or self.closed:
+        if self.closed:
             return
         unread = self.transport.get_write_buffer_size()
-        if unread < unread_before:
-            self._watch_reader(unread)
+        self._account.resize(UNREAD, unread)
+        self._memory.released()
+        if not unread:
             return
-        self._memory.count_refusal("not_reading")
-        self.abort()
-
-    def _update_unread(self) -> None:
-        """Charge the bytes that the caller has not read to the memory budget."""
-        account = self._account
-        account.resize(UNREAD, self.transport.get_write_buffer_size())
-        if account.budget.used_bytes >= account.budget.stop_bytes:
-            self._memory.relieve(self)
+        now = self._clock.monotonic()
+        if self._written_bytes - unread > self._read_bytes:
+            self._read_bytes = self._written_bytes - unread
+            self._read_at = now
+        if now - self._read_at >= UNREAD_SECONDS:
+            self._memory.count_refusal("not_reading")
+            self.abort()
+        else:
+            self._watch_reader()
 
     def resume_writing(self) -> None:
         """Let waiting writers continue."""
@@ -675,24 +717,32 @@
         """Release what the request in progress held, as it has ended."""
         if self._current_bytes:
             self._current_bytes = 0
-            self._account.resize(PARTS, 0)
-            self._update_charge()
-        if self._account.held(UNREAD) and not self.closed:
+            account = self._account
+            if account.held_by_kind[PARTS]:
+                account.resize(PARTS, 0)
+            if self._requests or self.started_at is not None or self._unparsed:
+                self._update_charge()
+            else:
+                account.resize(REQUESTS, 0)
+                self._memory.released()
+        if self._account.held_by_kind[UNREAD] and not self.closed:
             self._update_unread()
 
     async def _drain_ahead(self) -> None:
         """Wait until the caller has read most responses to requests sent ahead."""
-        if self.transport.get_write_buffer_size() <= MAX_UNREAD_AHEAD_BYTES:
+        unread = self.transport.get_write_buffer_size()
+        if unread <= MAX_UNREAD_AHEAD_BYTES or self.transport.is_closing():
             return
         self.transport.set_write_buffer_limits(high=MAX_UNREAD_AHEAD_BYTES)
         await self.drain()
-        if not self.closed:
+        if not self.transport.is_closing():
             self.transport.set_write_buffer_limits(high=BUFFERED_BYTES)
 
     def write(self, data: bytes) -> None:
         """Send bytes unless the caller disconnected."""
         if not self.closed:
             self.transport.write(data)
+            self._written_bytes += len(data)
             if self._drained is not None or len(data) > SMALL_BYTES:
                 self._update_unread()
 
@@ -703,7 +753,7 @@
 
     def close(self) -> None:
         """Close the connection after sending buffered bytes."""
-        if self.closed or self._lingering:
+        if self.closed or self._lingering or self.transport.is_closing():
             return
         if self._error is None:
             self.transport.close()
--- a/packages/camphorgate/src/camphorgate/serving/memory_budget.py
+++ b/packages/camphorgate/src/camphorgate/serving/memory_budget.py
@@ -113,24 +113,20 @@
 class Account:
     """What one holder has charged to the budget, by kind."""
 
-    __slots__ = ("budget", "_held_by_kind")
+    __slots__ = ("budget", "held_by_kind")
 
     def __init__(self, budget: MemoryBudget) -> None:
         """Open an empty account."""
         self.budget = budget
-        self._held_by_kind = [0] * len(KIND_NAMES)
+        self.held_by_kind = [0] * len(KIND_NAMES)
 
     def resize(self, kind: int, size: int) -> None:
         """Set how many bytes of a kind the holder has."""
-        delta = size - self._held_by_kind[kind]
+        delta = size - self.held_by_kind[kind]
         if delta:
-            self._held_by_kind[kind] = size
+            self.held_by_kind[kind] = size
             self.budget.charge(kind, delta)
 
-    def held(self, kind: int) -> int:
-        """Return how many bytes of a kind the holder has."""
-        return self._held_by_kind[kind]
-
     def close(self) -> None:
         """Release everything."""
         for kind in range(len(KIND_NAMES)):
