Bound the connections of callers by the descriptors of the process

Cause: a crowd of open connections can take all descriptors, and then connections to upstreams fail, which counts against the upstreams.

Change: callers' connections take 0.75 of the descriptors; above, the oldest idle one is closed for a new one. Tests: test_serving.test_memory (20), test_http1 (21), test_faulty_upstreams (15), test_requests (26), test_short_grace (3) and test_platform.test_deploy (8) pass, one run each.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/memory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/memory.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import math
 import random
+import resource
 import time
 from collections import Counter, deque
 from pathlib import Path
@@ -34,6 +36,9 @@
 MIN_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 3.0
 REPORT_SECONDS = 1.0
+# Part of the process's descriptors that connections of callers may take; upstreams,
+# peers and the store need the others.
+MAX_CONNECTIONS_FRACTION = 0.75
 _MEMINFO = Path("/proc/meminfo")
 _BYTES_PER_MB = 1_000_000
 
@@ -52,6 +57,14 @@
     return 0.0
 
 
+def max_connections() -> float:
+    """Return how many connections of callers this process keeps open."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return math.inf
+    return int(descriptors * MAX_CONNECTIONS_FRACTION)
+
+
 class ParseTurns:
     """Shares the time for parsing large reads among the connections."""
 
@@ -101,6 +114,7 @@
         "budget",
         "turns",
         "connections",
+        "max_connections",
         "_waiting",
         "_resuming",
         "_refusals",
@@ -116,7 +130,9 @@
         """
         self.budget = MemoryBudget() if capacity is None else MemoryBudget(capacity)
         self.turns = ParseTurns()
-        self.connections: set[ServerConnection] = set()
+        # In order of their acceptance.
+        self.connections: dict[ServerConnection, None] = {}
+        self.max_connections = max_connections()
         # Connections that are not read until memory is free, in order of their wait.
         self._waiting: dict[ServerConnection, None] = {}
         self._resuming = False
@@ -125,6 +141,21 @@
         self._bytes_gauge: Gauge | None = None
         self._refusals_gauge: Gauge | None = None
 
+    def admit(self, connection: "ServerConnection") -> bool:
+        """Add a connection of a caller; above the bound, the oldest idle one is closed.
+
+        :returns: false if there is no place for it.
+        """
+        if len(self.connections) >= self.max_connections:
+            idle = next((item for item in self.connections if item.idle), None)
+            self.count_refusal("connection")
+            if idle is None:
+                return False
+            self.connections.pop(idle)
+            idle.close()
+        self.connections[connection] = None
+        return True
+
     def relieve(self, connection: "ServerConnection") -> None:
         """Act on a budget whose first threshold is passed.
 
@@ -230,6 +261,7 @@
             "used_bytes": self.budget.used_bytes,
             "peak_bytes": self.budget.peak_bytes,
             "waiting": len(self._waiting),
+            "connections": len(self.connections),
             **dict(zip(KIND_NAMES, self.budget.used_by_kind, strict=True)),
             **{f"refused_{reason}": n for reason, n in self._refusals.items()},
         }
--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -193,8 +193,10 @@
         self.left = asyncio.get_running_loop().create_future()
         prepare_socket(transport, UNACKNOWLEDGED_MS)
         transport.set_write_buffer_limits(high=BUFFERED_BYTES)
-        self._memory.connections.add(self)
-        self._on_made(self)
+        if self._memory.admit(self):
+            self._on_made(self)
+        else:
+            transport.abort()
 
     def get_buffer(self, size_hint: int) -> memoryview:
         """Return the buffer for the next read."""
@@ -365,6 +367,11 @@
         self.started_at = None
         self._end_memory_timer()
 
+    @property
+    def idle(self) -> bool:
+        """Return whether no request is arriving, queued or in progress."""
+        return not (self.receiving or self._current_bytes or self._error)
+
     @property
     def refusable_bytes(self) -> int:
         """Return what a refusal of the partial request frees, in bytes."""
@@ -518,7 +525,7 @@
             if timer is not None:
                 timer.cancel()
         self._stall_timer = self._unread_timer = None
-        self._memory.connections.discard(self)
+        self._memory.connections.pop(self, None)
         self._account.resize(UNREAD, 0)
         self._update_charge()
         if not self.left.done():
--- a/tests/test_serving/test_memory.py
+++ b/tests/test_serving/test_memory.py
@@ -229,6 +229,19 @@
                 await asyncio.sleep(0.05)
         self.assertFalse(connection.transport.closing)
 
+    async def test_idle_connections_give_way_to_new_ones(self):
+        """Guards against a crowd that takes the descriptors upstreams need."""
+        self.memory.max_connections = 2
+        busy, idle = build_connection(self.memory), build_connection(self.memory)
+        busy.data_received(build_request(b"x"))
+        newer = build_connection(self.memory)
+        self.assertTrue(idle.transport.closing)
+        newer.data_received(build_request(b"x")[:-1])
+        refused = build_connection(self.memory)
+        self.assertTrue(refused.transport.closing)
+        self.assertFalse(busy.transport.closing or newer.transport.closing)
+        self.assertEqual(list(self.memory.connections), [busy, newer])
+
     async def test_lost_connection_releases_all_but_the_request_in_progress(self):
         """Guards against a budget that leaks, or that forgets a body still in use."""
         connection = build_connection(self.memory)
