Find the sending rate to upstreams that have just started or recovered

Cause: all instances send their first requests to such an upstream at the same moment, or leave it idle. Change: a share of the instances, by rank of a hash of names and incarnation, may send to it. It starts at one, grows with good responses and with time, and is halved by a refusal, a failure or a slow response; the newest share goes to all instances with the states. Others use the upstream only if none else is left. It applies to services whose upstreams report how long work takes.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -48,7 +48,7 @@
         self._gossip = app.service("gossip")
         self._statistics = app.service("statistics")
         self._quarantine = app.service("quarantine")
-        self._speeds = app.service("speeds").table
+        self._speeds = app.service("speeds")
 
     async def run(self, context: RequestContext) -> None:
         """Handle a request, retrying it on other upstreams where allowed."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -16,6 +16,7 @@
     "news",
     "counters",
     "statistics",
+    "pace",
     "upstream_speed",
     "quarantine",
     "limits",
--- a/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/generations.py
@@ -63,6 +63,7 @@
         "_streaming",
         "_quarantine",
         "_speeds",
+        "_pace",
     )
 
     def __init__(self, app: Application) -> None:
@@ -72,7 +73,8 @@
         self._upstreams = app.service("upstreams")
         self._statistics = app.service("statistics")
         self._quarantine = app.service("quarantine")
-        self._speeds = app.service("speeds").table
+        self._speeds = app.service("speeds")
+        self._pace = app.service("pace")
         self._queue = PrefillQueue()
         self._streaming = Streaming(app)
         app.add_dump_section("reading_queue", lambda: {"waiting": len(self._queue)})
@@ -317,6 +319,7 @@
         if result is None:
             if not facts.pause_seconds and not facts.leaving:
                 health.record_refusal(clock.monotonic())
+                self._pace.record_refusal(engine)
             self._statistics.try_failed(
                 context, engine, f"read_refused_{facts.status}", Stage.REFUSED
             )
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -116,6 +116,7 @@
         "_tick_listeners",
         "_peer_listeners",
         "_state_writers",
+        "_far_state_writers",
         "_state_listeners",
         "_started_at",
         "_logged_at",
@@ -155,6 +156,7 @@
         self._tick_listeners: list[Callable[[int], None]] = []
         self._peer_listeners: list[Callable[[str], None]] = []
         self._state_writers: list[Callable[[State], None]] = []
+        self._far_state_writers: list[Callable[[State], None]] = []
         self._state_listeners: list[Callable[[State], None]] = []
         self._started_at = app.clock.monotonic()
         self._logged_at = float("-inf")
@@ -241,6 +243,8 @@
                 self.send([state], near_receivers[part::PARTS_PER_TICK])
                 if far_receivers:
                     state = self._state(self._zone_loads(now))
+                    for write in self._far_state_writers:
+                        write(state)
                     self.send([state], far_receivers[part::PARTS_PER_TICK])
                 await asyncio.sleep(TICK_SECONDS / PARTS_PER_TICK)
 
@@ -268,14 +272,20 @@
         self._peer_listeners.append(listener)
 
     def add_state_field(
-        self, write: Callable[[State], None], receive: Callable[[State], None]
+        self,
+        write: Callable[[State], None],
+        receive: Callable[[State], None],
+        far: bool = False,
     ) -> None:
         """Add a field to the states that are sent to peers of the own zone.
 
         :param write: sets the field of a state that is about to be sent.
         :param receive: gets each state that a peer has sent.
+        :param far: whether the field is sent to peers of other zones, too.
         """
         self._state_writers.append(write)
+        if far:
+            self._far_state_writers.append(write)
         self._state_listeners.append(receive)
 
     def state(self) -> State:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -1,10 +1,14 @@
 """Defines the messages between instances."""
 
+from typing import Annotated
+
 import msgspec
 
 from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.catalog_encoding import EncodedCatalog
 from camphorgate.serving.loads import Load
+from camphorgate.serving.pace import MAX_NEWS as MAX_PACES
+from camphorgate.serving.pace import PaceNews
 from camphorgate.serving.quarantine import Block, Evidence
 from camphorgate.serving.upstream_limits import LimitWord
 from camphorgate.serving.upstream_speed import SpeedNews
@@ -33,7 +37,7 @@
     the sender just now. ``grants_permits`` tells whether it grants permits for
     upstreams with a limit: it has run long enough to know its peers, and is not
     shutting down. ``speeds`` is what it has learned of speeds lately, for peers of its
-    zone.
+    zone. ``paces`` are the shares of instances that may send to new upstreams.
     """
 
     instance: str
@@ -55,6 +59,7 @@
     failing: list[tuple[str, int]] = []
     grants_permits: bool = False
     speeds: SpeedNews | None = None
+    paces: Annotated[list[PaceNews], msgspec.Meta(max_length=MAX_PACES)] = []
 
 
 class PrefillNotice(msgspec.Struct, tag="r"):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstream_speed.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstream_speed.py
@@ -97,6 +97,7 @@
         "table",
         "_app",
         "_gossip",
+        "_pace",
         "_directory",
         "_random",
         "_recent",
@@ -112,6 +113,7 @@
         self.table = SpeedTable(settings.learn, settings.use_reported_load)
         self._app = app
         self._gossip = app.service("gossip")
+        self._pace = app.service("pace")
         self._directory = app.service("directory")
         self._random = random.Random()
         # Entries of the last ticks, the newest first.
@@ -157,11 +159,40 @@
         tokens = 0 if resumed else generation.context.facts.output_tokens
         return StepMeasurement(self, upstream, tokens)
 
+    def record_prefill(
+        self,
+        upstream: Upstream,
+        uncached_tokens: int,
+        queued_tokens: float,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Record a prefill call, see :meth:`SpeedTable.record_prefill`."""
+        tokens = uncached_tokens + max(0.0, queued_tokens)
+        predicted_ms = self.table.prefill_ms(upstream, tokens, now)
+        self._pace.record_duration(upstream, seconds * 1000, predicted_ms, now)
+        self.table.record_prefill(
+            upstream, uncached_tokens, queued_tokens, seconds, now
+        )
+
+    def record_call(
+        self, upstream: Upstream, seconds: float, running: float, now: float
+    ) -> None:
+        """Record a plain call, see :meth:`SpeedTable.record_call`."""
+        waits = max(1.0, (running + 1) / max(1, upstream.slots))
+        predicted_ms = self.table.call_ms(upstream, now) * waits
+        self._pace.record_duration(upstream, seconds * 1000, predicted_ms, now)
+        self.table.record_call(upstream, seconds, running, now)
+
     def record_step(
         self, upstream: Upstream, seconds_per_token: float, now: float
     ) -> None:
         """Record the time between two tokens of a stream that this instance reads."""
-        others = self._gossip.loads.total(upstream.id, now).requests - 1
+        others = max(0.0, self._gossip.loads.total(upstream.id, now).requests - 1)
+        predicted_ms = self.table.step_ms(upstream, others, now)
+        self._pace.record_duration(
+            upstream, seconds_per_token * 1000, predicted_ms, now
+        )
         self.table.record_step(upstream, seconds_per_token, others, now)
 
     def now(self) -> float:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstreams.py
@@ -59,6 +59,7 @@
         "_limits",
         "_permits",
         "_speeds",
+        "_pace",
         "_budgets_by_service",
         "_resuming_by_service",
         "_counts",
@@ -75,6 +76,7 @@
         self._limits = app.service("limits")
         self._permits = app.service("permits")
         self._speeds = app.service("speeds")
+        self._pace = app.service("pace")
         self.pool = Pool(app.clock)
         # What responses that are not passed on yet may take in memory.
         self.buffers = BufferBudget()
@@ -95,6 +97,7 @@
             self.pool.connected,
             self._permits.wait_seconds,
             self._speeds.table,
+            self._pace.table,
         )
         self._budgets_by_service: dict[str, RetryBudgetShare] = {}
 
@@ -206,6 +209,7 @@
             self._quarantine.record_response(upstream)
             self._limits.record_response(upstream, facts, sent_at)
             self._speeds.record_response(upstream, facts)
+            self._pace.record_response(upstream, facts)
         if not facts.leaving and not facts.pause_seconds:
             return
         if another or (facts.wrong_upstream and facts.answered_by is None):
@@ -409,7 +413,9 @@
         """Record a failed attempt, unless the upstream itself is not the reason."""
         if error.cause not in (LEAVING, NO_PERMIT):
             now = self._app.clock.monotonic()
-            self.health.of(upstream.incarnation).record_failure(now)
+            health = self.health.of(upstream.incarnation)
+            health.record_failure(now)
+            self._pace.record_failure(upstream, health.failures)
 
     def note_refusal(self, upstream: Upstream, facts: ResponseFacts) -> None:
         """Record that an upstream refused a request without executing it."""
@@ -419,6 +425,7 @@
             health.record_failure(now)
         elif not facts.pause_seconds and not facts.leaving:
             health.record_refusal(now)
+            self._pace.record_refusal(upstream)
 
     def upstreams_changed(self) -> None:
         """Remove state of upstreams that are unlisted or shutting down."""
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -16,6 +16,7 @@
 from camphorgate.serving.catalog import EngineSpec, Upstream
 from camphorgate.serving.health import HealthTable
 from camphorgate.serving.loads import LoadTable
+from camphorgate.serving.pace import PaceTable
 from camphorgate.serving.upstream_speed import SpeedTable
 
 # Maximum time that a decoding engine may spend on prefill for queued prompts. Its
@@ -71,6 +72,9 @@
 # penalty, scaled by the upstream's failure rate. An engine without a free slot gets the
 # whole penalty, and an upstream of a plain service a part by its used slots.
 FAILING_PENALTY_MS = 400.0
+# Ranks upstreams that other instances may send to after their start behind the others,
+# but ahead of avoided ones.
+OUTSIDE_SHARE_PENALTY_MS = 1e5
 # Ranks avoided upstreams after all others.
 AVOIDED_PENALTY_MS = 1e6
 
@@ -115,6 +119,7 @@
         "_health",
         "_speeds",
         "_random",
+        "_pace",
         "_zone",
         "_connected",
         "_permit_wait_seconds",
@@ -128,6 +133,7 @@
         connected: Callable[[tuple[str, int]], bool] = lambda incarnation: True,
         permit_wait_seconds: Callable[[Upstream], float] = lambda upstream: 0.0,
         speeds: SpeedTable | None = None,
+        pace: PaceTable | None = None,
         random_source: random.Random | None = None,
     ) -> None:
         """Initialize with the load and health tables of this instance.
@@ -137,7 +143,10 @@
         :param permit_wait_seconds: returns the time until the limit of an upstream
             allows a request.
         :param speeds: predicts durations; by default, the start values apply.
+        :param pace: tells which upstreams this instance may send to after their start;
+            by default, all.
         """
+        self._pace = pace
         self._random = random_source or random.Random()
         self._speeds = speeds or SpeedTable()
         self._connected = connected
@@ -283,6 +292,7 @@
         best = None
         best_cost = 0.0
         avoid_until = 0.0
+        paces = self._pace is not None and len(self._pace) > 0
         for item in upstreams:
             choice = predict(item)
             incarnation = item.incarnation
@@ -294,6 +304,8 @@
                 cost += OTHER_ZONE_PENALTY_MS
             if not self._connected(incarnation):
                 cost += NEW_CONNECTION_MS
+            if paces and not self._pace.includes(incarnation, now):
+                cost += OUTSIDE_SHARE_PENALTY_MS
             if health.avoided(now):
                 # Among avoided upstreams, prefer the one that may be tried first.
                 cost += AVOIDED_PENALTY_MS * (1.0 + health.avoid_until - now)
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -35,6 +35,12 @@
     use_reported_load: bool = True
 
 
+class PaceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Whether few instances at first send to upstreams that have just started."""
+
+    enabled: bool = True
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -56,6 +62,7 @@
     budget: BudgetSettings = BudgetSettings()
     times: TimeSettings = TimeSettings()
     speed: SpeedSettings = SpeedSettings()
+    pace: PaceSettings = PaceSettings()
     duties: tuple[str, ...] = ()
     log_level: str = "INFO"
 
