--- a/packages/camphorgate-daemon/src/camphorgated/serving/pace.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pace.py
@@ -139,7 +139,11 @@
 
     def dump(self) -> dict:
         """Return the state for the operator dump."""
-        return {"shares": self.table.shares(), "halvings": self.table.halvings}
+        return {
+            "shares": self.table.shares(),
+            "starts": self.table.starts,
+            "halvings": self.table.halvings,
+        }
 
 
 def setup(app: Application) -> None:
--- a/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
+++ b/packages/camphorgate-standins/src/camphorgate_standins/hosting_worker.py
@@ -89,6 +89,7 @@
         "highest_fencing",
         "crash_part",
         "crash_log",
+        "slowdown",
         "_sequence_numbers",
         "_prefill_lock",
     )
@@ -112,6 +113,8 @@
         # A prompt part that ends the process, and the file that records it.
         self.crash_part = ""
         self.crash_log = ""
+        # How many times as long as usual work takes, reported unless it is ``None``.
+        self.slowdown: float | None = None
         self._sequence_numbers = itertools.count(1)
         self._prefill_lock = asyncio.Lock()
 
@@ -135,6 +138,8 @@
             "x-attempt-id": attempt,
             "x-instance-load": f"{self.running},0,{self.slots}",
         }
+        if self.slowdown is not None:
+            headers["x-instance-load"] += f",{round(self.slowdown * 100)}"
         if not self.faults.consume("unstamped"):
             headers["x-server-stamp"] = f"{self.id}.{next(self._sequence_numbers)}"
         return headers
@@ -180,7 +185,7 @@
                 return Response(b"failed", 500, headers=self._response_headers(request))
             if self.phase:
                 return self._stream(request)
-            await asyncio.sleep(0.002)
+            await asyncio.sleep(0.002 * (self.slowdown or 1.0))
             return Response(b"done " + body, headers=self._response_headers(request))
         finally:
             self.running -= 1
@@ -210,7 +215,8 @@
                 tokens += int(size)
             self.cached.add(name)
         async with self._prefill_lock:
-            await asyncio.sleep(tokens / (PREFILL_TOKENS_PER_SECOND * rate_factor))
+            seconds = tokens / (PREFILL_TOKENS_PER_SECOND * rate_factor)
+            await asyncio.sleep(seconds * (self.slowdown or 1.0))
         return tokens
 
     async def _prefill(self, request: Request) -> Response:
--- a/packages/camphorgate/src/camphorgate/serving/pace.py
+++ b/packages/camphorgate/src/camphorgate/serving/pace.py
@@ -105,7 +105,14 @@
 class PaceTable:
     """Shares of the upstreams that are not at full rate yet."""
 
-    __slots__ = ("_instance", "_instances", "_paces", "_ramping", "halvings")
+    __slots__ = (
+        "_instance",
+        "_instances",
+        "_paces",
+        "_ramping",
+        "halvings",
+        "starts",
+    )
 
     def __init__(self, instance: str, instances: Callable[[], Iterable[str]]) -> None:
         """Start with all upstreams at full rate.
@@ -119,6 +126,7 @@
         self._paces: dict[Incarnation, _Pace] = {}
         self._ramping: dict[Incarnation, _Pace] = {}
         self.halvings = 0
+        self.starts = 0
 
     def __len__(self) -> int:
         """Return the number of upstreams that are not at full rate."""
@@ -231,6 +239,7 @@
     def _begin(
         self, incarnation: Incarnation, share: float, decreases: int, now: float
     ) -> None:
+        self.starts += 1
         pace = _Pace(share, decreases, now)
         self._paces[incarnation] = self._ramping[incarnation] = pace
 
--- a/tests/test_serving/test_pace.py
+++ b/tests/test_serving/test_pace.py
@@ -1,5 +1,6 @@
 """Tests of the sending rate to an upstream that has just started or recovered."""
 
+import asyncio
 import random
 import unittest
 
@@ -9,6 +10,8 @@
 from camphorgate.serving.loads import LoadTable
 from camphorgate.serving.pace import PaceNews, PaceTable, rank
 from camphorgate.serving.placement import Placement
+from camphorgated.serving.pace import FIRST_LIST_SECONDS
+from tests.hosted import HostedCase
 from tests.hosting_builders import build_listed_upstream
 
 NAMES = [f"entry-{number}" for number in range(87)]
@@ -137,6 +140,41 @@
         self.assertLess(fleet.refused / len(fleet.sent), 0.35)
 
 
+class DaemonTests(HostedCase):
+    """Daemons find the rate to an upstream that starts, and agree on it."""
+
+    async def start_two(self, slowdown):
+        """Start two daemons and an upstream that reports its load."""
+        self.configure()
+        (await self.add_worker("old")).slowdown = slowdown
+        first = await self.start_ready()
+        second = await self.start_ready(
+            instance_id="entry-2", seeds=(first.settings.gossip_address,)
+        )
+        apps = [first, second]
+        await self.wait_for_peers(apps)
+        for app in apps:
+            self.assertEqual((await self.request(app, "/read/a")).status, 200)
+        await asyncio.sleep(FIRST_LIST_SECONDS)
+        await self.add_worker("new")
+        await self.eventually(
+            lambda: all("new" in a.service("directory").table.by_id for a in apps)
+        )
+        return apps
+
+    async def test_upstream_that_starts_reaches_full_rate(self):
+        """Guards against an upstream that is never used by one of the instances."""
+        apps = await self.start_two(1.0)
+        paces = [app.service("pace") for app in apps]
+        await self.eventually(lambda: all(pace.dump()["starts"] for pace in paces))
+        await self.eventually(lambda: not any(pace.dump()["shares"] for pace in paces))
+
+    async def test_services_without_reports_are_served_as_before(self):
+        """Guards against a slower start in deployments that do not ask for it."""
+        for app in await self.start_two(None):
+            self.assertEqual(app.service("pace").dump()["starts"], 0)
+
+
 class PaceTableTests(unittest.TestCase):
     """Shares are merged from messages and bounded."""
 
