--- a/packages/camphorgate-daemon/src/camphorgated/serving/upstream_speed.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/upstream_speed.py
@@ -17,7 +17,6 @@
 from camphorgate.serving.upstream_speed.table import (
     MAX_NEWS_FACTORS,
     MAX_NEWS_MODELS,
-    FactorNews,
 )
 from camphorgated.serving.generation import Generation
 from camphorgated.serving.messages import State
@@ -25,11 +24,9 @@
 
 # Streams of fewer output tokens tell too little of the time between two of them.
 MIN_MEASURED_TOKENS = 8
-# An entry is sent to the peers of this many ticks. In a zone of more peers than these
-# reach, some do not get it; they get those of other instances for the same upstream.
-NEWS_TICKS = 3
-# Models change slowly and are sent with the states of every so many ticks.
-MODEL_TICKS = 10
+# Models change slowly and are sent with the states of every so many ticks. The number
+# has no factor in common with the ticks in which the states reach all peers in turn.
+MODEL_TICKS = 11
 # A peer that has started is found by its first state, which came this long ago at most.
 NEW_PEER_SECONDS = 1.0
 # Expected number of peers that send a part of their table to one that has started; more
@@ -100,7 +97,6 @@
         "_pace",
         "_directory",
         "_random",
-        "_recent",
         "_news",
         "_logged_by_incarnation",
         "_factors",
@@ -116,8 +112,6 @@
         self._pace = app.service("pace")
         self._directory = app.service("directory")
         self._random = random.Random()
-        # Entries of the last ticks, the newest first.
-        self._recent: list[list[FactorNews]] = []
         self._news: SpeedNews | None = None
         self._logged_by_incarnation: dict[tuple[str, int], float] = {}
         registry = app.service("statistics").registry
@@ -202,11 +196,11 @@
     def _tick(self, turn: int) -> None:
         """Collect what the states of this tick tell."""
         now = self._app.clock.monotonic()
-        self._recent.insert(0, self.table.take_news(now))
-        del self._recent[NEWS_TICKS:]
-        factors = [item for news in self._recent for item in news][:MAX_NEWS_FACTORS]
+        # An entry goes to the peers of one tick. In a zone of more of them, the others
+        # get entries of other instances for the same upstream.
+        factors = self.table.take_news(now)
         models = []
-        if turn % MODEL_TICKS < NEWS_TICKS:
+        if turn % MODEL_TICKS == 0:
             models = self.table.models()[:MAX_NEWS_MODELS]
         moments = self.table.unusual_moments(now)
         known = factors or models or moments
