Share news in the simulation as the daemon does, bound restarts of the pace

Two consecutive failures lower the share of an upstream only within 5 s: with one request in ten seconds to an engine, rare failures of different causes follow each other.

--- a/packages/camphorgate/src/camphorgate/serving/pace.py
+++ b/packages/camphorgate/src/camphorgate/serving/pace.py
@@ -37,8 +37,9 @@
 UNDISTURBED_SECONDS = 0.5
 UNDISTURBED_GROWTH = 1.5
 # An upstream that was in full use starts again from one instance after this many
-# consecutive failures at one instance.
+# consecutive failures at one instance within this time.
 RESTART_FAILURES = 2
+RESTART_SECONDS = 5.0
 # A halving brings the share down to this at most.
 MIN_SHARE = 1.0
 # The rank of this instance is computed again after this time.
@@ -110,6 +111,7 @@
         "_instances",
         "_paces",
         "_ramping",
+        "_failed_at",
         "halvings",
         "starts",
     )
@@ -125,6 +127,8 @@
         # Including those at full rate again, so that late messages are recognized.
         self._paces: dict[Incarnation, _Pace] = {}
         self._ramping: dict[Incarnation, _Pace] = {}
+        # When the last attempt failed, by incarnation.
+        self._failed_at: dict[Incarnation, float] = {}
         self.halvings = 0
         self.starts = 0
 
@@ -163,9 +167,11 @@
 
         :param failures: consecutive failures at this instance, including this one.
         """
+        recent = now - self._failed_at.get(incarnation, now) <= RESTART_SECONDS
+        self._failed_at[incarnation] = now
         if incarnation in self._ramping:
             self.record_bad(incarnation, now)
-        elif failures >= RESTART_FAILURES:
+        elif recent and failures >= RESTART_FAILURES:
             known = self._paces.get(incarnation)
             decreases = 1 if known is None else known.decreases + 1
             self._begin(incarnation, INITIAL_SHARE, decreases, now)
@@ -226,7 +232,10 @@
 
     def keep_only(self, incarnations: Iterable[Incarnation]) -> None:
         """Forget all other upstreams."""
-        for incarnation in self._paces.keys() - set(incarnations):
+        incarnations = set(incarnations)
+        for incarnation in self._failed_at.keys() - incarnations:
+            del self._failed_at[incarnation]
+        for incarnation in self._paces.keys() - incarnations:
             del self._paces[incarnation]
             self._ramping.pop(incarnation, None)
 
--- a/tests/test_serving/test_pace.py
+++ b/tests/test_serving/test_pace.py
@@ -187,6 +187,13 @@
             table.record_failures(NEW, 2, 1.0)
         self.assertEqual(sum(table.includes(NEW, 1.0) for table in tables), 1)
 
+    def test_rare_failures_do_not_start_again(self):
+        """Guards against a reset by two failures of many requests of all instances."""
+        table = PaceTable("entry-1", lambda: NAMES)
+        for number in range(1, 5):
+            table.record_failures(NEW, number, number * 20.0)
+        self.assertEqual(len(table), 0)
+
     def test_newer_share_replaces_a_larger_one(self):
         """Guards against an old message that undoes a halving."""
         table = PaceTable("entry-1", lambda: NAMES)
--- a/tests/test_serving/test_uneven_upstreams.py
+++ b/tests/test_serving/test_uneven_upstreams.py
@@ -15,7 +15,7 @@
 )
 
 FACTORS = (0.7, 0.7, 1.7)
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
 SECONDS = 24.0
 # Fraction of the answers in time of a chooser that knows every queue and speed.
 MIN_FRACTION_OF_KNOWING = 0.97
--- a/tests/uneven_upstreams.py
+++ b/tests/uneven_upstreams.py
@@ -18,6 +18,7 @@
 
 DECIDERS, ZONES = 87, 4
 VIEW_SECONDS = 0.2
+NEWS_PEERS, MODEL_TICKS = 8, 11
 SLOWED_FRACTION, SLOWDOWN, INTERVAL_SECONDS = 0.15, 2.5, 0.6
 OSCILLATION, PERIOD_SECONDS = 0.55, 17.0
 REFUSAL_SECONDS = 0.004
@@ -137,7 +138,7 @@
             for n, entry in enumerate(load.entries)
         ]
         self._deciders = [decider(number, **options) for number in range(DECIDERS)]
-        self._events, self._number = [], 0
+        self._events, self._number, self._ticks = [], 0, 0
         self.arrivals = self.in_time = self.refusals = 0
 
     def _at(self, time, action, *details):
@@ -150,7 +151,7 @@
             self._at(0.0, self._arrive, kind)
         for decider in self._deciders:
             self._at(self._random.uniform(0, VIEW_SECONDS), self._view, decider)
-        self._at(1.0, self._share_news)
+        self._at(VIEW_SECONDS, self._share_news)
         while self._events[0][0] < self._seconds:
             now, _, action, details = heapq.heappop(self._events)
             action(now, *details)
@@ -220,11 +221,6 @@
 
     def _view(self, now, decider):
         """Replace a decider's figures of the others."""
-        entry_by_id = {item.entry.id: item.entry for item in self._upstreams}
-        moments = SpeedNews(momentary=decider.speeds.unusual_moments(now))
-        for other in self._deciders[decider.number % ZONES :: ZONES]:
-            if other is not decider and moments.momentary:
-                other.speeds.receive_news(moments, now, entry_by_id)
         others_by_id = {}
         for other in self._deciders:
             if other is not decider:
@@ -236,11 +232,16 @@
         self._at(now + VIEW_SECONDS, self._view, decider)
 
     def _share_news(self, now):
-        """Send what each decider has learned to the others of its zone."""
+        """Send what each decider has learned to some others of its zone."""
         by_id = {item.entry.id: item.entry for item in self._upstreams}
+        self._ticks += 1
         for decider in self._deciders:
-            news = SpeedNews(decider.speeds.take_news(now), decider.speeds.models())
-            for other in self._deciders[decider.number % ZONES :: ZONES]:
+            speeds = decider.speeds
+            models = speeds.models() if self._ticks % MODEL_TICKS == 0 else []
+            moments = speeds.unusual_moments(now)
+            news = SpeedNews(speeds.take_news(now), models, moments)
+            zone = self._deciders[decider.number % ZONES :: ZONES]
+            for other in self._random.sample(zone, NEWS_PEERS):
                 if other is not decider:
                     other.speeds.receive_news(news, now, by_id)
-        self._at(now + 1.0, self._share_news)
+        self._at(now + VIEW_SECONDS, self._share_news)
