Draw the same numbers in the test of explained choices

Choices among about equal upstreams are random, so that the explanation and the request drew different numbers and the test failed in one of three runs. Both now draw the same; what is compared is unchanged.

--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -145,7 +145,7 @@
         "_loads",
         "_health",
         "_speeds",
-        "_random",
+        "random_source",
         "_pace",
         "_zone",
         "_connected",
@@ -174,7 +174,7 @@
             by default, all.
         """
         self._pace = pace
-        self._random = random_source or random.Random()
+        self.random_source = random_source or random.Random()
         self._speeds = speeds or SpeedTable()
         self._connected = connected
         self._permit_wait_seconds = permit_wait_seconds
@@ -208,7 +208,7 @@
         service = engines[0].service if engines else ""
         usual_ms_per_token = 1.0 / self._speeds.prefill_tokens_per_ms(service)
         spreads = self._speeds.learns and self._loads.has_sources
-        uniform = self._random.uniform
+        uniform = self.random_source.uniform
 
         def extra_terms(item: Upstream, choice: Choice) -> dict[str, float]:
             repeated = max_cached - cached[item.id]
@@ -285,7 +285,7 @@
                 return {}
             requests = DECODE_SPREAD * math.sqrt(max(1.0, choice.others))
             step_ms = self._speeds.step_ms(item, choice.others, now)
-            return {"spread": self._random.uniform(-requests, requests) * step_ms}
+            return {"spread": self.random_source.uniform(-requests, requests) * step_ms}
 
         return self._compare(engines, now, predict, extra_terms)
 
@@ -311,7 +311,7 @@
             others = self._loads.total(item.id, now).requests - own
             requests, uncertain = self._speeds.reports.estimate(item, own, others, now)
             spread = max(EQUAL_SPREAD, LOAD_SPREAD * math.sqrt(max(0.0, uncertain)))
-            requests += self._random.uniform(-spread, spread)
+            requests += self.random_source.uniform(-spread, spread)
             used = max(0.0, requests + 1) / max(1, item.slots)
             call_ms = self._speeds.call_ms(item, now)
             excess = max(0.0, used - 1.0)
--- a/tests/test_serving/test_route_explanation.py
+++ b/tests/test_serving/test_route_explanation.py
@@ -27,7 +27,10 @@
     async def test_calls_go_where_the_explanation_says(self):
         """Guards against an explanation that decides by rules of its own."""
         app, workers = await self.start_scripted([], engine=False)
+        # Choices among about equal upstreams are random: both draw the same numbers.
+        draws = app.service("upstreams").placement.random_source
         for number in range(8):
+            draws.seed(number)
             answer = RouteExplainer(app).explain("/read/a", PLAIN, WORKSPACE)
             (backend,) = answer["backends"]
             for item in backend["candidates"]:
@@ -35,6 +38,7 @@
                 self.assertAlmostEqual(sum(terms.values()), item["cost_ms"])
             workers[0].script[:] = ["fail"] if number % 3 == 2 else []
             before = [len(worker.arrivals) for worker in workers]
+            draws.seed(number)
             await self.request(app, "/read/a")
             reached = [
                 worker.id
