--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -111,9 +111,9 @@
             own.requests + others.requests, own.prefill_tokens + others.prefill_tokens
         )
 
-    @property
-    def has_sources(self) -> bool:
+    def has_sources(self, now: float) -> bool:
         """Return whether figures of others are included."""
+        self._expire(now)
         return bool(self._sources)
 
     def own_requests(self, upstream_id: str) -> float:
--- a/packages/camphorgate/src/camphorgate/serving/placement.py
+++ b/packages/camphorgate/src/camphorgate/serving/placement.py
@@ -207,7 +207,7 @@
         max_cached = max(cached.values(), default=0)
         service = engines[0].service if engines else ""
         usual_ms_per_token = 1.0 / self._speeds.prefill_tokens_per_ms(service)
-        spreads = self._speeds.learns and self._loads.has_sources
+        spreads = self._speeds.learns and self._loads.has_sources(now)
         uniform = self.random_source.uniform
 
         def extra_terms(item: Upstream, choice: Choice) -> dict[str, float]:
@@ -278,7 +278,7 @@
             others = load.requests - self._loads.own_requests(item.id)
             return Choice(item, sum(terms.values()), others=others), terms
 
-        spreads = self._speeds.learns and self._loads.has_sources
+        spreads = self._speeds.learns and self._loads.has_sources(now)
 
         def extra_terms(item: Upstream, choice: Choice) -> dict[str, float]:
             if not spreads:
