--- a/tests/test_platform/test_store_era.py
+++ b/tests/test_platform/test_store_era.py
@@ -1,6 +1,7 @@
 """Tests of the client of a store that comes back from an older copy."""
 
 import asyncio
+import time
 from unittest import mock
 
 from camphorgate.kv.errors import KvOutcomeUnknown, KvRefused, KvUnavailable
@@ -33,8 +34,9 @@
         """
         kept = await self.write("camphorgate/kept")
         await asyncio.sleep(0.05)
+        copied_at = time.monotonic()
         lost = await self.write("camphorgate/lost")
-        self.store.restore(0.03)
+        self.store.restore(time.monotonic() - copied_at)
         return kept, lost
 
     async def test_revisions_increase_over_a_restore(self):
