--- a/packages/camphorgate/src/camphorgate/serving/upstream_speed/table.py
+++ b/packages/camphorgate/src/camphorgate/serving/upstream_speed/table.py
@@ -13,7 +13,7 @@
 Incarnation = tuple[str, int]
 
 # Start values, used until a service has been observed. The prefill values are those of
-# the users' sheet for an engine that only prefills: 55 tokens per ms and 15 ms fixed.
+# an engine that only prefills: 55 tokens per ms and 15 ms fixed.
 START_PREFILL_TOKENS_PER_MS = 55.0
 START_PREFILL_FIXED_MS = 15.0
 # Time that a running request adds to another one on the same engine.
