Mend what the review of the call path found

- A refusal while groups that were not asked may have free slots, and one during a takeover: neither is made now.
- A peer that states an infinite duration or a malformed address.
- An upstream that left the list for a second counted as newly started.
- A request that was blocked while it waited for a slot.
- Failures that are not the upstream's (leaving, no permit).

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -12,7 +12,7 @@
 from camphorgate.serving.send_attempts import SendAttempts
 from camphorgated.serving.client_connection import ClientConnection
 from camphorgated.serving.errors import ExchangeError
-from camphorgated.serving.exchange import ENDED_CAUSES, STALE
+from camphorgated.serving.exchange import ENDED_CAUSES, LEAVING, NO_PERMIT, STALE
 from camphorgated.serving.front import RequestContext
 from camphorgated.serving.permits import Permit
 from camphorgated.serving.quarantine import BLOCKED, call_keys
@@ -108,7 +108,11 @@
             if choice is None:
                 self._give_up(context, attempts, NO_ROOM, borrower.retry_after)
                 return
-            if context.seconds_left(clock.monotonic()) <= 0:
+            now = clock.monotonic()
+            if context.seconds_left(now) <= 0:
+                continue
+            if block is None and self._quarantine.find_block(keys) is not None:
+                # It was blocked while it waited for a slot.
                 continue
             permit = await upstreams.reserve(context, choice, tried, patient)
             if permit is None:
@@ -126,7 +130,7 @@
                     context, attempts, upstream, carried, permit, borrower
                 )
             except ExchangeError as error:
-                if error.cause != STALE:
+                if error.cause not in (STALE, LEAVING, NO_PERMIT):
                     borrower.record_outcome(Outcome.FAILED)
                 attempts.record_failure(error.stage)
                 unsent += error.stage is Stage.NOT_SENT
@@ -218,6 +222,7 @@
             )
         attempts.record_execution()
         if facts.status >= 500:
+            borrower.record_outcome(Outcome.FAILED)
             health.record_error_response(clock.monotonic())
             self._statistics.try_failed(
                 context, upstream, f"failed_{facts.status}", Stage.SENT
--- a/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/gossip.py
@@ -326,14 +326,23 @@
         if not addresses or self._transport is None or self._transport.is_closing():
             return
         datagrams = [encode_datagram(message) for message in messages]
-        for address in map(split_address, addresses):
+        for address in addresses:
             for datagram in datagrams:
-                self._transport.sendto(datagram, address)
+                self.send_datagram(datagram, address)
 
     def send_datagram(self, datagram: bytes, address: str) -> None:
-        """Send an encoded message to an address."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(datagram, split_address(address))
+        """Send an encoded message to an address; one that cannot be used is ignored.
+
+        Peers state addresses, and one that states a malformed one must not end a task.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
+            receiver = split_address(address)
+        except ValueError as error:
+            self._record_unreadable(str(error))
+            return
+        self._transport.sendto(datagram, receiver)
 
     def broadcast_prefill(self, upstream: Upstream, tokens: int) -> None:
         """Announce the prefill of a prompt to peers at once, if it is a long one.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/messages.py
@@ -7,7 +7,7 @@
 from camphorgate.serving.catalog import Upstream
 from camphorgate.serving.catalog_encoding import EncodedCatalog
 from camphorgate.serving.loads import Load
-from camphorgate.serving.outcomes import OutcomeCount
+from camphorgate.serving.outcomes import MAX_COUNTS_PER_MESSAGE, OutcomeCount
 from camphorgate.serving.pace import MAX_NEWS as MAX_PACES
 from camphorgate.serving.pace import PaceNews
 from camphorgate.serving.quarantine import Block, Evidence
@@ -61,7 +61,9 @@
     failing: list[tuple[str, int]] = []
     grants_permits: bool = False
     speeds: SpeedNews | None = None
-    outcomes: list[OutcomeCount] = []
+    outcomes: Annotated[
+        list[OutcomeCount], msgspec.Meta(max_length=MAX_COUNTS_PER_MESSAGE)
+    ] = []
     paces: Annotated[list[PaceNews], msgspec.Meta(max_length=MAX_PACES)] = []
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/pace.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/pace.py
@@ -30,6 +30,7 @@
         "_members",
         "_directory",
         "_services",
+        "_present",
         "_seen_at",
         "_listed_at",
         "_ramping",
@@ -46,6 +47,7 @@
         self.table = PaceTable(own, self._instances)
         # Services whose upstreams report the duration of their work.
         self._services: set[str] = set()
+        self._present: set[tuple[str, int]] = set()
         self._seen_at: dict[tuple[str, int], float] = {}
         self._listed_at: float | None = None
         self._ramping: set[str] = set()
@@ -101,6 +103,10 @@
             if new and knows_all and upstream.service in self._services:
                 self.table.mark_started(incarnation, now)
             self._seen_at[incarnation] = now
+        # Those that have just left the list were seen until now.
+        present = {upstream.incarnation for upstream in listed}
+        self._seen_at |= dict.fromkeys(self._present - present, now)
+        self._present = present
         for incarnation, seen_at in list(self._seen_at.items()):
             if now - seen_at > REMEMBERED_SECONDS:
                 del self._seen_at[incarnation]
--- a/packages/camphorgate-daemon/src/camphorgated/serving/room/owner.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/room/owner.py
@@ -1,11 +1,12 @@
 """Lends the slots of the groups of upstreams that this instance owns."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
 from camphorgate.serving.catalog import Upstream
+from camphorgate.serving.placement import FAILING_PENALTY_MS
 from camphorgate.serving.room.book import Answer, Ask, Outcome, RoomBook
 from camphorgate.serving.room.groups import Group
 from camphorgated.serving.messages import (
@@ -25,6 +26,8 @@
 RETURN_SECONDS = 1.0
 # Upper bound of the times that a request may state, in seconds.
 MAX_SECONDS = 1e5
+# Longer service times, which a peer may state, are not learned, in seconds.
+MAX_CALL_SECONDS = 60.0
 # An instance that did not reply to others is taken for silent for this long.
 SKIPPED_SECONDS = 2.0
 # An owner that was not asked for this long takes over again, as another instance may
@@ -70,7 +73,6 @@
     __slots__ = (
         "groups",
         "on_reply",
-        "predict_ms",
         "_app",
         "_gossip",
         "_members",
@@ -87,7 +89,6 @@
         self.on_reply = None
         # Returns the service time of a request at an upstream in ms, ``None`` if it is
         # unknown; for books that are made from now on.
-        self.predict_ms: Callable[[Upstream, float], float | None] | None = None
         self._app = app
         self._gossip = app.service("gossip")
         self._members = app.service("members")
@@ -143,7 +144,8 @@
         except ValueError:
             outcome = Outcome.UNUSED
         key = (message.address, message.number)
-        owned.book.end(key, now, outcome, message.seconds)
+        valid = 0.0 < message.seconds < MAX_CALL_SECONDS
+        owned.book.end(key, now, outcome, message.seconds if valid else 0.0)
         if message.load is not None:
             owned.book.record_reported_load(message.upstream, *message.load, now)
         self._send_answers(owned.book.settle(now))
@@ -175,7 +177,7 @@
         owned = self._owned_by_key.get(key)
         if owned is None:
             by_loss = self._app.settings.order.by_loss
-            book = RoomBook(self._avoided, self.predict_ms, by_loss)
+            book = RoomBook(self._avoided, self._failure_ms, by_loss)
             owned = _OwnedGroup(service, group, book)
             owned.book.set_upstreams(group.upstreams)
             self._owned_by_key[key] = owned
@@ -222,6 +224,10 @@
     def _avoided(self, upstream: Upstream, now: float) -> bool:
         return self._gossip.health.of(upstream.incarnation).avoided(now)
 
+    def _failure_ms(self, upstream: Upstream, now: float) -> float:
+        rate = self._gossip.health.failure_rate(upstream.incarnation, now)
+        return rate * FAILING_PENALTY_MS
+
     def _send_answers(self, answers: list[Answer]) -> None:
         for answer in answers:
             address, number = answer.key
--- a/packages/camphorgate-daemon/src/camphorgated/serving/room/room.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/room/room.py
@@ -261,7 +261,7 @@
         """Borrow a slot for a request, see :meth:`Borrower.borrow`."""
         began = self._app.clock.monotonic()
         usable = self._usable_ids(found, began)
-        groups = self._choose_groups(context.service, usable)
+        groups, all_asked = self._choose_groups(context.service, usable)
         found_by_id = {item.id: item for item in found}
         reply = None
         for number, group in enumerate(groups):
@@ -277,7 +277,9 @@
             if upstream.id == choice.upstream.id:
                 return choice
             return Choice(upstream, waited)
-        if reply is not None and reply.retry_after is not None and not must_send:
+        refused = reply is not None and reply.retry_after is not None
+        # The upstreams of groups that were not asked may have free slots.
+        if refused and all_asked and not must_send:
             self._count("refused")
             borrower.retry_after = reply.retry_after
             return None
@@ -294,19 +296,26 @@
         }
         return usable or {item.id for item in found}
 
-    def _choose_groups(self, service: str, usable: set[str]) -> list[Group]:
-        """Return the groups to ask, those of the own zone first."""
+    def _choose_groups(
+        self, service: str, usable: set[str]
+    ) -> tuple[list[Group], bool]:
+        """Return the groups to ask, and whether these are all.
+
+        One of the own zone is the first, and one of another zone the second.
+        """
         groups = [
             group
             for group in self._owner.groups.of_service(service).values()
             if any(item.id in usable for item in group.upstreams)
         ]
         if len(groups) < 2:
-            return groups
+            return groups, True
         zone = self._members.own.zone
         self._random.shuffle(groups)
         groups.sort(key=lambda group: group.zone != zone)
-        return groups[:MAX_GROUPS]
+        first, *others = groups
+        others.sort(key=lambda group: group.zone == first.zone)
+        return [first, *others[: MAX_GROUPS - 1]], len(groups) <= MAX_GROUPS
 
     async def _ask(
         self,
@@ -495,8 +504,9 @@
         if loan is not None:
             loan.receive(reply)
             return
-        late = self._late_loan_by_number.pop(reply.number, None)
+        late = self._late_loan_by_number.get(reply.number)
         if late is not None and reply.upstream:
+            del self._late_loan_by_number[reply.number]
             self._count("late")
             self._send_return(late, Outcome.UNUSED)
 
--- a/packages/camphorgate/src/camphorgate/serving/room/book.py
+++ b/packages/camphorgate/src/camphorgate/serving/room/book.py
@@ -194,7 +194,7 @@
         "_mean_ms",
         "_ms_by_kind",
         "_avoided",
-        "_predict_ms",
+        "_failure_ms",
         "_began_at",
         "_lent",
     )
@@ -202,14 +202,14 @@
     def __init__(
         self,
         avoided: Callable[[Upstream, float], bool] = lambda upstream, now: False,
-        predict_ms: Callable[[Upstream, float], float | None] | None = None,
+        failure_ms: Callable[[Upstream, float], float] = lambda upstream, now: 0.0,
         by_loss: bool = True,
     ) -> None:
         """Start without loans.
 
         :param avoided: returns whether the owner avoids an upstream after failures.
-        :param predict_ms: returns the service time of a request at an upstream, in ms;
-            by default it is learned from the loans.
+        :param failure_ms: returns what the failures of an upstream add to its service
+            time in a comparison, in ms.
         :param by_loss: false to queue by rank and arrival alone.
         """
         self.order = RequestOrder(by_loss)
@@ -223,7 +223,7 @@
         self._mean_ms = START_CALL_MS
         self._ms_by_kind: dict[str, float] = {}
         self._avoided = avoided
-        self._predict_ms = predict_ms
+        self._failure_ms = failure_ms
         # When lending began, and how many slots were lent since.
         self._began_at = -math.inf
         self._lent = 0
@@ -431,7 +431,8 @@
 
     def _refuse_late(self, now: float) -> list[Answer]:
         """Refuse what cannot start in time, when the queue was just sorted."""
-        if self._sorted_at != now or not self._queue_by_key:
+        if self._sorted_at != now or not self._queue_by_key or self._takes_over(now):
+            # After a takeover, slots are free that may be lent a moment later.
             return []
         ordered = [
             item
@@ -477,7 +478,8 @@
             free = slots.free(now)
             if free <= 0 or name in ask.excluded:
                 continue
-            cost = self._call_ms(slots, now)
+            cost = self._mean_ms if slots.call_ms is None else slots.call_ms
+            cost += self._failure_ms(slots.upstream, now)
             cost += BUSY_PENALTY_MS * (1.0 - free / slots.count(now))
             if slots.upstream.zone != ask.zone:
                 cost += OTHER_ZONE_PENALTY_MS
@@ -487,13 +489,6 @@
                 best, best_cost = slots, cost
         return best
 
-    def _call_ms(self, slots: _Slots, now: float) -> float:
-        if self._predict_ms is not None:
-            predicted = self._predict_ms(slots.upstream, now)
-            if predicted is not None:
-                return predicted
-        return self._mean_ms if slots.call_ms is None else slots.call_ms
-
     def _record_call(self, slots: _Slots, kind: str, ms: float) -> None:
         def average(old: float | None) -> float:
             return ms if old is None else old + (ms - old) * NEWEST_CALL_WEIGHT
--- a/tests/test_serving/test_room_book.py
+++ b/tests/test_serving/test_room_book.py
@@ -52,6 +52,23 @@
             found.append(answer and answer.upstream and answer.upstream.id)
         return found
 
+    def test_failing_upstream_is_lent_last(self):
+        """Guards against an upstream that answers errors fast and gets all requests."""
+        self.book = RoomBook(
+            failure_ms=lambda upstream, now: 400.0 * (upstream.id == "u0")
+        )
+        self.book.set_upstreams(self.upstreams)
+        self.assertEqual(self.lend(range(3)), ["u1", "u1", "u0"])
+
+    def test_nothing_is_refused_during_a_takeover(self):
+        """Guards against refusals while slots are free that are lent a moment later."""
+        self.book.begin(0.0)
+        answers = []
+        for number in range(4):
+            ask = build_ask(number, seconds_left=0.12)
+            answers += self.book.request(ask, 0.0)
+        self.assertTrue(all(item.upstream for item in answers))
+
     def test_no_slot_is_lent_twice(self):
         """Guards against more requests at an upstream than it has slots."""
         self.assertEqual(sorted(self.lend(range(4))), ["u0", "u0", "u1", "u1"])
--- a/tests/test_serving/test_room_calls.py
+++ b/tests/test_serving/test_room_calls.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from camphorgated.serving.gossip import encode_datagram
+from camphorgated.serving.messages import RoomReturn
 from tests.hosted import HostedCase
 
 
@@ -77,3 +79,15 @@
         response = await self.request(app, "/read/a")
         self.assertEqual(response.status, 200)
         self.assertEqual(app.service("room").dump()["owners"], {})
+
+    async def test_malformed_messages_of_a_peer(self):
+        """Guards against a peer whose address or duration ends tasks or all loans."""
+        app, _ = await self.start_pair()
+        gossip = app.service("gossip")
+        self.assertEqual((await self.request(app, "/read/a")).status, 200)
+        for seconds in (float("inf"), float("nan"), 1e308, -1.0):
+            message = RoomReturn(1, "nobody", "desk", 0, seconds)
+            gossip._receive(encode_datagram(message))
+        gossip.send([message], ["nobody"])
+        gossip.send_datagram(b"x", "10.0.0.1:99999")
+        self.assertEqual((await self.request(app, "/read/a")).status, 200)
