Order engines by the load

Cause: the duty orders the declared maximum of each zone, on both new deployments twice the engines that are there at the start, while less than a third of them prefill at a time.

Change: watchers count the engines that prefill at the same time; the holder orders as many as keep 0.35 of them busy at the peak of the last 20 s, between half of the maximum and the maximum. Services below 24 engines keep the maximum. The setting fleet.size_by_load turns it on.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/fleet_duty.py
@@ -1,12 +1,14 @@
 """Orders capacity and engine phases while this instance holds the duty."""
 
 import asyncio
+from collections.abc import Iterable
 
 from camphorgate.application import Application
 from camphorgate.log import log_event
-from camphorgate.serving.catalog import Service, Upstream
+from camphorgate.serving.catalog import Phase, Service, Upstream
 from camphorgate.serving.fleet_plan import (
     CHEAP_UNAVAILABLE_SECONDS,
+    DECODE_FRACTION,
     ORDER_RETRY_SECONDS,
     STABLE_LIST_SECONDS,
     CapacityOrder,
@@ -15,6 +17,7 @@
     plan_capacity,
     plan_phases,
 )
+from camphorgate.serving.fleet_size import FleetSize
 from camphorgate.serving.permit_schedule import MAX_AHEAD_SECONDS
 from camphorgated.serving.errors import CallFailed
 
@@ -44,6 +47,7 @@
         "_engines_by_service",
         "_zones_by_service",
         "_gossip",
+        "_size_by_service",
     )
 
     def __init__(self, app: Application) -> None:
@@ -60,6 +64,7 @@
         self._engines_by_service: dict[str, tuple[set, float]] = {}
         self._zones_by_service: dict[str, set[str]] = {}
         self._gossip = app.service("gossip")
+        self._size_by_service: dict[str, FleetSize] = {}
 
     def forget(self) -> None:
         """Forget all orders, as those of a previous holder are unknown."""
@@ -75,6 +80,7 @@
             catalog = self._directory.catalog
             if catalog is None:
                 continue
+            self._record_loads(catalog.services_by_name.values())
             for service in catalog.services_by_name.values():
                 if not self._members.holds_duty():
                     self._gossip.broadcast_phase_changes(set())
@@ -95,7 +101,13 @@
         now = self._app.clock.monotonic()
         zones = self._zones_by_service.get(service.name, set())
         cheap_unavailable_zones = self._cheap_unavailable_zones(service, now)
-        for order in plan_capacity(service, upstreams, zones, cheap_unavailable_zones):
+        for order in plan_capacity(
+            service,
+            upstreams,
+            zones,
+            cheap_unavailable_zones,
+            self._engines_per_zone(service, len(zones)),
+        ):
             subject = (order.service, order.zone, order.cheap)
             given = self._ordered_by_subject.get(subject)
             if given == order and not self._deviates(order, upstreams, subject, now):
@@ -106,6 +118,40 @@
                 continue
             await self._send_capacity_order(order, subject)
 
+    def _record_loads(self, services: Iterable[Service]) -> None:
+        """Record how many engines of each service prefill at the moment.
+
+        All watchers do so, as the next holder of the duty is one of them and has to
+        know the recent load.
+        """
+        watching = self._directory.watches.watching
+        if not self._app.settings.fleet.size_by_load or not watching:
+            return
+        now = self._app.clock.monotonic()
+        loads = self._gossip.loads
+        for service in services:
+            if service.engine is None or service.scaling is None:
+                continue
+            size = self._size_by_service.setdefault(service.name, FleetSize())
+            busy = sum(
+                loads.total(item.id, now).prefill_tokens > 0
+                for item in self._directory.service_upstreams(service.name)
+                if item.phase is Phase.PREFILL
+            )
+            size.record_busy_engines(busy, now)
+
+    def _engines_per_zone(self, service: Service, zones: int) -> int | None:
+        """Return the number of engines to order in each zone.
+
+        :returns: ``None`` for the declared maximum.
+        """
+        size = self._size_by_service.get(service.name)
+        if size is None or service.scaling is None or not zones:
+            return None
+        return size.engines_per_zone(
+            service.scaling.maximum, zones, 1.0 - DECODE_FRACTION
+        )
+
     def _cheap_unavailable_zones(self, service: Service, now: float) -> frozenset[str]:
         """Return the zones in which cheap upstreams were refused lately."""
         return frozenset(
--- a/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_plan.py
@@ -60,6 +60,7 @@
     upstreams: list[Upstream],
     zones: Iterable[str],
     cheap_unavailable_zones: frozenset[str],
+    engines_per_zone: int | None = None,
 ) -> list[CapacityOrder]:
     """Return the desired numbers of cheap and ordinary upstreams in each zone.
 
@@ -67,10 +68,13 @@
     :param zones: zones of the service, including those that lost every upstream.
     :param cheap_unavailable_zones: zones where cheap upstreams were recently
         unavailable; ordinary upstreams replace some of those that are missing there.
+    :param engines_per_zone: number of upstreams wanted in each zone; the declared
+        maximum by default.
     """
     scaling = service.scaling
     if scaling is None or scaling.cheap_price is None:
         return []
+    wanted = scaling.maximum if engines_per_zone is None else engines_per_zone
     keepers = ordinary_zones(service, zones)
     orders = []
     for zone in sorted(zones):
@@ -80,15 +84,15 @@
             if item.zone == zone and item.cheap and not item.leaving
         )
         ordinary = ORDINARY_PER_ZONE
-        missing = max(0, scaling.maximum - ordinary - cheap)
+        missing = max(0, wanted - ordinary - cheap)
         if zone not in keepers and cheap and not missing:
             ordinary = 0
         elif zone in cheap_unavailable_zones:
             ordinary += math.ceil(missing * SUBSTITUTED_FRACTION)
-        ordinary = min(scaling.maximum, ordinary)
+        ordinary = min(wanted, ordinary)
         orders.append(CapacityOrder(service.name, zone, ordinary, cheap=False))
-        # The bound applies to the sum of both kinds.
-        count = max(0, scaling.maximum - ordinary)
+        # The number applies to the sum of both kinds.
+        count = max(0, wanted - ordinary)
         orders.append(CapacityOrder(service.name, zone, count, cheap=True))
     return orders
 
--- a/packages/camphorgate/src/camphorgate/serving/settings.py
+++ b/packages/camphorgate/src/camphorgate/serving/settings.py
@@ -44,6 +44,16 @@
     use_reported_load: bool = True
 
 
+class FleetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How many upstreams the fleet duty orders.
+
+    ``size_by_load`` orders as many engines as the load needs in place of the declared
+    maximum.
+    """
+
+    size_by_load: bool = False
+
+
 class HostedSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one hosted daemon; addresses are ``host:port``.
 
@@ -67,6 +77,7 @@
     store: StoreSettings = StoreSettings()
     speed: SpeedSettings = SpeedSettings()
     duties: tuple[str, ...] = ()
+    fleet: FleetSettings = FleetSettings()
     log_level: str = "INFO"
 
 
