--- a/packages/camphorgate/src/camphorgate/serving/fleet_size.py
+++ b/packages/camphorgate/src/camphorgate/serving/fleet_size.py
@@ -28,6 +28,9 @@
 # The peak of the averages within this time decides. It covers a wave of the arrivals,
 # so that the fleet does not shrink and grow with each one.
 PEAK_SECONDS = 20.0
+# The fleet shrinks only if less than this fraction of it is needed. An engine that
+# leaves takes its cached parts with it, and its zone may need changes of phase.
+SHRINK_FRACTION = 0.7
 
 
 class _Sample(msgspec.Struct):
@@ -40,13 +43,15 @@
 class FleetSize:
     """The load of one service and the number of engines that follows from it."""
 
-    __slots__ = ("_recent", "_peaks")
+    __slots__ = ("_recent", "_peaks", "_per_zone")
 
     def __init__(self) -> None:
         """Initialize without any observed load."""
         self._recent: deque[_Sample] = deque()
         # Averages in descending order, as only a later one can become the peak.
         self._peaks: deque[_Sample] = deque()
+        # The number returned last; it changes only where the need has changed enough.
+        self._per_zone = 0
 
     def record_busy_engines(self, busy: int, now: float) -> None:
         """Record how many engines prefill at the moment.
@@ -79,5 +84,9 @@
         if maximum * zones < MIN_ADAPTIVE_ENGINES:
             return maximum
         needed = self.peak_busy_engines() / MAX_BUSY_FRACTION / prefill_fraction
-        per_zone = math.ceil(needed / zones)
-        return min(maximum, max(math.ceil(maximum * MIN_FLEET_FRACTION), per_zone))
+        floor = math.ceil(maximum * MIN_FLEET_FRACTION)
+        per_zone = min(maximum, max(floor, math.ceil(needed / zones)))
+        shrinks = per_zone < self._per_zone * SHRINK_FRACTION
+        if per_zone > self._per_zone or shrinks or self._per_zone > maximum:
+            self._per_zone = per_zone
+        return self._per_zone
