--- a/packages/camphorgate-daemon/src/camphorgated/serving/memory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/memory.py
@@ -36,6 +36,8 @@
 MIN_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 3.0
 REPORT_SECONDS = 1.0
+# Interval at which connections that wait for memory are looked at.
+RESUME_SECONDS = 0.1
 # Part of the process's descriptors that connections of callers may take; upstreams,
 # peers and the store need the others.
 MAX_CONNECTIONS_FRACTION = 0.75
@@ -239,9 +241,15 @@
 
     async def watch(self) -> None:
         """Report periodically; never returns."""
+        reported_at = float("-inf")
+        loop = asyncio.get_running_loop()
         while True:
-            self.report()
-            await asyncio.sleep(REPORT_SECONDS)
+            if loop.time() - reported_at >= REPORT_SECONDS:
+                reported_at = loop.time()
+                self.report()
+            # Not every release of bytes is told here.
+            self.released()
+            await asyncio.sleep(RESUME_SECONDS if self._waiting else REPORT_SECONDS)
 
     def add_metrics(self, registry) -> None:
         """Register the metrics."""
--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -253,7 +253,7 @@
             doubtful = self.watcher_selection.store_lost_recently(now)
             self._list_was_current = not doubtful
             log_event("watching", doubtful=doubtful)
-            if doubtful:
+            if doubtful and self._app.settings.store.bound_calls:
                 self._app.service("store_calls").mark_doubtful(now)
         self.watching = True
         for prefix in self._handlers_by_prefix.keys() - self._tasks_by_prefix.keys():
