--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,166 @@
+"""Holders act in the order A, B, A within a lease where no fence is checked."""
+
+import asyncio
+import signal
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+from review_fleet import (  # noqa: E402
+    DEPENDENCIES,
+    STANDINS,
+    Fleet,
+    Record,
+    can_connect,
+    configuration,
+    free_port,
+    route,
+    run_case,
+    service,
+    trouble,
+)
+from review_platform import Call, Platform  # noqa: E402
+
+LEASE_SECONDS = 3.0
+RESTART_SECONDS = 0.3
+# An order is not repeated before startup-s and 2 s have passed.
+STARTUP_SECONDS = 4.0
+CYCLES = 5
+LAST_CYCLE_SECONDS = 92.0
+SPOT = "scale models zone-a spot"
+# The holder, which starts first, and the instance that starts after it. Of two
+# instances that want a free duty, front-1 has the first turn.
+FIRST, SECOND = "front-2", "front-1"
+
+
+def find_alternation(calls: list[Call]) -> tuple[Call, Call, Call] | None:
+    """Return calls of holders A, B, A on one subject within a lease."""
+    for subject in {call.subject for call in calls}:
+        turns = [call for call in calls if call.subject == subject]
+        for last, third in enumerate(turns):
+            for middle in range(last):
+                second = turns[middle]
+                if second.holder == third.holder:
+                    continue
+                for first in turns[:middle]:
+                    within = third.at - first.at < LEASE_SECONDS
+                    if first.holder == third.holder and within:
+                        return first, second, third
+    return None
+
+
+async def list_engine(fleet: Fleet, name: str, phase: str, spot: bool) -> None:
+    """Start an engine with the project's stand-in and list it."""
+    port = free_port()
+    await fleet.spawn(
+        name,
+        *("python3", "-S", "-m", "camphorgate_standins.hosting_worker"),
+        *("--address", f"127.0.0.1:{port}", "--id", name),
+        *("--phase", phase, "--slots", "64"),
+        path=f"{DEPENDENCIES}:{STANDINS}",
+    )
+    await fleet.eventually(lambda: can_connect(port), name)
+    entry = {
+        "service": "models",
+        "address": f"127.0.0.1:{port}",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "cold-left-ms": 0,
+        "phase": phase,
+        "models": [{"name": "m", "version": 1, "adapters": []}],
+        "sequence": 1,
+        "born": int(time.time() * 1000),
+    }
+    if spot:
+        entry["spot"] = True
+    await fleet.put(f"servers/{name}", entry)
+
+
+async def case(record: Record) -> bool:
+    """Play cycles until the rule is broken, and return whether it held."""
+    platform = Platform(record, checks_fence=False)
+    await platform.start()
+    async with Fleet(record) as fleet:
+        await fleet.start_store()
+        engine = {"slots": 64, "kv-capacity": 494558, "kv-token-bytes": 18432}
+        engine |= {"link-mbps": 190000.0, "kv-hold-s": 5.0, "role-switch-s": 3.0}
+        scaling = {"min": 1, "max": 2, "startup-s": STARTUP_SECONDS}
+        scaling |= {"spot-price": 0.15, "zone-prices": {"zone-a": 1.0}}
+        models = {**service("models"), "engine": engine, "scaling": scaling}
+        routes = [route("chat", "streaming", "models", sticky=True)]
+        await fleet.put("op/config", configuration(routes, [models]))
+        await list_engine(fleet, "engine-0", "decode", spot=False)
+        await list_engine(fleet, "engine-1", "prefill", spot=True)
+        seeds: list[str] = []
+        for name in (FIRST, SECOND):
+            settings = fleet.daemon_settings(
+                name,
+                seeds,
+                operations_address=platform.address,
+                duty={"require_fence": False},
+            )
+            await fleet.start_daemon(name, settings)
+            await fleet.wait_ready(name)
+            seeds = [settings["peer_address"]]
+        for cycle in range(CYCLES):
+            if time.monotonic() - record.began > LAST_CYCLE_SECONDS - 20.0:
+                break
+            await asyncio.sleep(STARTUP_SECONDS + 3.0)
+            await play(fleet, platform, cycle)
+            if find_alternation(platform.calls):
+                break
+    found = find_alternation(platform.calls)
+    for call in found or ():
+        record.line(
+            f"alternation: {call.holder} at {call.at - record.began:.3f}"
+            f" with token {call.token} on {call.subject}"
+        )
+    return found is None
+
+
+async def play(fleet: Fleet, platform: Platform, cycle: int) -> None:
+    """Let a spot engine be lost; kill who orders another one, stop who comes next."""
+    record = fleet.record
+    known = len(platform.calls)
+    engine = f"engine-{cycle + 1}"
+    record.line(f"{engine} is lost for good")
+    fleet.processes[engine].kill()
+    await fleet.control("POST", f"/control/remove?key=servers/{engine}")
+    first = await platform.next_call(known, 8.0, SPOT)
+    if first is None:
+        record.line("nobody ordered another engine")
+    elif trouble():
+        await kill_and_stop(fleet, platform, first)
+    # What was ordered is there after startup-s.
+    await asyncio.sleep(max(0.0, STARTUP_SECONDS - 2.0))
+    await list_engine(fleet, f"engine-{cycle + 2}", "prefill", spot=True)
+
+
+async def kill_and_stop(fleet: Fleet, platform: Platform, first: Call) -> None:
+    """Kill the holder, and stop the next one once it has acted."""
+    record = fleet.record
+    known = len(platform.calls)
+    record.line(f"SIGKILL {first.holder}, which acted last")
+    fleet.processes[first.holder].kill()
+    await fleet.processes[first.holder].wait()
+    await asyncio.sleep(RESTART_SECONDS)
+    record.line(f"{first.holder} starts again")
+    await fleet.start_daemon(first.holder)
+    second = await platform.next_call(known, 6.0, SPOT)
+    if second is None or second.holder == first.holder:
+        record.line("no other instance acted")
+        return
+    record.line(f"SIGTERM {second.holder}, which holds the duty now")
+    fleet.signal(second.holder, signal.SIGTERM)
+    await fleet.processes[second.holder].wait()
+    await asyncio.sleep(RESTART_SECONDS)
+    await fleet.start_daemon(second.holder)
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(case, FOLDER))
