--- a/review/review_worker.py
+++ b/review/review_worker.py
@@ -2,8 +2,7 @@
 
 ``python3 review_worker.py PORT ID RUNS_FILE``; each run appends a line to RUNS_FILE.
 What a request asks of it stands in its path: ``bytes-N`` answers with N bytes,
-``wait-N`` takes N ms, ``events-N`` streams N events with increasing ids, 100 ms apart,
-and goes on after ``Last-Event-Id``.
+``wait-N`` takes N ms. ``HEAD`` is answered as for an empty resource, without a body.
 """
 
 import asyncio
@@ -14,7 +13,6 @@
 import time
 
 PORT, NAME, RUNS = int(sys.argv[1]), sys.argv[2], sys.argv[3]
-EVENT_SECONDS = 0.1
 _stamps = itertools.count(1)
 
 
@@ -62,25 +60,12 @@
         writer.write(head("421 Misdirected Request", fields))
         return
     run = {"at": time.time(), "attempt": attempt, "method": method, "path": path}
-    run["last-event-id"] = headers.get("last-event-id")
     write_run(run)
     await asyncio.sleep(asked(path, "wait", 10) / 1000)
     fields = {"x-attempt-id": attempt, "x-server-stamp": f"{NAME}.{next(_stamps)}"}
-    events = asked(path, "events", 0)
-    if events:
-        fields |= {"content-type": "text/event-stream", "transfer-encoding": "chunked"}
-        writer.write(head("200 OK", fields))
-        for number in range(int(headers.get("last-event-id", 0)) + 1, events + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(EVENT_SECONDS)
-        writer.write(b"0\r\n\r\n")
-        return
-    size = asked(path, "bytes", 800)
+    size = 0 if method == "HEAD" else asked(path, "bytes", 800)
     writer.write(head("200 OK", fields | {"content-length": str(size)}))
-    if method != "HEAD":
-        writer.write(bytes(ord("a") + number % 26 for number in range(size)))
+    writer.write(bytes(ord("a") + number % 26 for number in range(size)))
     await writer.drain()
 
 
