--- a/review/review_fleet.py
+++ b/review/review_fleet.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -129,6 +130,7 @@
                     process.kill()
         for process in self.processes.values():
             await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def spawn(self, name: str, *words: str, path: str = "") -> None:
         """Start a process; its output goes to a file of the temporary folder."""
