--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,13 +10,9 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from review_fleet import (  # noqa: E402
-    DEPENDENCIES,
-    STANDINS,
     Fleet,
     Record,
-    can_connect,
     configuration,
-    free_port,
     route,
     run_case,
     service,
@@ -30,6 +26,7 @@
 STARTUP_SECONDS = 4.0
 CYCLES = 5
 LAST_CYCLE_SECONDS = 92.0
+SLOTS = 64
 SPOT = "scale models zone-a spot"
 # The holder, which starts first, and the instance that starts after it. Of two
 # instances that want a free duty, front-1 has the first turn.
@@ -52,50 +49,23 @@
     return None
 
 
-async def list_engine(fleet: Fleet, name: str, phase: str, spot: bool) -> None:
-    """Start an engine with the project's stand-in and list it."""
-    port = free_port()
-    await fleet.spawn(
-        name,
-        *("python3", "-S", "-m", "camphorgate_standins.hosting_worker"),
-        *("--address", f"127.0.0.1:{port}", "--id", name),
-        *("--phase", phase, "--slots", "64"),
-        path=f"{DEPENDENCIES}:{STANDINS}",
-    )
-    await fleet.eventually(lambda: can_connect(port), name)
-    entry = {
-        "service": "models",
-        "address": f"127.0.0.1:{port}",
-        "zone": "zone-a",
-        "version": "v1",
-        "slots": 64,
-        "state": "ready",
-        "cold-left-ms": 0,
-        "phase": phase,
-        "models": [{"name": "m", "version": 1, "adapters": []}],
-        "sequence": 1,
-        "born": int(time.time() * 1000),
-    }
-    if spot:
-        entry["spot"] = True
-    await fleet.put(f"servers/{name}", entry)
-
-
 async def case(record: Record) -> bool:
     """Play cycles until the rule is broken, and return whether it held."""
     platform = Platform(record, checks_fence=False)
     await platform.start()
     async with Fleet(record) as fleet:
         await fleet.start_store()
-        engine = {"slots": 64, "kv-capacity": 494558, "kv-token-bytes": 18432}
-        engine |= {"link-mbps": 190000.0, "kv-hold-s": 5.0, "role-switch-s": 3.0}
-        scaling = {"min": 1, "max": 2, "startup-s": STARTUP_SECONDS}
+        engine = {"slots": SLOTS, "kv-capacity": 460806, "kv-token-bytes": 18432}
+        engine |= {"link-mbps": 550000.0, "kv-hold-s": 5.0, "role-switch-s": 3.0}
+        scaling = {"min": 1, "max": 4, "startup-s": STARTUP_SECONDS}
         scaling |= {"spot-price": 0.15, "zone-prices": {"zone-a": 1.0}}
         models = {**service("models"), "engine": engine, "scaling": scaling}
         routes = [route("chat", "streaming", "models", sticky=True)]
         await fleet.put("op/config", configuration(routes, [models]))
-        await list_engine(fleet, "engine-0", "decode", spot=False)
-        await list_engine(fleet, "engine-1", "prefill", spot=True)
+        await fleet.start_engine("engine-0", "decode", SLOTS)
+        await fleet.start_engine("engine-1", "decode", SLOTS, spot=True)
+        await fleet.start_engine("engine-2", "prefill", SLOTS, spot=True)
+        await fleet.start_engine("engine-3", "prefill", SLOTS, spot=True)
         seeds: list[str] = []
         for name in (FIRST, SECOND):
             settings = fleet.daemon_settings(
@@ -103,6 +73,7 @@
                 seeds,
                 operations_address=platform.address,
                 duty={"require_fence": False},
+                budget={"ratio": 0.2, "slack": 214, "window_seconds": 10},
             )
             await fleet.start_daemon(name, settings)
             await fleet.wait_ready(name)
@@ -114,7 +85,7 @@
                 break
             # The lease ends 2 to 3 s after the kill, as the last renewal was up to 1 s
             # before it; each cycle meets another moment between two renewals.
-            await asyncio.sleep(STARTUP_SECONDS + 3.0 + 0.2 * cycle)
+            await asyncio.sleep(STARTUP_SECONDS + 0.2 * cycle)
             await play(fleet, platform, cycle)
             if find_alternation(platform.calls):
                 break
@@ -131,18 +102,18 @@
     """Let a spot engine be lost; kill who orders another one, stop who comes next."""
     record = fleet.record
     known = len(platform.calls)
-    engine = f"engine-{cycle + 1}"
-    record.line(f"{engine} is lost for good")
-    fleet.processes[engine].kill()
-    await fleet.control("POST", f"/control/remove?key=servers/{engine}")
+    engine = f"engine-{cycle + 3}"
+    record.line(f"{engine} of four is lost for good")
+    await fleet.lose_worker(engine)
     first = await platform.next_call(known, 8.0, SPOT)
     if first is None:
         record.line("nobody ordered another engine")
     elif trouble():
         await kill_and_stop(fleet, platform, first)
     # What was ordered is there after startup-s.
-    await asyncio.sleep(max(0.0, STARTUP_SECONDS - 2.0))
-    await list_engine(fleet, f"engine-{cycle + 2}", "prefill", spot=True)
+    ordered_at = first.at if first is not None else time.monotonic()
+    await asyncio.sleep(max(0.0, ordered_at + STARTUP_SECONDS - time.monotonic()))
+    await fleet.start_engine(f"engine-{cycle + 4}", "prefill", SLOTS, spot=True)
 
 
 async def kill_and_stop(fleet: Fleet, platform: Platform, first: Call) -> None:
--- a/review/review_fleet.py
+++ b/review/review_fleet.py
@@ -24,6 +24,12 @@
 KEY = "key-north"
 TENANT = "north"
 START_SECONDS = 30.0
+# A worker writes its entry at this interval; after three of them in silence the
+# platform removes the entry.
+HEARTBEAT_SECONDS = 1.2
+SILENT_HEARTBEATS = 3
+# A script that takes longer has not run.
+MAX_SECONDS = 117.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 _used_ports: set[int] = set()
@@ -116,13 +122,15 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.store_port = free_port()
         self.settings_by_name: dict[str, dict] = {}
-        self.worker_ports: dict[str, int] = {}
-        self._born = int(time.time() * 1000)
+        self._entry_by_worker: dict[str, dict] = {}
+        self._beats: asyncio.Task | None = None
 
     async def __aenter__(self) -> "Fleet":
+        self._beats = asyncio.create_task(self._beat())
         return self
 
     async def __aexit__(self, *_) -> None:
+        self._beats.cancel()
         for process in self.processes.values():
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -160,21 +168,30 @@
 
     async def start_worker(self, name: str, service_name: str, **changes) -> None:
         """Start a worker of ``review_worker`` and list it in the store."""
-        port = self.worker_ports.get(name) or free_port()
-        self.worker_ports[name] = port
-        runs = self.folder / f"{name}.runs"
+        script = str(Path(__file__).with_name("review_worker.py"))
+        runs = str(self.folder / f"{name}.runs")
+        port = free_port()
+        await self.spawn(name, "python3", "-S", script, str(port), name, runs)
+        await self.eventually(lambda: can_connect(port), name)
+        await self._list(name, port, {"service": service_name, **changes})
+
+    async def start_engine(self, name: str, phase: str, slots: int, **changes) -> None:
+        """Start an engine with the project's stand-in and list it in the store."""
+        port = free_port()
         await self.spawn(
             name,
-            "python3",
-            "-S",
-            str(Path(__file__).with_name("review_worker.py")),
-            str(port),
-            name,
-            str(runs),
+            *("python3", "-S", "-m", "camphorgate_standins.hosting_worker"),
+            *("--address", f"127.0.0.1:{port}", "--id", name),
+            *("--phase", phase, "--slots", str(slots)),
+            path=f"{DEPENDENCIES}:{STANDINS}",
         )
         await self.eventually(lambda: can_connect(port), name)
-        entry = {
-            "service": service_name,
+        models = [{"name": "m", "version": 1, "adapters": []}]
+        entry = {"service": "models", "slots": slots, "phase": phase, "models": models}
+        await self._list(name, port, {**entry, **changes})
+
+    async def _list(self, name: str, port: int, changes: dict) -> None:
+        self._entry_by_worker[name] = {
             "address": f"127.0.0.1:{port}",
             "zone": "zone-a",
             "version": "v1",
@@ -182,10 +199,26 @@
             "state": "ready",
             "cold-left-ms": 0,
             "sequence": 1,
-            "born": self._born,
+            "born": int(time.time() * 1000),
             **changes,
         }
-        await self.put(f"servers/{name}", entry)
+        await self.put(f"servers/{name}", self._entry_by_worker[name])
+
+    async def lose_worker(self, name: str) -> None:
+        """Kill a worker; its entry goes after three intervals of silence."""
+        self._entry_by_worker.pop(name)
+        self.processes[name].kill()
+        await asyncio.sleep(SILENT_HEARTBEATS * HEARTBEAT_SECONDS)
+        await self.control("POST", f"/control/remove?key=servers/{name}")
+
+    async def _beat(self) -> None:
+        """Write the entries of the workers again and again, as these do."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            for name, entry in list(self._entry_by_worker.items()):
+                entry["sequence"] += 1
+                with contextlib.suppress(OSError, RuntimeError, TimeoutError):
+                    await self.put(f"servers/{name}", entry)
 
     def runs(self, name: str) -> list[dict]:
         """Return what a worker has run."""
@@ -425,11 +458,19 @@
     record = Record(folder)
     record.line(f"the disruption is {'on' if trouble() else 'off'}")
     try:
-        held = asyncio.run(case(record))
-    except Exception as error:
+        held = asyncio.run(_run(case, record))
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         record.line(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         return NOT_RUN
     record.line("the rule held" if held else "THE RULE WAS BROKEN")
     print("held" if held else "broken")
     return HELD if held else BROKEN
+
+
+async def _run(case, record: Record) -> bool:
+    """Run a case; SIGTERM and a run that takes too long end it with its processes."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(MAX_SECONDS):
+        return await case(record)
