--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,8 +24,10 @@
 RESTART_SECONDS = 0.3
 # An order is not repeated before startup-s and 2 s have passed.
 STARTUP_SECONDS = 4.0
-CYCLES = 5
-LAST_CYCLE_SECONDS = 92.0
+# Delays of the cycles, so that they meet different moments between two renewals, which
+# are a second apart.
+OFFSETS = (0.0, 0.0, 0.5, 0.25, 0.75)
+LAST_CYCLE_SECONDS = 88.0
 SLOTS = 64
 SPOT = "scale models zone-a spot"
 # The holder, which starts first, and the instance that starts after it. Of two
@@ -80,12 +82,12 @@
             seeds = [settings["peer_address"]]
             if name == FIRST:
                 await platform.next_call(0, 15.0, SPOT)
-        for cycle in range(CYCLES):
-            if time.monotonic() - record.began > LAST_CYCLE_SECONDS - 20.0:
+        for cycle in range(len(OFFSETS)):
+            if time.monotonic() - record.began > LAST_CYCLE_SECONDS:
                 break
             # The lease ends 2 to 3 s after the kill, as the last renewal was up to 1 s
             # before it; each cycle meets another moment between two renewals.
-            await asyncio.sleep(STARTUP_SECONDS + 0.2 * cycle)
+            await asyncio.sleep(STARTUP_SECONDS + OFFSETS[cycle])
             await play(fleet, platform, cycle)
             if find_alternation(platform.calls):
                 break
