Bound the names of prompt parts where a request is admitted

Cause: the table of loads kept the names as callers chose them, 2,000 an engine, whatever their size and age, and states carried 40 of them, more than a datagram holds. Only the quarantine replaced long names by a hash.

Change: names above 32 characters are replaced by a hash at admission, for all that keeps or sends them. The table forgets parts past the time for which they count as cached, and holds 40,000 in all (a bound for each engine alone grows with the fleet: 156,000 for 78 engines, 8,800,000 for 4,400).

--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -324,6 +324,7 @@
             self._memory.count_refusal("parts")
             caller.refuse(503, MemoryFull.code, retry_seconds())
             return None
+        facts = facts.with_bounded_names()
         path = caller.request.target.partition(b"?")[0].decode("latin-1")
         route = catalog.match(facts.host, path)
         if route is None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/platform_protocol.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/platform_protocol.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from camphorgate.serving.catalog import Catalog, Phase, Stage, Upstream
+from camphorgate.serving.part_names import bound_names
 from camphorgated.serving.http1 import Headers
 from camphorgated.serving.server_connection import Request
 
@@ -28,6 +29,13 @@
     parts: tuple[tuple[str, int], ...] = ()
     last_event: int | None = None
 
+    def with_bounded_names(self) -> "RequestFacts":
+        """Return these facts with names of parts that may be kept and sent to peers."""
+        parts = bound_names(self.parts)
+        if parts is self.parts:
+            return self
+        return msgspec.structs.replace(self, parts=parts)
+
 
 class InstanceLoad(msgspec.Struct, frozen=True):
     """Load that an upstream reports of itself in a response head.
--- a/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/quarantine.py
@@ -44,8 +44,6 @@
 MAX_CLEARED_PER_DATAGRAM = 24
 MAX_BLOCKS_PER_DATAGRAM = 4
 MAX_SURVIVORS_PER_DATAGRAM = 4
-# Longer ids of parts are replaced by a hash, as callers choose them.
-MAX_PART_CHARACTERS = 32
 # The blocks are read this long after the start, and again by the holder of the duty.
 FIRST_READ_SECONDS = 0.5
 READ_SECONDS = 30.0
@@ -454,12 +452,7 @@
 
 def part_keys(context: RequestContext) -> tuple[str, ...]:
     """Return the keys of the parts that a prompt shares with others."""
-    return tuple(
-        name
-        if len(name) <= MAX_PART_CHARACTERS
-        else f"hash-{xxhash.xxh3_128_hexdigest(name.encode())}"
-        for name, _ in context.facts.parts[:-1]
-    )
+    return tuple(name for name, _ in context.facts.parts[:-1])
 
 
 def call_keys(context: RequestContext) -> tuple[str, ...]:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/route_explanation.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/route_explanation.py
@@ -55,7 +55,7 @@
             return _refusal(503, "configuration_unknown", UNCONFIGURED_RETRY_SECONDS)
         request = Request("POST", target.encode("latin-1"), headers, b"", False)
         request.read_at = self._app.clock.monotonic()
-        facts = self._platform.read_request(request)
+        facts = self._platform.read_request(request).with_bounded_names()
         route = catalog.match(facts.host, target.partition("?")[0])
         if route is None:
             return _refusal(404, "route_unknown")
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from camphorgate.serving.part_names import MAX_KEY_CHARACTERS
+
 # A source's figures apply until it reports newer ones, as its load stays about the same
 # meanwhile. After this time the source is gone or disconnected and they are dropped.
 MAX_SOURCE_AGE_SECONDS = 3.0
@@ -19,6 +21,8 @@
 MAX_RECENT_PARTS = 40
 # Maximum number of parts tracked per engine; the oldest are evicted first.
 MAX_PARTS_PER_ENGINE = 2000
+# Maximum number of parts tracked for all engines; bounds their memory to about 8 MB.
+MAX_PARTS = 40_000
 
 
 class Load(msgspec.Struct):
@@ -42,7 +46,14 @@
     time for any number of sources.
     """
 
-    __slots__ = ("own_by_id", "_sources", "_sum_by_id", "_parts_by_id", "_recent_parts")
+    __slots__ = (
+        "own_by_id",
+        "_sources",
+        "_sum_by_id",
+        "_parts_by_id",
+        "_part_count",
+        "_recent_parts",
+    )
 
     def __init__(self) -> None:
         """Initialize without load."""
@@ -50,7 +61,9 @@
         # Ordered by the time of the last message, oldest first.
         self._sources: dict[str, tuple[float, dict[str, Load]]] = {}
         self._sum_by_id: dict[str, Load] = {}
+        # Names of parts by engine, each with the time of its last use, oldest first.
         self._parts_by_id: dict[str, dict[str, float]] = {}
+        self._part_count = 0
         self._recent_parts: deque[tuple[float, str, str]] = deque(
             maxlen=MAX_RECENT_PARTS
         )
@@ -177,9 +190,14 @@
             self._recent_parts.append((now, upstream_id, name))
 
     def receive_cached_parts(self, news: list[tuple[str, str]], now: float) -> None:
-        """Record the parts that a peer's requests left cached at engines."""
+        """Record the parts that a peer's requests left cached at engines.
+
+        :param news: pairs of engine and part; names that no peer of this version sends
+            are ignored.
+        """
         for upstream_id, name in news:
-            self._remember(upstream_id, name, now)
+            if len(name) <= MAX_KEY_CHARACTERS:
+                self._remember(upstream_id, name, now)
 
     def recent_cached_parts(self, now: float, seconds: float) -> list[tuple[str, str]]:
         """Return the recently prefilled parts as pairs of engine and part.
@@ -206,11 +224,26 @@
     def keep_only(self, upstream_ids: set[str]) -> None:
         """Forget the cached parts of all other upstreams."""
         for upstream_id in self._parts_by_id.keys() - upstream_ids:
-            del self._parts_by_id[upstream_id]
+            self._part_count -= len(self._parts_by_id.pop(upstream_id))
+
+    def part_count(self) -> int:
+        """Return how many parts are tracked, those of each engine counted."""
+        return self._part_count
 
     def _remember(self, upstream_id: str, name: str, now: float) -> None:
         parts = self._parts_by_id.setdefault(upstream_id, {})
+        self._part_count += name not in parts
         parts.pop(name, None)
         parts[name] = now
         if len(parts) > MAX_PARTS_PER_ENGINE:
-            del parts[next(iter(parts))]
+            self._evict_oldest(parts)
+        while now - parts[next(iter(parts))] >= PART_CACHED_SECONDS:
+            self._evict_oldest(parts)
+        if self._part_count > MAX_PARTS:
+            tracked = (item for item in self._parts_by_id.values() if item)
+            self._evict_oldest(min(tracked, key=lambda item: item[next(iter(item))]))
+
+    def _evict_oldest(self, parts: dict[str, float]) -> None:
+        """Forget the part of an engine that was used the longest time ago."""
+        del parts[next(iter(parts))]
+        self._part_count -= 1
