Answer the requests that were read before a stop

A booking that was read is not repeated by its caller.

Cause: the first response after a stop closed its connection, whatever had been read behind its request.

Change: during a stop, a response closes its connection only if nothing that was received waits behind it. After the time for new requests, a busy connection reads nothing more, so that a caller that keeps sending cannot delay the exit; what was read whole is answered. A connection that closes with unread bytes drops them for a moment instead of being reset.

Evidence: test_requests_ahead on: the second of seven bookings and the second of two before a partial one get the end of the connection; both are answered after the change. test_requests, test_memory, test_http1, test_short_grace, test_faulty_upstreams, test_departures, test_misplaced and test_memory_budget pass.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
@@ -47,7 +47,7 @@
         """Prepare a response.
 
         :param stopping: called when the response begins; if it returns true, the
-            connection is closed after the response.
+            connection is closed after the response to the last request that was read.
         """
         self.request = request
         self.begun = False
@@ -124,7 +124,8 @@
         self.begun = True
         self.status = status
         lines = list(headers)
-        self.closing = self.closing or self._stopping()
+        if self._stopping() and not self._connection.receiving:
+            self.closing = True
         if self.closing:
             lines.append((b"connection", b"close"))
         reason = _REASONS.get(status, b"Answer")
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -400,10 +400,13 @@
         while clock.monotonic() < last:
             # A caller that sends a request while its idle connection is closing sees
             # that the request was not read. A partly received request is read to its
-            # end and answered.
-            for connection in self._connections - self._work_by_connection.keys():
+            # end and answered, as are those that were read behind others.
+            for connection in list(self._connections):
                 if not connection.receiving:
-                    connection.close()
+                    if connection not in self._work_by_connection:
+                        connection.close()
+                elif connection in self._work_by_connection:
+                    connection.end_reading()
             if not self._connections:
                 break
             await asyncio.sleep(0.02)
--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -53,6 +53,7 @@
         "_drained",
         "_turn_queued",
         "_lingering",
+        "_reading_ended",
     )
 
     def __init__(
@@ -78,6 +79,7 @@
         self._drained: asyncio.Future | None = None
         self._turn_queued = False
         self._lingering = False
+        self._reading_ended = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport and announce the connection."""
@@ -100,7 +102,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or keep them until a turn is free."""
-        if self._error is not None:
+        if self._error is not None or self._lingering:
             return
         now = self._clock.monotonic()
         if self.started_at is None:
@@ -144,6 +146,10 @@
         """Charge what is held, and decide when to parse and read on."""
         if self._error is not None:
             self._release_partial()
+        elif self._reading_ended and not self._unparsed:
+            # The rest of a partial request is not read any more.
+            self._release_partial()
+            self._wake()
         elif (
             self._unparsed
             and not self._turn_queued
@@ -192,7 +198,10 @@
     def _update_reading(self) -> None:
         """Read from the caller if nothing received waits and memory is free."""
         paused = self._error is None and (
-            self._waits_for_memory or len(self._requests) > 1 or len(self._unparsed) > 0
+            self._reading_ended
+            or self._waits_for_memory
+            or len(self._requests) > 1
+            or len(self._unparsed) > 0
         )
         if paused != self._paused and not self.transport.is_closing():
             self._paused = paused
@@ -205,6 +214,17 @@
                     self.started_at = self.progressed_at
                 self.transport.resume_reading()
 
+    def end_reading(self) -> None:
+        """Read nothing more; the requests that were read whole are still answered."""
+        if self._reading_ended or self._error is not None or self.closed:
+            return
+        self._reading_ended = True
+        if not self._unparsed:
+            self._release_partial()
+        self._update_reading()
+        self._update_charge()
+        self._wake()
+
     def _send_continue(self) -> None:
         """Ask the caller for the body that it holds back."""
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -259,7 +279,7 @@
         while not self._requests:
             if self._error is not None:
                 raise self._error
-            if self.closed:
+            if self.closed or (self._reading_ended and not self._unparsed):
                 return None
             self._waiter = asyncio.get_running_loop().create_future()
             try:
@@ -307,14 +327,24 @@
         """Close the connection after sending buffered bytes."""
         if self.closed or self._lingering or self.transport.is_closing():
             return
-        if self._error is None:
+        if self._error is None and not self._paused:
             self.transport.close()
             return
         # Closing a connection with unread bytes resets it, so that the caller may not
-        # receive the refusal; the bytes are read and dropped for a moment.
+        # receive the last response; the bytes are read and dropped for a moment.
         self._lingering = True
         self.transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_SECONDS, self.abort)
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
+        asyncio.get_running_loop().call_later(LINGER_SECONDS, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Reset the connection, unless the caller still reads the last response."""
+        if self.closed or not self.transport.get_write_buffer_size():
+            self.abort()
+        else:
+            asyncio.get_running_loop().call_later(LINGER_SECONDS, self._end_linger)
 
     def abort(self) -> None:
         """Reset the connection, so that an open response cannot appear complete."""
--- /dev/null
+++ b/tests/test_serving/test_requests_ahead.py
@@ -0,0 +1,124 @@
+"""Tests of requests that callers send ahead of responses on one connection."""
+
+import asyncio
+import itertools
+import unittest
+from unittest import mock
+
+from camphorgated.serving import front as front_module
+from camphorgated.serving.http1 import encode_head
+from camphorgated.serving.memory import Memory
+from camphorgated.serving.server_connection import MAX_QUEUED_REQUESTS
+from tests.hosting_builders import HOST, KEY
+from tests.test_serving.test_faulty_upstreams import ScriptedWorkerCase
+from tests.test_serving.test_memory import build_connection, build_request
+
+# More than are parsed ahead, so that some are kept as read.
+AHEAD = MAX_QUEUED_REQUESTS + 3
+
+
+def encode_booking(number: int, body: bytes = b"sacks", *fields) -> bytes:
+    """Return the bytes of a booking."""
+    lines = [
+        (b"host", HOST.encode()),
+        (b"x-attempt-id", b"attempt-%d" % number),
+        (b"x-deadline", b"3000"),
+        (b"authorization", b"Bearer " + KEY.encode()),
+        (b"content-length", b"%d" % len(body)),
+        *fields,
+    ]
+    return encode_head(b"POST /book/a HTTP/1.1", lines) + body
+
+
+async def read_response(reader: asyncio.StreamReader) -> tuple[int, dict]:
+    """Read a response and return its status and its headers."""
+    async with asyncio.timeout(3.0):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        start, *lines = head.rstrip().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
+        await reader.readexactly(int(headers["content-length"]))
+        return int(start.split()[1]), headers
+
+
+class RequestsAheadCase(ScriptedWorkerCase):
+    """A daemon and a caller that sends requests ahead."""
+
+    async def connect(self, app):
+        """Open a connection of a caller."""
+        host, _, port = app.settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.stack.callback(writer.close)
+        return reader, writer
+
+
+class StopTests(RequestsAheadCase):
+    """A planned stop answers what was read."""
+
+    async def stop_with(self, script, sent: bytes, count: int) -> list:
+        """Return the responses to requests that were read before a stop."""
+        app, _ = await self.start_scripted(script, engine=False)
+        reader, writer = await self.connect(app)
+        writer.write(sent)
+        front = app.service("front")
+        await self.eventually(lambda: front._work_by_connection)
+        with mock.patch.object(front_module, "DRAIN_ACCEPT_SECONDS", 0.1):
+            drain = asyncio.ensure_future(front.drain())
+            responses = [await read_response(reader) for _ in range(count)]
+            self.assertEqual(await asyncio.wait_for(reader.read(), 3.0), b"")
+            await asyncio.wait_for(drain, 3.0)
+        return responses
+
+    async def test_requests_that_were_read_are_answered(self):
+        """Guards against bookings that a stop drops without an answer."""
+        sent = b"".join(encode_booking(number) for number in range(AHEAD))
+        responses = await self.stop_with(["respond_late"], sent, AHEAD)
+        self.assertEqual([status for status, _ in responses], [200] * AHEAD)
+        closes = [headers.get("connection") for _, headers in responses]
+        self.assertEqual(closes, [None] * (AHEAD - 1) + ["close"])
+
+    async def test_partial_request_behind_others_does_not_delay_the_exit(self):
+        """Guards against a stop that waits for a request that never ends."""
+        sent = encode_booking(0) + encode_booking(1) + encode_booking(2)[:-1]
+        responses = await self.stop_with(["respond_late"], sent, 2)
+        self.assertEqual([status for status, _ in responses], [200] * 2)
+
+    async def test_endless_requests_end_with_the_time_for_new_ones(self):
+        """Guards against a process that a busy caller keeps from its exit."""
+        app, _ = await self.start_scripted([], engine=False)
+        reader, writer = await self.connect(app)
+        front = app.service("front")
+
+        async def send() -> None:
+            for number in itertools.count():
+                writer.write(encode_booking(number))
+                await asyncio.sleep(0.002)
+
+        sending = asyncio.ensure_future(send())
+        self.addCleanup(sending.cancel)
+        await asyncio.sleep(0.1)
+        with mock.patch.object(front_module, "DRAIN_ACCEPT_SECONDS", 0.2):
+            drain = asyncio.ensure_future(front.drain())
+            answered, headers = 0, {}
+            while "connection" not in headers:
+                status, headers = await read_response(reader)
+                self.assertEqual(status, 200)
+                answered += 1
+            await asyncio.wait_for(drain, 2.0)
+        self.assertEqual(headers["connection"], "close")
+        self.assertGreater(answered, 20)
+
+
+class EndOfReadingTests(unittest.IsolatedAsyncioTestCase):
+    """A connection whose reading has ended hands over what was read whole."""
+
+    async def test_unparsed_requests_are_handed_over(self):
+        """Guards against read requests that are dropped, and a wait for more."""
+        connection = build_connection(Memory())
+        whole = b"".join(build_request(b"%d" % number) for number in range(AHEAD))
+        connection.data_received(whole + build_request(b"partial")[:-1])
+        connection.end_reading()
+        for number in range(AHEAD):
+            request = await connection.next_request(1.0)
+            self.assertEqual(request.body, b"%d" % number)
+        async with asyncio.timeout(0.5):
+            self.assertIsNone(await connection.next_request(60.0))
