Wait at a stop until the last responses are sent

Cause: a stop waited for the connections that are served; the rest of a last response was in the process, whose exit dropped it.

Change: a stop waits until the connections are lost, within the grace.

Evidence: UnsentResponseTests: before, drain had ended while the caller had read nothing of 1.5 MB; now it waits and the caller gets all of it.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -132,6 +132,7 @@
         "_platform",
         "_directory",
         "_connections",
+        "_open_connections",
         "_work_by_connection",
         "_servers",
         "_admitted",
@@ -149,7 +150,10 @@
         self._app = app
         self._platform = app.service("dialect")
         self._directory = app.service("directory")
+        # Connections that are served, and those that are not lost yet: what was
+        # written last may still be under way to a slow caller.
         self._connections: set[ServerConnection] = set()
+        self._open_connections: set[ServerConnection] = set()
         self._work_by_connection: dict[
             ServerConnection, tuple[asyncio.Future, Caller]
         ] = {}
@@ -241,6 +245,10 @@
 
     async def _serve_caller(self, connection: ServerConnection) -> None:
         self._connections.add(connection)
+        self._open_connections.add(connection)
+        connection.left.add_done_callback(
+            lambda _: self._open_connections.discard(connection)
+        )
         try:
             while await self._serve_one(connection):
                 pass
@@ -407,7 +415,7 @@
                         connection.close()
                 elif connection in self._work_by_connection:
                     connection.end_reading()
-            if not self._connections:
+            if not self._open_connections:
                 break
             await asyncio.sleep(0.02)
         if self._work_by_connection:
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -150,6 +150,13 @@
         await self.send_response()
         return True
 
+    async def act_respond_large(self, size):
+        """Execute and respond with this many bytes."""
+        self.record_run()
+        await self.send(self.build_head(200, f"Content-Length: {size}"))
+        await self.send(b"x" * int(size))
+        return True
+
     async def act_respond_in_chunks(self):
         """Execute and respond in chunks that ignore event boundaries."""
         self.record_run()
--- a/tests/test_serving/test_requests_ahead.py
+++ b/tests/test_serving/test_requests_ahead.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 import unittest
 from unittest import mock
 
@@ -15,6 +16,9 @@
 
 # More than are parsed ahead, so that some are kept as read.
 AHEAD = MAX_QUEUED_REQUESTS + 3
+# More than the system buffers of this size hold, set for both ends of a connection.
+SYSTEM_BUFFER_BYTES = 4096
+LARGE_BYTES = 1_500_000
 
 
 def encode_booking(number: int, body: bytes = b"sacks", *fields) -> bytes:
@@ -43,10 +47,18 @@
 class RequestsAheadCase(ScriptedWorkerCase):
     """A daemon and a caller that sends requests ahead."""
 
-    async def connect(self, app):
-        """Open a connection of a caller."""
+    async def connect(self, app, receive_bytes=None):
+        """Open a connection of a caller.
+
+        :param receive_bytes: size of the system's buffer for what it has not read.
+        """
         host, _, port = app.settings.caller_address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        caller = socket.socket()
+        if receive_bytes is not None:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        caller.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(caller, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=caller)
         self.stack.callback(writer.close)
         return reader, writer
 
@@ -108,6 +120,34 @@
         self.assertGreater(answered, 20)
 
 
+class UnsentResponseTests(RequestsAheadCase):
+    """A planned stop waits for callers that read slowly."""
+
+    async def test_response_is_sent_before_the_exit(self):
+        """Guards against an exit that cuts what the caller has not read yet."""
+        app, _ = await self.start_scripted(
+            [f"respond_large:{LARGE_BYTES}"], engine=False
+        )
+        reader, writer = await self.connect(app, SYSTEM_BUFFER_BYTES)
+        writer.transport.pause_reading()
+        front = app.service("front")
+        await self.eventually(lambda: front._connections)
+        for connection in front._connections:
+            system = connection.transport.get_extra_info("socket")
+            system.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SYSTEM_BUFFER_BYTES)
+        writer.write(encode_booking(0))
+        await self.eventually(lambda: front._work_by_connection)
+        with mock.patch.object(front_module, "DRAIN_ACCEPT_SECONDS", 0.1):
+            drain = asyncio.ensure_future(front.drain())
+            await asyncio.sleep(1.0)
+            self.assertFalse(drain.done())
+            writer.transport.resume_reading()
+            async with asyncio.timeout(3.0):
+                data = await reader.read()
+            await asyncio.wait_for(drain, 2.0)
+        self.assertEqual(len(data.partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+
+
 class EndOfReadingTests(unittest.IsolatedAsyncioTestCase):
     """A connection whose reading has ended hands over what was read whole."""
 
