Send interim responses in the order of the requests

Cause: the parser, which reads ahead, wrote the interim response itself.

Change: the parser records that a body is held back; the connection asks for it when the request is the next to be answered. None is sent if the body has arrived, or to a caller of HTTP/1.0. The time in which a caller waits for it does not count as its delay.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/budgeted_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/budgeted_connection.py
@@ -217,8 +217,8 @@
             return
         now = self._clock.monotonic()
         limit = self._limits.header_seconds
-        if self._paused:
-            # The caller cannot make progress while it is not read.
+        if self._paused or self._continue_due:
+            # The caller cannot make progress while it is not read or asked to go on.
             self.progressed_at = now
         since = self.progressed_at if self._head_done else self.started_at
         if now - since < limit or (self._paused and self._head_done):
--- a/packages/camphorgate-daemon/src/camphorgated/serving/request_parser.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/request_parser.py
@@ -46,6 +46,7 @@
         "_head_done",
         "_framing_bytes",
         "_content_length",
+        "_continue_due",
         "_rank_of",
         "_rank",
     )
@@ -73,9 +74,12 @@
         """Take in a completely received request."""
         raise NotImplementedError
 
-    def _send_continue(self) -> None:
-        """Ask the caller for the body that it holds back."""
-        raise NotImplementedError
+    @property
+    def partial_method(self) -> str:
+        """Return the method of the partial request, empty if it is not known."""
+        if not self._url or self._parser is None:
+            return ""
+        return self._parser.get_method().decode("latin-1")
 
     @property
     def expected_bytes(self) -> int:
@@ -168,6 +172,8 @@
         # The last pieces of the body, which are too small to be kept as they are.
         self._tail = bytearray()
         self._content_length: int | None = None
+        # Whether the caller holds the body back until an interim response.
+        self._continue_due = False
         self._rank: int | None = None
         self._size = 0
         self._head_size = 0
@@ -205,11 +211,13 @@
                 raise BadRequest("the body is too large", 413)
         elif coding is None:
             self._content_length = 0
-        if find_header(self._headers, b"expect") == b"100-continue":
-            self._send_continue()
+        expect = find_header(self._headers, b"expect")
+        if expect is not None and self._parser.get_http_version() != "1.0":
+            self._continue_due = expect.lower() == b"100-continue"
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body and check the size."""
+        self._continue_due = False
         self._size += len(body)
         self._framing_bytes = 0
         if self._size > self._limits.body_bytes:
@@ -248,6 +256,7 @@
         self._size = self._head_size = self._framing_bytes = 0
         self._head_done = False
         self._content_length = None
+        self._continue_due = False
         self.started_at = None
         self._receive_request(request)
 
@@ -257,6 +266,7 @@
         self._tail = bytearray()
         self._headers = []
         self._size = self._head_size = 0
+        self._continue_due = False
         self.started_at = None
 
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/server_connection.py
@@ -54,6 +54,7 @@
         "_turn_queued",
         "_lingering",
         "_reading_ended",
+        "_answering",
     )
 
     def __init__(
@@ -80,6 +81,8 @@
         self._turn_queued = False
         self._lingering = False
         self._reading_ended = False
+        # Whether a request was handed over whose response has not ended.
+        self._answering = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport and announce the connection."""
@@ -160,6 +163,8 @@
         if self._paused or self._unparsed or len(self._requests) > 1:
             self._update_reading()
         self._update_charge()
+        if self._continue_due:
+            self._send_continue()
         if self.started_at is not None and self._stall_timer is None:
             self._watch_arrival(self._limits.header_seconds)
         if self._error is not None or self._requests:
@@ -226,8 +231,14 @@
         self._wake()
 
     def _send_continue(self) -> None:
-        """Ask the caller for the body that it holds back."""
-        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Ask for the body that the caller holds back, if its request is next.
+
+        Before that, the bytes would stand within the response to another request.
+        """
+        if self._continue_due and not self._answering and not self._requests:
+            self._continue_due = False
+            self.progressed_at = self._clock.monotonic()
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
@@ -274,8 +285,11 @@
         :raises BadRequest: if the request is malformed or unacceptable.
         """
         self.release_request()
+        self._answering = False
         if self._requests and not self.closed:
             await self._drain_ahead()
+        elif self._continue_due:
+            self._send_continue()
         while not self._requests:
             if self._error is not None:
                 raise self._error
@@ -292,6 +306,7 @@
             finally:
                 self._waiter = None
         request = self._requests.popleft()
+        self._answering = True
         self._queued_bytes -= request.held_bytes
         self._current_bytes = request.held_bytes
         if self._unparsed and not self._turn_queued and self._error is None:
