Send no body in responses to HEAD

Cause: Caller wrote the body of its responses whatever the method was.

Change: a response to HEAD ends with its head, also of a stream and of a request that was not read whole. It states the length that GET would get.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
@@ -36,6 +36,7 @@
         "must_complete",
         "_connection",
         "_stopping",
+        "_head_only",
     )
 
     def __init__(
@@ -59,6 +60,8 @@
         self.must_complete = False
         self._connection = connection
         self._stopping = stopping
+        # A response to HEAD has no body, whatever its headers say of one.
+        self._head_only = request.method == "HEAD"
 
     def refuse(
         self, status: int, reason: str, retry_after: float | None = None
@@ -76,9 +79,16 @@
         body = f'{{"error":{{"code":"{reason}","run":"{run}"}}}}'.encode()
         self.respond(status, headers, body)
 
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with a body of known length."""
-        self._begin(status, [*headers, (b"content-length", b"%d" % len(body))], body)
+    def respond(
+        self, status: int, headers: Headers, body: bytes, length: bytes | None = None
+    ) -> None:
+        """Send a complete response with a body of known length.
+
+        :param length: length of the body that GET would get, in a response to HEAD.
+        """
+        if length is None or not self._head_only:
+            length = b"%d" % len(body)
+        self._begin(status, [*headers, (b"content-length", length)], body)
         self._end()
 
     def begin_stream(self, status: int, headers: Headers) -> None:
@@ -87,6 +97,8 @@
 
     def stream(self, data: bytes) -> None:
         """Send a chunk of a stream."""
+        if self._head_only:
+            return
         self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     async def drain(self) -> None:
@@ -95,7 +107,8 @@
 
     def end_stream(self) -> None:
         """Send the terminating chunk of a complete stream."""
-        self._connection.write(b"0\r\n\r\n")
+        if not self._head_only:
+            self._connection.write(b"0\r\n\r\n")
         self._end()
 
     def abort(self) -> None:
@@ -130,7 +143,8 @@
             lines.append((b"connection", b"close"))
         reason = _REASONS.get(status, b"Answer")
         start = b"HTTP/1.1 %d %b" % (status, reason)
-        self._connection.write(encode_head(start, lines) + body)
+        head = encode_head(start, lines)
+        self._connection.write(head if self._head_only else head + body)
 
     def _end(self) -> None:
         self.ended = True
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -292,7 +292,7 @@
         self, connection: ServerConnection, error: BadRequest
     ) -> None:
         """Refuse a request that was not read completely."""
-        empty = Request("GET", b"/", [], b"", False)
+        empty = Request(connection.partial_method, b"/", [], b"", False)
         Caller(connection, empty).refuse(error.status, error.code, error.retry_after)
         self._statistics.request_line(
             "request_malformed", status=error.status, error=error.message
--- a/tests/scripted_worker.py
+++ b/tests/scripted_worker.py
@@ -157,6 +157,12 @@
         await self.send(b"x" * int(size))
         return True
 
+    async def act_respond_without_body(self, size):
+        """Respond to HEAD: with the length of a body that is not sent."""
+        self.record_run()
+        await self.send(self.build_head(200, f"Content-Length: {size}"))
+        return True
+
     async def act_respond_in_chunks(self):
         """Execute and respond in chunks that ignore event boundaries."""
         self.record_run()
