Take a response to HEAD as complete with its head

Cause: the connection to the upstream waited for the stated length, which does not follow on HEAD.

Change: such a response is complete with its head, and the caller gets the stated length.

Evidence: test_length_of_the_upstream_is_passed_on_without_a_body: 504 on, 200 with Content-Length 800 now.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -14,6 +14,7 @@
 from camphorgated.serving.errors import ExchangeError
 from camphorgated.serving.exchange import ENDED_CAUSES, LEAVING, NO_PERMIT, STALE
 from camphorgated.serving.front import RequestContext
+from camphorgated.serving.http1 import find_header
 from camphorgated.serving.permits import Permit
 from camphorgated.serving.quarantine import BLOCKED, call_keys
 from camphorgated.serving.room.room import NO_ROOM, Borrower
@@ -237,7 +238,8 @@
             health.record_success(ended_at)
             self._speeds.record_call(upstream, ended_at - now, running, ended_at)
         headers = self._platform.caller_headers(exchange.headers)
-        context.caller.respond(facts.status, headers, body)
+        length = find_header(exchange.headers, b"content-length")
+        context.caller.respond(facts.status, headers, body, length)
         return True
 
     def _attempt_timeout(
--- a/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/client_connection.py
@@ -205,6 +205,8 @@
             or coding is not None
             or find_header(self.headers, b"content-length") is not None
         )
+        # No body follows, whatever length the head states.
+        self.complete = self._head_only
 
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of the body."""
--- a/tests/test_serving/test_head_requests.py
+++ b/tests/test_serving/test_head_requests.py
@@ -9,6 +9,8 @@
 from tests.hosting_builders import HOST, KEY
 from tests.test_serving.test_faulty_upstreams import ScriptedWorkerCase
 
+BODY_BYTES = 800
+
 
 class HeadRequestTests(ScriptedWorkerCase):
     """The next response on a connection begins where the one to HEAD ends."""
@@ -49,6 +51,13 @@
             found, _ = await self.send(b"GET", b"/read/a")
             self.assertEqual(found, 200)
 
+    async def test_length_of_the_upstream_is_passed_on_without_a_body(self):
+        """Guards against a wait for a body until the deadline."""
+        await self.start_caller([f"respond_without_body:{BODY_BYTES}"])
+        status, headers = await self.send(b"HEAD", b"/read/a")
+        self.assertEqual((status, headers["content-length"]), (200, str(BODY_BYTES)))
+        self.assertEqual((await self.send(b"GET", b"/read/a"))[0], 200)
+
     async def test_refusal_of_a_malformed_request_has_no_body(self):
         """Guards against a body after a head that was not read to its end."""
         await self.start_caller([])
