Keep a starting process alive when its settings change

Cause: the handler was installed after all modules were loaded.

Change: camphorgated.main records the signal before it loads the program, which moved to camphorgated.program; the daemon reads its settings again if the signal came meanwhile.

--- a/benchmarks/static_daemon.py
+++ b/benchmarks/static_daemon.py
@@ -16,7 +16,7 @@
 from camphorgate.manifest_validation import parse_manifest
 from camphorgate.settings import Settings, read_settings
 from camphorgated.ext import gateway
-from camphorgated.main import tune_garbage_collection
+from camphorgated.program import tune_garbage_collection
 
 
 class StaticConfiguration:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/daemon.py
@@ -8,6 +8,7 @@
 from camphorgate.errors import CamphorgateError
 from camphorgate.log import configure_standard_output, log_event
 from camphorgate.serving.settings import HostedSettings
+from camphorgated.early_signals import take_reload
 
 _EXTENSIONS = (
     "directory",
@@ -102,6 +103,9 @@
         log_event("settings_reloaded")
 
     loop.add_signal_handler(signal.SIGHUP, reload)
+    if take_reload():
+        # The settings may have changed after they were read.
+        reload()
     try:
         await start(app)
         log_event("started", instance=settings.instance_id)
--- a/tests/test_gateway/test_main.py
+++ b/tests/test_gateway/test_main.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from camphorgated.main import extension_names, main
+from camphorgated.program import extension_names, main
 from tests.test_kernel import test_manifest
 
 
--- a/tests/test_platform/test_deploy.py
+++ b/tests/test_platform/test_deploy.py
@@ -16,7 +16,7 @@
 
 from camphorgate.errors import SettingsError
 from camphorgate.serving.settings import validate_hosted_settings
-from camphorgated.main import load_settings
+from camphorgated.program import load_settings
 from tests.hosted import HostedCase, build_hosted_settings, free_address
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -192,3 +192,21 @@
         events = [re.search(r"event=(\S+)", line)[1] for line in lines]
         for name in ("started", "answered", "settings_reloaded", "draining", "stopped"):
             self.assertIn(name, events)
+
+    async def test_settings_that_change_during_the_start_do_not_end_it(self):
+        """Guards against SIGHUP that ends a process which is loading its modules."""
+        self.configure()
+        process, _ = await self.start_program()
+        maps = Path(f"/proc/{process.pid}/maps")
+        # A library that the program loads early.
+        await self.eventually(lambda: "uvloop" in maps.read_text())
+        process.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(20):
+            lines = []
+            while not lines or b"event=started" not in lines[-1]:
+                lines.append(await process.stdout.readline())
+                self.assertTrue(lines[-1], lines)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.wait_for(process.communicate(), 10)
+        self.assertEqual(process.returncode, 0)
+        self.assertTrue(any(b"event=settings_reloaded" in line for line in lines))
