Let a stop wait for bookings whose callers left, evict parts in constant time

Cause: since the stop waits for connections until they are lost, it no longer waited for work whose connection is lost already, and cut a booking in progress. And the table of parts looked through all engines for the oldest part once it was full, which takes long with thousands of engines.

Change: the stop waits for both. Engines are kept in the order of their latest parts, and the first one loses its oldest part.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -415,7 +415,8 @@
                         connection.close()
                 elif connection in self._work_by_connection:
                     connection.end_reading()
-            if not self._open_connections:
+            # A booking goes on although its caller has left.
+            if not (self._connections or self._open_connections):
                 break
             await asyncio.sleep(0.02)
         if self._work_by_connection:
--- a/packages/camphorgate/src/camphorgate/serving/loads.py
+++ b/packages/camphorgate/src/camphorgate/serving/loads.py
@@ -61,7 +61,8 @@
         # Ordered by the time of the last message, oldest first.
         self._sources: dict[str, tuple[float, dict[str, Load]]] = {}
         self._sum_by_id: dict[str, Load] = {}
-        # Names of parts by engine, each with the time of its last use, oldest first.
+        # Names of parts by engine, each with the time of its last use, oldest first;
+        # engines in the order of their latest parts.
         self._parts_by_id: dict[str, dict[str, float]] = {}
         self._part_count = 0
         self._recent_parts: deque[tuple[float, str, str]] = deque(
@@ -231,19 +232,23 @@
         return self._part_count
 
     def _remember(self, upstream_id: str, name: str, now: float) -> None:
-        parts = self._parts_by_id.setdefault(upstream_id, {})
+        # The engine of the latest part comes last.
+        parts = self._parts_by_id.pop(upstream_id, {})
+        self._parts_by_id[upstream_id] = parts
         self._part_count += name not in parts
         parts.pop(name, None)
         parts[name] = now
         if len(parts) > MAX_PARTS_PER_ENGINE:
-            self._evict_oldest(parts)
+            self._evict_oldest(upstream_id)
         while now - parts[next(iter(parts))] >= PART_CACHED_SECONDS:
-            self._evict_oldest(parts)
+            self._evict_oldest(upstream_id)
         if self._part_count > MAX_PARTS:
-            tracked = (item for item in self._parts_by_id.values() if item)
-            self._evict_oldest(min(tracked, key=lambda item: item[next(iter(item))]))
+            self._evict_oldest(next(iter(self._parts_by_id)))
 
-    def _evict_oldest(self, parts: dict[str, float]) -> None:
+    def _evict_oldest(self, upstream_id: str) -> None:
         """Forget the part of an engine that was used the longest time ago."""
+        parts = self._parts_by_id[upstream_id]
         del parts[next(iter(parts))]
         self._part_count -= 1
+        if not parts:
+            del self._parts_by_id[upstream_id]
--- a/tests/test_serving/test_requests_ahead.py
+++ b/tests/test_serving/test_requests_ahead.py
@@ -128,6 +128,21 @@
         self.assertEqual(headers["connection"], "close")
         self.assertGreater(answered, 20)
 
+    async def test_booking_whose_caller_left_is_finished(self):
+        """Guards against a stop that cuts work which nobody waits for."""
+        app, workers = await self.start_scripted(["respond_late"], engine=False)
+        _, writer = await self.connect(app)
+        writer.write(encode_booking(0))
+        front = app.service("front")
+        await self.eventually(lambda: any(worker.runs for worker in workers))
+        ((work, _),) = front._work_by_connection.values()
+        with mock.patch.object(front_module, "DRAIN_ACCEPT_SECONDS", 0.1):
+            drain = asyncio.ensure_future(front.drain())
+            writer.transport.abort()
+            await asyncio.wait_for(drain, 3.0)
+        self.assertTrue(work.done())
+        self.assertFalse(work.cancelled())
+
 
 class InterimResponseTests(RequestsAheadCase):
     """An interim response stands before the response to its own request."""
