Spare the first start of all the rest before the duty

Cause: since every start rests where no fencing numbers are checked, the first holder of a new system ordered 4.5 s later.

Change: the transaction that takes the duty also writes a key without a lease. An instance whose watch does not show it after its start does not rest, as nobody had taken the duty by then. If an older copy of the store loses the key, the wait after a restore applies.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/directory.py
@@ -20,6 +20,8 @@
 INSTANCE_PREFIX = "camphorgate/"
 # The only one of them that is watched.
 DUTY_KEY = INSTANCE_PREFIX + "duty"
+# Exists once any instance has taken the duty; the watch of the duty key shows it, too.
+DUTY_TAKEN_KEY = DUTY_KEY + "-taken"
 # Removals are doubted until the list has been watched for this long without a break.
 # Lapsed entries are looked for at this interval.
 SETTLE_SECONDS = 0.25
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -28,7 +28,11 @@
     REPLACED_GRACE_SECONDS,
     WATCHERS_PER_ZONE,
 )
-from camphorgated.serving.directory import DUTY_KEY, INSTANCE_PREFIX
+from camphorgated.serving.directory import (
+    DUTY_KEY,
+    DUTY_TAKEN_KEY,
+    INSTANCE_PREFIX,
+)
 from camphorgated.serving.errors import CallFailed
 from camphorgated.serving.platform_protocol import OrderResult
 
@@ -103,6 +107,7 @@
         "_lease",
         "_lease_sent_at",
         "_rest",
+        "_rests_after_start",
         "_refused",
         "_restores",
         "_give_up_at",
@@ -143,6 +148,7 @@
         self._lease = Lease(LeaseRules(ttl, renew, LEASE_MARGIN_SECONDS))
         self._lease_sent_at = 0.0
         self._rest = DutyRest(ttl, MAX_DUTY_CALL_SECONDS)
+        self._rests_after_start = False
         self._random = random.Random()
         self._restores = Restores()
         self._give_up_at = float("-inf")
@@ -156,6 +162,7 @@
         if not self._app.settings.duty.require_fence:
             # An earlier process of this instance may have acted until now.
             self._rest_from_now("start")
+            self._rests_after_start = True
         self._app.supervise(self._keep_listed, "member lease")
         self._app.supervise(self._tick, "duty")
         self._app.supervise(self._list_others, "members")
@@ -495,13 +502,15 @@
             key=lambda name: xxhash.xxh3_64_intdigest(f"duty/{name}".encode()),
         )
         turn = instances.index(self.own.instance) * TURN_SECONDS
-        if now < self._free_since + turn or self._rest.seconds_left(now):
+        if now < self._free_since + turn or self._must_rest(now):
             return
         duty = DutyEntry(self.own.instance, self.own.incarnation)
-        put = Put(DUTY_KEY, msgspec.json.encode(duty), self._lease_id)
+        puts = [Put(DUTY_KEY, msgspec.json.encode(duty), self._lease_id)]
+        if not self._app.settings.duty.require_fence:
+            puts.append(Put(DUTY_TAKEN_KEY, b""))
         lease = self._lease_id
         try:
-            done = await self._store.transact([absent(DUTY_KEY)], [put])
+            done = await self._store.transact([absent(DUTY_KEY)], puts)
         except KvRefused:
             self._lease_id = 0
             return
@@ -525,8 +534,20 @@
         self._lease.mark_lost()
         self._rest_from_now(reason)
 
+    def _must_rest(self, now: float) -> bool:
+        """Return whether this instance may have acted lately.
+
+        What its watch shows is at least as new as its start. If no instance had taken
+        the duty by then, no earlier process of this one has acted.
+        """
+        if self._rests_after_start:
+            taken = DUTY_TAKEN_KEY in self._directory.instance_entries_by_key
+            return taken and self._rest.seconds_left(now) > 0.0
+        return self._rest.seconds_left(now) > 0.0
+
     def _rest_from_now(self, reason: str) -> None:
         """Leave the duty to others for a while, as this instance may have acted."""
+        self._rests_after_start = False
         now = self._app.clock.monotonic()
         self._rest.record_end(now)
         seconds = self._rest.seconds_left(now)
--- a/packages/camphorgate/src/camphorgate/serving/duty_rest.py
+++ b/packages/camphorgate/src/camphorgate/serving/duty_rest.py
@@ -11,8 +11,8 @@
     """Until when this instance does not take the duty.
 
     It rests from the last time at which it may have acted. A new process does not know
-    this time, only that it is before its own start. What the store shows at that moment
-    is no evidence: the key of the duty may be the own one, another holder's or missing.
+    this time, only that it is before its own start. The key of the duty is no evidence
+    at that moment: it may be the own one, another holder's or missing.
 
     Every time is of a steady clock, in seconds.
     """
--- a/tests/test_serving/test_duty_fleet.py
+++ b/tests/test_serving/test_duty_fleet.py
@@ -148,6 +148,13 @@
 
         self.assert_no_broken_rule(play(3, 1, disturb))
 
+    def test_first_start_of_all_does_not_wait(self):
+        """Guards against time without a holder where nobody has acted before."""
+        for size, zones in FLEETS:
+            with self.subTest(instances=size):
+                fleet = play(size, zones, lambda fleet: asyncio.sleep(0.0))
+                self.assertLess(fleet.calls[0].at, LEASE_SECONDS)
+
     def test_duty_is_taken_after_all_processes_were_killed(self):
         """Guards against a duty that stays free after a start of all instances."""
         for size, zones in FLEETS:
