Keep one set of connections, look up the length only for HEAD

Front kept a second set of connections beside the one that it had: a connection now leaves the one set when it is lost, and a stop also waits for work under way. Calls looked for the stated length in the headers of each response, though only HEAD needs it. The rank of a partial request uses its method as the refusal does, and the condition of a rest is stated once. Behaviour is unchanged.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/caller.py
@@ -84,9 +84,10 @@
     ) -> None:
         """Send a complete response with a body of known length.
 
-        :param length: length of the body that GET would get, in a response to HEAD.
+        :param length: length that is stated in place of the body's: in a response to
+            HEAD, that of the body that GET would get.
         """
-        if length is None or not self._head_only:
+        if length is None:
             length = b"%d" % len(body)
         self._begin(status, [*headers, (b"content-length", length)], body)
         self._end()
--- a/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/calls.py
@@ -238,7 +238,9 @@
             health.record_success(ended_at)
             self._speeds.record_call(upstream, ended_at - now, running, ended_at)
         headers = self._platform.caller_headers(exchange.headers)
-        length = find_header(exchange.headers, b"content-length")
+        length = None
+        if request.method == "HEAD":
+            length = find_header(exchange.headers, b"content-length")
         context.caller.respond(facts.status, headers, body, length)
         return True
 
--- a/packages/camphorgate-daemon/src/camphorgated/serving/front.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/front.py
@@ -132,7 +132,6 @@
         "_platform",
         "_directory",
         "_connections",
-        "_open_connections",
         "_work_by_connection",
         "_servers",
         "_admitted",
@@ -150,10 +149,9 @@
         self._app = app
         self._platform = app.service("dialect")
         self._directory = app.service("directory")
-        # Connections that are served, and those that are not lost yet: what was
-        # written last may still be under way to a slow caller.
+        # Connections that are not lost yet: after a close, what was written last may
+        # still be under way to a slow caller.
         self._connections: set[ServerConnection] = set()
-        self._open_connections: set[ServerConnection] = set()
         self._work_by_connection: dict[
             ServerConnection, tuple[asyncio.Future, Caller]
         ] = {}
@@ -245,15 +243,13 @@
 
     async def _serve_caller(self, connection: ServerConnection) -> None:
         self._connections.add(connection)
-        self._open_connections.add(connection)
         connection.left.add_done_callback(
-            lambda _: self._open_connections.discard(connection)
+            lambda _: self._connections.discard(connection)
         )
         try:
             while await self._serve_one(connection):
                 pass
         finally:
-            self._connections.discard(connection)
             connection.release_request()
             connection.close()
 
@@ -416,7 +412,7 @@
                 elif connection in self._work_by_connection:
                     connection.end_reading()
             # A booking goes on although its caller has left.
-            if not (self._connections or self._open_connections):
+            if not (self._connections or self._work_by_connection):
                 break
             await asyncio.sleep(0.02)
         if self._work_by_connection:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -540,9 +540,9 @@
         What its watch shows is at least as new as its start. If no instance had taken
         the duty by then, no earlier process of this one has acted.
         """
-        if self._rests_after_start:
-            taken = DUTY_TAKEN_KEY in self._directory.instance_entries_by_key
-            return taken and self._rest.seconds_left(now) > 0.0
+        entries_by_key = self._directory.instance_entries_by_key
+        if self._rests_after_start and DUTY_TAKEN_KEY not in entries_by_key:
+            return False
         return self._rest.seconds_left(now) > 0.0
 
     def _rest_from_now(self, reason: str) -> None:
--- a/packages/camphorgate-daemon/src/camphorgated/serving/request_parser.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/request_parser.py
@@ -92,8 +92,7 @@
         if not self._head_done:
             return LEAST_URGENT
         if self._rank is None:
-            method = self._parser.get_method().decode("latin-1")
-            head = Request(method, self._url, self._headers, b"", True)
+            head = Request(self.partial_method, self._url, self._headers, b"", True)
             self._rank = self._rank_of(head)
         return self._rank
 
