Rest after a start on a restored store, whose key may be lost

Found by reading the change again: a start is spared the rest if the store shows that nobody ever took the duty. A restore from an older copy loses the key that tells so. An instance that was killed as it acted, and started on the restored store, then waited a lease and 0.5 s only, where its last call may arrive up to 1.5 s after its end: A, B, A within a lease.

Change: an instance that knows of a restore rests.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/members.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/members.py
@@ -538,10 +538,12 @@
         """Return whether this instance may have acted lately.
 
         What its watch shows is at least as new as its start. If no instance had taken
-        the duty by then, no earlier process of this one has acted.
+        the duty by then, no earlier process of this one has acted. A store that came
+        back from an older copy may have lost the key that tells so.
         """
         entries_by_key = self._directory.instance_entries_by_key
-        if self._rests_after_start and DUTY_TAKEN_KEY not in entries_by_key:
+        known = self._restores.count or DUTY_TAKEN_KEY in entries_by_key
+        if self._rests_after_start and not known:
             return False
         return self._rest.seconds_left(now) > 0.0
 
--- a/tests/test_model/restore_spec.py
+++ b/tests/test_model/restore_spec.py
@@ -30,7 +30,13 @@
     }
 )
 # Rules on turns, each with what it says an instance has to wait for.
-TURN_RULES = frozenset({"rest_after_a_loss", "rest_after_a_start"})
+TURN_RULES = frozenset(
+    {
+        "rest_after_a_loss",
+        "rest_after_a_start",
+        "a_restored_store_is_no_evidence",
+    }
+)
 # In place of the rest after a start: rest only if another instance holds the duty then.
 REST_BESIDE_ANOTHER_HOLDER = "rest_after_a_start_beside_another_holder"
 RESTORED_USAGE_RULES = frozenset(
@@ -217,13 +223,23 @@
     def _restart(self, state: UnfencedState, index: int) -> UnfencedState:
         """Kill a process; the new one knows nothing of it."""
         rest_until = self._rest(state, "rest_after_a_start")
-        if REST_BESIDE_ANOTHER_HOLDER in self.rules:
-            beside_another = state.entry is not None and state.entry[0] != index
-            rest_until = self._rest(state, REST_BESIDE_ANOTHER_HOLDER)
-            rest_until = rest_until if beside_another else 0
+        if state.entry is not None and state.entry[0] != index:
+            beside_another = self._rest(state, REST_BESIDE_ANOTHER_HOLDER)
+            rest_until = max(rest_until, beside_another)
+        if self._key_is_missing(state):
+            rest_until = 0
         after = _with(state, index, UnfencedHolder(rest_until=rest_until))
         return after._replace(restarts=state.restarts + 1)
 
+    def _key_is_missing(self, state: UnfencedState) -> bool:
+        """Return whether the store shows that nobody has ever taken the duty.
+
+        The key that tells so is written with each take, and a restore loses it.
+        """
+        if state.era and "a_restored_store_is_no_evidence" in self.rules:
+            return False
+        return not state.revision
+
     def _take(
         self, state: UnfencedState, index: int, holder: UnfencedHolder
     ) -> UnfencedState:
--- a/tests/test_model/test_restore.py
+++ b/tests/test_model/test_restore.py
@@ -70,9 +70,16 @@
 
     def test_each_rest_is_needed(self):
         """Guards against rules whose absence no invariant detects."""
-        for rule in sorted(TURN_RULES):
+        options_by_rule = {
+            "rest_after_a_loss": {},
+            "rest_after_a_start": {},
+            "a_restored_store_is_no_evidence": {"restores": True, "end": 4},
+        }
+        self.assertEqual(options_by_rule.keys(), TURN_RULES)
+        for rule, options in options_by_rule.items():
             with self.subTest(rule):
-                spec = self.build((UNFENCED_RULES | TURN_RULES) - {rule}, restarts=1)
+                rules = (UNFENCED_RULES | TURN_RULES) - {rule}
+                spec = self.build(rules, restarts=1, **options)
                 path = find_counterexample(spec.protocol(), "no_alternation")
                 self.assertIsNotNone(path, f"no alternation without {rule}")
 
--- a/tests/test_serving/test_duty_fleet.py
+++ b/tests/test_serving/test_duty_fleet.py
@@ -155,6 +155,20 @@
                 fleet = play(size, zones, lambda fleet: asyncio.sleep(0.0))
                 self.assertLess(fleet.calls[0].at, LEASE_SECONDS)
 
+    def test_restored_store_is_no_evidence_that_nobody_acted(self):
+        """Guards against a shorter rest of an instance that was killed as it acted."""
+        rests = []
+
+        async def disturb(fleet):
+            name = await end_holder(fleet, False, 0.0)
+            fleet.store.restore()
+            await asyncio.sleep(0.5)
+            members = fleet.by_name(name).members
+            rests.append(members._must_rest(fleet.loop.time()))
+
+        play(2, 1, disturb)
+        self.assertEqual(rests, [True])
+
     def test_duty_is_taken_after_all_processes_were_killed(self):
         """Guards against a duty that stays free after a start of all instances."""
         for size, zones in FLEETS:
