--- a/tests/duty_fleet.py
+++ b/tests/duty_fleet.py
@@ -20,7 +20,7 @@
 from camphorgated.serving.errors import CallFailed
 from camphorgated.serving.members import Members
 from camphorgated.serving.platform_protocol import OrderResult
-from tests.virtual_time import VirtualClock, VirtualTimeLoop
+from tests.virtual_time import VirtualClock
 
 LEASE_SECONDS = 3.0
 STORE_SECONDS = 0.004
@@ -461,15 +461,3 @@
     return max(
         (after - before for before, after in itertools.pairwise(times)), default=0.0
     )
-
-
-def run_duty_fleet(play) -> None:
-    """Run a coroutine function in virtual time."""
-    loop = VirtualTimeLoop()
-    try:
-        loop.run_until_complete(play())
-        # Lets the cancelled tasks of the processes end.
-        loop.run_until_complete(asyncio.sleep(0.0))
-    finally:
-        loop.run_until_complete(loop.shutdown_asyncgens())
-        loop.close()
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -65,6 +65,42 @@
     return validate_hosted_settings(data, "test")
 
 
+def encode_request(method: str, path: str, body: bytes = b"", headers=None) -> bytes:
+    """Return the bytes of a request.
+
+    :param headers: replace the usual ones or add to them; ``None`` leaves one out.
+    """
+    lines = {
+        b"host": HOST.encode(),
+        b"x-attempt-id": b"attempt-1",
+        b"x-deadline": b"3000",
+        b"authorization": b"Bearer " + KEY.encode(),
+        b"content-length": b"%d" % len(body),
+        **(headers or {}),
+    }
+    lines = [(name, value) for name, value in lines.items() if value is not None]
+    return encode_head(f"{method} {path} HTTP/1.1".encode(), lines) + body
+
+
+async def read_response(
+    reader: asyncio.StreamReader, has_body: bool = True
+) -> tuple[int, dict[str, str]]:
+    """Read a response from a stream, and nothing that follows it.
+
+    :returns: its status, and its headers in lower case.
+    """
+    async with asyncio.timeout(3.0):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        start, *lines = head.rstrip().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
+        if has_body:
+            await reader.readexactly(int(headers["content-length"]))
+    version, status, *_ = start.split()
+    if version != "HTTP/1.1":
+        raise AssertionError(f"no status line: {start}")
+    return int(status), headers
+
+
 class Response:
     """A response as the caller receives it; ``complete`` is false if truncated."""
 
@@ -155,21 +191,26 @@
         finally:
             connection.close()
 
+    async def open_caller(self, app, receive_bytes: int | None = None):
+        """Open a connection of a caller as a pair of streams.
+
+        :param receive_bytes: size of the system's buffer for what it has not read.
+        """
+        host, _, port = app.settings.caller_address.rpartition(":")
+        caller = socket.socket()
+        if receive_bytes is not None:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        caller.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(caller, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=caller)
+        self.stack.callback(writer.close)
+        return reader, writer
+
     async def request_on(
         self, connection, path, method="GET", body=b"", headers=None, seconds=5.0
     ) -> Response:
         """Send a request on an open connection and read its response."""
-        lines = {
-            b"host": HOST.encode(),
-            b"x-attempt-id": b"attempt-1",
-            b"x-deadline": b"3000",
-            b"authorization": b"Bearer " + KEY.encode(),
-            b"content-length": b"%d" % len(body),
-            **(headers or {}),
-        }
-        lines = [(name, value) for name, value in lines.items() if value is not None]
-        start = f"{method} {path} HTTP/1.1".encode()
-        connection.send(method, encode_head(start, lines) + body)
+        connection.send(method, encode_request(method, path, body, headers))
         async with asyncio.timeout(seconds):
             await connection.read_head()
             pieces = []
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -30,7 +30,7 @@
 from camphorgated.serving.permits import NO_LIMIT, Permits
 from tests.hosting_builders import build_listed_upstream
 from tests.limited_workers import CONTACT_SECONDS, WINDOW_SECONDS, allowed
-from tests.virtual_time import VirtualClock, VirtualTimeLoop
+from tests.virtual_time import VirtualClock
 
 # The users' deployments, and the size the design is made for: instances, zones and
 # requests a second.
@@ -447,16 +447,3 @@
         limited = [item for item in self.upstreams if item.limit]
         used = sum(since <= at < until for item in limited for at, _ in item.arrivals)
         return used / sum(item.limit for item in limited) / (until - since)
-
-
-def run_fleet(play) -> None:
-    """Run a coroutine function in virtual time."""
-    loop = VirtualTimeLoop()
-    # Nothing comes from outside.
-    loop._selector.select = lambda timeout=None: []
-    asyncio.set_event_loop(loop)
-    try:
-        loop.run_until_complete(play())
-    finally:
-        asyncio.set_event_loop(None)
-        loop.close()
--- a/tests/soak/duty_holders.py
+++ b/tests/soak/duty_holders.py
@@ -20,9 +20,9 @@
     find_alternations,
     find_lower_numbers,
     longest_silence,
-    run_duty_fleet,
 )
 from tests.soak.seeds import build_parser, run_seeds
+from tests.virtual_time import run_fleet
 
 # Size of a fleet and the number of its zones.
 FLEETS = ((2, 1), (3, 1), (8, 3))
@@ -143,7 +143,7 @@
         violations = await DutySoak(fleet, seconds).run()
         results.append((violations, longest_silence(fleet.calls, WARMUP_SECONDS)))
 
-    run_duty_fleet(play)
+    run_fleet(play)
     return results[0]
 
 
--- a/tests/test_serving/test_duty_fleet.py
+++ b/tests/test_serving/test_duty_fleet.py
@@ -14,8 +14,8 @@
     PlatformCall,
     find_alternations,
     find_lower_numbers,
-    run_duty_fleet,
 )
+from tests.virtual_time import run_fleet
 
 # Instances and zones: small fleets, and those of the capacity page.
 SMALL_FLEETS = ((2, 1), (8, 3))
@@ -35,7 +35,7 @@
         await disturb(fleet)
         fleet.stop()
 
-    run_duty_fleet(run)
+    run_fleet(run)
     return found[0]
 
 
--- a/tests/test_serving/test_faulty_upstreams.py
+++ b/tests/test_serving/test_faulty_upstreams.py
@@ -17,12 +17,10 @@
 from camphorgated.serving.errors import CallFailed, EventTooLarge, ExchangeError
 from camphorgated.serving.events import MAX_EVENT_BYTES, EventStream
 from camphorgated.serving.front import DRAIN_ACCEPT_SECONDS
-from camphorgated.serving.http1 import encode_head
 from camphorgated.serving.usage_duty import UsageDuty
-from tests.hosted import HostedCase
+from tests.hosted import HostedCase, encode_request
 from tests.hosting_builders import (
     HOST,
-    KEY,
     build_platform_configuration,
     build_platform_entry,
 )
@@ -363,14 +361,7 @@
         host, _, port = app.settings.caller_address.rpartition(":")
         connection = await connect(host, int(port), 1.0)
         self.stack.callback(connection.close)
-        lines = [
-            (b"host", HOST.encode()),
-            (b"x-attempt-id", b"attempt-1"),
-            (b"x-deadline", b"3000"),
-            (b"authorization", b"Bearer " + KEY.encode()),
-            (b"content-length", b"2"),
-        ]
-        head = encode_head(b"POST /book/a HTTP/1.1", lines)
+        head = encode_request("POST", "/book/a", b"ab")[:-2]
         with mock.patch.object(front_module, "DRAIN_ACCEPT_SECONDS", 0.1):
             self.assertGreater(DRAIN_ACCEPT_SECONDS, 0.1)
             connection.send("POST", head)
--- a/tests/test_serving/test_limited_fleet.py
+++ b/tests/test_serving/test_limited_fleet.py
@@ -4,8 +4,9 @@
 import unittest
 
 from camphorgated.serving import gossip
-from tests.limited_fleet import RESTART_SECONDS, SIZES, LimitedFleet, run_fleet
+from tests.limited_fleet import RESTART_SECONDS, SIZES, LimitedFleet
 from tests.limited_workers import CONTACT_SECONDS
+from tests.virtual_time import run_fleet
 
 UPSTREAMS = 10
 WARMUP_SECONDS = 4.0
--- a/tests/test_serving/test_requests_ahead.py
+++ b/tests/test_serving/test_requests_ahead.py
@@ -7,10 +7,9 @@
 from unittest import mock
 
 from camphorgated.serving import front as front_module
-from camphorgated.serving.http1 import encode_head
 from camphorgated.serving.memory import Memory
 from camphorgated.serving.server_connection import MAX_QUEUED_REQUESTS
-from tests.hosting_builders import HOST, KEY
+from tests.hosted import encode_request, read_response
 from tests.test_serving.test_faulty_upstreams import ScriptedWorkerCase
 from tests.test_serving.test_memory import (
     HEADER_SECONDS,
@@ -32,53 +31,21 @@
 
 def encode_booking(number: int, body: bytes = b"sacks", *fields) -> bytes:
     """Return the bytes of a booking."""
-    lines = [
-        (b"host", HOST.encode()),
-        (b"x-attempt-id", b"attempt-%d" % number),
-        (b"x-deadline", b"8000"),
-        (b"authorization", b"Bearer " + KEY.encode()),
-        (b"content-length", b"%d" % len(body)),
-        *fields,
-    ]
-    return encode_head(b"POST /book/a HTTP/1.1", lines) + body
-
-
-async def read_response(reader: asyncio.StreamReader) -> tuple[int, dict]:
-    """Read a response and return its status and its headers."""
-    async with asyncio.timeout(3.0):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        start, *lines = head.rstrip().split("\r\n")
-        headers = dict(line.lower().split(": ", 1) for line in lines)
-        await reader.readexactly(int(headers["content-length"]))
-        return int(start.split()[1]), headers
-
-
-class RequestsAheadCase(ScriptedWorkerCase):
-    """A daemon and a caller that sends requests ahead."""
-
-    async def connect(self, app, receive_bytes=None):
-        """Open a connection of a caller.
-
-        :param receive_bytes: size of the system's buffer for what it has not read.
-        """
-        host, _, port = app.settings.caller_address.rpartition(":")
-        caller = socket.socket()
-        if receive_bytes is not None:
-            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-        caller.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(caller, (host, int(port)))
-        reader, writer = await asyncio.open_connection(sock=caller)
-        self.stack.callback(writer.close)
-        return reader, writer
-
-
-class StopTests(RequestsAheadCase):
+    headers = {
+        b"x-attempt-id": b"attempt-%d" % number,
+        b"x-deadline": b"8000",
+        **dict(fields),
+    }
+    return encode_request("POST", "/book/a", body, headers)
+
+
+class StopTests(ScriptedWorkerCase):
     """A planned stop answers what was read."""
 
     async def stop_with(self, script, sent: bytes, count: int) -> list:
         """Return the responses to requests that were read before a stop."""
         app, _ = await self.start_scripted(script, engine=False)
-        reader, writer = await self.connect(app)
+        reader, writer = await self.open_caller(app)
         writer.write(sent)
         front = app.service("front")
         await self.eventually(lambda: front._work_by_connection)
@@ -106,7 +73,7 @@
     async def test_endless_requests_end_with_the_time_for_new_ones(self):
         """Guards against a process that a busy caller keeps from its exit."""
         app, _ = await self.start_scripted([], engine=False)
-        reader, writer = await self.connect(app)
+        reader, writer = await self.open_caller(app)
         front = app.service("front")
 
         async def send() -> None:
@@ -131,7 +98,7 @@
     async def test_booking_whose_caller_left_is_finished(self):
         """Guards against a stop that cuts work which nobody waits for."""
         app, workers = await self.start_scripted(["respond_late"], engine=False)
-        _, writer = await self.connect(app)
+        _, writer = await self.open_caller(app)
         writer.write(encode_booking(0))
         front = app.service("front")
         await self.eventually(lambda: any(worker.runs for worker in workers))
@@ -144,7 +111,7 @@
         self.assertFalse(work.cancelled())
 
 
-class InterimResponseTests(RequestsAheadCase):
+class InterimResponseTests(ScriptedWorkerCase):
     """An interim response stands before the response to its own request."""
 
     CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -157,7 +124,7 @@
             engine=True,
             routes={"gap-aim-ms": 250, "timeout-ms": 8000},
         )
-        reader, writer = await self.connect(app)
+        reader, writer = await self.open_caller(app)
         booking = encode_booking(1, b"sacks", self.EXPECT)
         stream = encode_booking(0, b"prompt", *STREAM_FIELDS)
         writer.write(stream.replace(b"/book/a", b"/chat/a", 1))
@@ -208,7 +175,7 @@
         connection.connection_lost(None)
 
 
-class UnsentResponseTests(RequestsAheadCase):
+class UnsentResponseTests(ScriptedWorkerCase):
     """A planned stop waits for callers that read slowly."""
 
     async def test_response_is_sent_before_the_exit(self):
@@ -216,7 +183,7 @@
         app, _ = await self.start_scripted(
             [f"respond_large:{LARGE_BYTES}"], engine=False
         )
-        reader, writer = await self.connect(app, SYSTEM_BUFFER_BYTES)
+        reader, writer = await self.open_caller(app, SYSTEM_BUFFER_BYTES)
         writer.transport.pause_reading()
         front = app.service("front")
         await self.eventually(lambda: front._connections)
--- a/tests/test_serving/test_room_fleet.py
+++ b/tests/test_serving/test_room_fleet.py
@@ -8,8 +8,8 @@
 
 from camphorgate.serving.settings import RoomSettings
 from camphorgated.serving.messages import RoomLoans, RoomRequest, RoomReturn
-from tests.limited_fleet import run_fleet
 from tests.room_fleet import CALL_SECONDS, RoomFleet
+from tests.virtual_time import run_fleet
 
 ZONES, UPSTREAMS = 4, 4
 WARMUP_SECONDS = 4.0
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -36,3 +36,18 @@
     def monotonic(self) -> float:
         """Return the virtual time in seconds."""
         return self._loop.time()
+
+
+def run_fleet(play) -> None:
+    """Run a coroutine function in virtual time."""
+    loop = VirtualTimeLoop()
+    # Nothing comes from outside.
+    loop._selector.select = lambda timeout=None: []
+    asyncio.set_event_loop(loop)
+    try:
+        loop.run_until_complete(play())
+        # Lets tasks that were cancelled at the end finish.
+        loop.run_until_complete(asyncio.sleep(0.0))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
