Do not open regained watches a second time after an outage

Cause: the check of the watches counts calls without an answer since it last looked, and does not look while the store is lost. Its first look after the outage found the calls that failed during it, and opened sound watches again: two probes and three lists for each regained watcher. Why it works: what failed before the first of the present watches was open says nothing about their connections; later failures count as before.

--- a/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
+++ b/packages/camphorgate-daemon/src/camphorgated/serving/watches.py
@@ -315,6 +315,10 @@
         if prefix in self._sound_since_by_prefix:
             return
         now = self._app.clock.monotonic()
+        if not self._sound_since_by_prefix:
+            # Calls that failed before any of these watches was open do not show that
+            # their connections are silent.
+            self._known_unanswered_calls = self._store.unanswered_calls
         # An entry that is missing from the first list after an outage may come back. If
         # only the other watchers fell silent, there was no outage.
         self._sound_since_by_prefix[prefix] = (
--- a/tests/test_serving/test_store_trouble.py
+++ b/tests/test_serving/test_store_trouble.py
@@ -1,7 +1,10 @@
 """Tests of the calls to a store in trouble, and of the time after it."""
 
 import asyncio
+from unittest import mock
 
+from camphorgate.serving.watch_schedule import MAX_WATCH_SECONDS
+from camphorgated.serving.watches import CHECK_SECONDS, Watches
 from tests.hosted import HostedCase
 
 # Most of them are neither watchers nor the next to become one.
@@ -71,3 +74,23 @@
     async def test_store_that_resets_connections_gets_no_more_calls(self):
         """Guards against retries that fail at once and repeat at once."""
         await self.check_trouble("down")
+
+    async def test_regained_watches_are_not_opened_again(self):
+        """Guards against reads of every list that calls before the recovery cause.
+
+        Their failure says nothing about the connections that were opened afterwards.
+        """
+        self.configure()
+        app = await self.start_ready(times={"lease_seconds": 1.5})
+        directory = app.service("directory")
+        await self.eventually(app.service("members").holds_duty)
+        # Watches that were opened again less than a watch ago are left alone anyway.
+        seconds = MAX_WATCH_SECONDS + 1.0
+        self.store.faults.arm({"fault": "down", "seconds": seconds})
+        await self.eventually(lambda: not directory.watches.sound)
+        with mock.patch.object(Watches, "restart") as restart:
+            await self.eventually(
+                lambda: directory.watches.sound, seconds=seconds + 4.0
+            )
+            await asyncio.sleep(3 * CHECK_SECONDS)
+        restart.assert_not_called()
