Let the duty tests wait until the second instance knows of the holder

Cause, in the test's setup: it waits until the second instance need not rest. Before this instance has seen the duty's entry, it knows of no earlier holder and need not rest; it does once the entry arrives, up to 3 s after its start. The setup now waits for the entry first. Bounds and checks are unchanged.

--- a/tests/test_serving/test_unfenced_duty.py
+++ b/tests/test_serving/test_unfenced_duty.py
@@ -101,8 +101,12 @@
         ]
         await self.eventually(lambda: any(item.holds_duty() for item in members))
         holder, other = sorted(members, key=lambda item: not item.holds_duty())
-        # The other one may have started when the duty was taken already.
+        # The other one may have started when the duty was taken already. It only knows
+        # that it has to rest once it has seen the entry.
         clock = other._app.clock
+        await self.eventually(
+            lambda: DUTY_KEY in other._directory.instance_entries_by_key
+        )
         await self.eventually(lambda: not other._must_rest(clock.monotonic()))
         return holder, other
 
