Let the tests of a hanging store wait until its watches hang

Cause, in the setup: watches opened before the clients were wrapped are ended by two writes and a pause of 0.3 s. If one is still open then, the hang does not apply to it: it sees the removal at once, and the others drop the entry without a doubt. Checks and bounds are unchanged.

--- a/tests/test_serving/test_hanging_store.py
+++ b/tests/test_serving/test_hanging_store.py
@@ -48,10 +48,7 @@
 
     def watch_generation(self, target: str) -> int:
         """Return the generation of a call's connection if the call is a watch."""
-        path, _, query = target.partition("?path-prefix=")
-        if not path.endswith("/kv-watch"):
-            return 0
-        return self.generation_by_prefix.get(unquote(query.partition("&")[0]), 0)
+        return self.generation_by_prefix.get(watched_prefix(target), 0)
 
     def end(self) -> None:
         """Fail the waiting calls, and respond again."""
@@ -68,6 +65,12 @@
             raise CallFailed("the response was interrupted", True)
 
 
+def watched_prefix(target: str) -> str:
+    """Return the prefix that a call watches, empty for other calls."""
+    path, _, query = target.partition("?path-prefix=")
+    return unquote(query.partition("&")[0]) if path.endswith("/kv-watch") else ""
+
+
 class HangingClient:
     """A client whose responses are delayed by a hang."""
 
@@ -76,6 +79,8 @@
         self._client = client
         self._hang = hang
         self._generation = hang.generation
+        # The prefixes of the watches that were opened by this client.
+        self.prefixes: set[str] = set()
 
     async def call(
         self, method, target, body=b"", headers=None, timeout=None, **options
@@ -86,6 +91,7 @@
         is_silent = self._generation != self._hang.generation
         generation = self._generation = self._hang.generation
         watch_generation = self._hang.watch_generation(target)
+        self.prefixes.add(watched_prefix(target))
         try:
             async with asyncio.timeout(seconds):
                 await self._hang.wait()
@@ -143,9 +149,20 @@
         table = watchers[0].service("directory").table
         entry = build_platform_entry(table.by_id["desk-2"].address, sequence=2)
         self.store.put("servers/desk-2", entry)
+        await self.eventually(lambda: all(map(self.watches_are_wrapped, watchers)))
         await asyncio.sleep(0.3)
         return hang, watchers, followers
 
+    @staticmethod
+    def watches_are_wrapped(app) -> bool:
+        """Return whether a hang applies to every watch of a watcher.
+
+        A surplus watcher may have ended its watches meanwhile.
+        """
+        prefixes = app.service("store")._watch_client.prefixes
+        watching = app.service("directory").watches.watching
+        return not watching or {"op/", "servers/"} <= prefixes
+
     async def measure_removal_seconds(self, apps) -> float:
         """Remove the first worker; return the time until no instance may choose it."""
         clock = asyncio.get_running_loop()
