Wait for the buffered response in the test of the exit

Cause, in its setup: it polled every 10 ms for a request in progress, a state of 12 ms (three traces: response buffered 12 ms after the request, work ended 0.7 ms later). It now waits until the response is in the connection's buffer, which lasts as the caller reads nothing, and is the case that the test is about. Checks and bounds are unchanged.

--- a/tests/test_serving/test_requests_ahead.py
+++ b/tests/test_serving/test_requests_ahead.py
@@ -191,7 +191,13 @@
             system = connection.transport.get_extra_info("socket")
             system.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SYSTEM_BUFFER_BYTES)
         writer.write(encode_booking(0))
-        await self.eventually(lambda: front._work_by_connection)
+        # The caller reads nothing, so the response stays in the buffer of the process.
+        await self.eventually(
+            lambda: any(
+                connection.transport.get_write_buffer_size()
+                for connection in front._connections
+            )
+        )
         with mock.patch.object(front_module, "DRAIN_ACCEPT_SECONDS", 0.1):
             drain = asyncio.ensure_future(front.drain())
             await asyncio.sleep(1.0)
